--- /dev/null
+++ b/include/camphorlug/admission/fair_queue.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "camphorlug/admission/admission_queue.h"
+#include "camphorlug/admission/drain_rate.h"
+#include "camphorlug/admission/return_bookings.h"
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/notification.h"
+#include "camphorlug/support/random_source.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace camphorlug::admission {
+
+/// Weighted fair queueing in two levels: classes by weight, and inside a class
+/// organisations by weight, both by virtual time of the work done, so that
+/// none starves and idle shares go to the others.
+class fair_queue final : public admission_queue {
+public:
+  /// `free_slots` tells how many more requests the targets can take.
+  fair_queue(support::clock& time, support::random_source& random,
+             std::function<std::size_t()> free_slots);
+
+  void configure(const documents::service_document& document) override;
+  support::task<admission_result> enter(admission_request request) override;
+  void finish(const admission_request& request, double actual_cost) override;
+  void pump() override;
+  std::size_t waiting() const override { return waiting_; }
+
+private:
+  /// A request in the queue.
+  struct waiter {
+    admission_request request;
+    support::notification decided;
+    bool granted = false;
+    bool crowded_out = false;
+  };
+
+  /// One organisation's requests within a class.
+  struct organisation_queue {
+    std::string organisation;
+    double weight = 1;
+    /// Virtual time up to which the organisation has had its share.
+    double served = 0;
+    std::deque<std::shared_ptr<waiter>> waiters;
+  };
+
+  struct class_queue {
+    double weight = 1;
+    double served = 0;
+    /// Virtual time of the scheduling inside the class.
+    double now = 0;
+    std::size_t waiting = 0;
+    std::map<std::string, organisation_queue> organisations;
+  };
+
+  organisation_queue& queue_of(const admission_request& request);
+  bool may_start(const organisation_queue& queue) const;
+  void start(const admission_request& request);
+  double share_of(const admission_request& request) const;
+  bool crowd_out(const admission_request& newcomer);
+  admission_result refuse(const admission_request& request, std::string reason);
+  std::shared_ptr<waiter> next();
+  void remove(const std::shared_ptr<waiter>& leaving);
+
+  support::clock& time_;
+  support::random_source& random_;
+  std::function<std::size_t()> free_slots_;
+  std::map<std::string, class_queue> classes_;
+  std::map<std::string, std::size_t> in_flight_;
+  std::map<std::string, std::size_t> in_flight_limits_;
+  std::map<std::string, double> organisation_weights_;
+  drain_rate drained_;
+  return_bookings bookings_;
+  std::size_t queue_limit_ = 500;
+  std::size_t waiting_ = 0;
+  /// Granted requests that have not gone on yet, so hold no target's slot.
+  std::size_t resuming_ = 0;
+  double class_time_ = 0;
+};
+
+} // namespace camphorlug::admission
--- /dev/null
+++ b/include/camphorlug/admission/return_bookings.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace camphorlug::admission {
+
+/// Times at which refused requests were told to come back. A request that
+/// comes back in time has precedence over new ones, so that a caller who obeys
+/// Retry-After gets in.
+class return_bookings {
+public:
+  /// Books the next free time of an organisation whose requests are served at
+  /// `rate` a second, and returns how long to wait.
+  std::chrono::seconds book(const std::string& organisation, std::uint64_t fingerprint,
+                            double rate, double jitter, support::clock::time_point now);
+
+  /// Whether `fingerprint` comes back in its time; the booking is then used up.
+  bool redeem(std::uint64_t fingerprint, support::clock::time_point now);
+
+  /// Bookings of an organisation that fall due within `span`.
+  std::size_t due_within(const std::string& organisation, std::chrono::nanoseconds span,
+                         support::clock::time_point now) const;
+
+private:
+  struct booking {
+    std::string organisation;
+    support::clock::time_point due;
+  };
+
+  void drop_expired(support::clock::time_point now);
+
+  std::map<std::uint64_t, booking> bookings_;
+  std::map<std::string, support::clock::time_point> next_due_;
+};
+
+} // namespace camphorlug::admission
--- /dev/null
+++ b/include/camphorlug/documents/cached_documents.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "camphorlug/documents/document_view.h"
+#include "camphorlug/platform/row_cache.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace camphorlug::documents {
+
+/// Key prefix of the rows that hold the newest version of each document.
+inline constexpr const char* document_prefix = "document/";
+
+/// The documents in the row cache, parsed. A row that cannot be parsed is
+/// logged and the version before it stays in force.
+class cached_documents final : public document_view {
+public:
+  explicit cached_documents(platform::row_cache& rows);
+
+  std::shared_ptr<const document_in_force> find(const std::string& service) const override;
+  std::vector<std::shared_ptr<const document_in_force>> all() const override;
+
+  /// Calls `on_change` with each document that comes into force from now on.
+  void add_listener(std::function<void(const document_in_force&)> on_change);
+
+private:
+  void take(const platform::row& changed);
+
+  std::map<std::string, std::shared_ptr<const document_in_force>> documents_;
+  std::vector<std::function<void(const document_in_force&)>> listeners_;
+};
+
+} // namespace camphorlug::documents
--- /dev/null
+++ b/include/camphorlug/documents/document_editor.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "camphorlug/documents/edit_result.h"
+#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/platform/table_store.h"
+#include "camphorlug/support/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphorlug::documents {
+
+/// An operator's wish to replace the version that they saw.
+struct edit_request {
+  std::string service;
+  std::string text;
+  /// The version that the operator saw; 0 for a new service.
+  std::uint64_t seen_number = 0;
+  std::string edit_id;
+  std::string author;
+};
+
+/// Writes document versions through the table service. Each version is also
+/// kept as a row of its own under `history/`.
+class document_editor {
+public:
+  document_editor(platform::table_store& store, platform::row_cache& rows, support::clock& time);
+
+  /// Writes one version if nobody wrote since the one that was seen.
+  support::task<edit_result> edit(edit_request request);
+
+  /// The accepted versions of `service`, oldest first. Throws platform::store_error.
+  support::task<std::vector<document_version>> history(std::string service);
+
+private:
+  support::task<edit_result> write(edit_request request);
+  support::task<edit_result> settle(edit_request request);
+
+  platform::table_store& store_;
+  platform::row_cache& rows_;
+  support::clock& time_;
+};
+
+} // namespace camphorlug::documents
--- /dev/null
+++ b/include/camphorlug/documents/model_spec.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace camphorlug::documents {
+
+/// Which of the two measures a service weighs more.
+enum class favoured_measure {
+  /// Group downtime: idle instances are held as spares in each fabric domain.
+  uptime,
+  /// Stranded accelerators: idle instances are formed into further groups.
+  utilisation,
+};
+
+/// The replica groups that a model service should have.
+struct model_spec {
+  std::string name;
+  std::string version;
+  std::vector<std::string> adapters;
+  /// Whole groups that must serve; fewer is group downtime.
+  std::size_t replicas = 1;
+  /// Whole groups that may serve where idle instances allow; 0 for no limit.
+  std::size_t max_replicas = 0;
+  /// Instances of one group.
+  std::size_t span = 1;
+  favoured_measure favour = favoured_measure::uptime;
+  /// Whether the engines refuse an order with an old number.
+  bool engines_check_numbers = true;
+  /// Weight loads that may run at the same time.
+  std::size_t concurrent_loads = 8;
+};
+
+} // namespace camphorlug::documents
--- /dev/null
+++ b/include/camphorlug/groups/live_groups.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "camphorlug/documents/document_view.h"
+#include "camphorlug/groups/group_record.h"
+#include "camphorlug/groups/group_view.h"
+#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/watching/instance_directory.h"
+#include "camphorlug/watching/sighting_board.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorlug::groups {
+
+/// Joins the group rows with the sightings: a group is routable only while its
+/// row says serving and each member was seen whole within `freshness`.
+class live_groups final : public group_view {
+public:
+  /// How old the sighting of a member may be.
+  static constexpr std::chrono::seconds freshness{3};
+
+  live_groups(support::clock& time, platform::row_cache& rows,
+              const documents::document_view& documents,
+              const watching::instance_directory& directory,
+              const watching::sighting_board& board);
+
+  target_set targets(const std::string& service) override;
+
+  /// All groups that are not dissolved, by id.
+  std::vector<group_record> records() const;
+
+  /// Why a group gets no requests; empty if it does.
+  std::string obstacle(const group_record& record) const;
+
+private:
+  struct cached_targets {
+    target_set targets;
+    support::clock::time_point made_at;
+    std::uint64_t board_generation = 0;
+    std::uint64_t rows_fingerprint = 0;
+  };
+
+  void take(const platform::row& changed);
+  bool is_fresh(const cached_targets& cached) const;
+  std::vector<routable_target> collect(const std::string& service) const;
+  void collect_groups(const std::string& service, std::vector<routable_target>& found) const;
+  void collect_instances(const documents::service_document& document,
+                         std::vector<routable_target>& found) const;
+
+  support::clock& time_;
+  platform::row_cache& rows_;
+  const documents::document_view& documents_;
+  const watching::instance_directory& directory_;
+  const watching::sighting_board& board_;
+  std::map<std::string, group_record> records_;
+  std::map<std::string, cached_targets> cache_;
+};
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/include/camphorlug/groups/pool_table.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "camphorlug/groups/group_record.h"
+#include "camphorlug/groups/lease.h"
+#include "camphorlug/groups/placement_step.h"
+#include "camphorlug/groups/pool_state.h"
+#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/platform/table_store.h"
+#include "camphorlug/support/random_source.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace camphorlug::groups {
+
+/// A group together with the version of its row.
+struct held_group {
+  group_record record;
+  std::uint64_t row_version = 0;
+};
+
+/// The group that an instance's row assigns it to, and the row's version.
+struct held_instance {
+  std::string group;
+  std::uint64_t row_version = 0;
+};
+
+/// The lease holder's copy of a pool's group and instance rows. Group and
+/// instance rows change together in one transaction that also checks the
+/// lease: that alone keeps an instance out of two groups.
+class pool_table {
+public:
+  pool_table(platform::table_store& store, platform::row_cache& rows, const lease& holding,
+             support::random_source& random, std::string pool);
+
+  /// Reads all rows of the pool. Throws platform::store_error.
+  support::task<> load();
+
+  /// Forgets what was read, so that the next pass reads it again.
+  void invalidate() { loaded_ = false; }
+  bool loaded() const { return loaded_; }
+
+  /// Writes one step; false when a row had changed. Throws platform::store_error.
+  support::task<bool> write(placement_step step, std::string service, documents::model_spec spec);
+
+  /// Moves a group to `state`; false when its row had changed. Throws platform::store_error.
+  support::task<bool> set_state(std::string group, group_state state, std::string reason);
+
+  /// Rows of groups that are not dissolved, by id.
+  const std::map<std::string, held_group>& groups() const { return groups_; }
+  const std::map<std::string, held_instance>& instances() const { return instances_; }
+
+  /// A number at least as large as that of each order under this lease.
+  std::uint64_t newest_number() const;
+
+private:
+  struct draft;
+  std::uint64_t next_number();
+  draft start(const placement_step& step, const std::string& service,
+              const documents::model_spec& spec);
+  void apply(const placement_step& step, const documents::model_spec& spec, draft& change);
+  void put_instance(draft& change, const std::string& instance);
+  void free_instance(draft& change, const std::string& instance);
+  support::task<bool> commit(draft change);
+
+  platform::table_store& store_;
+  platform::row_cache& rows_;
+  const lease& lease_;
+  support::random_source& random_;
+  std::string pool_;
+  std::map<std::string, held_group> groups_;
+  std::map<std::string, held_instance> instances_;
+  std::uint64_t sequence_ = 0;
+  bool loaded_ = false;
+};
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/include/camphorlug/groups/table_lease.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "camphorlug/groups/lease.h"
+#include "camphorlug/platform/table_store.h"
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/random_source.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace camphorlug::groups {
+
+/// A lease in two rows of the table service: `pool/P/holder` changes only when
+/// the holder does, so that transactions can check it; `pool/P/renewal` changes
+/// with each renewal. No two nodes' clocks are compared: a candidate waits
+/// until it has seen the renewal row unchanged for a whole term.
+class table_lease final : public lease {
+public:
+  /// Time that the holder may act after the sending of a renewal.
+  static constexpr std::chrono::seconds term{6};
+  /// The holder stops this much before its term ends.
+  static constexpr std::chrono::seconds margin{1};
+
+  table_lease(platform::table_store& store, support::clock& time, support::random_source& random,
+              std::string pool, std::string node);
+
+  support::task<bool> try_acquire() override;
+  support::task<> renew() override;
+  support::task<> release() override;
+  bool held() const override;
+  std::uint64_t number() const override { return number_; }
+  platform::row_check check() const override;
+  std::string last_holder() const override { return last_holder_; }
+
+private:
+  struct observed_rows;
+  support::task<observed_rows> observe();
+  support::task<bool> take_over(observed_rows rows);
+  support::task<bool> confirm(std::string attempt, support::clock::time_point sent_at);
+  void hold_from(support::clock::time_point sent_at, std::uint64_t holder_version);
+
+  platform::table_store& store_;
+  support::clock& time_;
+  support::random_source& random_;
+  std::string pool_;
+  std::string node_;
+  std::string last_holder_;
+
+  bool holding_ = false;
+  support::clock::time_point held_since_;
+  std::uint64_t number_ = 0;
+  std::uint64_t holder_version_ = 0;
+
+  std::uint64_t seen_renewal_ = 0;
+  std::optional<support::clock::time_point> unchanged_since_;
+};
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/include/camphorlug/net/http_exchange.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "camphorlug/net/header_list.h"
+#include "camphorlug/support/task.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace camphorlug::net {
+
+/// Status and headers of an answer.
+struct response_head {
+  int status = 0;
+  header_list headers;
+};
+
+/// A request under way. Destroying it closes its connection unless the answer is whole.
+class http_exchange {
+public:
+  http_exchange() = default;
+  http_exchange(const http_exchange&) = delete;
+  http_exchange& operator=(const http_exchange&) = delete;
+  virtual ~http_exchange() = default;
+
+  /// Waits for status and headers. Throws transport_error.
+  virtual support::task<response_head> head(std::chrono::nanoseconds timeout) = 0;
+
+  /// The next bytes of the body, nothing at its regular end. Throws transport_error.
+  virtual support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) = 0;
+};
+
+} // namespace camphorlug::net
--- /dev/null
+++ b/include/camphorlug/node/isolation_monitor.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "camphorlug/peers/peer_board.h"
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+
+namespace camphorlug::node {
+
+/// Tells when a node cannot know what is in force: it reached neither the
+/// table service nor more than half of its peers for a while.
+class isolation_monitor {
+public:
+  static constexpr std::chrono::seconds patience{5};
+
+  isolation_monitor(support::clock& time, const peers::peer_board& board);
+
+  /// Notes that the table service answered.
+  void store_answered();
+
+  /// Looks at the present contacts; call it a few times a second.
+  void update();
+
+  bool isolated() const { return isolated_; }
+  bool store_reachable() const;
+
+  /// Whether more than half of the known peers were reached lately; true without peers.
+  bool reaches_most_peers() const;
+
+private:
+  support::clock& time_;
+  const peers::peer_board& board_;
+  support::clock::time_point store_answered_at_;
+  bool isolated_ = false;
+};
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/include/camphorlug/node/node.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "camphorlug/documents/cached_documents.h"
+#include "camphorlug/documents/document_editor.h"
+#include "camphorlug/groups/domain_placement.h"
+#include "camphorlug/groups/group_planner.h"
+#include "camphorlug/groups/live_groups.h"
+#include "camphorlug/net/response_writer.h"
+#include "camphorlug/net/server_request.h"
+#include "camphorlug/node/isolation_monitor.h"
+#include "camphorlug/node/node_metrics.h"
+#include "camphorlug/node/node_settings.h"
+#include "camphorlug/node/store_reader.h"
+#include "camphorlug/peers/gossip.h"
+#include "camphorlug/platform/instance_list.h"
+#include "camphorlug/requests/request_service.h"
+#include "camphorlug/routing/affinity_picker.h"
+#include "camphorlug/watching/watcher.h"
+
+#include <asio/any_io_executor.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorlug::node {
+
+/// The world as a node reaches it; everything must outlive the node.
+struct node_context {
+  asio::any_io_executor executor;
+  support::clock& time;
+  support::random_source& random;
+  platform::table_store& store;
+  platform::instance_list& instances;
+  targets::target_client& targets;
+  peers::peer_client& peers;
+};
+
+/// One camphorlug node without its listeners: it answers the requests that it
+/// is handed and reaches out only through its context.
+class node {
+public:
+  node(node_context context, node_settings settings);
+  ~node();
+
+  /// Starts all duties; they run until the clock is shut down.
+  void start();
+
+  /// Answers a request that came to the callers' address.
+  support::task<> handle_caller(net::server_request request, net::response_writer& writer);
+
+  /// Answers a request that came to the operators' and peers' address.
+  support::task<> handle_operator(net::server_request request, net::response_writer& writer);
+
+  /// Leaves: tells the peers, gives leases up, and returns once no caller can
+  /// hold an answer that names this node.
+  support::task<> leave();
+
+  bool leaving() const { return leaving_; }
+  bool isolated() const { return isolation_.isolated(); }
+
+  /// Whether it knows what is in force and may serve callers.
+  bool serves() const;
+
+  const node_settings& settings() const { return settings_; }
+  const documents::document_view& documents() const { return documents_; }
+  const platform::row_cache& rows() const { return rows_; }
+  const peers::peer_board& peer_board() const { return peer_board_; }
+  groups::live_groups& live_groups() { return live_groups_; }
+  documents::document_editor& editor() { return editor_; }
+  std::vector<groups::planner_status> planner_statuses() const;
+  peers::node_report report();
+
+  /// Takes a peer's half of an exchange and returns the other.
+  peers::peer_message answer_peer(const peers::peer_message& message);
+
+private:
+  struct pool_planner;
+  void start_planner(const documents::document_in_force& in_force);
+  support::task<> read_instances();
+  support::task<> keep_house();
+  bool is_reader() const;
+  bool watches(const platform::listed_instance& instance) const;
+  void send_entries(const net::server_request& request, net::response_writer& writer);
+  void send_metrics(net::response_writer& writer);
+  void answer_peer_request(const net::server_request& request, net::response_writer& writer);
+
+  node_context context_;
+  node_settings settings_;
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  bool leaving_ = false;
+
+  platform::row_cache rows_;
+  watching::instance_directory directory_;
+  watching::sighting_board sightings_;
+  peers::peer_board peer_board_;
+  documents::cached_documents documents_;
+  documents::document_editor editor_;
+  groups::live_groups live_groups_;
+  groups::domain_placement placement_;
+  isolation_monitor isolation_;
+  store_reader reader_;
+  watching::watcher watcher_;
+  peers::gossip gossip_;
+  routing::affinity_picker picker_;
+  requests::claim_book claims_;
+  node_metrics metrics_;
+  requests::request_service requests_;
+  std::map<std::string, std::unique_ptr<pool_planner>> planners_;
+};
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/include/camphorlug/node/node_builder.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "camphorlug/node/node.h"
+
+#include <memory>
+#include <optional>
+
+namespace camphorlug::node {
+
+/// Puts a node together from the parts by which it reaches the world.
+class node_builder {
+public:
+  explicit node_builder(asio::any_io_executor executor) : executor_(std::move(executor)) {}
+
+  node_builder& settings(node_settings settings);
+  node_builder& clock(support::clock& time);
+  node_builder& random(support::random_source& random);
+  node_builder& store(platform::table_store& store);
+  node_builder& instances(platform::instance_list& instances);
+  node_builder& targets(targets::target_client& targets);
+  node_builder& peers(peers::peer_client& peers);
+
+  /// Throws std::logic_error when a part is missing.
+  std::unique_ptr<node> build();
+
+private:
+  asio::any_io_executor executor_;
+  std::optional<node_settings> settings_;
+  support::clock* time_ = nullptr;
+  support::random_source* random_ = nullptr;
+  platform::table_store* store_ = nullptr;
+  platform::instance_list* instances_ = nullptr;
+  targets::target_client* targets_ = nullptr;
+  peers::peer_client* peers_ = nullptr;
+};
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/include/camphorlug/node/operator_api.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "camphorlug/net/response_writer.h"
+#include "camphorlug/net/server_request.h"
+#include "camphorlug/node/node_settings.h"
+#include "camphorlug/support/task.h"
+
+namespace camphorlug::node {
+
+class node;
+
+/// Answers `/operator/v1/...`.
+class operator_api {
+public:
+  explicit operator_api(node& subject) : node_(subject) {}
+
+  support::task<> handle(net::server_request request, net::response_writer& writer);
+
+private:
+  const operator_account* authenticate(const net::server_request& request) const;
+  support::task<> handle_service(net::server_request request, const operator_account& account,
+                                 net::response_writer& writer);
+  support::task<> edit(const std::string& service, const net::server_request& request,
+                       const operator_account& account, net::response_writer& writer);
+  support::task<> send_history(const std::string& service, net::response_writer& writer);
+  void check(const net::server_request& request, net::response_writer& writer);
+  void send_document(const std::string& service, net::response_writer& writer);
+  void send_versions(const std::string& service, net::response_writer& writer);
+  void send_services(net::response_writer& writer);
+  void send_status(net::response_writer& writer);
+  void send_groups(net::response_writer& writer);
+
+  node& node_;
+};
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/include/camphorlug/peers/gossip.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "camphorlug/peers/peer_board.h"
+#include "camphorlug/peers/peer_client.h"
+#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/support/notification.h"
+#include "camphorlug/support/random_source.h"
+#include "camphorlug/watching/instance_directory.h"
+#include "camphorlug/watching/sighting_board.h"
+
+#include <asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorlug::peers {
+
+/// What gossip keeps in agreement; everything must outlive it.
+struct gossip_context {
+  asio::any_io_executor executor;
+  support::clock& time;
+  support::random_source& random;
+  peer_client& client;
+  peer_board& board;
+  platform::row_cache& rows;
+  watching::instance_directory& directory;
+  watching::sighting_board& sightings;
+};
+
+/// Anti-entropy between nodes: each second an exchange with a few others, in
+/// which both sides get the reports and rows that the other has newer, and the
+/// sightings of instances that they miss. A row that goes forward is pushed at once.
+class gossip {
+public:
+  /// `self` gives this node's report as of now, with a new sequence.
+  gossip(gossip_context context, std::vector<std::string> seeds,
+         std::function<node_report()> self);
+
+  /// Runs the periodic exchanges until the clock is shut down.
+  support::task<> run();
+
+  /// Pushes rows that went forward until the clock is shut down.
+  support::task<> push_changes();
+
+  /// Answers a peer's half of an exchange.
+  peer_message answer(const peer_message& message);
+
+  /// Tells all peers this node's report now.
+  support::task<> announce();
+
+  /// Exchanges that were begun.
+  std::uint64_t exchanges() const { return exchanges_; }
+
+private:
+  std::vector<std::string> choose_addresses(std::size_t count);
+  support::task<> exchange_with(std::string address, std::vector<platform::row> pushed);
+  peer_message opening();
+  void merge(const peer_message& message, support::clock::time_point began);
+  void compare_rows(const peer_message& theirs, peer_message& mine) const;
+  std::vector<row_digest> digest_buckets(const std::vector<std::size_t>& buckets) const;
+  std::vector<std::string> missed_instances() const;
+  void add_sightings(const std::vector<std::string>& wanted, peer_message& mine) const;
+
+  gossip_context context_;
+  std::vector<std::string> seeds_;
+  std::function<node_report()> self_;
+  support::notification changed_;
+  std::map<std::string, platform::row> unpushed_;
+  std::set<std::string> in_progress_;
+  std::uint64_t exchanges_ = 0;
+};
+
+} // namespace camphorlug::peers
--- /dev/null
+++ b/include/camphorlug/peers/http_peer_client.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "camphorlug/net/http_client.h"
+#include "camphorlug/peers/peer_client.h"
+
+#include <cstdint>
+#include <string>
+
+namespace camphorlug::peers {
+
+/// Path of the exchange on a node's peer address.
+inline constexpr const char* exchange_path = "/peer/exchange";
+/// Header that carries the signature of the body.
+inline constexpr const char* signature_header = "Camphorlug-Signature";
+
+/// Peers over HTTP with JSON, signed with the key that all nodes share.
+class http_peer_client final : public peer_client {
+public:
+  http_peer_client(net::http_client& client, std::string key);
+
+  support::task<peer_message> exchange(std::string address, peer_message message,
+                                       std::chrono::nanoseconds timeout) override;
+
+  /// Bytes of all bodies sent and received, for the control budget.
+  std::uint64_t bytes() const { return bytes_; }
+
+private:
+  net::http_client& client_;
+  std::string key_;
+  std::uint64_t bytes_ = 0;
+};
+
+} // namespace camphorlug::peers
--- /dev/null
+++ b/include/camphorlug/peers/node_report.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace camphorlug::peers {
+
+/// What a node says of itself; only the node itself makes new ones.
+struct node_report {
+  std::string id;
+  /// `ip:port` for callers.
+  std::string address;
+  /// `ip:port` for peers and operators.
+  std::string peer_address;
+  std::string data_centre;
+  /// New for each start of the process; a larger one is a later start.
+  std::uint64_t incarnation = 0;
+  /// Grows within an incarnation.
+  std::uint64_t sequence = 0;
+  /// Takes no new callers.
+  bool leaving = false;
+  /// Cut off, so that it cannot know what is in force.
+  bool isolated = false;
+  /// Version in force of each service's document.
+  std::map<std::string, std::uint64_t> documents;
+
+  /// Whether this report was made after `other`.
+  bool is_newer_than(const node_report& other) const {
+    return incarnation != other.incarnation ? incarnation > other.incarnation
+                                            : sequence > other.sequence;
+  }
+};
+
+} // namespace camphorlug::peers
--- /dev/null
+++ b/include/camphorlug/peers/peer_message.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "camphorlug/peers/node_report.h"
+#include "camphorlug/platform/listed_instance.h"
+#include "camphorlug/platform/row.h"
+#include "camphorlug/targets/instance_report.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphorlug::peers {
+
+/// Version of a node's report, without the report.
+struct report_digest {
+  std::string id;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+};
+
+/// Version of a row, without the row.
+struct row_digest {
+  std::string key;
+  std::uint64_t version = 0;
+};
+
+/// A sighting on its way: its age travels, since clocks differ.
+struct relayed_sighting {
+  targets::instance_report report;
+  std::chrono::milliseconds age{0};
+};
+
+/// One half of an exchange between two nodes. Parts that are not needed stay empty.
+struct peer_message {
+  node_report sender;
+  std::vector<report_digest> report_digests;
+  std::vector<node_report> reports;
+  /// Hashes of the row cache by bucket.
+  std::vector<std::uint64_t> row_fingerprints;
+  /// Versions of the rows in the buckets that differ.
+  std::vector<row_digest> row_digests;
+  std::vector<std::size_t> differing_buckets;
+  std::vector<std::string> wanted_rows;
+  std::vector<platform::row> rows;
+  /// Instances that the sender has not seen lately.
+  std::vector<std::string> missed_instances;
+  std::vector<relayed_sighting> sightings;
+  /// Set by a node that has no instance list of its own.
+  bool wants_instances = false;
+  std::vector<platform::listed_instance> instances;
+
+  std::string to_json() const;
+
+  /// Throws std::runtime_error when `json` is not such a message.
+  static peer_message from_json(const std::string& json);
+};
+
+} // namespace camphorlug::peers
--- /dev/null
+++ b/include/camphorlug/platform/http_instance_list.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "camphorlug/net/http_client.h"
+#include "camphorlug/platform/instance_list.h"
+
+#include <string>
+
+namespace camphorlug::platform {
+
+/// The instance list over the platform's HTTP interface.
+class http_instance_list final : public instance_list {
+public:
+  http_instance_list(net::http_client& client, std::string address);
+
+  support::task<std::vector<listed_instance>> list() override;
+
+private:
+  net::http_client& client_;
+  std::string address_;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/platform/http_table_store.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "camphorlug/net/http_client.h"
+#include "camphorlug/platform/table_store.h"
+
+#include <string>
+
+namespace camphorlug::platform {
+
+/// The table service over its HTTP interface.
+class http_table_store final : public table_store {
+public:
+  http_table_store(net::http_client& client, std::string address);
+
+  support::task<std::optional<row>> read(std::string key) override;
+  support::task<std::vector<row>> scan(std::string prefix) override;
+  support::task<commit_result> commit(transaction change) override;
+
+private:
+  net::http_client& client_;
+  std::string address_;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/platform/instance_list.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "camphorlug/platform/listed_instance.h"
+#include "camphorlug/support/task.h"
+
+#include <vector>
+
+namespace camphorlug::platform {
+
+/// The platform's lagging list of live and leaving instances.
+class instance_list {
+public:
+  instance_list() = default;
+  instance_list(const instance_list&) = delete;
+  instance_list& operator=(const instance_list&) = delete;
+  virtual ~instance_list() = default;
+
+  /// Throws store_error.
+  virtual support::task<std::vector<listed_instance>> list() = 0;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/platform/row.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace camphorlug::platform {
+
+/// One row of the table service.
+struct row {
+  std::string key;
+  /// JSON text; its schema belongs to the module that owns the key's prefix.
+  std::string value;
+  /// The number of the commit that wrote the row: over the whole table, a later
+  /// commit has a larger number. 0 stands for a row that does not exist.
+  std::uint64_t version = 0;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/platform/table_store.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "camphorlug/platform/commit_result.h"
+#include "camphorlug/platform/row.h"
+#include "camphorlug/platform/transaction.h"
+#include "camphorlug/support/task.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorlug::platform {
+
+/// The platform's transactional table service.
+class table_store {
+public:
+  table_store() = default;
+  table_store(const table_store&) = delete;
+  table_store& operator=(const table_store&) = delete;
+  virtual ~table_store() = default;
+
+  /// Throws store_error.
+  virtual support::task<std::optional<row>> read(std::string key) = 0;
+
+  /// All rows whose key begins with `prefix`, in the order of their keys. Throws store_error.
+  virtual support::task<std::vector<row>> scan(std::string prefix) = 0;
+
+  /// Throws store_error, which tells whether the transaction may have taken effect.
+  virtual support::task<commit_result> commit(transaction change) = 0;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/platform/transaction.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorlug::platform {
+
+/// Requires that a row still has a version; 0 requires that it does not exist.
+struct row_check {
+  std::string key;
+  std::uint64_t version = 0;
+};
+
+/// Writes a row, or deletes it when there is no value.
+struct row_write {
+  std::string key;
+  std::optional<std::string> value;
+};
+
+/// Rows that change together, and only if all checks hold.
+struct transaction {
+  std::vector<row_check> checks;
+  std::vector<row_write> writes;
+};
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/include/camphorlug/requests/request_environment.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "camphorlug/documents/document_view.h"
+#include "camphorlug/requests/claim_book.h"
+#include "camphorlug/requests/request_observer.h"
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/random_source.h"
+#include "camphorlug/targets/target_client.h"
+
+#include <asio/any_io_executor.hpp>
+#include <string>
+
+namespace camphorlug::requests {
+
+/// What the handling of requests works with; everything must outlive it.
+struct request_environment {
+  asio::any_io_executor executor;
+  support::clock& time;
+  support::random_source& random;
+  targets::target_client& targets;
+  claim_book& claims;
+  request_observer& observer;
+  /// Signs positions in streams.
+  std::string stream_key;
+};
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/include/camphorlug/requests/service_gate.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "camphorlug/admission/fair_queue.h"
+#include "camphorlug/requests/retry_budget.h"
+#include "camphorlug/routing/service_router.h"
+
+#include <cstdint>
+
+namespace camphorlug::requests {
+
+/// What one node keeps for one service's requests.
+struct service_gate {
+  service_gate(routing::service_router routes, support::clock& time,
+               support::random_source& random)
+      : router(std::move(routes)), queue(time, random, [this] { return router.free_slots(); }) {}
+
+  routing::service_router router;
+  admission::fair_queue queue;
+  retry_budget retries;
+  /// Version of the document that the gate was configured from.
+  std::uint64_t configured_number = 0;
+};
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/include/camphorlug/requests/sse_reader.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace camphorlug::requests {
+
+/// One server-sent event.
+struct sse_event {
+  /// The `id` field; empty when there is none.
+  std::string id;
+  std::string data;
+};
+
+/// Cuts a stream of server-sent events into events.
+class sse_reader {
+public:
+  void append(std::string_view bytes) { buffer_ += bytes; }
+
+  /// The next whole event. Comments are passed over.
+  std::optional<sse_event> next();
+
+private:
+  std::string buffer_;
+  std::size_t begin_ = 0;
+};
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/include/camphorlug/routing/service_router.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "camphorlug/documents/service_document.h"
+#include "camphorlug/groups/group_view.h"
+#include "camphorlug/routing/concurrency_window.h"
+#include "camphorlug/routing/target_health.h"
+#include "camphorlug/routing/target_picker.h"
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/random_source.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorlug::routing {
+
+/// Chooses targets for one service's requests at one node and keeps what the
+/// answers tell of each target.
+class service_router {
+public:
+  service_router(std::string service, groups::group_view& groups, const target_picker& picker,
+                 support::clock& time, support::random_source& random,
+                 std::set<std::string> near_data_centres);
+
+  /// Takes limits from a document that came into force.
+  void configure(const documents::service_document& document);
+
+  /// The target for a request, without those in `tried` unless there is no other.
+  /// A slot there is taken until `finish`. Nothing when no target is routable.
+  std::optional<groups::routable_target> pick(std::uint64_t affinity,
+                                              const std::vector<std::string>& tried);
+
+  /// Takes a slot at a target that the caller already knows.
+  void begin(const std::string& target);
+
+  /// Gives the slot back.
+  void finish(const std::string& target);
+
+  /// The request began to answer.
+  void on_answer(const std::string& target, std::chrono::nanoseconds latency);
+
+  /// The request failed there or was refused.
+  void on_failure(const std::string& target);
+
+  /// The routable target with this id.
+  std::optional<groups::routable_target> find(const std::string& target) const;
+
+  /// Requests that may be begun now without going over a target's window.
+  std::size_t free_slots() const;
+
+  /// The sum of the windows of all routable targets.
+  std::size_t total_slots() const;
+
+private:
+  struct target_state {
+    explicit target_state(std::size_t window) : window(window) {}
+    std::size_t in_flight = 0;
+    concurrency_window window;
+    target_health health;
+  };
+
+  target_state& state_of(const std::string& target);
+  std::vector<candidate> candidates(const std::vector<groups::routable_target>& targets,
+                                    const std::vector<std::string>& tried);
+  void eject_stragglers(const std::vector<groups::routable_target>& targets);
+  void keep_preferred(std::vector<candidate>& list);
+  double load_of(const groups::routable_target& target, const target_state& state) const;
+
+  std::string service_;
+  groups::group_view& groups_;
+  const target_picker& picker_;
+  support::clock& time_;
+  support::random_source& random_;
+  std::set<std::string> near_;
+  std::size_t max_window_ = 64;
+  std::chrono::nanoseconds first_token_target_{std::chrono::milliseconds(660)};
+  std::unordered_map<std::string, target_state> states_;
+};
+
+} // namespace camphorlug::routing
--- /dev/null
+++ b/include/camphorlug/support/clock.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "camphorlug/support/task.h"
+#include "camphorlug/support/timer.h"
+
+#include <chrono>
+#include <memory>
+
+namespace camphorlug::support {
+
+/// The only source of time and of sleeping.
+class clock {
+public:
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<clock, duration>;
+
+  clock() = default;
+  clock(const clock&) = delete;
+  clock& operator=(const clock&) = delete;
+  virtual ~clock() = default;
+
+  /// Time since an arbitrary start. It never goes back and counts suspension.
+  virtual time_point now() const = 0;
+
+  /// Calendar time, for records that people read; no decision depends on it.
+  virtual std::chrono::system_clock::time_point wall_time() const = 0;
+
+  /// A new timer on this clock, which must outlive it.
+  virtual std::unique_ptr<timer> make_timer() = 0;
+
+  /// Suspends the caller for `delay`. Throws `stopped`.
+  task<> sleep_for(std::chrono::nanoseconds delay);
+};
+
+} // namespace camphorlug::support
--- /dev/null
+++ b/include/camphorlug/support/log.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace camphorlug::support {
+
+/// One named value of a log line.
+struct log_field {
+  std::string_view name;
+  std::string value;
+};
+
+/// How much a log line matters.
+enum class log_level { info, warning, error };
+
+/// Sends all log lines to standard error as one JSON object each, with `node` in every line.
+/// Lines below `lowest` are dropped.
+void start_json_log(std::string_view node, log_level lowest);
+
+/// Writes one line for `event`.
+void log_event(log_level level, std::string_view event,
+               std::initializer_list<log_field> fields = {});
+
+} // namespace camphorlug::support
--- /dev/null
+++ b/include/camphorlug/watching/watcher.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/random_source.h"
+#include "camphorlug/targets/target_client.h"
+#include "camphorlug/watching/instance_directory.h"
+#include "camphorlug/watching/sighting_board.h"
+
+#include <asio/any_io_executor.hpp>
+#include <functional>
+#include <set>
+#include <string>
+
+namespace camphorlug::watching {
+
+/// Decides which instances this node watches by itself.
+using watch_filter = std::function<bool(const platform::listed_instance&)>;
+
+/// Keeps one coroutine for each watched instance, which asks for its report
+/// twice a second and writes what it learns on the board.
+class watcher {
+public:
+  watcher(asio::any_io_executor executor, support::clock& time, support::random_source& random,
+          targets::target_client& targets, instance_directory& directory, sighting_board& board,
+          std::string node, watch_filter filter);
+
+  /// Starts a coroutine for each instance that should be watched and is not;
+  /// those for instances that should not end by themselves.
+  void refresh();
+
+  std::size_t watched() const { return watched_.size(); }
+
+private:
+  support::task<> watch(std::string instance);
+  support::task<> ask(platform::listed_instance instance);
+  bool should_watch(const platform::listed_instance& instance) const;
+
+  asio::any_io_executor executor_;
+  support::clock& time_;
+  support::random_source& random_;
+  targets::target_client& targets_;
+  instance_directory& directory_;
+  sighting_board& board_;
+  std::string node_;
+  watch_filter filter_;
+  std::set<std::string> watched_;
+};
+
+} // namespace camphorlug::watching
--- /dev/null
+++ b/lib/documents/cached_documents.cpp
@@ -0,0 +1,66 @@
+#include "camphorlug/documents/cached_documents.h"
+
+#include "camphorlug/documents/parse_document.h"
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::documents {
+
+cached_documents::cached_documents(platform::row_cache& rows) {
+  for (const platform::row* present : rows.with_prefix(document_prefix))
+    take(*present);
+  rows.add_listener([this](const platform::row& changed) { take(changed); });
+}
+
+std::shared_ptr<const document_in_force> cached_documents::find(const std::string& service) const {
+  const auto found = documents_.find(service);
+  return found == documents_.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<const document_in_force>> cached_documents::all() const {
+  std::vector<std::shared_ptr<const document_in_force>> list;
+  for (const auto& [service, document] : documents_)
+    list.push_back(document);
+  return list;
+}
+
+void cached_documents::add_listener(std::function<void(const document_in_force&)> on_change) {
+  listeners_.push_back(std::move(on_change));
+}
+
+static std::shared_ptr<const document_in_force> parse_row(const platform::row& changed) {
+  auto parsed = std::make_shared<document_in_force>();
+  parsed->version = document_version::from_json(changed.value);
+  support::config_errors errors;
+  auto document = parse_document(parsed->version.text, errors);
+  if (!document)
+    throw std::runtime_error(errors.front().to_line());
+  if (document_prefix + document->service != changed.key)
+    throw std::runtime_error("the document names the service " + document->service);
+  parsed->document = std::move(*document);
+  return parsed;
+}
+
+void cached_documents::take(const platform::row& changed) {
+  if (!changed.key.starts_with(document_prefix))
+    return;
+  std::shared_ptr<const document_in_force> parsed;
+  try {
+    parsed = parse_row(changed);
+  } catch (const std::exception& error) {
+    support::log_event(support::log_level::error, "document_row_malformed",
+                       {{"key", changed.key}, {"error", error.what()}});
+    return;
+  }
+  auto& held = documents_[parsed->document.service];
+  if (held && held->version.number >= parsed->version.number)
+    return;
+  held = parsed;
+  support::log_event(support::log_level::info, "document_in_force",
+                     {{"service", parsed->document.service},
+                      {"version", std::to_string(parsed->version.number)},
+                      {"author", parsed->version.author}});
+  for (const auto& on_change : listeners_)
+    on_change(*parsed);
+}
+
+} // namespace camphorlug::documents
--- /dev/null
+++ b/lib/documents/document_editor.cpp
@@ -0,0 +1,115 @@
+#include "camphorlug/documents/document_editor.h"
+
+#include "camphorlug/documents/cached_documents.h"
+#include "camphorlug/documents/parse_document.h"
+#include "camphorlug/platform/store_error.h"
+
+#include <ctime>
+
+namespace camphorlug::documents {
+
+static constexpr const char* history_prefix = "history/";
+
+static std::string calendar_text(std::chrono::system_clock::time_point moment) {
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(moment);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[32];
+  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text;
+}
+
+/// Numbers are padded so that the rows sort by version.
+static std::string history_key(const std::string& service, std::uint64_t number) {
+  char digits[16];
+  std::snprintf(digits, sizeof digits, "%010llu", static_cast<unsigned long long>(number));
+  return history_prefix + service + "/" + digits;
+}
+
+document_editor::document_editor(platform::table_store& store, platform::row_cache& rows,
+                                 support::clock& time)
+    : store_(store), rows_(rows), time_(time) {}
+
+static support::config_errors check(const edit_request& request) {
+  support::config_errors errors;
+  const auto parsed = parse_document(request.text, errors);
+  if (parsed && parsed->service != request.service)
+    errors.push_back({"document", 1, "service", parsed->service, "\"" + request.service + "\""});
+  return errors;
+}
+
+support::task<edit_result> document_editor::edit(edit_request request) {
+  edit_result refused{edit_outcome::invalid, {}, check(request)};
+  if (!refused.errors.empty())
+    co_return refused;
+  bool answer_lost = false;
+  try {
+    co_return co_await write(request);
+  } catch (const platform::store_error& error) {
+    answer_lost = error.may_have_committed();
+  }
+  if (!answer_lost)
+    co_return edit_result{edit_outcome::not_written, {}, {}};
+  co_return co_await settle(std::move(request));
+}
+
+support::task<edit_result> document_editor::write(edit_request request) {
+  const std::string key = document_prefix + request.service;
+  const std::optional<platform::row> held = co_await store_.read(key);
+  document_version present;
+  if (held)
+    present = document_version::from_json(held->value);
+  if (held && present.edit_id == request.edit_id)
+    co_return edit_result{edit_outcome::accepted, present, {}};
+  if (present.number != request.seen_number) {
+    // The edit may be in force already with later ones on top of it.
+    const std::vector<document_version> versions = co_await history(request.service);
+    for (const document_version& each : versions) {
+      if (each.edit_id == request.edit_id)
+        co_return edit_result{edit_outcome::accepted, each, {}};
+    }
+    co_return edit_result{edit_outcome::conflict, present, {}};
+  }
+  document_version next{request.service, present.number + 1, request.text, request.edit_id,
+                        request.author,  calendar_text(time_.wall_time())};
+  platform::transaction change;
+  change.checks.push_back({key, held ? held->version : 0});
+  change.writes.push_back({key, next.to_json()});
+  change.writes.push_back({history_key(request.service, next.number), next.to_json()});
+  const platform::commit_result result = co_await store_.commit(std::move(change));
+  if (!result.committed) {
+    edit_result lost{edit_outcome::conflict, present, {}};
+    for (const platform::row& row : result.current) {
+      if (row.key == key)
+        lost.current = document_version::from_json(row.value);
+    }
+    co_return lost;
+  }
+  rows_.take({key, next.to_json(), result.version});
+  co_return edit_result{edit_outcome::accepted, next, {}};
+}
+
+support::task<edit_result> document_editor::settle(edit_request request) {
+  try {
+    const std::vector<document_version> versions = co_await history(request.service);
+    for (const document_version& each : versions) {
+      if (each.edit_id == request.edit_id)
+        co_return edit_result{edit_outcome::accepted, each, {}};
+    }
+  } catch (const platform::store_error&) {
+    // Still not known; the operator asks again with the same id.
+  }
+  // A write whose answer was lost may also be still on its way, so that its
+  // absence now does not prove that it never takes effect.
+  co_return edit_result{edit_outcome::unknown, {}, {}};
+}
+
+support::task<std::vector<document_version>> document_editor::history(std::string service) {
+  std::vector<document_version> versions;
+  const auto rows = co_await store_.scan(history_prefix + service + "/");
+  for (const platform::row& row : rows)
+    versions.push_back(document_version::from_json(row.value));
+  co_return versions;
+}
+
+} // namespace camphorlug::documents
--- /dev/null
+++ b/lib/groups/live_groups.cpp
@@ -0,0 +1,121 @@
+#include "camphorlug/groups/live_groups.h"
+
+#include "camphorlug/groups/row_keys.h"
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::groups {
+
+/// How long a collected set may be used when nothing is known to have changed.
+static constexpr std::chrono::milliseconds longest_use{100};
+
+live_groups::live_groups(support::clock& time, platform::row_cache& rows,
+                         const documents::document_view& documents,
+                         const watching::instance_directory& directory,
+                         const watching::sighting_board& board)
+    : time_(time), rows_(rows), documents_(documents), directory_(directory), board_(board) {
+  for (const platform::row* present : rows.with_prefix(group_prefix))
+    take(*present);
+  rows.add_listener([this](const platform::row& changed) { take(changed); });
+}
+
+void live_groups::take(const platform::row& changed) {
+  if (!changed.key.starts_with(group_prefix))
+    return;
+  try {
+    records_[changed.key] = group_record::from_json(changed.value);
+  } catch (const std::exception& error) {
+    records_.erase(changed.key);
+    support::log_event(support::log_level::error, "group_row_malformed",
+                       {{"key", changed.key}, {"error", error.what()}});
+  }
+}
+
+std::vector<group_record> live_groups::records() const {
+  std::vector<group_record> list;
+  for (const auto& [key, record] : records_) {
+    if (record.state != group_state::dissolved)
+      list.push_back(record);
+  }
+  return list;
+}
+
+std::string live_groups::obstacle(const group_record& record) const {
+  if (record.state != group_state::serving)
+    return std::string("it is ") + to_string(record.state);
+  for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
+    const std::string& instance = record.members[rank].instance;
+    const watching::sighting* seen = board_.find(instance);
+    if (!seen || time_.now() - seen->seen_at > freshness)
+      return instance + " has not been seen";
+    if (seen->absent)
+      return instance + " refuses connections";
+    const targets::instance_report& report = seen->report;
+    if (report.group != record.id || report.number != record.number || report.rank != rank)
+      return instance + " does not report this group and number";
+    if (!report.ready)
+      return instance + " is not ready";
+    const platform::listed_instance* listed = directory_.find(instance);
+    if (report.leaving || (listed && listed->leaving))
+      return instance + " is leaving";
+  }
+  return {};
+}
+
+bool live_groups::is_fresh(const cached_targets& cached) const {
+  return cached.targets && cached.board_generation == board_.generation() &&
+         cached.rows_fingerprint == rows_.fingerprint() &&
+         time_.now() - cached.made_at < longest_use;
+}
+
+target_set live_groups::targets(const std::string& service) {
+  cached_targets& cached = cache_[service];
+  if (is_fresh(cached))
+    return cached.targets;
+  cached.targets = std::make_shared<const std::vector<routable_target>>(collect(service));
+  cached.made_at = time_.now();
+  cached.board_generation = board_.generation();
+  cached.rows_fingerprint = rows_.fingerprint();
+  return cached.targets;
+}
+
+std::vector<routable_target> live_groups::collect(const std::string& service) const {
+  std::vector<routable_target> found;
+  const auto in_force = documents_.find(service);
+  if (!in_force)
+    return found;
+  if (in_force->document.model)
+    collect_groups(service, found);
+  else
+    collect_instances(in_force->document, found);
+  std::erase_if(found, [&in_force](const routable_target& target) {
+    return !in_force->document.allows_data_centre(target.data_centre);
+  });
+  return found;
+}
+
+void live_groups::collect_groups(const std::string& service,
+                                 std::vector<routable_target>& found) const {
+  for (const auto& [key, record] : records_) {
+    if (record.service != service || !obstacle(record).empty())
+      continue;
+    const watching::sighting* leader = board_.find(record.members.front().instance);
+    found.push_back({record.id, record.number, record.members.front().address, record.data_centre,
+                     leader->report.running + leader->report.waiting, leader->seen_at});
+  }
+}
+
+void live_groups::collect_instances(const documents::service_document& document,
+                                    std::vector<routable_target>& found) const {
+  for (const auto& [id, instance] : directory_.all()) {
+    if (instance.pool != document.pool || instance.leaving ||
+        instance.role != platform::instance_role::plain)
+      continue;
+    const watching::sighting* seen = board_.find(id);
+    const bool usable = seen && !seen->absent && seen->report.ready && !seen->report.leaving &&
+                        time_.now() - seen->seen_at <= freshness;
+    if (usable)
+      found.push_back({id, 0, instance.address, instance.data_centre, 0, seen->seen_at});
+  }
+}
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/lib/groups/pool_table.cpp
@@ -0,0 +1,199 @@
+#include "camphorlug/groups/pool_table.h"
+
+#include "camphorlug/groups/row_keys.h"
+#include "camphorlug/support/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::groups {
+
+/// Order numbers under one lease; the bits above them hold the lease's number.
+static constexpr unsigned sequence_bits = 24;
+
+/// A transaction under construction and the record that it writes.
+struct pool_table::draft {
+  group_record record;
+  platform::transaction change;
+  std::vector<std::string> assigned;
+  std::vector<std::string> freed;
+};
+
+pool_table::pool_table(platform::table_store& store, platform::row_cache& rows,
+                       const lease& holding, support::random_source& random, std::string pool)
+    : store_(store), rows_(rows), lease_(holding), random_(random), pool_(std::move(pool)) {}
+
+support::task<> pool_table::load() {
+  const auto group_rows = co_await store_.scan(pool_group_prefix(pool_));
+  const auto instance_rows = co_await store_.scan(pool_instance_prefix(pool_));
+  groups_.clear();
+  instances_.clear();
+  for (const platform::row& row : group_rows) {
+    rows_.take(row);
+    group_record record = group_record::from_json(row.value);
+    if (record.state != group_state::dissolved)
+      groups_.emplace(record.id, held_group{record, row.version});
+  }
+  for (const platform::row& row : instance_rows) {
+    const std::string id = row.key.substr(pool_instance_prefix(pool_).size());
+    instances_[id] = {nlohmann::json::parse(row.value).at("group"), row.version};
+  }
+  loaded_ = true;
+}
+
+std::uint64_t pool_table::newest_number() const {
+  return (lease_.number() << sequence_bits) + sequence_;
+}
+
+std::uint64_t pool_table::next_number() {
+  ++sequence_;
+  return newest_number();
+}
+
+void pool_table::put_instance(draft& change, const std::string& instance) {
+  const auto held = instances_.find(instance);
+  const std::string key = instance_key(pool_, instance);
+  change.change.checks.push_back({key, held == instances_.end() ? 0 : held->second.row_version});
+  change.change.writes.push_back({key, nlohmann::json{{"group", change.record.id}}.dump()});
+  change.assigned.push_back(instance);
+}
+
+void pool_table::free_instance(draft& change, const std::string& instance) {
+  const auto held = instances_.find(instance);
+  if (held == instances_.end() || held->second.group != change.record.id)
+    return;
+  const std::string key = instance_key(pool_, instance);
+  change.change.checks.push_back({key, held->second.row_version});
+  change.change.writes.push_back({key, std::nullopt});
+  change.freed.push_back(instance);
+}
+
+pool_table::draft pool_table::start(const placement_step& step, const std::string& service,
+                                    const documents::model_spec& spec) {
+  draft change;
+  if (step.kind != step_kind::form) {
+    change.record = groups_.at(step.group).record;
+    return change;
+  }
+  change.record.id = "g-" + random_.identifier().substr(0, 8);
+  change.record.service = service;
+  change.record.pool = pool_;
+  change.record.model = spec.name;
+  change.record.version = spec.version;
+  change.record.fabric_domain = step.fabric_domain;
+  change.record.data_centre = step.data_centre;
+  change.record.members.resize(step.assignments.size());
+  return change;
+}
+
+void pool_table::apply(const placement_step& step, const documents::model_spec& spec,
+                       draft& change) {
+  group_record& record = change.record;
+  record.reason = step.reason;
+  const auto seat = [&](const rank_assignment& assignment) {
+    const std::string& before = record.members[assignment.rank].instance;
+    if (!before.empty())
+      free_instance(change, before);
+    record.members[assignment.rank] = assignment.instance;
+  };
+  switch (step.kind) {
+  case step_kind::form:
+  case step_kind::replace:
+    for (const rank_assignment& assignment : step.assignments) {
+      seat(assignment);
+      put_instance(change, assignment.instance.instance);
+    }
+    record.state = group_state::loading;
+    record.number = next_number();
+    return;
+  case step_kind::prepare:
+    for (const rank_assignment& assignment : step.assignments) {
+      for (const group_standby& standby : record.standbys) {
+        if (standby.rank == assignment.rank)
+          free_instance(change, standby.instance.instance);
+      }
+      std::erase_if(record.standbys, [&assignment](const group_standby& standby) {
+        return standby.rank == assignment.rank;
+      });
+      record.standbys.push_back({assignment.rank, assignment.instance});
+      put_instance(change, assignment.instance.instance);
+    }
+    return;
+  case step_kind::promote:
+    for (const rank_assignment& assignment : step.assignments) {
+      seat(assignment);
+      std::erase_if(record.standbys, [&assignment](const group_standby& standby) {
+        return standby.rank == assignment.rank;
+      });
+    }
+    record.state = group_state::loading;
+    record.number = next_number();
+    return;
+  case step_kind::drain:
+    record.state = group_state::draining;
+    return;
+  case step_kind::reload:
+    record.model = spec.name;
+    record.version = spec.version;
+    record.state = group_state::loading;
+    record.number = next_number();
+    return;
+  case step_kind::dissolve:
+    record.state = group_state::dissolved;
+    for (const targets::group_member& member : record.members)
+      free_instance(change, member.instance);
+    for (const group_standby& standby : record.standbys)
+      free_instance(change, standby.instance.instance);
+    return;
+  }
+}
+
+support::task<bool> pool_table::write(placement_step step, std::string service,
+                                      documents::model_spec spec) {
+  if (step.kind != step_kind::form && !groups_.contains(step.group))
+    co_return false;
+  draft change = start(step, service, spec);
+  apply(step, spec, change);
+  support::log_event(support::log_level::info, "placement_step",
+                     {{"step", to_string(step.kind)},
+                      {"group", change.record.id},
+                      {"number", std::to_string(change.record.number)},
+                      {"reason", step.reason}});
+  co_return co_await commit(std::move(change));
+}
+
+support::task<bool> pool_table::set_state(std::string group, group_state state,
+                                          std::string reason) {
+  draft change;
+  change.record = groups_.at(group).record;
+  change.record.state = state;
+  change.record.reason = std::move(reason);
+  co_return co_await commit(std::move(change));
+}
+
+support::task<bool> pool_table::commit(draft change) {
+  const group_record& record = change.record;
+  const std::string key = group_key(pool_, record.id);
+  const auto held = groups_.find(record.id);
+  change.change.checks.push_back(lease_.check());
+  change.change.checks.push_back({key, held == groups_.end() ? 0 : held->second.row_version});
+  change.change.writes.push_back({key, record.to_json()});
+  // Until the answer is here it is not known what the rows say.
+  loaded_ = false;
+  const platform::commit_result result = co_await store_.commit(change.change);
+  if (!result.committed)
+    co_return false;
+  loaded_ = true;
+  if (record.state == group_state::dissolved)
+    groups_.erase(record.id);
+  else
+    groups_[record.id] = {record, result.version};
+  for (const std::string& instance : change.freed)
+    instances_.erase(instance);
+  for (const std::string& instance : change.assigned)
+    instances_[instance] = {record.id, result.version};
+  rows_.take({key, record.to_json(), result.version});
+  co_return true;
+}
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/lib/groups/table_lease.cpp
@@ -0,0 +1,171 @@
+#include "camphorlug/groups/table_lease.h"
+
+#include "camphorlug/platform/store_error.h"
+#include "camphorlug/support/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::groups {
+
+static std::string holder_key(const std::string& pool) {
+  return "pool/" + pool + "/holder";
+}
+
+static std::string renewal_key(const std::string& pool) {
+  return "pool/" + pool + "/renewal";
+}
+
+namespace {
+
+/// The value of the holder row.
+struct holder_value {
+  std::string node;
+  std::uint64_t number = 0;
+  /// Tells this take-over from any other, when its answer was lost.
+  std::string attempt;
+  bool released = false;
+
+  std::string to_json() const {
+    return nlohmann::json{
+        {"node", node}, {"number", number}, {"attempt", attempt}, {"released", released}}
+        .dump();
+  }
+
+  static holder_value from_json(const std::string& json) {
+    const auto value = nlohmann::json::parse(json);
+    return {value.at("node"), value.at("number"), value.at("attempt"), value.at("released")};
+  }
+};
+
+} // namespace
+
+struct table_lease::observed_rows {
+  holder_value holder;
+  std::uint64_t holder_version = 0;
+  std::uint64_t renewal_version = 0;
+};
+
+table_lease::table_lease(platform::table_store& store, support::clock& time,
+                         support::random_source& random, std::string pool, std::string node)
+    : store_(store), time_(time), random_(random), pool_(std::move(pool)), node_(std::move(node)) {}
+
+bool table_lease::held() const {
+  return holding_ && time_.now() < held_since_ + term - margin;
+}
+
+platform::row_check table_lease::check() const {
+  return {holder_key(pool_), holder_version_};
+}
+
+support::task<table_lease::observed_rows> table_lease::observe() {
+  observed_rows rows;
+  const auto found = co_await store_.scan("pool/" + pool_ + "/");
+  for (const platform::row& row : found) {
+    if (row.key == holder_key(pool_)) {
+      rows.holder = holder_value::from_json(row.value);
+      rows.holder_version = row.version;
+    }
+    if (row.key == renewal_key(pool_))
+      rows.renewal_version = row.version;
+  }
+  last_holder_ = rows.holder.node;
+  co_return rows;
+}
+
+support::task<bool> table_lease::try_acquire() {
+  holding_ = false;
+  const auto asked_at = time_.now();
+  try {
+    const observed_rows rows = co_await observe();
+    const bool free = rows.holder_version == 0 || rows.holder.released;
+    if (!unchanged_since_ || rows.renewal_version != seen_renewal_) {
+      seen_renewal_ = rows.renewal_version;
+      unchanged_since_ = time_.now();
+    }
+    // The row was unchanged at least until the question was sent.
+    if (!free && asked_at - *unchanged_since_ < term)
+      co_return false;
+    co_return co_await take_over(rows);
+  } catch (const platform::store_error&) {
+    co_return false;
+  }
+}
+
+support::task<bool> table_lease::take_over(observed_rows rows) {
+  const holder_value mine{node_, rows.holder.number + 1, random_.identifier(), false};
+  platform::transaction change;
+  change.checks.push_back({holder_key(pool_), rows.holder_version});
+  change.checks.push_back({renewal_key(pool_), rows.renewal_version});
+  change.writes.push_back({holder_key(pool_), mine.to_json()});
+  change.writes.push_back({renewal_key(pool_), mine.attempt});
+  const auto sent_at = time_.now();
+  bool answer_lost = false;
+  try {
+    const platform::commit_result result = co_await store_.commit(std::move(change));
+    if (!result.committed)
+      co_return false;
+    number_ = mine.number;
+    hold_from(sent_at, result.version);
+  } catch (const platform::store_error& error) {
+    if (!error.may_have_committed())
+      throw;
+    answer_lost = true;
+  }
+  if (answer_lost) {
+    const bool confirmed = co_await confirm(mine.attempt, sent_at);
+    if (!confirmed)
+      co_return false;
+  }
+  last_holder_ = node_;
+  support::log_event(support::log_level::info, "lease_taken",
+                     {{"pool", pool_}, {"number", std::to_string(number_)}});
+  co_return held();
+}
+
+support::task<bool> table_lease::confirm(std::string attempt, support::clock::time_point sent_at) {
+  const observed_rows rows = co_await observe();
+  if (rows.holder.attempt != attempt)
+    co_return false;
+  number_ = rows.holder.number;
+  hold_from(sent_at, rows.holder_version);
+  co_return true;
+}
+
+void table_lease::hold_from(support::clock::time_point sent_at, std::uint64_t holder_version) {
+  holding_ = true;
+  held_since_ = sent_at;
+  holder_version_ = holder_version;
+  unchanged_since_.reset();
+}
+
+support::task<> table_lease::renew() {
+  platform::transaction change;
+  change.checks.push_back(check());
+  change.writes.push_back({renewal_key(pool_), random_.identifier()});
+  const auto sent_at = time_.now();
+  try {
+    const platform::commit_result result = co_await store_.commit(std::move(change));
+    if (result.committed)
+      held_since_ = std::max(held_since_, sent_at);
+    else
+      holding_ = false;
+  } catch (const platform::store_error&) {
+    // The term goes on from the last renewal that is known to be written.
+  }
+}
+
+support::task<> table_lease::release() {
+  if (!std::exchange(holding_, false))
+    co_return;
+  const holder_value mine{node_, number_, random_.identifier(), true};
+  platform::transaction change;
+  change.checks.push_back(check());
+  change.writes.push_back({holder_key(pool_), mine.to_json()});
+  try {
+    co_await store_.commit(std::move(change));
+  } catch (const platform::store_error&) {
+    // The next holder waits for the term instead.
+  }
+}
+
+} // namespace camphorlug::groups
--- /dev/null
+++ b/lib/net/curl_client.cpp
@@ -0,0 +1,332 @@
+#include "camphorlug/net/curl_client.h"
+
+#include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/notification.h"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <map>
+
+namespace camphorlug::net {
+
+/// Bytes of an answer that may wait for a slow reader before the connection is held back.
+static constexpr std::size_t max_buffered_bytes = 256 * 1024;
+
+/// Silence after sending that ends a connection.
+static constexpr std::chrono::milliseconds tcp_user_timeout{5000};
+
+/// How long an idle pooled connection may be used again.
+static constexpr long max_pooled_age_seconds = 20;
+
+/// Joins libcurl's sockets and timer to an Asio context.
+class curl_client::driver : public std::enable_shared_from_this<curl_client::driver> {
+public:
+  explicit driver(asio::io_context& context)
+      : context_(context), timer_(context), multi_(curl_multi_init()) {
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &driver::on_socket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &driver::on_timer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  }
+
+  ~driver() { curl_multi_cleanup(multi_); }
+
+  void add(CURL* easy) { curl_multi_add_handle(multi_, easy); }
+  void remove(CURL* easy) { curl_multi_remove_handle(multi_, easy); }
+
+private:
+  struct socket_watch {
+    explicit socket_watch(asio::io_context& context) : descriptor(context) {}
+    asio::posix::stream_descriptor descriptor;
+    int wanted = 0;
+    bool waits_to_read = false;
+    bool waits_to_write = false;
+  };
+
+  static int on_socket(CURL*, curl_socket_t socket, int what, void* self, void*) {
+    static_cast<driver*>(self)->watch(socket, what);
+    return 0;
+  }
+
+  static int on_timer(CURLM*, long milliseconds, void* self) {
+    static_cast<driver*>(self)->set_timer(milliseconds);
+    return 0;
+  }
+
+  void watch(curl_socket_t socket, int what) {
+    if (what == CURL_POLL_REMOVE) {
+      const auto found = watches_.find(socket);
+      if (found == watches_.end())
+        return;
+      found->second->wanted = 0;
+      found->second->descriptor.release();
+      watches_.erase(found);
+      return;
+    }
+    auto& entry = watches_[socket];
+    if (!entry) {
+      entry = std::make_shared<socket_watch>(context_);
+      entry->descriptor.assign(socket);
+    }
+    entry->wanted = what;
+    arm(entry, socket);
+  }
+
+  void arm(const std::shared_ptr<socket_watch>& entry, curl_socket_t socket) {
+    using asio::posix::descriptor_base;
+    if ((entry->wanted & CURL_POLL_IN) != 0 && !entry->waits_to_read) {
+      entry->waits_to_read = true;
+      wait(entry, socket, descriptor_base::wait_read, CURL_CSELECT_IN);
+    }
+    if ((entry->wanted & CURL_POLL_OUT) != 0 && !entry->waits_to_write) {
+      entry->waits_to_write = true;
+      wait(entry, socket, descriptor_base::wait_write, CURL_CSELECT_OUT);
+    }
+  }
+
+  void wait(const std::shared_ptr<socket_watch>& entry, curl_socket_t socket,
+            asio::posix::descriptor_base::wait_type kind, int event) {
+    auto ready = [weak = weak_from_this(), entry, socket, event](const asio::error_code& error) {
+      (event == CURL_CSELECT_IN ? entry->waits_to_read : entry->waits_to_write) = false;
+      const auto self = weak.lock();
+      if (!self || error)
+        return;
+      self->act(socket, event);
+      const auto found = self->watches_.find(socket);
+      if (found != self->watches_.end() && found->second == entry)
+        self->arm(entry, socket);
+    };
+    entry->descriptor.async_wait(kind, std::move(ready));
+  }
+
+  void set_timer(long milliseconds) {
+    timer_.cancel();
+    if (milliseconds < 0)
+      return;
+    timer_.expires_after(std::chrono::milliseconds(milliseconds));
+    timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+      const auto self = weak.lock();
+      if (self && !error)
+        self->act(CURL_SOCKET_TIMEOUT, 0);
+    });
+  }
+
+  void act(curl_socket_t socket, int event) {
+    int running = 0;
+    curl_multi_socket_action(multi_, socket, event, &running);
+    collect_finished();
+  }
+
+  void collect_finished();
+
+  asio::io_context& context_;
+  asio::steady_timer timer_;
+  CURLM* multi_;
+  std::map<curl_socket_t, std::shared_ptr<socket_watch>> watches_;
+};
+
+namespace {
+
+class curl_exchange final : public http_exchange {
+public:
+  curl_exchange(std::shared_ptr<curl_client::driver> driver, support::clock& time,
+                client_request request)
+      : driver_(std::move(driver)), request_(std::move(request)), changed_(time),
+        easy_(curl_easy_init()) {
+    set_request();
+    set_connection();
+    set_callbacks();
+    driver_->add(easy_);
+  }
+
+  ~curl_exchange() override {
+    driver_->remove(easy_);
+    curl_easy_cleanup(easy_);
+    curl_slist_free_all(header_lines_);
+  }
+
+  support::task<response_head> head(std::chrono::nanoseconds timeout) override {
+    while (!head_complete_) {
+      if (finished_)
+        throw failure();
+      const bool notified = co_await changed_.wait_for(timeout);
+      if (!notified)
+        throw transport_error(progress(), true, "no answer within the time limit");
+    }
+    co_return head_;
+  }
+
+  support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) override {
+    while (buffer_.empty()) {
+      if (finished_ && result_ == CURLE_OK)
+        co_return std::nullopt;
+      if (finished_)
+        throw failure();
+      const bool notified = co_await changed_.wait_for(timeout);
+      if (!notified)
+        throw transport_error(progress(), true, "the answer stalled");
+    }
+    std::string piece = std::exchange(buffer_, {});
+    if (std::exchange(paused_, false))
+      curl_easy_pause(easy_, CURLPAUSE_CONT);
+    co_return piece;
+  }
+
+  void finish(CURLcode result) {
+    finished_ = true;
+    result_ = result;
+    changed_.notify();
+  }
+
+private:
+  void set_request() {
+    const std::string url = "http://" + request_.address + request_.target;
+    curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    if (request_.method == "HEAD")
+      curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    if (!request_.body.empty() || request_.method == "POST") {
+      curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request_.body.size()));
+      curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.c_str());
+    }
+    header_lines_ = curl_slist_append(header_lines_, "Expect:");
+    for (const header& entry : request_.headers)
+      header_lines_ = curl_slist_append(header_lines_, (entry.name + ": " + entry.value).c_str());
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_lines_);
+  }
+
+  void set_connection() {
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_KEEPIDLE, 5L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_KEEPINTVL, 2L);
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request_.connect_timeout.count()));
+    curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN, max_pooled_age_seconds);
+    if (request_.connection == connection_use::fresh) {
+      curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+    }
+  }
+
+  void set_callbacks() {
+    curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &curl_exchange::on_header);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &curl_exchange::on_body);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &curl_exchange::before_sending);
+    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &curl_exchange::on_new_socket);
+  }
+
+  static int on_new_socket(void*, curl_socket_t socket, curlsocktype) {
+    const int limit = static_cast<int>(tcp_user_timeout.count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    return CURL_SOCKOPT_OK;
+  }
+
+  static int before_sending(void* self, char*, char*, int, int) {
+    auto* exchange = static_cast<curl_exchange*>(self);
+    if (exchange->request_.send_if && !exchange->request_.send_if())
+      return CURL_PREREQFUNC_ABORT;
+    exchange->sending_ = true;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  static std::size_t on_header(char* data, std::size_t, std::size_t size, void* self) {
+    static_cast<curl_exchange*>(self)->take_header_line({data, size});
+    return size;
+  }
+
+  static std::size_t on_body(char* data, std::size_t, std::size_t size, void* self) {
+    return static_cast<curl_exchange*>(self)->take_body({data, size});
+  }
+
+  void take_header_line(std::string_view line) {
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+      line.remove_suffix(1);
+    if (line.empty()) {
+      // An interim answer (1xx) is followed by the real one.
+      head_complete_ = head_.status >= 200;
+      if (head_complete_)
+        changed_.notify();
+      return;
+    }
+    if (line.starts_with("HTTP/")) {
+      head_ = {};
+      head_.status = std::atoi(std::string(line.substr(line.find(' ') + 1)).c_str());
+      return;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+      return;
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && value.front() == ' ')
+      value.remove_prefix(1);
+    head_.headers.add(std::string(line.substr(0, colon)), std::string(value));
+  }
+
+  std::size_t take_body(std::string_view piece) {
+    if (buffer_.size() >= max_buffered_bytes) {
+      paused_ = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    buffer_ += piece;
+    changed_.notify();
+    return piece.size();
+  }
+
+  request_progress progress() const {
+    return sending_ ? request_progress::may_have_been_read : request_progress::not_sent;
+  }
+
+  transport_error failure() const {
+    const bool timed_out = result_ == CURLE_OPERATION_TIMEDOUT;
+    return transport_error(progress(), timed_out, curl_easy_strerror(result_));
+  }
+
+  std::shared_ptr<curl_client::driver> driver_;
+  client_request request_;
+  support::notification changed_;
+  CURL* easy_;
+  curl_slist* header_lines_ = nullptr;
+  response_head head_;
+  std::string buffer_;
+  CURLcode result_ = CURLE_OK;
+  bool head_complete_ = false;
+  bool sending_ = false;
+  bool finished_ = false;
+  bool paused_ = false;
+};
+
+} // namespace
+
+void curl_client::driver::collect_finished() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE)
+      continue;
+    void* exchange = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &exchange);
+    static_cast<curl_exchange*>(exchange)->finish(message->data.result);
+  }
+}
+
+curl_client::curl_client(asio::io_context& context, support::clock& time)
+    : time_(time), driver_(std::make_shared<driver>(context)) {}
+
+curl_client::~curl_client() = default;
+
+std::unique_ptr<http_exchange> curl_client::open(client_request request) {
+  return std::make_unique<curl_exchange>(driver_, time_, std::move(request));
+}
+
+} // namespace camphorlug::net
--- /dev/null
+++ b/lib/net/http_client.cpp
@@ -0,0 +1,19 @@
+#include "camphorlug/net/http_client.h"
+
+namespace camphorlug::net {
+
+support::task<client_response> http_client::fetch(client_request request,
+                                                  std::chrono::nanoseconds timeout) {
+  auto exchange = open(std::move(request));
+  response_head head = co_await exchange->head(timeout);
+  client_response response{head.status, std::move(head.headers), {}};
+  for (;;) {
+    std::optional<std::string> piece = co_await exchange->read(timeout);
+    if (!piece)
+      break;
+    response.body += *piece;
+  }
+  co_return response;
+}
+
+} // namespace camphorlug::net
--- /dev/null
+++ b/lib/net/http_server.cpp
@@ -0,0 +1,219 @@
+#include "camphorlug/net/http_server.h"
+
+#include "camphorlug/net/problem.h"
+#include "camphorlug/support/log.h"
+
+#include <asio/async_result.hpp>
+#include <asio/post.hpp>
+#include <asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
+#include <restinio/all.hpp>
+
+namespace camphorlug::net {
+
+/// Limits above which a request is answered 413 or 431. The library's own
+/// limits lie higher, since it closes the connection without an answer.
+static constexpr std::size_t max_body_bytes = 4 * 1024 * 1024;
+static constexpr std::size_t max_header_value_bytes = 16 * 1024;
+static constexpr std::size_t max_headers = 100;
+
+static constexpr std::chrono::hours longest_answer{24};
+static constexpr std::chrono::seconds idle_connection_limit{60};
+static constexpr std::chrono::seconds write_limit{20};
+
+namespace {
+
+struct server_traits : restinio::default_single_thread_traits_t {
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+};
+
+using server_type = restinio::http_server_t<server_traits>;
+using chunked_builder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+template<class Builder>
+void add_headers(Builder& builder, const header_list& headers) {
+  for (const header& entry : headers)
+    builder.append_header(entry.name, entry.value);
+}
+
+class restinio_writer final : public response_writer {
+public:
+  explicit restinio_writer(restinio::request_handle_t request) : request_(std::move(request)) {}
+
+  void send(int status, header_list headers, std::string body) override {
+    started_ = true;
+    auto response = request_->create_response(status_line(status));
+    add_headers(response, headers);
+    response.set_body(std::move(body));
+    response.done();
+  }
+
+  void start(int status, header_list headers) override {
+    started_ = true;
+    chunks_.emplace(request_->create_response<restinio::chunked_output_t>(status_line(status)));
+    add_headers(*chunks_, headers);
+    chunks_->flush();
+  }
+
+  support::task<bool> write(std::string piece) override {
+    if (piece.empty())
+      co_return true;
+    chunks_->append_chunk(std::move(piece));
+    auto begin_flush = [this](auto handler) {
+      auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+      auto done = [shared](const asio::error_code& error) {
+        auto executor = asio::get_associated_executor(*shared);
+        asio::post(executor, [shared, error] { std::move (*shared)(!error); });
+      };
+      chunks_->flush(restinio::write_status_cb_t(std::move(done)));
+    };
+    const bool written = co_await asio::async_initiate<decltype(asio::use_awaitable), void(bool)>(
+        std::move(begin_flush), asio::use_awaitable);
+    co_return written;
+  }
+
+  void finish() override { chunks_->done(); }
+
+  bool started() const override { return started_; }
+
+private:
+  static restinio::http_status_line_t status_line(int status) {
+    return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)), reason(status)};
+  }
+
+  static std::string reason(int status) {
+    if (status < 300)
+      return "OK";
+    return status < 500 ? "Request Refused" : "Server Error";
+  }
+
+  restinio::request_handle_t request_;
+  std::optional<chunked_builder> chunks_;
+  bool started_ = false;
+};
+
+server_request to_server_request(const restinio::request_handle_t& request) {
+  server_request copy;
+  copy.method = request->header().method().c_str();
+  copy.path = std::string(request->header().path());
+  copy.query = std::string(request->header().query());
+  request->header().for_each_field([&copy](const restinio::http_header_field_t& field) {
+    copy.headers.add(field.name(), field.value());
+  });
+  copy.body = request->body();
+  copy.connection = request->connection_id();
+  return copy;
+}
+
+std::optional<problem> check_limits(const server_request& request) {
+  if (request.body.size() > max_body_bytes)
+    return problem{413, "body-too-large",
+                   "the body has " + std::to_string(request.body.size()) +
+                       " bytes; at most " + std::to_string(max_body_bytes) + " are taken"};
+  std::size_t count = 0;
+  for (const header& entry : request.headers) {
+    if (++count > max_headers || entry.value.size() > max_header_value_bytes)
+      return problem{431, "headers-too-large",
+                     "at most " + std::to_string(max_headers) + " headers of at most " +
+                         std::to_string(max_header_value_bytes) + " bytes are taken; " +
+                         "shorten " + entry.name};
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+struct http_server::implementation : std::enable_shared_from_this<implementation> {
+  asio::io_context& context;
+  request_handler handler;
+  std::unique_ptr<server_type> server;
+  std::size_t in_progress = 0;
+  bool accepting = true;
+
+  implementation(asio::io_context& io, request_handler handle)
+      : context(io), handler(std::move(handle)) {}
+
+  static support::task<> answer(std::shared_ptr<implementation> self,
+                                restinio::request_handle_t handle) {
+    ++self->in_progress;
+    restinio_writer writer(handle);
+    server_request request = to_server_request(handle);
+    std::exception_ptr failure;
+    try {
+      if (const auto refused = check_limits(request))
+        send_problem(writer, *refused);
+      else
+        co_await self->handler(std::move(request), writer);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    --self->in_progress;
+    if (failure && !writer.started())
+      send_problem(writer, {500, "internal-error", "the node failed to answer; see its log"});
+    if (failure)
+      std::rethrow_exception(failure);
+  }
+};
+
+http_server::http_server(asio::io_context& context, const std::string& address,
+                         request_handler handler)
+    : implementation_(std::make_shared<implementation>(context, std::move(handler))) {
+  const std::size_t colon = address.rfind(':');
+  const std::string host = address.substr(0, colon);
+  const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+  std::weak_ptr<implementation> weak = implementation_;
+  auto accept = [weak](restinio::request_handle_t request) {
+    const auto self = weak.lock();
+    if (!self)
+      return restinio::request_rejected();
+    support::spawn(self->context.get_executor(), "request",
+                   implementation::answer(self, std::move(request)));
+    return restinio::request_accepted();
+  };
+  auto configure = [&](auto& settings) {
+    settings.address(host).port(port).request_handler(accept);
+    settings.handle_request_timeout(longest_answer);
+    settings.read_next_http_message_timelimit(idle_connection_limit);
+    settings.write_http_response_timelimit(write_limit);
+    settings.concurrent_accepts_count(8);
+    settings.max_pipelined_requests(1);
+    settings.incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                          .max_url_size(16 * 1024)
+                                          .max_field_name_size(16 * 1024)
+                                          .max_field_value_size(256 * 1024)
+                                          .max_field_count(1000)
+                                          .max_body_size(64 * 1024 * 1024));
+    settings.acceptor_options_setter([](auto& options) {
+      options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    });
+    settings.socket_options_setter([](auto& options) {
+      options.set_option(asio::ip::tcp::no_delay(true));
+      options.set_option(asio::socket_base::keep_alive(true));
+    });
+  };
+  implementation_->server =
+      std::make_unique<server_type>(restinio::external_io_context(context), configure);
+  try {
+    implementation_->server->open_sync();
+  } catch (const std::exception& error) {
+    throw std::runtime_error("cannot listen on " + address + ": " + error.what() +
+                             "; choose a free address");
+  }
+}
+
+http_server::~http_server() {
+  stop_accepting();
+}
+
+void http_server::stop_accepting() {
+  if (!std::exchange(implementation_->accepting, false))
+    return;
+  implementation_->server->close_sync();
+}
+
+std::size_t http_server::in_progress() const {
+  return implementation_->in_progress;
+}
+
+} // namespace camphorlug::net
--- /dev/null
+++ b/lib/net/problem.cpp
@@ -0,0 +1,23 @@
+#include "camphorlug/net/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::net {
+
+void send_problem(response_writer& writer, const problem& what, header_list extra) {
+  nlohmann::ordered_json body;
+  body["type"] = what.type;
+  body["status"] = what.status;
+  body["detail"] = what.detail;
+  extra.add("Content-Type", "application/problem+json");
+  writer.send(what.status, std::move(extra),
+              body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+}
+
+void send_json(response_writer& writer, int status, std::string body) {
+  header_list headers;
+  headers.add("Content-Type", "application/json");
+  writer.send(status, std::move(headers), std::move(body));
+}
+
+} // namespace camphorlug::net
--- /dev/null
+++ b/lib/node/isolation_monitor.cpp
@@ -0,0 +1,34 @@
+#include "camphorlug/node/isolation_monitor.h"
+
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::node {
+
+isolation_monitor::isolation_monitor(support::clock& time, const peers::peer_board& board)
+    : time_(time), board_(board), store_answered_at_(time.now()) {}
+
+void isolation_monitor::store_answered() {
+  store_answered_at_ = time_.now();
+}
+
+bool isolation_monitor::store_reachable() const {
+  return time_.now() - store_answered_at_ <= patience;
+}
+
+bool isolation_monitor::reaches_most_peers() const {
+  std::size_t reached = 0;
+  for (const auto& [id, peer] : board_.peers())
+    reached += peer.was_reached && time_.now() - peer.reached_at <= patience ? 1 : 0;
+  return 2 * reached > board_.peers().size();
+}
+
+void isolation_monitor::update() {
+  const bool connected = store_reachable() || reaches_most_peers();
+  // A node that never had a peer has nobody who could accept anything without it.
+  const bool was_isolated = isolated_;
+  isolated_ = !connected && (was_isolated || !board_.peers().empty());
+  if (isolated_ != was_isolated)
+    support::log_event(support::log_level::warning, isolated_ ? "isolated" : "rejoined");
+}
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/lib/node/node.cpp
@@ -0,0 +1,249 @@
+#include "camphorlug/node/node.h"
+
+#include "camphorlug/groups/table_lease.h"
+#include "camphorlug/net/problem.h"
+#include "camphorlug/node/entry_list.h"
+#include "camphorlug/node/operator_api.h"
+#include "camphorlug/peers/http_peer_client.h"
+#include "camphorlug/platform/store_error.h"
+#include "camphorlug/routing/rendezvous.h"
+#include "camphorlug/support/digest.h"
+#include "camphorlug/support/log.h"
+
+#include <algorithm>
+
+namespace camphorlug::node {
+
+static constexpr std::chrono::seconds list_interval{1};
+static constexpr std::chrono::milliseconds housekeeping_interval{200};
+/// Time for the peers to learn that this node leaves.
+static constexpr std::chrono::milliseconds announcement_time{1500};
+
+/// A planner with the lease that it needs.
+struct node::pool_planner {
+  pool_planner(node& owner, const documents::service_document& document)
+      : lease(owner.context_.store, owner.context_.time, owner.context_.random, document.pool,
+              owner.settings_.id),
+        planner({owner.context_.executor, owner.context_.time, owner.context_.random,
+                 owner.context_.store, owner.rows_, owner.documents_, owner.directory_,
+                 owner.sightings_, owner.context_.targets, owner.live_groups_, lease,
+                 owner.placement_},
+                document.service, document.pool) {}
+
+  groups::table_lease lease;
+  groups::group_planner planner;
+};
+
+/// Later starts have larger incarnations as long as calendars are roughly
+/// right; an earlier one only delays the node's news until it is forgotten.
+static std::uint64_t make_incarnation(support::clock& time) {
+  return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
+                                    std::chrono::milliseconds(1));
+}
+
+node::node(node_context context, node_settings settings)
+    : context_(context), settings_(std::move(settings)),
+      incarnation_(make_incarnation(context.time)), peer_board_(settings_.id), documents_(rows_),
+      editor_(context.store, rows_, context.time),
+      live_groups_(context.time, rows_, documents_, directory_, sightings_),
+      isolation_(context.time, peer_board_),
+      reader_(context.time, context.store, rows_, isolation_, [this] { return is_reader(); }),
+      watcher_(context.executor, context.time, context.random, context.targets, directory_,
+               sightings_, settings_.id,
+               [this](const platform::listed_instance& instance) { return watches(instance); }),
+      gossip_({context.executor, context.time, context.random, context.peers, peer_board_, rows_,
+               directory_, sightings_},
+              settings_.seeds, [this] { return report(); }),
+      claims_(context.store),
+      requests_({context.executor, context.time, context.random, context.targets, claims_,
+                 metrics_, settings_.stream_key},
+                documents_, live_groups_, picker_, settings_.near_data_centres,
+                [this] { return serves(); }) {
+  documents_.add_listener(
+      [this](const documents::document_in_force& in_force) { start_planner(in_force); });
+}
+
+node::~node() = default;
+
+void node::start() {
+  const auto& executor = context_.executor;
+  support::spawn(executor, "read_store", reader_.run());
+  support::spawn(executor, "read_instances", read_instances());
+  support::spawn(executor, "gossip", gossip_.run());
+  support::spawn(executor, "push_changes", gossip_.push_changes());
+  support::spawn(executor, "pump", requests_.keep_pumping());
+  support::spawn(executor, "housekeeping", keep_house());
+}
+
+void node::start_planner(const documents::document_in_force& in_force) {
+  const documents::service_document& document = in_force.document;
+  if (!document.model || planners_.contains(document.service))
+    return;
+  auto& created = planners_[document.service];
+  created = std::make_unique<pool_planner>(*this, document);
+  support::spawn(context_.executor, "plan " + document.pool, created->planner.run());
+  support::spawn(context_.executor, "lease " + document.pool, created->planner.keep_lease());
+}
+
+support::task<> node::read_instances() {
+  for (;;) {
+    try {
+      const std::vector<platform::listed_instance> list = co_await context_.instances.list();
+      directory_.update(list, context_.time.now());
+    } catch (const platform::store_error&) {
+      // The list before stays.
+    }
+    watcher_.refresh();
+    co_await context_.time.sleep_for(list_interval);
+  }
+}
+
+support::task<> node::keep_house() {
+  for (;;) {
+    isolation_.update();
+    co_await context_.time.sleep_for(housekeeping_interval);
+  }
+}
+
+/// Places this node among its live peers of a data centre by rendezvous with `key`.
+static std::size_t rank_among_peers(const std::string& self, const std::string& data_centre,
+                                    const peers::peer_board& board,
+                                    support::clock::time_point now, std::uint64_t key) {
+  const std::uint64_t own = routing::rendezvous_weight(key, support::fast_hash(self));
+  std::size_t rank = 0;
+  for (const auto& [id, peer] : board.peers()) {
+    const bool counts = (data_centre.empty() || peer.report.data_centre == data_centre) &&
+                        !peer.report.leaving && !board.is_suspected(peer, now);
+    if (counts && routing::rendezvous_weight(key, support::fast_hash(id)) > own)
+      ++rank;
+  }
+  return rank;
+}
+
+bool node::is_reader() const {
+  if (!isolation_.reaches_most_peers())
+    return true;
+  return rank_among_peers(settings_.id, settings_.data_centre, peer_board_, context_.time.now(),
+                          0) < settings_.readers_per_data_centre;
+}
+
+bool node::watches(const platform::listed_instance& instance) const {
+  return rank_among_peers(settings_.id, "", peer_board_, context_.time.now(),
+                          support::fast_hash(instance.id)) < settings_.watchers_per_instance;
+}
+
+bool node::serves() const {
+  const bool knows_documents = reader_.has_read() || !documents_.all().empty();
+  return knows_documents && !isolation_.isolated();
+}
+
+peers::node_report node::report() {
+  peers::node_report report;
+  report.id = settings_.id;
+  report.address = settings_.address;
+  report.peer_address = settings_.operator_address;
+  report.data_centre = settings_.data_centre;
+  report.incarnation = incarnation_;
+  report.sequence = ++sequence_;
+  report.leaving = leaving_;
+  report.isolated = !serves();
+  for (const auto& in_force : documents_.all())
+    report.documents[in_force->document.service] = in_force->version.number;
+  return report;
+}
+
+std::vector<groups::planner_status> node::planner_statuses() const {
+  std::vector<groups::planner_status> statuses;
+  for (const auto& [service, planner] : planners_)
+    statuses.push_back(planner->planner.status());
+  return statuses;
+}
+
+support::task<> node::leave() {
+  leaving_ = true;
+  support::log_event(support::log_level::info, "leaving");
+  co_await gossip_.announce();
+  for (auto& [service, planner] : planners_)
+    co_await planner->planner.step_down();
+  co_await context_.time.sleep_for(settings_.entries_valid_for + announcement_time);
+}
+
+support::task<> node::handle_caller(net::server_request request, net::response_writer& writer) {
+  if (request.path.starts_with("/services/")) {
+    co_await requests_.handle(std::move(request), writer);
+    co_return;
+  }
+  if (request.path == "/v1/entries")
+    send_entries(request, writer);
+  else if (request.path == "/healthz")
+    net::send_json(writer, serves() ? 200 : 503, "{}\n");
+  else
+    net::send_problem(writer, {404, "unknown-path",
+                               "use /v1/entries or /services/{service}/..., not " + request.path});
+}
+
+void node::send_entries(const net::server_request& request, net::response_writer& writer) {
+  const std::string near = request.query_value("data_centre").value_or(settings_.data_centre);
+  const auto entries = list_entries(report(), serves() && !leaving_, peer_board_, near,
+                                    context_.time.now(), context_.random);
+  net::send_json(writer, 200, to_json(entries, settings_.entries_valid_for));
+}
+
+support::task<> node::handle_operator(net::server_request request, net::response_writer& writer) {
+  if (request.path == peers::exchange_path) {
+    answer_peer_request(request, writer);
+    co_return;
+  }
+  if (request.path == "/metrics") {
+    send_metrics(writer);
+    co_return;
+  }
+  operator_api api(*this);
+  co_await api.handle(std::move(request), writer);
+}
+
+peers::peer_message node::answer_peer(const peers::peer_message& message) {
+  return gossip_.answer(message);
+}
+
+void node::answer_peer_request(const net::server_request& request, net::response_writer& writer) {
+  const std::string given = request.headers.find(peers::signature_header).value_or("");
+  const std::string expected = support::hmac_sha256_hex(settings_.peer_key, request.body);
+  if (!support::equal_in_constant_time(given, expected)) {
+    net::send_problem(writer, {401, "bad-signature", "the exchange is not signed with peer_key"});
+    return;
+  }
+  peers::peer_message message;
+  try {
+    message = peers::peer_message::from_json(request.body);
+  } catch (const std::exception& error) {
+    net::send_problem(writer, {400, "bad-message", error.what()});
+    return;
+  }
+  std::string body = answer_peer(message).to_json();
+  net::header_list headers;
+  headers.add("Content-Type", "application/json");
+  headers.add(peers::signature_header, support::hmac_sha256_hex(settings_.peer_key, body));
+  writer.send(200, std::move(headers), std::move(body));
+}
+
+void node::send_metrics(net::response_writer& writer) {
+  const auto now = context_.time.now();
+  node_gauges gauges;
+  gauges.waiting_requests = requests_.waiting();
+  gauges.watched_instances = watcher_.watched();
+  for (const auto& [id, peer] : peer_board_.peers())
+    gauges.live_peers += peer_board_.is_suspected(peer, now) ? 0 : 1;
+  gauges.isolated = isolation_.isolated();
+  gauges.store_reachable = isolation_.store_reachable();
+  metrics_.set(gauges);
+  for (const groups::planner_status& status : planner_statuses())
+    metrics_.set({status.service, status.wanted_groups, status.routable_groups,
+                  status.stranded_instances,
+                  std::chrono::duration<double>(status.group_downtime).count()});
+  net::header_list headers;
+  headers.add("Content-Type", "text/plain; version=0.0.4");
+  writer.send(200, std::move(headers), metrics_.serialize());
+}
+
+} // namespace camphorlug::node
--- /dev/null
+++ b/lib/peers/gossip.cpp
@@ -0,0 +1,233 @@
+#include "camphorlug/peers/gossip.h"
+
+#include "camphorlug/support/log.h"
+#include "camphorlug/support/stopped.h"
+
+#include <algorithm>
+
+namespace camphorlug::peers {
+
+static constexpr std::chrono::seconds exchange_interval{1};
+static constexpr std::chrono::milliseconds exchange_timeout{1000};
+/// Peers of each periodic round; more only to push a change.
+static constexpr std::size_t round_fanout = 2;
+static constexpr std::size_t push_fanout = 5;
+/// Sightings older than this are asked for from peers.
+static constexpr std::chrono::milliseconds sighting_wanted_after{1500};
+/// Sightings older than this are not worth relaying.
+static constexpr std::chrono::milliseconds oldest_relayed_sighting{3000};
+
+gossip::gossip(gossip_context context, std::vector<std::string> seeds,
+               std::function<node_report()> self)
+    : context_(context), seeds_(std::move(seeds)), self_(std::move(self)),
+      changed_(context.time) {
+  context_.rows.add_listener([this](const platform::row& changed) {
+    unpushed_[changed.key] = changed;
+    changed_.notify();
+  });
+}
+
+support::task<> gossip::run() {
+  for (;;) {
+    context_.board.forget_silent(context_.time.now());
+    for (const std::string& address : choose_addresses(round_fanout))
+      support::spawn(context_.executor, "exchange", exchange_with(address, {}));
+    // A little jitter keeps the nodes' rounds from falling together.
+    const auto jitter = std::chrono::milliseconds(context_.random.below(100));
+    co_await context_.time.sleep_for(exchange_interval + jitter);
+  }
+}
+
+support::task<> gossip::push_changes() {
+  for (;;) {
+    const bool notified = co_await changed_.wait_for(std::chrono::hours(1));
+    if (!notified)
+      continue;
+    std::vector<platform::row> pushed;
+    for (auto& [key, row] : unpushed_)
+      pushed.push_back(std::move(row));
+    unpushed_.clear();
+    for (const std::string& address : choose_addresses(push_fanout))
+      support::spawn(context_.executor, "push", exchange_with(address, pushed));
+  }
+}
+
+support::task<> gossip::announce() {
+  std::vector<std::string> addresses;
+  for (const auto& [id, peer] : context_.board.peers())
+    addresses.push_back(peer.report.peer_address);
+  for (const std::string& address : addresses)
+    support::spawn(context_.executor, "announce", exchange_with(address, {}));
+  co_return;
+}
+
+std::vector<std::string> gossip::choose_addresses(std::size_t count) {
+  std::set<std::string> known(seeds_.begin(), seeds_.end());
+  for (const auto& [id, peer] : context_.board.peers())
+    known.insert(peer.report.peer_address);
+  for (const auto& [id, instance] : context_.directory.all()) {
+    if (instance.role == platform::instance_role::entry)
+      known.insert(instance.address);
+  }
+  known.erase(self_().peer_address);
+  std::vector<std::string> chosen(known.begin(), known.end());
+  std::shuffle(chosen.begin(), chosen.end(), context_.random.engine());
+  chosen.resize(std::min(count, chosen.size()));
+  return chosen;
+}
+
+std::vector<std::string> gossip::missed_instances() const {
+  std::vector<std::string> missed;
+  const auto now = context_.time.now();
+  for (const auto& [id, instance] : context_.directory.all()) {
+    if (instance.role == platform::instance_role::entry)
+      continue;
+    const watching::sighting* seen = context_.sightings.find(id);
+    if (!seen || now - seen->seen_at > sighting_wanted_after)
+      missed.push_back(id);
+  }
+  return missed;
+}
+
+peer_message gossip::opening() {
+  peer_message message;
+  message.sender = self_();
+  for (const auto& [id, peer] : context_.board.peers())
+    message.report_digests.push_back({id, peer.report.incarnation, peer.report.sequence});
+  message.row_fingerprints = context_.rows.bucket_fingerprints();
+  message.missed_instances = missed_instances();
+  message.wants_instances = !context_.directory.was_read();
+  return message;
+}
+
+support::task<> gossip::exchange_with(std::string address, std::vector<platform::row> pushed) {
+  if (pushed.empty() && !in_progress_.insert(address).second)
+    co_return;
+  const bool is_round = pushed.empty();
+  ++exchanges_;
+  try {
+    peer_message message = opening();
+    message.rows = std::move(pushed);
+    auto began = context_.time.now();
+    const peer_message reply =
+        co_await context_.client.exchange(address, std::move(message), exchange_timeout);
+    merge(reply, began);
+    context_.board.reached(reply.sender.id, context_.time.now());
+    if (!reply.differing_buckets.empty()) {
+      peer_message second;
+      second.sender = self_();
+      compare_rows(reply, second);
+      second.row_digests = digest_buckets(reply.differing_buckets);
+      second.differing_buckets = reply.differing_buckets;
+      began = context_.time.now();
+      const peer_message rest =
+          co_await context_.client.exchange(address, std::move(second), exchange_timeout);
+      merge(rest, began);
+    }
+  } catch (const support::stopped&) {
+    throw;
+  } catch (const std::exception&) {
+    // A peer that does not answer is noticed by its silence.
+  }
+  if (is_round)
+    in_progress_.erase(address);
+}
+
+void gossip::merge(const peer_message& message, support::clock::time_point began) {
+  const auto now = context_.time.now();
+  context_.board.take(message.sender, now);
+  for (const node_report& report : message.reports)
+    context_.board.take(report, now);
+  for (const platform::row& row : message.rows)
+    context_.rows.take(row);
+  for (const relayed_sighting& sighting : message.sightings)
+    context_.sightings.record_report(sighting.report, began - sighting.age, message.sender.id);
+  if (!message.instances.empty())
+    context_.directory.adopt(message.instances);
+}
+
+std::vector<row_digest> gossip::digest_buckets(const std::vector<std::size_t>& buckets) const {
+  std::vector<row_digest> digests;
+  for (const auto& [key, row] : context_.rows.rows()) {
+    const std::size_t bucket = platform::row_cache::bucket_of(key);
+    if (std::find(buckets.begin(), buckets.end(), bucket) != buckets.end())
+      digests.push_back({key, row.version});
+  }
+  return digests;
+}
+
+/// Adds to `mine` the rows that `theirs` has older, and asks for those that it has newer.
+void gossip::compare_rows(const peer_message& theirs, peer_message& mine) const {
+  std::map<std::string, std::uint64_t> versions;
+  for (const row_digest& digest : theirs.row_digests)
+    versions[digest.key] = digest.version;
+  for (const auto& [key, row] : context_.rows.rows()) {
+    const std::size_t bucket = platform::row_cache::bucket_of(key);
+    const auto& differing = theirs.differing_buckets;
+    if (std::find(differing.begin(), differing.end(), bucket) == differing.end())
+      continue;
+    const auto found = versions.find(key);
+    if (found == versions.end() || found->second < row.version)
+      mine.rows.push_back(row);
+  }
+  for (const auto& [key, version] : versions) {
+    const platform::row* held = context_.rows.find(key);
+    if (!held || held->version < version)
+      mine.wanted_rows.push_back(key);
+  }
+}
+
+void gossip::add_sightings(const std::vector<std::string>& wanted, peer_message& mine) const {
+  const auto now = context_.time.now();
+  for (const std::string& id : wanted) {
+    const watching::sighting* seen = context_.sightings.find(id);
+    if (!seen || seen->absent || now - seen->seen_at > oldest_relayed_sighting)
+      continue;
+    mine.sightings.push_back(
+        {seen->report,
+         std::chrono::ceil<std::chrono::milliseconds>(now - seen->seen_at)});
+  }
+}
+
+peer_message gossip::answer(const peer_message& message) {
+  const auto now = context_.time.now();
+  merge(message, now);
+  peer_message reply;
+  reply.sender = self_();
+  std::map<std::string, report_digest> theirs;
+  for (const report_digest& digest : message.report_digests)
+    theirs[digest.id] = digest;
+  for (const auto& [id, peer] : context_.board.peers()) {
+    if (id == message.sender.id || message.row_fingerprints.empty())
+      continue;
+    const auto found = theirs.find(id);
+    node_report known;
+    if (found != theirs.end()) {
+      known.incarnation = found->second.incarnation;
+      known.sequence = found->second.sequence;
+    }
+    if (found == theirs.end() || peer.report.is_newer_than(known))
+      reply.reports.push_back(peer.report);
+  }
+  const auto mine = context_.rows.bucket_fingerprints();
+  for (std::size_t bucket = 0; bucket < message.row_fingerprints.size(); ++bucket) {
+    if (bucket < mine.size() && mine[bucket] != message.row_fingerprints[bucket])
+      reply.differing_buckets.push_back(bucket);
+  }
+  reply.row_digests = digest_buckets(reply.differing_buckets);
+  if (!message.row_digests.empty() || message.row_fingerprints.empty())
+    compare_rows(message, reply);
+  reply.wanted_rows.clear();
+  for (const std::string& key : message.wanted_rows) {
+    if (const platform::row* held = context_.rows.find(key))
+      reply.rows.push_back(*held);
+  }
+  add_sightings(message.missed_instances, reply);
+  if (message.wants_instances) {
+    for (const auto& [id, instance] : context_.directory.all())
+      reply.instances.push_back(instance);
+  }
+  return reply;
+}
+
+} // namespace camphorlug::peers
--- /dev/null
+++ b/lib/platform/row_cache.cpp
@@ -0,0 +1,51 @@
+#include "camphorlug/platform/row_cache.h"
+
+#include "camphorlug/support/digest.h"
+
+namespace camphorlug::platform {
+
+static std::uint64_t fingerprint_of(const row& entry) {
+  return support::fast_hash(entry.key, entry.version);
+}
+
+bool row_cache::take(row candidate) {
+  row& held = rows_[candidate.key];
+  if (candidate.version <= held.version)
+    return false;
+  std::uint64_t difference = held.version == 0 ? 0 : fingerprint_of(held);
+  held = std::move(candidate);
+  difference ^= fingerprint_of(held);
+  fingerprint_ ^= difference;
+  buckets_[bucket_of(held.key)] ^= difference;
+  const row changed = held;
+  for (const listener& on_change : listeners_)
+    on_change(changed);
+  return true;
+}
+
+const row* row_cache::find(std::string_view key) const {
+  const auto found = rows_.find(key);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+std::vector<const row*> row_cache::with_prefix(std::string_view prefix) const {
+  std::vector<const row*> matches;
+  for (auto entry = rows_.lower_bound(prefix);
+       entry != rows_.end() && entry->first.starts_with(prefix); ++entry)
+    matches.push_back(&entry->second);
+  return matches;
+}
+
+std::size_t row_cache::bucket_of(std::string_view key) {
+  return support::fast_hash(key) % bucket_count;
+}
+
+std::vector<std::uint64_t> row_cache::bucket_fingerprints() const {
+  return {buckets_.begin(), buckets_.end()};
+}
+
+void row_cache::add_listener(listener on_change) {
+  listeners_.push_back(std::move(on_change));
+}
+
+} // namespace camphorlug::platform
--- /dev/null
+++ b/lib/requests/claim_book.cpp
@@ -0,0 +1,106 @@
+#include "camphorlug/requests/claim_book.h"
+
+#include "camphorlug/platform/store_error.h"
+#include "camphorlug/support/digest.h"
+#include "camphorlug/support/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::requests {
+
+/// Larger answers are not recorded; a second arrival then gets `unknown`.
+static constexpr std::size_t largest_recorded_body = 64 * 1024;
+
+static std::string claim_key(const claim& wanted) {
+  return "claim/" + wanted.service + "/" + wanted.organisation + "/" +
+         support::sha256_hex(wanted.idempotency_key);
+}
+
+static nlohmann::json claim_value(const claim& held, const char* state) {
+  return {{"attempt", held.attempt}, {"content", held.content_hash}, {"state", state}};
+}
+
+static claim_result read_claim(const claim& wanted, const platform::row& row) {
+  const auto value = nlohmann::json::parse(row.value);
+  if (value.at("attempt") == wanted.attempt)
+    return {claim_state::owned, {}};
+  if (value.at("content") != wanted.content_hash)
+    return {claim_state::mismatch, {}};
+  const std::string state = value.at("state");
+  if (state == "running")
+    return {claim_state::running, {}};
+  if (state != "answered")
+    return {claim_state::unknown, {}};
+  return {claim_state::answered,
+          {value.at("status"), value.at("content_type"), value.at("body")}};
+}
+
+claim_book::claim_book(platform::table_store& store) : store_(store) {}
+
+support::task<claim_result> claim_book::acquire(claim wanted) {
+  bool answer_lost = false;
+  try {
+    co_return co_await insert(wanted);
+  } catch (const platform::store_error& error) {
+    answer_lost = error.may_have_committed();
+  }
+  if (!answer_lost)
+    co_return claim_result{claim_state::unavailable, {}};
+  co_return co_await read_back(std::move(wanted));
+}
+
+support::task<claim_result> claim_book::insert(claim wanted) {
+  const std::string key = claim_key(wanted);
+  platform::transaction change;
+  change.checks.push_back({key, 0});
+  change.writes.push_back({key, claim_value(wanted, "running").dump()});
+  const platform::commit_result result = co_await store_.commit(std::move(change));
+  if (result.committed)
+    co_return claim_result{claim_state::owned, {}};
+  co_return read_claim(wanted, result.current.at(0));
+}
+
+support::task<claim_result> claim_book::read_back(claim wanted) {
+  try {
+    const auto row = co_await store_.read(claim_key(wanted));
+    if (row)
+      co_return read_claim(wanted, *row);
+  } catch (const platform::store_error&) {
+    // Not known whether the claim stands; the request has not been sent.
+  }
+  co_return claim_result{claim_state::unavailable, {}};
+}
+
+support::task<> claim_book::replace(claim held, std::optional<std::string> value) {
+  const std::string key = claim_key(held);
+  try {
+    const auto row = co_await store_.read(key);
+    if (!row || read_claim(held, *row).state != claim_state::owned)
+      co_return;
+    platform::transaction change;
+    change.checks.push_back({key, row->version});
+    change.writes.push_back({key, std::move(value)});
+    co_await store_.commit(std::move(change));
+  } catch (const platform::store_error& error) {
+    support::log_event(support::log_level::warning, "claim_not_settled",
+                       {{"organisation", held.organisation}, {"error", error.what()}});
+  }
+}
+
+support::task<> claim_book::record_answer(claim held, claimed_answer answer) {
+  auto value = claim_value(held, "unknown");
+  if (answer.status != 0 && answer.body.size() <= largest_recorded_body) {
+    value["state"] = "answered";
+    value["status"] = answer.status;
+    value["content_type"] = answer.content_type;
+    value["body"] = answer.body;
+  }
+  co_await replace(std::move(held),
+                   value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+support::task<> claim_book::give_back(claim held) {
+  co_await replace(std::move(held), std::nullopt);
+}
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/lib/requests/forwarder.cpp
@@ -0,0 +1,146 @@
+#include "camphorlug/requests/forwarder.h"
+
+#include "camphorlug/net/transport_error.h"
+#include "camphorlug/requests/outcome_answer.h"
+
+#include <algorithm>
+#include <strings.h>
+
+namespace camphorlug::requests {
+
+static constexpr std::size_t most_attempts = 3;
+static constexpr std::chrono::milliseconds connect_timeout{500};
+
+/// Headers that belong to one connection or to this node's own attempt.
+static bool is_hop_header(const std::string& name) {
+  static constexpr const char* names[] = {"Connection",        "Keep-Alive", "Transfer-Encoding",
+                                          "Content-Length",    "Host",       "Authorization",
+                                          "Attempt-Id",        "Group",      "Group-Number",
+                                          "Priority",          "Upgrade",    "TE",
+                                          "Proxy-Connection",  "Expect"};
+  return std::any_of(std::begin(names), std::end(names), [&name](const char* each) {
+    return strcasecmp(each, name.c_str()) == 0;
+  });
+}
+
+forwarder::forwarder(request_environment& environment, service_gate& gate, call& current)
+    : environment_(environment), gate_(gate), call_(current) {}
+
+bool forwarder::may_try_again() {
+  if (call_.may_have_run && !call_.idempotent)
+    return false;
+  if (call_.attempts >= most_attempts || environment_.time.now() >= call_.deadline)
+    return false;
+  return gate_.retries.take();
+}
+
+support::task<request_outcome> forwarder::run(net::response_writer& writer) {
+  for (;;) {
+    const auto target = gate_.router.pick(call_.affinity, call_.tried);
+    if (!target)
+      break;
+    ++call_.attempts;
+    call_.tried.push_back(target->id);
+    environment_.observer.on_attempt(call_.labels);
+    const attempt_end end =
+        co_await attempt(*target, environment_.random.identifier(), writer);
+    gate_.router.finish(target->id);
+    if (end == attempt_end::answered)
+      co_return request_outcome::answered;
+    if (end == attempt_end::give_up || !may_try_again())
+      break;
+  }
+  const request_outcome outcome =
+      call_.may_have_run ? request_outcome::unknown : request_outcome::not_run;
+  const std::chrono::seconds retry_after(call_.may_have_run && !call_.idempotent ? 0 : 1);
+  send_outcome(writer, call_.may_have_run ? 502 : 503, outcome, "no-answer",
+               "no target gave a whole answer", retry_after);
+  co_return outcome;
+}
+
+support::task<net::client_response> forwarder::exchange(groups::routable_target target,
+                                                        std::string attempt_id) {
+  net::client_request request;
+  request.method = call_.request.method;
+  request.address = target.address;
+  request.target = call_.path;
+  if (!call_.request.query.empty())
+    request.target += "?" + call_.request.query;
+  for (const net::header& each : call_.request.headers) {
+    if (!is_hop_header(each.name))
+      request.headers.add(each.name, each.value);
+  }
+  request.headers.add("Attempt-Id", attempt_id);
+  request.headers.add("Priority", std::to_string(call_.priority));
+  if (target.number != 0) {
+    request.headers.add("Group", target.id);
+    request.headers.add("Group-Number", std::to_string(target.number));
+  }
+  request.body = call_.request.body;
+  request.connect_timeout = connect_timeout;
+  auto exchange = environment_.targets.open(std::move(request));
+  const auto left = call_.deadline - environment_.time.now();
+  const bool whole_generation = call_.document().model.has_value();
+  const std::chrono::nanoseconds limit =
+      whole_generation ? left : std::min<std::chrono::nanoseconds>(
+                                    left, call_.document().first_byte_limit);
+  net::response_head head = co_await exchange->head(limit);
+  net::client_response response{head.status, std::move(head.headers), {}};
+  for (;;) {
+    std::optional<std::string> piece = co_await exchange->read(call_.document().stall_limit);
+    if (!piece)
+      break;
+    response.body += *piece;
+  }
+  co_return response;
+}
+
+support::task<forwarder::attempt_end> forwarder::attempt(groups::routable_target target,
+                                                         std::string attempt_id,
+                                                         net::response_writer& writer) {
+  const auto began = environment_.time.now();
+  net::client_response response;
+  try {
+    response = co_await exchange(target, attempt_id);
+  } catch (const net::transport_error& error) {
+    gate_.router.on_failure(target.id);
+    call_.may_have_run |= error.progress() == net::request_progress::may_have_been_read;
+    co_return attempt_end::retry;
+  }
+  const auto& not_run = call_.document().not_run_statuses;
+  if (std::find(not_run.begin(), not_run.end(), response.status) != not_run.end()) {
+    gate_.router.on_failure(target.id);
+    co_return attempt_end::retry;
+  }
+  const bool is_own =
+      !call_.document().echoes_attempt_id ||
+      response.headers.find("Attempt-Id").value_or("") == attempt_id || response.status >= 400;
+  if (!is_own) {
+    // Another request's answer: this one may have run or not.
+    gate_.router.on_failure(target.id);
+    call_.may_have_run = true;
+    co_return attempt_end::retry;
+  }
+  const bool is_server_fault = response.status >= 500;
+  if (is_server_fault && call_.idempotent) {
+    gate_.router.on_failure(target.id);
+    call_.may_have_run = true;
+    if (may_try_again())
+      co_return attempt_end::retry;
+  }
+  gate_.router.on_answer(target.id, environment_.time.now() - began);
+  pass_on(std::move(response), writer);
+  co_return attempt_end::answered;
+}
+
+void forwarder::pass_on(net::client_response response, net::response_writer& writer) {
+  net::header_list headers;
+  for (const net::header& each : response.headers) {
+    if (!is_hop_header(each.name))
+      headers.add(each.name, each.value);
+  }
+  answer_ = {response.status, response.headers.find("Content-Type").value_or(""), response.body};
+  writer.send(response.status, std::move(headers), std::move(response.body));
+}
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/lib/requests/request_service.cpp
@@ -0,0 +1,194 @@
+#include "camphorlug/requests/request_service.h"
+
+#include "camphorlug/requests/caller_error.h"
+#include "camphorlug/requests/event_stream_sink.h"
+#include "camphorlug/requests/forwarder.h"
+#include "camphorlug/requests/outcome_answer.h"
+#include "camphorlug/requests/stream_relay.h"
+#include "camphorlug/requests/whole_answer_sink.h"
+#include "camphorlug/support/digest.h"
+
+namespace camphorlug::requests {
+
+/// How often waiting requests are looked at when nothing finishes.
+static constexpr std::chrono::milliseconds pump_interval{50};
+static constexpr std::chrono::seconds return_soon{1};
+
+request_service::request_service(request_environment environment,
+                                 const documents::document_view& documents,
+                                 groups::group_view& groups,
+                                 const routing::target_picker& picker,
+                                 std::set<std::string> near_data_centres,
+                                 std::function<bool()> accepts_work)
+    : environment_(std::move(environment)),
+      parser_(documents, environment_.time, environment_.stream_key), groups_(groups),
+      picker_(picker), near_data_centres_(std::move(near_data_centres)),
+      accepts_work_(std::move(accepts_work)) {}
+
+service_gate& request_service::gate_of(const documents::document_in_force& in_force) {
+  std::unique_ptr<service_gate>& gate = gates_[in_force.document.service];
+  if (!gate)
+    gate = std::make_unique<service_gate>(
+        routing::service_router(in_force.document.service, groups_, picker_, environment_.time,
+                                environment_.random, near_data_centres_),
+        environment_.time, environment_.random);
+  if (gate->configured_number != in_force.version.number) {
+    gate->configured_number = in_force.version.number;
+    gate->router.configure(in_force.document);
+    gate->queue.configure(in_force.document);
+  }
+  return *gate;
+}
+
+support::task<> request_service::handle(net::server_request request,
+                                        net::response_writer& writer) {
+  if (!accepts_work_()) {
+    send_outcome(writer, 503, request_outcome::not_run, "node-isolated",
+                 "this node is cut off; ask another entry", return_soon);
+    co_return;
+  }
+  call current;
+  std::optional<net::problem> refusal;
+  try {
+    current = parser_.parse(std::move(request));
+  } catch (const caller_error& error) {
+    refusal = error.problem();
+  }
+  if (refusal) {
+    send_outcome(writer, refusal->status, request_outcome::not_run, refusal->type,
+                 refusal->detail, std::chrono::seconds(0));
+    co_return;
+  }
+  const request_outcome outcome = co_await serve(current, writer);
+  environment_.observer.on_finished(current.labels, outcome,
+                                    environment_.time.now() - current.began);
+}
+
+support::task<request_outcome> request_service::serve(call& current,
+                                                      net::response_writer& writer) {
+  service_gate& gate = gate_of(*current.in_force);
+  gate.retries.on_request();
+  if (gate.router.total_slots() == 0) {
+    send_outcome(writer, 503, request_outcome::not_run, "no-target",
+                 "no target can take the request now", return_soon);
+    co_return request_outcome::not_run;
+  }
+  const admission::admission_result admitted = co_await gate.queue.enter(current.admission);
+  environment_.observer.on_queued(current.labels, admitted.waited);
+  if (!admitted.granted) {
+    send_outcome(writer, 429, request_outcome::not_run, "overloaded", admitted.reason,
+                 admitted.retry_after);
+    co_return request_outcome::not_run;
+  }
+  std::exception_ptr failure;
+  request_outcome outcome = request_outcome::unknown;
+  try {
+    outcome = co_await run(current, gate, writer);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  const double unused = current.admission.cost - static_cast<double>(current.tokens);
+  const bool counts_tokens = current.relayed && outcome == request_outcome::answered;
+  gate.queue.finish(current.admission,
+                    counts_tokens ? current.admission.cost - std::max(0.0, unused)
+                                  : current.admission.cost);
+  if (failure)
+    std::rethrow_exception(failure);
+  co_return outcome;
+}
+
+support::task<request_outcome> request_service::run(call& current, service_gate& gate,
+                                                    net::response_writer& writer) {
+  if (!current.idempotent && !current.idempotency_key.empty())
+    co_return co_await run_claimed(current, gate, writer);
+  if (current.relayed)
+    co_return co_await relay(current, gate, writer);
+  forwarder forward(environment_, gate, current);
+  co_return co_await forward.run(writer);
+}
+
+support::task<request_outcome> request_service::relay(call& current, service_gate& gate,
+                                                      net::response_writer& writer) {
+  if (current.wants_stream) {
+    event_stream_sink sink(writer);
+    stream_relay relay(environment_, gate, current, sink);
+    co_return co_await relay.run();
+  }
+  whole_answer_sink sink(writer, current.chat);
+  stream_relay relay(environment_, gate, current, sink);
+  co_return co_await relay.run();
+}
+
+/// Answers a request whose idempotency key somebody else holds.
+static request_outcome answer_for_other(const claim_result& result, net::response_writer& writer) {
+  switch (result.state) {
+  case claim_state::answered: {
+    net::header_list headers;
+    headers.add("Content-Type", result.answer.content_type);
+    headers.add("Camphorlug-Replayed", "true");
+    writer.send(result.answer.status, std::move(headers), result.answer.body);
+    return request_outcome::answered;
+  }
+  case claim_state::mismatch:
+    send_outcome(writer, 422, request_outcome::not_run, "key-reused",
+                 "this Idempotency-Key came with another content before; use a new one",
+                 std::chrono::seconds(0));
+    return request_outcome::not_run;
+  case claim_state::unavailable:
+    send_outcome(writer, 503, request_outcome::not_run, "store-down",
+                 "the key could not be claimed, so the request was not sent", return_soon);
+    return request_outcome::not_run;
+  case claim_state::running:
+    send_outcome(writer, 409, request_outcome::unknown, "key-in-use",
+                 "a request with this key is in progress or was cut off", return_soon);
+    return request_outcome::unknown;
+  case claim_state::owned:
+  case claim_state::unknown:
+    break;
+  }
+  send_outcome(writer, 502, request_outcome::unknown, "outcome-unknown",
+               "an earlier request with this key may have run", std::chrono::seconds(0));
+  return request_outcome::unknown;
+}
+
+support::task<request_outcome> request_service::run_claimed(call& current, service_gate& gate,
+                                                            net::response_writer& writer) {
+  const claim wanted{current.labels.organisation, current.labels.service,
+                     current.idempotency_key,
+                     support::sha256_hex(current.path + "\n" + current.request.body),
+                     environment_.random.identifier()};
+  const claim_result result = co_await environment_.claims.acquire(wanted);
+  if (result.state != claim_state::owned)
+    co_return answer_for_other(result, writer);
+  if (environment_.time.now() >= current.deadline) {
+    co_await environment_.claims.give_back(wanted);
+    send_outcome(writer, 503, request_outcome::not_run, "store-slow",
+                 "the deadline passed before the key was claimed", return_soon);
+    co_return request_outcome::not_run;
+  }
+  // Always forwarded as a whole, so that its answer can be recorded.
+  forwarder forward(environment_, gate, current);
+  const request_outcome outcome = co_await forward.run(writer);
+  if (outcome == request_outcome::not_run)
+    co_await environment_.claims.give_back(wanted);
+  else
+    co_await environment_.claims.record_answer(wanted, forward.answer());
+  co_return outcome;
+}
+
+support::task<> request_service::keep_pumping() {
+  for (;;) {
+    co_await environment_.time.sleep_for(pump_interval);
+    for (auto& [service, gate] : gates_)
+      gate->queue.pump();
+  }
+}
+
+std::size_t request_service::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [service, gate] : gates_)
+    count += gate->queue.waiting();
+  return count;
+}
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/lib/requests/retry_budget.cpp
@@ -0,0 +1,21 @@
+#include "camphorlug/requests/retry_budget.h"
+
+#include <algorithm>
+
+namespace camphorlug::requests {
+
+static constexpr double retries_per_request = 0.1;
+static constexpr double most_saved = 10;
+
+void retry_budget::on_request() {
+  tokens_ = std::min(most_saved, tokens_ + retries_per_request);
+}
+
+bool retry_budget::take() {
+  if (tokens_ < 1)
+    return false;
+  tokens_ -= 1;
+  return true;
+}
+
+} // namespace camphorlug::requests
--- /dev/null
+++ b/lib/support/config_table.cpp
@@ -0,0 +1,220 @@
+#include "camphorlug/support/config_table.h"
+
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace camphorlug::support {
+
+struct config_table::state {
+  toml::table values;
+  std::string source;
+  std::string path;
+  std::uint32_t line = 1;
+  config_errors* errors = nullptr;
+  std::set<std::string, std::less<>> read;
+
+  std::string full_key(std::string_view key) const {
+    return path.empty() ? std::string(key) : path + "." + std::string(key);
+  }
+
+  const toml::node* find(std::string_view key) {
+    read.emplace(key);
+    return values.get(key);
+  }
+};
+
+static std::string shown(const toml::node& node) {
+  std::ostringstream text;
+  node.visit([&text](const auto& value) { text << value; });
+  std::string line = text.str();
+  constexpr std::size_t longest = 60;
+  for (char& c : line)
+    c = c == '\n' ? ' ' : c;
+  return line.size() <= longest ? line : line.substr(0, longest) + "...";
+}
+
+static void report(config_errors& errors, const std::string& source, const std::string& key,
+                   const toml::node& found, std::string allowed) {
+  errors.push_back({source, found.source().begin.line, key, shown(found), std::move(allowed)});
+}
+
+static std::string range_text(std::int64_t lowest, std::int64_t highest) {
+  return "a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest);
+}
+
+std::optional<config_table> config_table::parse(std::string_view text, std::string source,
+                                                config_errors& errors) {
+  try {
+    auto parsed = std::make_unique<state>();
+    parsed->values = toml::parse(text, source);
+    parsed->source = std::move(source);
+    parsed->errors = &errors;
+    return config_table(std::move(parsed));
+  } catch (const toml::parse_error& error) {
+    errors.push_back({source, error.source().begin.line, "(file)", std::string(error.description()),
+                      "text in the TOML format"});
+    return std::nullopt;
+  }
+}
+
+config_table::config_table(std::unique_ptr<state> state) : state_(std::move(state)) {}
+config_table::~config_table() = default;
+config_table::config_table(config_table&&) noexcept = default;
+
+std::string config_table::required_text(std::string_view key) {
+  if (!state_->find(key)) {
+    state_->errors->push_back(
+        {state_->source, state_->line, state_->full_key(key), "", "a text that is not empty"});
+    return {};
+  }
+  std::string value = text(key, "?");
+  if (value.empty())
+    add_error(key, "a text that is not empty");
+  return value;
+}
+
+std::string config_table::text(std::string_view key, std::string fallback) {
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return fallback;
+  if (const auto* value = found->as_string())
+    return value->get();
+  add_error(key, "a text in quotes");
+  return fallback;
+}
+
+std::string config_table::choice(std::string_view key, const std::vector<std::string>& allowed) {
+  std::string value = text(key, allowed.front());
+  if (std::find(allowed.begin(), allowed.end(), value) != allowed.end())
+    return value;
+  std::string list = "one of";
+  for (const std::string& each : allowed)
+    list += " \"" + each + "\"";
+  add_error(key, list);
+  return allowed.front();
+}
+
+std::int64_t config_table::integer(std::string_view key, integer_range range,
+                                   std::int64_t fallback) {
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return fallback;
+  const auto* value = found->as_integer();
+  if (value && value->get() >= range.lowest && value->get() <= range.highest)
+    return value->get();
+  add_error(key, range_text(range.lowest, range.highest));
+  return fallback;
+}
+
+std::chrono::milliseconds config_table::milliseconds(std::string_view key, time_range range,
+                                                     std::chrono::milliseconds fallback) {
+  return std::chrono::milliseconds(
+      integer(key, {range.lowest.count(), range.highest.count()}, fallback.count()));
+}
+
+bool config_table::flag(std::string_view key, bool fallback) {
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return fallback;
+  if (const auto* value = found->as_boolean())
+    return value->get();
+  add_error(key, "true or false");
+  return fallback;
+}
+
+std::vector<std::string> config_table::texts(std::string_view key) {
+  std::vector<std::string> values;
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return values;
+  const toml::array* list = found->as_array();
+  for (std::size_t i = 0; list && i < list->size(); ++i) {
+    if (const auto* value = list->get(i)->as_string())
+      values.push_back(value->get());
+  }
+  if (!list || values.size() != list->size())
+    add_error(key, "a list of texts in quotes");
+  return values;
+}
+
+std::vector<std::int64_t> config_table::integers(std::string_view key, integer_range range) {
+  std::vector<std::int64_t> values;
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return values;
+  const toml::array* list = found->as_array();
+  for (std::size_t i = 0; list && i < list->size(); ++i) {
+    const auto* value = list->get(i)->as_integer();
+    if (value && value->get() >= range.lowest && value->get() <= range.highest)
+      values.push_back(value->get());
+  }
+  if (!list || values.size() != list->size())
+    add_error(key, "a list, each " + range_text(range.lowest, range.highest));
+  return values;
+}
+
+config_table config_table::table(std::string_view key) {
+  auto inner = std::make_unique<state>();
+  inner->source = state_->source;
+  inner->path = state_->full_key(key);
+  inner->line = state_->line;
+  inner->errors = state_->errors;
+  if (const toml::node* found = state_->find(key)) {
+    inner->line = found->source().begin.line;
+    if (const toml::table* values = found->as_table())
+      inner->values = *values;
+    else
+      add_error(key, "a table: [" + inner->path + "]");
+  }
+  return config_table(std::move(inner));
+}
+
+std::vector<config_table> config_table::tables(std::string_view key) {
+  std::vector<config_table> list;
+  const toml::node* found = state_->find(key);
+  if (!found)
+    return list;
+  const toml::array* entries = found->as_array();
+  for (std::size_t i = 0; entries && i < entries->size(); ++i) {
+    const toml::table* values = entries->get(i)->as_table();
+    if (!values)
+      continue;
+    auto inner = std::make_unique<state>();
+    inner->values = *values;
+    inner->source = state_->source;
+    inner->path = state_->full_key(key) + "[" + std::to_string(i) + "]";
+    inner->line = values->source().begin.line;
+    inner->errors = state_->errors;
+    list.push_back(config_table(std::move(inner)));
+  }
+  if (!entries || list.size() != entries->size())
+    add_error(key, "tables: [[" + state_->full_key(key) + "]]");
+  return list;
+}
+
+bool config_table::has(std::string_view key) const {
+  return state_->values.contains(key);
+}
+
+void config_table::add_error(std::string_view key, std::string allowed) {
+  if (const toml::node* found = state_->find(key)) {
+    report(*state_->errors, state_->source, state_->full_key(key), *found, std::move(allowed));
+    return;
+  }
+  state_->errors->push_back(
+      {state_->source, state_->line, state_->full_key(key), "", std::move(allowed)});
+}
+
+void config_table::reject_unknown_keys() {
+  std::string known;
+  for (const std::string& key : state_->read)
+    known += (known.empty() ? "" : ", ") + key;
+  for (const auto& [key, value] : state_->values) {
+    if (!state_->read.contains(key.str()))
+      report(*state_->errors, state_->source, state_->full_key(key.str()), value,
+             "one of the keys " + known);
+  }
+}
+
+} // namespace camphorlug::support
--- /dev/null
+++ b/lib/support/log.cpp
@@ -0,0 +1,88 @@
+#include "camphorlug/support/log.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <cstdio>
+
+namespace camphorlug::support {
+
+static std::string log_node;
+
+namespace {
+
+/// Writes what glog hands over to standard error; the text is already one JSON object.
+class json_sink final : public google::LogSink {
+public:
+  void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime&,
+            const char* message, size_t size) override {
+    std::fwrite(message, 1, size, stderr);
+    std::fputc('\n', stderr);
+  }
+};
+
+} // namespace
+
+static int severity(log_level level) {
+  switch (level) {
+  case log_level::info:
+    return google::GLOG_INFO;
+  case log_level::warning:
+    return google::GLOG_WARNING;
+  case log_level::error:
+    return google::GLOG_ERROR;
+  }
+  return google::GLOG_ERROR;
+}
+
+static const char* severity_name(log_level level) {
+  switch (level) {
+  case log_level::info:
+    return "info";
+  case log_level::warning:
+    return "warning";
+  case log_level::error:
+    return "error";
+  }
+  return "error";
+}
+
+void start_json_log(std::string_view node, log_level lowest) {
+  static json_sink sink;
+  log_node = node;
+  google::InitGoogleLogging("camphorlug");
+  for (int level = google::GLOG_INFO; level <= google::GLOG_FATAL; ++level)
+    google::SetLogDestination(level, "");
+  FLAGS_stderrthreshold = google::GLOG_FATAL + 1;
+  FLAGS_minloglevel = severity(lowest);
+  google::AddLogSink(&sink);
+}
+
+static std::string timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const auto seconds = std::chrono::system_clock::to_time_t(now);
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char day[32];
+  std::strftime(day, sizeof day, "%Y-%m-%dT%H:%M:%S", &parts);
+  char text[48];
+  std::snprintf(text, sizeof text, "%s.%03dZ", day, static_cast<int>(millis));
+  return text;
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
+  if (severity(level) < FLAGS_minloglevel)
+    return;
+  nlohmann::ordered_json line;
+  line["time"] = timestamp();
+  line["severity"] = severity_name(level);
+  line["node"] = log_node;
+  line["event"] = event;
+  for (const log_field& field : fields)
+    line[std::string(field.name)] = field.value;
+  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  google::LogMessage("", 0, severity(level)).stream() << text;
+}
+
+} // namespace camphorlug::support
--- /dev/null
+++ b/tests/standins/fault_port.cpp
@@ -0,0 +1,73 @@
+#include "fault_port.h"
+
+#include "camphorlug/net/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::standins {
+
+fault_port::fault_port(asio::io_context& context, support::clock& time, const std::string& address,
+                       std::function<std::string()> log, begin_function on_begin)
+    : time_(time), log_(std::move(log)), on_begin_(std::move(on_begin)),
+      server_(context, address, [this](net::server_request request, net::response_writer& writer) {
+        return answer(std::move(request), writer);
+      }) {}
+
+bool fault_port::active(const std::string& kind) const {
+  const auto found = faults_.find(kind);
+  return found != faults_.end() && time_.now() < found->second.until;
+}
+
+std::int64_t fault_port::parameter(const std::string& kind, const std::string& name,
+                                   std::int64_t fallback) const {
+  const auto found = faults_.find(kind);
+  if (found == faults_.end())
+    return fallback;
+  const auto value = found->second.parameters.find(name);
+  return value == found->second.parameters.end() ? fallback : value->second;
+}
+
+bool fault_port::connection_lives(std::uint64_t connection) {
+  connections_.insert(connection);
+  return !silent_.contains(connection);
+}
+
+void fault_port::begin(const std::string& body) {
+  const auto order = nlohmann::json::parse(body);
+  const std::string kind = order.at("fault");
+  fault begun;
+  const std::int64_t seconds = order.value("seconds", 3600);
+  begun.until = time_.now() + std::chrono::seconds(seconds);
+  for (const auto& [name, value] : order.items()) {
+    if (value.is_number())
+      begun.parameters[name] = value.get<std::int64_t>();
+  }
+  faults_[kind] = begun;
+  if (kind == "silent")
+    silent_ = connections_;
+  on_begin_(kind, seconds);
+}
+
+support::task<> fault_port::answer(net::server_request request, net::response_writer& writer) {
+  if (request.path == "/log") {
+    net::send_json(writer, 200, log_());
+    co_return;
+  }
+  if (request.path != "/faults") {
+    net::send_problem(writer, {404, "unknown-path", "use /faults or /log"});
+    co_return;
+  }
+  if (request.method == "DELETE") {
+    faults_.clear();
+  } else {
+    try {
+      begin(request.body);
+    } catch (const nlohmann::json::exception& error) {
+      net::send_problem(writer, {400, "bad-fault", error.what()});
+      co_return;
+    }
+  }
+  net::send_json(writer, 200, "{}\n");
+}
+
+} // namespace camphorlug::standins
--- /dev/null
+++ b/tests/standins/platform_main.cpp
@@ -0,0 +1,142 @@
+#include "camphorlug/net/http_server.h"
+#include "camphorlug/net/problem.h"
+#include "camphorlug/support/asio_clock.h"
+
+#include "fault_port.h"
+#include "lagging_list.h"
+#include "table.h"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(address, "127.0.0.1:7100", "ip:port of the platform's interface");
+DEFINE_string(fault_address, "127.0.0.1:7101", "ip:port of the fault port");
+DEFINE_int32(weight_slots, 8, "shards that the weight store sends at the same time");
+
+namespace camphorlug::standins {
+
+static constexpr std::chrono::milliseconds list_interval{100};
+static constexpr std::chrono::seconds lost_answer_time{30};
+
+/// The platform: table service, instance list and weight store in one process.
+class platform_process {
+public:
+  explicit platform_process(asio::io_context& context)
+      : clock_(context),
+        faults_(
+            context, clock_, FLAGS_fault_address, [this] { return table_.log(); },
+            [](const std::string&, std::int64_t) {}),
+        server_(context, FLAGS_address,
+                [this](net::server_request request, net::response_writer& writer) {
+                  return answer(std::move(request), writer);
+                }) {
+    support::spawn(context.get_executor(), "list", refresh_list());
+  }
+
+private:
+  support::task<> refresh_list() {
+    for (;;) {
+      list_.tick(clock_.now());
+      co_await clock_.sleep_for(list_interval);
+    }
+  }
+
+  support::task<> answer(net::server_request request, net::response_writer& writer) {
+    if (request.method == "PUT" || request.method == "DELETE") {
+      put_instance(request, writer);
+      co_return;
+    }
+    if (request.path == "/v1/weights") {
+      co_await send_weights(request, writer);
+      co_return;
+    }
+    if (faults_.active("slow"))
+      co_await clock_.sleep_for(
+          std::chrono::milliseconds(faults_.parameter("slow", "milliseconds", 1000)));
+    if (faults_.active("down")) {
+      net::send_problem(writer, {503, "down", "the platform is down"});
+      co_return;
+    }
+    if (request.path == "/v1/instances") {
+      const std::chrono::seconds lag(
+          faults_.active("lag") ? faults_.parameter("lag", "lag_seconds", 10) : 0);
+      net::send_json(writer, 200, list_.read(clock_.now(), lag));
+    } else if (request.path == "/v1/rows") {
+      send_rows(writer, request.query_value("prefix").value_or(""));
+    } else if (request.path == "/v1/transactions") {
+      co_await commit(request, writer);
+    } else {
+      net::send_problem(writer, {404, "unknown-path", request.path});
+    }
+  }
+
+  void put_instance(const net::server_request& request, net::response_writer& writer) {
+    const std::string id = request.path.substr(request.path.rfind('/') + 1);
+    if (request.method == "DELETE")
+      list_.remove(id);
+    else
+      list_.put(id, request.body, request.query_value("static").has_value(), clock_.now());
+    net::send_json(writer, 200, "{}\n");
+  }
+
+  support::task<> send_weights(const net::server_request& request, net::response_writer& writer) {
+    static constexpr std::chrono::milliseconds queue_poll{20};
+    while (loads_ >= FLAGS_weight_slots)
+      co_await clock_.sleep_for(queue_poll);
+    ++loads_;
+    co_await clock_.sleep_for(std::chrono::milliseconds(
+        std::stoi(request.query_value("milliseconds").value_or("1000"))));
+    --loads_;
+    net::send_json(writer, 200, "{}\n");
+  }
+
+  static nlohmann::json to_json(const std::vector<platform::row>& rows) {
+    auto list = nlohmann::json::array();
+    for (const platform::row& row : rows)
+      list.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
+    return list;
+  }
+
+  void send_rows(net::response_writer& writer, const std::string& prefix) {
+    net::send_json(writer, 200, nlohmann::json{{"rows", to_json(table_.scan(prefix))}}.dump());
+  }
+
+  static platform::transaction parse(const std::string& body) {
+    const auto value = nlohmann::json::parse(body);
+    platform::transaction change;
+    for (const auto& check : value.at("checks"))
+      change.checks.push_back({check.at("key"), check.at("version")});
+    for (const auto& write : value.at("writes")) {
+      std::optional<std::string> text;
+      if (!write.at("value").is_null())
+        text = write.at("value").get<std::string>();
+      change.writes.push_back({write.at("key"), text});
+    }
+    return change;
+  }
+
+  support::task<> commit(const net::server_request& request, net::response_writer& writer) {
+    const platform::commit_result result = table_.commit(parse(request.body));
+    if (faults_.active("lose_answers"))
+      co_await clock_.sleep_for(lost_answer_time);
+    nlohmann::json answer{{"committed", result.committed}, {"version", result.version}};
+    answer["rows"] = to_json(result.current);
+    net::send_json(writer, result.committed ? 200 : 409, answer.dump());
+  }
+
+  support::asio_clock clock_;
+  table table_;
+  lagging_list list_;
+  int loads_ = 0;
+  fault_port faults_;
+  net::http_server server_;
+};
+
+} // namespace camphorlug::standins
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  asio::io_context context;
+  camphorlug::standins::platform_process process(context);
+  context.run();
+}
--- /dev/null
+++ b/tools/camphorlugctl/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
