--- a/include/camphorlug/groups/live_groups.h
+++ b/include/camphorlug/groups/live_groups.h
@@ -22,8 +22,7 @@
 
   live_groups(support::clock& time, platform::row_cache& rows,
               const documents::document_view& documents,
-              const watching::instance_directory& directory,
-              const watching::sighting_board& board);
+              const watching::instance_directory& directory, const watching::sighting_board& board);
 
   target_set targets(const std::string& service) override;
 
--- a/include/camphorlug/net/http_client.h
+++ b/include/camphorlug/net/http_client.h
@@ -27,9 +27,14 @@
   /// Starts to send `request`.
   virtual std::unique_ptr<http_exchange> open(client_request request) = 0;
 
-  /// Sends `request` and collects its whole answer; `timeout` holds for all of it
-  /// but the connecting. Throws transport_error.
+  /// Sends `request` and collects its whole answer; `timeout` holds for each silence.
+  /// Throws transport_error.
   support::task<client_response> fetch(client_request request, std::chrono::nanoseconds timeout);
+
+  /// Collects the whole answer of an exchange; `timeout` holds for each silence.
+  /// Throws transport_error.
+  static support::task<client_response> collect(http_exchange& exchange,
+                                                std::chrono::nanoseconds timeout);
 };
 
 } // namespace camphorlug::net
--- a/include/camphorlug/requests/sse_reader.h
+++ b/include/camphorlug/net/sse_reader.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace camphorlug::requests {
+namespace camphorlug::net {
 
 /// One server-sent event.
 struct sse_event {
@@ -26,4 +26,4 @@
   std::size_t begin_ = 0;
 };
 
-} // namespace camphorlug::requests
+} // namespace camphorlug::net
--- a/include/camphorlug/peers/gossip.h
+++ b/include/camphorlug/peers/gossip.h
@@ -35,8 +35,7 @@
 class gossip {
 public:
   /// `self` gives this node's report as of now, with a new sequence.
-  gossip(gossip_context context, std::vector<std::string> seeds,
-         std::function<node_report()> self);
+  gossip(gossip_context context, std::vector<std::string> seeds, std::function<node_report()> self);
 
   /// Runs the periodic exchanges until the clock is shut down.
   support::task<> run();
--- a/include/camphorlug/requests/service_gate.h
+++ b/include/camphorlug/requests/service_gate.h
@@ -10,8 +10,7 @@
 
 /// What one node keeps for one service's requests.
 struct service_gate {
-  service_gate(routing::service_router routes, support::clock& time,
-               support::random_source& random)
+  service_gate(routing::service_router routes, support::clock& time, support::random_source& random)
       : router(std::move(routes)), queue(time, random, [this] { return router.free_slots(); }) {}
 
   routing::service_router router;
--- a/include/camphorlug/requests/stream_relay.h
+++ b/include/camphorlug/requests/stream_relay.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "camphorlug/net/problem.h"
+#include "camphorlug/net/sse_reader.h"
 #include "camphorlug/requests/call.h"
 #include "camphorlug/requests/request_environment.h"
 #include "camphorlug/requests/service_gate.h"
-#include "camphorlug/requests/sse_reader.h"
 #include "camphorlug/requests/stream_sink.h"
 
 #include <cstdint>
@@ -44,7 +44,7 @@
   std::string request_body() const;
   support::task<> read_rejection(net::http_exchange& exchange);
   support::task<leg_end> read_events(net::http_exchange& exchange);
-  support::task<leg_end> take_event(sse_event event);
+  support::task<leg_end> take_event(net::sse_event event);
   void record_latency();
   bool choose_next_approach(leg_end end);
   bool move_to_other_group();
--- a/include/camphorlug/watching/instance_directory.h
+++ b/include/camphorlug/watching/instance_directory.h
@@ -15,7 +15,8 @@
 class instance_directory {
 public:
   /// Replaces what is known. Instances that are listed no more are dropped.
-  void update(const std::vector<platform::listed_instance>& list, support::clock::time_point read_at);
+  void update(const std::vector<platform::listed_instance>& list,
+              support::clock::time_point read_at);
 
   /// Adds what a peer knows, as long as this node has no list of its own.
   void adopt(const std::vector<platform::listed_instance>& list);
--- a/lib/admission/return_bookings.cpp
+++ b/lib/admission/return_bookings.cpp
@@ -19,8 +19,9 @@
   support::clock::time_point& next = next_due_[organisation];
   next = std::max(next, now + shortest_wait);
   const std::chrono::duration<double> wanted = next - now;
-  const auto wait = std::clamp(std::chrono::seconds(std::llround(std::ceil(wanted.count() + jitter))),
-                               shortest_wait, longest_wait);
+  const auto wait =
+      std::clamp(std::chrono::seconds(std::llround(std::ceil(wanted.count() + jitter))),
+                 shortest_wait, longest_wait);
   next += std::chrono::nanoseconds(std::llround(1e9 / rate));
   next = std::min(next, now + longest_wait);
   if (bookings_.size() < most_bookings)
--- /dev/null
+++ b/lib/caller/reference_caller.cpp
@@ -0,0 +1,143 @@
+#include "camphorlug/caller/reference_caller.h"
+
+#include "camphorlug/net/sse_reader.h"
+#include "camphorlug/net/transport_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::caller {
+
+static constexpr std::size_t most_attempts = 6;
+/// Silence of a stream after which it is taken up at another node.
+static constexpr std::chrono::seconds stream_silence{10};
+static constexpr std::chrono::milliseconds pause_before_retry{50};
+
+/// Where a request stands between its tries.
+struct reference_caller::progress {
+  caller_result result;
+  std::string address;
+  std::string last_event_id;
+  support::clock::time_point began;
+  support::clock::time_point last_event_at;
+  text_listener on_text;
+};
+
+reference_caller::reference_caller(net::http_client& client, support::clock& time,
+                                   entry_cache& entries)
+    : client_(client), time_(time), entries_(entries) {}
+
+net::client_request reference_caller::make_request(const caller_request& request,
+                                                   const progress& state) const {
+  net::client_request sent;
+  sent.method = request.method;
+  sent.address = state.address;
+  sent.target = request.target;
+  sent.body = request.body;
+  sent.headers.add("Authorization", "Bearer " + request.key);
+  sent.headers.add("Content-Type", "application/json");
+  if (!request.class_name.empty())
+    sent.headers.add("Camphorlug-Class", request.class_name);
+  if (!request.idempotency_key.empty())
+    sent.headers.add("Idempotency-Key", request.idempotency_key);
+  if (!request.idempotent)
+    sent.headers.add("Camphorlug-Idempotent", "false");
+  if (!state.last_event_id.empty())
+    sent.headers.add("Last-Event-ID", state.last_event_id);
+  return sent;
+}
+
+support::task<caller_result> reference_caller::send(caller_request request, text_listener on_text) {
+  progress state;
+  state.began = time_.now();
+  state.on_text = std::move(on_text);
+  try_end end = try_end::try_again;
+  while (end == try_end::try_again && state.result.attempts < most_attempts &&
+         time_.now() - state.began < request.patience) {
+    const std::optional<std::string> address = co_await entries_.address();
+    if (!address)
+      break;
+    state.address = *address;
+    ++state.result.attempts;
+    end = co_await try_once(request, state);
+    if (end == try_end::try_again)
+      co_await time_.sleep_for(pause_before_retry);
+  }
+  state.result.total = time_.now() - state.began;
+  co_return std::move(state.result);
+}
+
+support::task<reference_caller::try_end> reference_caller::try_once(const caller_request& request,
+                                                                    progress& state) {
+  caller_result& result = state.result;
+  try {
+    auto exchange = client_.open(make_request(request, state));
+    const net::response_head head = co_await exchange->head(request.patience);
+    result.status = head.status;
+    result.outcome = head.headers.find("Camphorlug-Outcome").value_or("");
+    const std::string retry_after = head.headers.find("Retry-After").value_or("0");
+    result.retry_after = std::chrono::seconds(std::stol(retry_after));
+    if (request.stream && head.status == 200)
+      co_return co_await read_stream(*exchange, request, state);
+    const net::client_response answer = co_await client_.collect(*exchange, request.patience);
+    (result.outcome.empty() ? result.body : result.problem) = answer.body;
+    result.complete = head.status == 200;
+    // A node that is cut off knows that others may not be.
+    if (head.status == 503 && result.outcome == "not-run") {
+      entries_.avoid(state.address);
+      co_return try_end::try_again;
+    }
+    co_return try_end::finished;
+  } catch (const net::transport_error& error) {
+    entries_.avoid(state.address);
+    const bool harmless = request.idempotent || error.progress() == net::request_progress::not_sent;
+    if (!harmless)
+      result.outcome = "unknown";
+    co_return harmless ? try_end::try_again : try_end::give_up;
+  }
+}
+
+static std::string text_of(const std::string& data) {
+  const auto value = nlohmann::json::parse(data, nullptr, false);
+  if (!value.is_object() || !value.contains("choices") || value["choices"].empty())
+    return {};
+  const auto& choice = value["choices"][0];
+  if (choice.contains("delta"))
+    return choice["delta"].value("content", "");
+  return choice.value("text", "");
+}
+
+support::task<reference_caller::try_end>
+reference_caller::read_stream(net::http_exchange& exchange, const caller_request& request,
+                              progress& state) {
+  net::sse_reader reader;
+  for (;;) {
+    while (std::optional<net::sse_event> event = reader.next()) {
+      if (event->data == "[DONE]") {
+        state.result.complete = true;
+        co_return try_end::finished;
+      }
+      if (event->id.empty())
+        co_return request.idempotent ? try_end::try_again : try_end::give_up;
+      state.last_event_id = event->id;
+      const std::string text = text_of(event->data);
+      if (text.empty())
+        continue;
+      const auto now = time_.now();
+      if (state.result.tokens == 0)
+        state.result.first_token = now - state.began;
+      else
+        state.result.token_gaps.push_back(now - state.last_event_at);
+      state.last_event_at = now;
+      ++state.result.tokens;
+      state.result.body += text;
+      if (state.on_text)
+        state.on_text(text);
+    }
+    const std::optional<std::string> piece = co_await exchange.read(stream_silence);
+    if (!piece)
+      co_return request.idempotent ? try_end::try_again : try_end::give_up;
+    reader.append(*piece);
+  }
+}
+
+} // namespace camphorlug::caller
--- a/lib/documents/document_editor.cpp
+++ b/lib/documents/document_editor.cpp
@@ -70,8 +70,8 @@
     }
     co_return edit_result{edit_outcome::conflict, present, {}};
   }
-  document_version next{request.service, present.number + 1, request.text, request.edit_id,
-                        request.author,  calendar_text(time_.wall_time())};
+  document_version next{request.service, present.number + 1, request.text,
+                        request.edit_id, request.author,     calendar_text(time_.wall_time())};
   platform::transaction change;
   change.checks.push_back({key, held ? held->version : 0});
   change.writes.push_back({key, next.to_json()});
--- a/lib/documents/parse_document.cpp
+++ b/lib/documents/parse_document.cpp
@@ -2,12 +2,13 @@
 
 #include "camphorlug/support/config_table.h"
 
+#include <algorithm>
 #include <set>
 
 namespace camphorlug::documents {
 
-using support::config_table;
 using std::chrono::milliseconds;
+using support::config_table;
 
 static constexpr support::time_range request_times{milliseconds(10), milliseconds(86'400'000)};
 static constexpr std::size_t sha256_hex_size = 64;
--- a/lib/groups/domain_placement.cpp
+++ b/lib/groups/domain_placement.cpp
@@ -56,9 +56,9 @@
     for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
       const instance_condition seen = condition(record.members[rank].instance);
       // A group that does not serve yet need not begin with a leaving member.
-      const bool unusable = seen == instance_condition::lost ||
-                            (seen == instance_condition::leaving &&
-                             record.state == group_state::loading);
+      const bool unusable =
+          seen == instance_condition::lost ||
+          (seen == instance_condition::leaving && record.state == group_state::loading);
       if (unusable)
         ranks.push_back(rank);
     }
@@ -66,7 +66,8 @@
   }
 
   void add_step(step_kind kind, const group_record& record, std::string reason) {
-    steps_.push_back({kind, record.id, record.fabric_domain, record.data_centre, {}, std::move(reason)});
+    steps_.push_back(
+        {kind, record.id, record.fabric_domain, record.data_centre, {}, std::move(reason)});
   }
 
   void dissolve(const pool_group& group, std::string reason) {
@@ -135,8 +136,7 @@
   void replace(const broken_group& broken, std::string reason) {
     const group_record& record = broken.group->record;
     add_step(step_kind::replace, record, std::move(reason));
-    steps_.back().assignments =
-        free_.take(record.fabric_domain, broken.missing, record.version);
+    steps_.back().assignments = free_.take(record.fabric_domain, broken.missing, record.version);
     ++whole_;
   }
 
@@ -184,9 +184,8 @@
       dissolve(*donor->group, "its survivors complete " + receiver.group->record.id);
       broken_.erase(donor);
       replace(receiver, "a member was lost; the survivors of another group complete it");
-      std::erase_if(broken_, [&receiver](const broken_group& each) {
-        return each.group == receiver.group;
-      });
+      std::erase_if(broken_,
+                    [&receiver](const broken_group& each) { return each.group == receiver.group; });
       i = 0;
     }
   }
@@ -207,9 +206,9 @@
   }
 
   std::size_t groups_in(const std::string& data_centre) const {
-    return std::count_if(
-        pool_.groups.begin(), pool_.groups.end(),
-        [&](const pool_group& group) { return group.record.data_centre == data_centre; });
+    return std::count_if(pool_.groups.begin(), pool_.groups.end(), [&](const pool_group& group) {
+      return group.record.data_centre == data_centre;
+    });
   }
 
   void form(const std::string& domain, std::string reason) {
@@ -286,9 +285,8 @@
     const auto standby =
         std::find_if(record.standbys.begin(), record.standbys.end(),
                      [rank](const group_standby& each) { return each.rank == rank; });
-    const bool is_usable =
-        standby != record.standbys.end() &&
-        condition(standby->instance.instance) == instance_condition::present;
+    const bool is_usable = standby != record.standbys.end() &&
+                           condition(standby->instance.instance) == instance_condition::present;
     const bool is_prepared = std::find(group.prepared_ranks.begin(), group.prepared_ranks.end(),
                                        rank) != group.prepared_ranks.end();
     if (is_usable && is_prepared && !group.drained)
@@ -311,15 +309,14 @@
     };
     std::size_t changing = std::count_if(pool_.groups.begin(), pool_.groups.end(), is_in_change);
     // As many at a time as serve beyond the document's number, and at least one.
-    const std::size_t beyond =
-        serving_ > pool_.spec.replicas ? serving_ - pool_.spec.replicas : 1;
+    const std::size_t beyond = serving_ > pool_.spec.replicas ? serving_ - pool_.spec.replicas : 1;
     for (const pool_group& group : pool_.groups) {
       if (changing >= beyond || !steps_.empty())
         return;
       if (group.record.state != group_state::serving || !is_outdated(group.record))
         continue;
-      add_step(step_kind::drain, group.record, "version " + pool_.spec.version + " replaces " +
-                                                   group.record.version);
+      add_step(step_kind::drain, group.record,
+               "version " + pool_.spec.version + " replaces " + group.record.version);
       ++changing;
     }
   }
--- a/lib/groups/free_instances.cpp
+++ b/lib/groups/free_instances.cpp
@@ -46,9 +46,9 @@
   std::vector<rank_assignment> assignments;
   std::vector<std::size_t> unmatched;
   for (const std::size_t rank : ranks) {
-    const auto holder = std::find_if(
-        available.begin(), available.end(),
-        [&](const pool_instance& instance) { return holds(instance, rank, version); });
+    const auto holder =
+        std::find_if(available.begin(), available.end(),
+                     [&](const pool_instance& instance) { return holds(instance, rank, version); });
     if (holder == available.end()) {
       unmatched.push_back(rank);
       continue;
--- a/lib/groups/group_record.cpp
+++ b/lib/groups/group_record.cpp
@@ -21,8 +21,8 @@
 }
 
 static group_state parse_state(const std::string& name) {
-  for (const group_state state : {group_state::loading, group_state::serving,
-                                  group_state::draining, group_state::dissolved}) {
+  for (const group_state state : {group_state::loading, group_state::serving, group_state::draining,
+                                  group_state::dissolved}) {
     if (name == to_string(state))
       return state;
   }
--- a/lib/groups/order_sender.cpp
+++ b/lib/groups/order_sender.cpp
@@ -26,8 +26,7 @@
 };
 
 order_sender::order_sender(asio::any_io_executor executor, support::clock& time,
-                           targets::target_client& targets,
-                           const watching::sighting_board& board,
+                           targets::target_client& targets, const watching::sighting_board& board,
                            const watching::instance_directory& directory, const lease& holding)
     : executor_(std::move(executor)), time_(time), targets_(targets), board_(board),
       directory_(directory), lease_(holding) {}
@@ -55,10 +54,12 @@
     const watching::sighting* seen = board_.find(member.instance);
     if (!seen || seen->absent || matches(seen->report, record, rank))
       return;
-    wanted.push_back({member.instance, member.address,
-                      {action, record.id, record.number, rank, record.members, record.model,
-                       record.version},
-                      !holds_shard(seen->report, record, rank), missing});
+    wanted.push_back(
+        {member.instance,
+         member.address,
+         {action, record.id, record.number, rank, record.members, record.model, record.version},
+         !holds_shard(seen->report, record, rank),
+         missing});
   };
   for (std::size_t rank = 0; rank < record.members.size(); ++rank)
     add(record.members[rank], rank, order_action::join);
@@ -75,9 +76,11 @@
                           !seen.absent && !seen.report.group.empty() &&
                           !table.instances().contains(id);
     if (is_stray)
-      wanted.push_back({id, listed->address,
+      wanted.push_back({id,
+                        listed->address,
                         {order_action::release, "", table.newest_number(), 0, {}, "", ""},
-                        false, 0});
+                        false,
+                        0});
   }
 }
 
@@ -129,7 +132,8 @@
     if (!in_flight_.insert(wanted.instance).second)
       continue;
     loads += wanted.needs_load ? 1 : 0;
-    support::spawn(executor_, "order " + wanted.instance, send(std::move(wanted)));
+    const std::string name = "order " + wanted.instance;
+    support::spawn(executor_, name, send(std::move(wanted)));
   }
 }
 
@@ -137,9 +141,8 @@
   const auto sent_at = time_.now();
   const bool needs_load = wanted.needs_load;
   try {
-    const targets::order_result result =
-        co_await targets_.order(wanted.address, std::move(wanted.order), order_timeout,
-                                [this] { return lease_.held(); });
+    const targets::order_result result = co_await targets_.order(
+        wanted.address, std::move(wanted.order), order_timeout, [this] { return lease_.held(); });
     if (result == targets::order_result::accepted && needs_load)
       loading_since_[wanted.instance] = sent_at;
     if (result != targets::order_result::accepted)
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -6,9 +6,9 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <map>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <map>
 
 namespace camphorlug::net {
 
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -5,10 +5,15 @@
 support::task<client_response> http_client::fetch(client_request request,
                                                   std::chrono::nanoseconds timeout) {
   auto exchange = open(std::move(request));
-  response_head head = co_await exchange->head(timeout);
+  co_return co_await collect(*exchange, timeout);
+}
+
+support::task<client_response> http_client::collect(http_exchange& exchange,
+                                                    std::chrono::nanoseconds timeout) {
+  response_head head = co_await exchange.head(timeout);
   client_response response{head.status, std::move(head.headers), {}};
   for (;;) {
-    std::optional<std::string> piece = co_await exchange->read(timeout);
+    std::optional<std::string> piece = co_await exchange.read(timeout);
     if (!piece)
       break;
     response.body += *piece;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -24,8 +24,8 @@
 namespace {
 
 struct server_traits : restinio::default_single_thread_traits_t {
-  using request_handler_t = std::function<restinio::request_handling_status_t(
-      restinio::request_handle_t)>;
+  using request_handler_t =
+      std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
 };
 
 using server_type = restinio::http_server_t<server_traits>;
@@ -109,8 +109,8 @@
 std::optional<problem> check_limits(const server_request& request) {
   if (request.body.size() > max_body_bytes)
     return problem{413, "body-too-large",
-                   "the body has " + std::to_string(request.body.size()) +
-                       " bytes; at most " + std::to_string(max_body_bytes) + " are taken"};
+                   "the body has " + std::to_string(request.body.size()) + " bytes; at most " +
+                       std::to_string(max_body_bytes) + " are taken"};
   std::size_t count = 0;
   for (const header& entry : request.headers) {
     if (++count > max_headers || entry.value.size() > max_header_value_bytes)
@@ -184,9 +184,8 @@
                                           .max_field_value_size(256 * 1024)
                                           .max_field_count(1000)
                                           .max_body_size(64 * 1024 * 1024));
-    settings.acceptor_options_setter([](auto& options) {
-      options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    });
+    settings.acceptor_options_setter(
+        [](auto& options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); });
     settings.socket_options_setter([](auto& options) {
       options.set_option(asio::ip::tcp::no_delay(true));
       options.set_option(asio::socket_base::keep_alive(true));
--- a/lib/requests/sse_reader.cpp
+++ b/lib/net/sse_reader.cpp
@@ -1,6 +1,6 @@
-#include "camphorlug/requests/sse_reader.h"
+#include "camphorlug/net/sse_reader.h"
 
-namespace camphorlug::requests {
+namespace camphorlug::net {
 
 /// Bytes that were read are dropped from the buffer in steps of this size.
 static constexpr std::size_t compaction_size = 64 * 1024;
@@ -46,4 +46,4 @@
   }
 }
 
-} // namespace camphorlug::requests
+} // namespace camphorlug::net
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -54,11 +54,10 @@
       gossip_({context.executor, context.time, context.random, context.peers, peer_board_, rows_,
                directory_, sightings_},
               settings_.seeds, [this] { return report(); }),
-      claims_(context.store),
-      requests_({context.executor, context.time, context.random, context.targets, claims_,
-                 metrics_, settings_.stream_key},
-                documents_, live_groups_, picker_, settings_.near_data_centres,
-                [this] { return serves(); }) {
+      claims_(context.store), requests_({context.executor, context.time, context.random,
+                                         context.targets, claims_, metrics_, settings_.stream_key},
+                                        documents_, live_groups_, picker_,
+                                        settings_.near_data_centres, [this] { return serves(); }) {
   documents_.add_listener(
       [this](const documents::document_in_force& in_force) { start_planner(in_force); });
 }
@@ -107,8 +106,8 @@
 
 /// Places this node among its live peers of a data centre by rendezvous with `key`.
 static std::size_t rank_among_peers(const std::string& self, const std::string& data_centre,
-                                    const peers::peer_board& board,
-                                    support::clock::time_point now, std::uint64_t key) {
+                                    const peers::peer_board& board, support::clock::time_point now,
+                                    std::uint64_t key) {
   const std::uint64_t own = routing::rendezvous_weight(key, support::fast_hash(self));
   std::size_t rank = 0;
   for (const auto& [id, peer] : board.peers()) {
--- a/lib/node/node_metrics.cpp
+++ b/lib/node/node_metrics.cpp
@@ -12,9 +12,8 @@
 using requests::request_labels;
 
 /// Upper bounds in seconds; the targets for first and following tokens are among them.
-static const Histogram::BucketBoundaries time_buckets{0.001, 0.0025, 0.005, 0.01, 0.025, 0.051,
-                                                      0.1,   0.25,   0.5,   0.66, 1,     2.5,
-                                                      5,     10,     30,    60,   300};
+static const Histogram::BucketBoundaries time_buckets{
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.051, 0.1, 0.25, 0.5, 0.66, 1, 2.5, 5, 10, 30, 60, 300};
 
 template<class Family>
 static auto& family(Family builder, const char* name, const char* help,
@@ -36,12 +35,11 @@
   prometheus::Family<Histogram>& answer =
       family(prometheus::BuildHistogram(), "camphorlug_answer_seconds",
              "Time from a request's arrival to its end", registry);
-  prometheus::Family<prometheus::Counter>& requests =
-      family(prometheus::BuildCounter(), "camphorlug_requests_total", "Requests by outcome",
-             registry);
+  prometheus::Family<prometheus::Counter>& requests = family(
+      prometheus::BuildCounter(), "camphorlug_requests_total", "Requests by outcome", registry);
   prometheus::Family<prometheus::Counter>& attempts =
-      family(prometheus::BuildCounter(), "camphorlug_attempts_total",
-             "Requests sent to targets", registry);
+      family(prometheus::BuildCounter(), "camphorlug_attempts_total", "Requests sent to targets",
+             registry);
   prometheus::Family<prometheus::Counter>& resumed =
       family(prometheus::BuildCounter(), "camphorlug_streams_resumed_total",
              "Broken streams that were taken up again", registry);
@@ -81,8 +79,7 @@
   families_->attempts.Add(to_labels(labels)).Increment();
 }
 
-void node_metrics::on_first_token(const request_labels& labels,
-                                  std::chrono::nanoseconds latency) {
+void node_metrics::on_first_token(const request_labels& labels, std::chrono::nanoseconds latency) {
   observe(families_->first_token, labels, latency);
 }
 
--- a/lib/node/node_settings.cpp
+++ b/lib/node/node_settings.cpp
@@ -36,8 +36,8 @@
   operator_account account;
   account.name = table.required_text("name");
   account.key_hash = table.required_text("key_sha256");
-  account.role = table.choice("role", {"read", "edit"}) == "edit" ? operator_role::edit
-                                                                   : operator_role::read;
+  account.role =
+      table.choice("role", {"read", "edit"}) == "edit" ? operator_role::edit : operator_role::read;
   table.reject_unknown_keys();
   return account;
 }
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -132,8 +132,7 @@
 }
 
 support::task<> operator_api::edit(const std::string& service, const net::server_request& request,
-                                   const operator_account& account,
-                                   net::response_writer& writer) {
+                                   const operator_account& account, net::response_writer& writer) {
   if (account.role != operator_role::edit) {
     net::send_problem(writer, {403, "read-only", account.name + " may read but not edit"});
     co_return;
@@ -235,8 +234,7 @@
   value["wanted_groups"] = status.wanted_groups;
   value["routable_groups"] = status.routable_groups;
   value["stranded_accelerators"] = status.stranded_instances;
-  value["group_downtime_seconds"] =
-      std::chrono::duration<double>(status.group_downtime).count();
+  value["group_downtime_seconds"] = std::chrono::duration<double>(status.group_downtime).count();
   value["waits_for"] = status.waits_for;
   return value;
 }
--- a/lib/peers/gossip.cpp
+++ b/lib/peers/gossip.cpp
@@ -19,8 +19,7 @@
 
 gossip::gossip(gossip_context context, std::vector<std::string> seeds,
                std::function<node_report()> self)
-    : context_(context), seeds_(std::move(seeds)), self_(std::move(self)),
-      changed_(context.time) {
+    : context_(context), seeds_(std::move(seeds)), self_(std::move(self)), changed_(context.time) {
   context_.rows.add_listener([this](const platform::row& changed) {
     unpushed_[changed.key] = changed;
     changed_.notify();
@@ -184,8 +183,7 @@
     if (!seen || seen->absent || now - seen->seen_at > oldest_relayed_sighting)
       continue;
     mine.sightings.push_back(
-        {seen->report,
-         std::chrono::ceil<std::chrono::milliseconds>(now - seen->seen_at)});
+        {seen->report, std::chrono::ceil<std::chrono::milliseconds>(now - seen->seen_at)});
   }
 }
 
--- a/lib/peers/peer_message.cpp
+++ b/lib/peers/peer_message.cpp
@@ -47,9 +47,9 @@
 
 static json encode(const relayed_sighting& sighting) {
   const targets::instance_report& report = sighting.report;
-  return {report.instance, report.incarnation, report.group,   report.number,  report.rank,
-          report.model,    report.version,     report.ready,   report.leaving, report.running,
-          report.waiting,  sighting.age.count()};
+  return {report.instance, report.incarnation, report.group,   report.number,
+          report.rank,     report.model,       report.version, report.ready,
+          report.leaving,  report.running,     report.waiting, sighting.age.count()};
 }
 
 static relayed_sighting decode_sighting(const json& value) {
@@ -71,8 +71,9 @@
 }
 
 static json encode(const platform::listed_instance& instance) {
-  return {instance.id,            instance.address, instance.data_centre,
-          instance.fabric_domain, instance.pool,    static_cast<int>(instance.role),
+  return {instance.id,          instance.address,
+          instance.data_centre, instance.fabric_domain,
+          instance.pool,        static_cast<int>(instance.role),
           instance.leaving};
 }
 
--- a/lib/platform/http_table_store.cpp
+++ b/lib/platform/http_table_store.cpp
@@ -85,8 +85,7 @@
                         response.status >= 500 && response.status != 503);
     co_return parse_commit(response.body);
   } catch (const net::transport_error& error) {
-    throw store_error(error.what(),
-                      error.progress() == net::request_progress::may_have_been_read);
+    throw store_error(error.what(), error.progress() == net::request_progress::may_have_been_read);
   } catch (const nlohmann::json::exception& error) {
     throw store_error(error.what(), true);
   }
--- a/lib/requests/call_parser.cpp
+++ b/lib/requests/call_parser.cpp
@@ -40,9 +40,9 @@
   read_deadline(parsed);
   read_idempotency(parsed);
   parsed.affinity = support::fast_hash(parsed.labels.organisation);
-  parsed.admission = {parsed.labels.class_name, parsed.labels.organisation, 1, parsed.deadline,
-                      support::fast_hash(parsed.labels.organisation + parsed.path +
-                                         parsed.request.body)};
+  parsed.admission = {
+      parsed.labels.class_name, parsed.labels.organisation, 1, parsed.deadline,
+      support::fast_hash(parsed.labels.organisation + parsed.path + parsed.request.body)};
   if (parsed.document().model)
     read_model_body(parsed);
   read_position(parsed);
@@ -145,9 +145,9 @@
   parsed.wants_stream = body.value("stream", false);
   parsed.relayed = is_plain_generation(body);
   parsed.affinity = support::fast_hash(parsed.labels.organisation + preamble_of(body));
-  parsed.admission.cost = static_cast<double>(number_field("max_tokens", default_max_tokens)) +
-                          static_cast<double>(parsed.request.body.size()) /
-                              prompt_characters_per_token;
+  parsed.admission.cost =
+      static_cast<double>(number_field("max_tokens", default_max_tokens)) +
+      static_cast<double>(parsed.request.body.size()) / prompt_characters_per_token;
 }
 
 void call_parser::read_position(call& parsed) const {
--- a/lib/requests/claim_book.cpp
+++ b/lib/requests/claim_book.cpp
@@ -31,8 +31,7 @@
     return {claim_state::running, {}};
   if (state != "answered")
     return {claim_state::unknown, {}};
-  return {claim_state::answered,
-          {value.at("status"), value.at("content_type"), value.at("body")}};
+  return {claim_state::answered, {value.at("status"), value.at("content_type"), value.at("body")}};
 }
 
 claim_book::claim_book(platform::table_store& store) : store_(store) {}
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -13,14 +13,13 @@
 
 /// Headers that belong to one connection or to this node's own attempt.
 static bool is_hop_header(const std::string& name) {
-  static constexpr const char* names[] = {"Connection",        "Keep-Alive", "Transfer-Encoding",
-                                          "Content-Length",    "Host",       "Authorization",
-                                          "Attempt-Id",        "Group",      "Group-Number",
-                                          "Priority",          "Upgrade",    "TE",
-                                          "Proxy-Connection",  "Expect"};
-  return std::any_of(std::begin(names), std::end(names), [&name](const char* each) {
-    return strcasecmp(each, name.c_str()) == 0;
-  });
+  static constexpr const char* names[] = {"Connection",       "Keep-Alive", "Transfer-Encoding",
+                                          "Content-Length",   "Host",       "Authorization",
+                                          "Attempt-Id",       "Group",      "Group-Number",
+                                          "Priority",         "Upgrade",    "TE",
+                                          "Proxy-Connection", "Expect"};
+  return std::any_of(std::begin(names), std::end(names),
+                     [&name](const char* each) { return strcasecmp(each, name.c_str()) == 0; });
 }
 
 forwarder::forwarder(request_environment& environment, service_gate& gate, call& current)
@@ -42,8 +41,7 @@
     ++call_.attempts;
     call_.tried.push_back(target->id);
     environment_.observer.on_attempt(call_.labels);
-    const attempt_end end =
-        co_await attempt(*target, environment_.random.identifier(), writer);
+    const attempt_end end = co_await attempt(*target, environment_.random.identifier(), writer);
     gate_.router.finish(target->id);
     if (end == attempt_end::answered)
       co_return request_outcome::answered;
@@ -82,8 +80,9 @@
   const auto left = call_.deadline - environment_.time.now();
   const bool whole_generation = call_.document().model.has_value();
   const std::chrono::nanoseconds limit =
-      whole_generation ? left : std::min<std::chrono::nanoseconds>(
-                                    left, call_.document().first_byte_limit);
+      whole_generation
+          ? left
+          : std::min<std::chrono::nanoseconds>(left, call_.document().first_byte_limit);
   net::response_head head = co_await exchange->head(limit);
   net::client_response response{head.status, std::move(head.headers), {}};
   for (;;) {
@@ -112,9 +111,9 @@
     gate_.router.on_failure(target.id);
     co_return attempt_end::retry;
   }
-  const bool is_own =
-      !call_.document().echoes_attempt_id ||
-      response.headers.find("Attempt-Id").value_or("") == attempt_id || response.status >= 400;
+  const bool is_own = !call_.document().echoes_attempt_id ||
+                      response.headers.find("Attempt-Id").value_or("") == attempt_id ||
+                      response.status >= 400;
   if (!is_own) {
     // Another request's answer: this one may have run or not.
     gate_.router.on_failure(target.id);
--- a/lib/requests/request_service.cpp
+++ b/lib/requests/request_service.cpp
@@ -16,8 +16,7 @@
 
 request_service::request_service(request_environment environment,
                                  const documents::document_view& documents,
-                                 groups::group_view& groups,
-                                 const routing::target_picker& picker,
+                                 groups::group_view& groups, const routing::target_picker& picker,
                                  std::set<std::string> near_data_centres,
                                  std::function<bool()> accepts_work)
     : environment_(std::move(environment)),
@@ -40,8 +39,7 @@
   return *gate;
 }
 
-support::task<> request_service::handle(net::server_request request,
-                                        net::response_writer& writer) {
+support::task<> request_service::handle(net::server_request request, net::response_writer& writer) {
   if (!accepts_work_()) {
     send_outcome(writer, 503, request_outcome::not_run, "node-isolated",
                  "this node is cut off; ask another entry", return_soon);
@@ -55,8 +53,8 @@
     refusal = error.problem();
   }
   if (refusal) {
-    send_outcome(writer, refusal->status, request_outcome::not_run, refusal->type,
-                 refusal->detail, std::chrono::seconds(0));
+    send_outcome(writer, refusal->status, request_outcome::not_run, refusal->type, refusal->detail,
+                 std::chrono::seconds(0));
     co_return;
   }
   const request_outcome outcome = co_await serve(current, writer);
@@ -64,8 +62,7 @@
                                     environment_.time.now() - current.began);
 }
 
-support::task<request_outcome> request_service::serve(call& current,
-                                                      net::response_writer& writer) {
+support::task<request_outcome> request_service::serve(call& current, net::response_writer& writer) {
   service_gate& gate = gate_of(*current.in_force);
   gate.retries.on_request();
   if (gate.router.total_slots() == 0) {
@@ -89,9 +86,9 @@
   }
   const double unused = current.admission.cost - static_cast<double>(current.tokens);
   const bool counts_tokens = current.relayed && outcome == request_outcome::answered;
-  gate.queue.finish(current.admission,
-                    counts_tokens ? current.admission.cost - std::max(0.0, unused)
-                                  : current.admission.cost);
+  gate.queue.finish(current.admission, counts_tokens
+                                           ? current.admission.cost - std::max(0.0, unused)
+                                           : current.admission.cost);
   if (failure)
     std::rethrow_exception(failure);
   co_return outcome;
@@ -153,8 +150,7 @@
 
 support::task<request_outcome> request_service::run_claimed(call& current, service_gate& gate,
                                                             net::response_writer& writer) {
-  const claim wanted{current.labels.organisation, current.labels.service,
-                     current.idempotency_key,
+  const claim wanted{current.labels.organisation, current.labels.service, current.idempotency_key,
                      support::sha256_hex(current.path + "\n" + current.request.body),
                      environment_.random.identifier()};
   const claim_result result = co_await environment_.claims.acquire(wanted);
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -173,8 +173,7 @@
 
 support::task<> stream_relay::read_rejection(net::http_exchange& exchange) {
   for (;;) {
-    const std::optional<std::string> piece =
-        co_await exchange.read(call_.document().stall_limit);
+    const std::optional<std::string> piece = co_await exchange.read(call_.document().stall_limit);
     if (!piece)
       co_return;
     rejection_.detail += *piece;
@@ -182,9 +181,9 @@
 }
 
 support::task<stream_relay::leg_end> stream_relay::read_events(net::http_exchange& exchange) {
-  sse_reader reader;
+  net::sse_reader reader;
   for (;;) {
-    while (std::optional<sse_event> event = reader.next()) {
+    while (std::optional<net::sse_event> event = reader.next()) {
       const leg_end end = co_await take_event(std::move(*event));
       if (end != leg_end::refused)
         co_return end;
@@ -202,7 +201,7 @@
 }
 
 /// Checks one event and passes it on. `refused` stands for "go on reading".
-support::task<stream_relay::leg_end> stream_relay::take_event(sse_event event) {
+support::task<stream_relay::leg_end> stream_relay::take_event(net::sse_event event) {
   if (event.data == end_of_stream)
     co_return finish_seen_ ? leg_end::finished : leg_end::broken;
   if (event.id != attempt_ + ":" + std::to_string(leg_index_)) {
@@ -233,14 +232,13 @@
   call_.tokens += parsed.text.empty() ? 0 : 1;
   char hash[17];
   std::snprintf(hash, sizeof hash, "%016llx", static_cast<unsigned long long>(text_hash_));
-  const stream_position position{call_.labels.organisation, call_.labels.service, target_.id,
-                                 attempt_,                  next_index_,          hash};
+  const stream_position position{
+      call_.labels.organisation, call_.labels.service, target_.id, attempt_, next_index_, hash};
   ++next_index_;
   progressed_ = true;
   moves_ = 0;
-  const bool taken =
-      co_await sink_.event(sign_position(position, environment_.stream_key),
-                           std::move(event.data), parsed.text);
+  const bool taken = co_await sink_.event(sign_position(position, environment_.stream_key),
+                                          std::move(event.data), parsed.text);
   co_return taken ? leg_end::refused : leg_end::caller_gone;
 }
 
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -18,8 +18,8 @@
                                const target_picker& picker, support::clock& time,
                                support::random_source& random,
                                std::set<std::string> near_data_centres)
-    : service_(std::move(service)), groups_(groups), picker_(picker), time_(time),
-      random_(random), near_(std::move(near_data_centres)) {}
+    : service_(std::move(service)), groups_(groups), picker_(picker), time_(time), random_(random),
+      near_(std::move(near_data_centres)) {}
 
 void service_router::configure(const documents::service_document& document) {
   max_window_ = document.max_window;
@@ -56,9 +56,8 @@
   if (!near_.empty())
     prefer(list, [&](const candidate& each) { return near_.contains(each.target->data_centre); });
   prefer(list, [&](const candidate& each) { return !state(each).health.is_ejected(now); });
-  prefer(list, [&](const candidate& each) {
-    return state(each).in_flight < state(each).window.size();
-  });
+  prefer(list,
+         [&](const candidate& each) { return state(each).in_flight < state(each).window.size(); });
 }
 
 std::vector<candidate>
@@ -74,8 +73,8 @@
   return list;
 }
 
-std::optional<groups::routable_target>
-service_router::pick(std::uint64_t affinity, const std::vector<std::string>& tried) {
+std::optional<groups::routable_target> service_router::pick(std::uint64_t affinity,
+                                                            const std::vector<std::string>& tried) {
   const groups::target_set targets = groups_.targets(service_);
   if (targets->empty())
     return std::nullopt;
--- a/lib/support/config_table.cpp
+++ b/lib/support/config_table.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/support/config_table.h"
 
+#include <algorithm>
 #include <set>
 #include <sstream>
 #include <toml++/toml.h>
@@ -7,7 +8,9 @@
 namespace camphorlug::support {
 
 struct config_table::state {
-  toml::table values;
+  /// Keeps the whole file, since copies of its parts would lose their lines.
+  std::shared_ptr<const toml::table> root;
+  const toml::table* values = nullptr;
   std::string source;
   std::string path;
   std::uint32_t line = 1;
@@ -20,7 +23,7 @@
 
   const toml::node* find(std::string_view key) {
     read.emplace(key);
-    return values.get(key);
+    return values->get(key);
   }
 };
 
@@ -47,7 +50,8 @@
                                                 config_errors& errors) {
   try {
     auto parsed = std::make_unique<state>();
-    parsed->values = toml::parse(text, source);
+    parsed->root = std::make_shared<const toml::table>(toml::parse(text, source));
+    parsed->values = parsed->root.get();
     parsed->source = std::move(source);
     parsed->errors = &errors;
     return config_table(std::move(parsed));
@@ -68,8 +72,9 @@
         {state_->source, state_->line, state_->full_key(key), "", "a text that is not empty"});
     return {};
   }
-  std::string value = text(key, "?");
-  if (value.empty())
+  const std::size_t errors_before = state_->errors->size();
+  std::string value = text(key, "");
+  if (value.empty() && state_->errors->size() == errors_before)
     add_error(key, "a text that is not empty");
   return value;
 }
@@ -160,12 +165,16 @@
   inner->path = state_->full_key(key);
   inner->line = state_->line;
   inner->errors = state_->errors;
+  inner->root = std::make_shared<const toml::table>();
+  inner->values = inner->root.get();
   if (const toml::node* found = state_->find(key)) {
     inner->line = found->source().begin.line;
-    if (const toml::table* values = found->as_table())
-      inner->values = *values;
-    else
+    if (const toml::table* values = found->as_table()) {
+      inner->root = state_->root;
+      inner->values = values;
+    } else {
       add_error(key, "a table: [" + inner->path + "]");
+    }
   }
   return config_table(std::move(inner));
 }
@@ -181,7 +190,8 @@
     if (!values)
       continue;
     auto inner = std::make_unique<state>();
-    inner->values = *values;
+    inner->root = state_->root;
+    inner->values = values;
     inner->source = state_->source;
     inner->path = state_->full_key(key) + "[" + std::to_string(i) + "]";
     inner->line = values->source().begin.line;
@@ -194,7 +204,7 @@
 }
 
 bool config_table::has(std::string_view key) const {
-  return state_->values.contains(key);
+  return state_->values->contains(key);
 }
 
 void config_table::add_error(std::string_view key, std::string allowed) {
@@ -210,7 +220,7 @@
   std::string known;
   for (const std::string& key : state_->read)
     known += (known.empty() ? "" : ", ") + key;
-  for (const auto& [key, value] : state_->values) {
+  for (const auto& [key, value] : *state_->values) {
     if (!state_->read.contains(key.str()))
       report(*state_->errors, state_->source, state_->full_key(key.str()), value,
              "one of the keys " + known);
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -1,12 +1,13 @@
 #include "camphorlug/support/log.h"
 
+#include <cstdio>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
-#include <cstdio>
 
 namespace camphorlug::support {
 
 static std::string log_node;
+static bool log_started = false;
 
 namespace {
 
@@ -49,6 +50,7 @@
 void start_json_log(std::string_view node, log_level lowest) {
   static json_sink sink;
   log_node = node;
+  log_started = true;
   google::InitGoogleLogging("camphorlug");
   for (int level = google::GLOG_INFO; level <= google::GLOG_FATAL; ++level)
     google::SetLogDestination(level, "");
@@ -72,7 +74,8 @@
 }
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
-  if (severity(level) < FLAGS_minloglevel)
+  // Embedders that did not start the log get no lines.
+  if (!log_started || severity(level) < FLAGS_minloglevel)
     return;
   nlohmann::ordered_json line;
   line["time"] = timestamp();
--- a/lib/support/virtual_clock.cpp
+++ b/lib/support/virtual_clock.cpp
@@ -2,10 +2,10 @@
 
 #include "camphorlug/support/stopped.h"
 
+#include <algorithm>
 #include <asio/async_result.hpp>
 #include <asio/post.hpp>
 #include <asio/use_awaitable.hpp>
-#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -89,7 +89,8 @@
 
 std::chrono::system_clock::time_point virtual_clock::wall_time() const {
   using wall = std::chrono::system_clock;
-  return wall::time_point(std::chrono::duration_cast<wall::duration>(state_->now.time_since_epoch()));
+  return wall::time_point(
+      std::chrono::duration_cast<wall::duration>(state_->now.time_since_epoch()));
 }
 
 std::unique_ptr<timer> virtual_clock::make_timer() {
--- a/lib/watching/sighting_board.cpp
+++ b/lib/watching/sighting_board.cpp
@@ -25,8 +25,8 @@
   held.absent = still_absent;
 }
 
-void sighting_board::record_absence(const std::string& instance,
-                                    support::clock::time_point seen_at, std::string watcher) {
+void sighting_board::record_absence(const std::string& instance, support::clock::time_point seen_at,
+                                    std::string watcher) {
   const auto found = sightings_.find(instance);
   if (found == sightings_.end())
     return;
--- a/lib/watching/watcher.cpp
+++ b/lib/watching/watcher.cpp
@@ -27,8 +27,8 @@
 
 support::task<> watcher::watch(std::string instance) {
   // Spreads the first questions so that they do not come in bursts.
-  co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
-      report_interval * random_.unit()));
+  co_await time_.sleep_for(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(report_interval * random_.unit()));
   for (;;) {
     const platform::listed_instance* listed = directory_.find(instance);
     if (!listed || !should_watch(*listed))
@@ -55,8 +55,7 @@
     else
       board_.record_absence(instance.id, began, node_);
   } catch (const net::transport_error& error) {
-    const bool refused =
-        error.progress() == net::request_progress::not_sent && !error.timed_out();
+    const bool refused = error.progress() == net::request_progress::not_sent && !error.timed_out();
     if (refused)
       board_.record_absence(instance.id, began, node_);
   }
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -109,8 +109,8 @@
 support::task<> engine::count_load() {
   static constexpr std::chrono::milliseconds count_interval{100};
   for (;;) {
-    counts_.push_back({time_.now(), static_cast<std::size_t>(running_),
-                       static_cast<std::size_t>(waiting_)});
+    counts_.push_back(
+        {time_.now(), static_cast<std::size_t>(running_), static_cast<std::size_t>(waiting_)});
     while (counts_.size() > 1 && time_.now() - counts_[1].at >= settings_.report_lag)
       counts_.pop_front();
     co_await time_.sleep_for(count_interval);
@@ -174,8 +174,9 @@
     net::send_json(writer, 200, "{\"accepted\":true}\n");
     return;
   }
-  const bool holds_shard = ready_ && version_ == order.at("version") &&
-                           model_ == order.at("model") && rank_ == order.at("rank");
+  const bool holds_shard = ready_ && version_ == order.at("version").get<std::string>() &&
+                           model_ == order.at("model").get<std::string>() &&
+                           rank_ == order.at("rank").get<std::size_t>();
   group_ = order.at("group");
   rank_ = order.at("rank");
   model_ = order.at("model");
@@ -328,10 +329,9 @@
   for (std::size_t index = from->first; index < from->wanted; ++index)
     text += token_text(from->prompt, index);
   nlohmann::json body{{"id", from->attempt}, {"object", "chat.completion"}, {"model", model_}};
-  body["choices"] = nlohmann::json::array(
-      {{{"index", 0},
-        {"message", {{"role", "assistant"}, {"content", text}}},
-        {"finish_reason", "stop"}}});
+  body["choices"] = nlohmann::json::array({{{"index", 0},
+                                            {"message", {{"role", "assistant"}, {"content", text}}},
+                                            {"finish_reason", "stop"}}});
   body["usage"] = {{"completion_tokens", from->wanted - from->first}};
   net::header_list headers;
   headers.add("Content-Type", "application/json");
--- a/tests/standins/lagging_list.cpp
+++ b/tests/standins/lagging_list.cpp
@@ -26,8 +26,7 @@
     snapshots_.pop_front();
 }
 
-std::string lagging_list::read(support::clock::time_point now,
-                               std::chrono::nanoseconds lag) const {
+std::string lagging_list::read(support::clock::time_point now, std::chrono::nanoseconds lag) const {
   std::string json = "{\"instances\":[]}\n";
   for (const snapshot& each : snapshots_) {
     if (now - each.at < lag)
--- a/tests/standins/lagging_list.h
+++ b/tests/standins/lagging_list.h
@@ -13,8 +13,7 @@
 class lagging_list {
 public:
   /// Takes an instance's own description; `is_static` needs no further heartbeats.
-  void put(const std::string& id, std::string json, bool is_static,
-           support::clock::time_point now);
+  void put(const std::string& id, std::string json, bool is_static, support::clock::time_point now);
   void remove(const std::string& id);
 
   /// Drops instances without heartbeats and keeps a copy for later readers.
--- a/tests/standins/plain_main.cpp
+++ b/tests/standins/plain_main.cpp
@@ -46,12 +46,9 @@
 private:
   support::task<> send_heartbeats() {
     for (;;) {
-      nlohmann::json self{{"id", FLAGS_id},
-                          {"address", FLAGS_address},
-                          {"data_centre", FLAGS_data_centre},
-                          {"pool", FLAGS_pool},
-                          {"role", "plain"},
-                          {"leaving", faults_.active("leave")}};
+      nlohmann::json self{
+          {"id", FLAGS_id},     {"address", FLAGS_address}, {"data_centre", FLAGS_data_centre},
+          {"pool", FLAGS_pool}, {"role", "plain"},          {"leaving", faults_.active("leave")}};
       net::client_request request;
       request.method = "PUT";
       request.address = FLAGS_platform;
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -22,10 +22,9 @@
 class platform_process {
 public:
   explicit platform_process(asio::io_context& context)
-      : clock_(context),
-        faults_(
-            context, clock_, FLAGS_fault_address, [this] { return table_.log(); },
-            [](const std::string&, std::int64_t) {}),
+      : clock_(context), faults_(
+                             context, clock_, FLAGS_fault_address, [this] { return table_.log(); },
+                             [](const std::string&, std::int64_t) {}),
         server_(context, FLAGS_address,
                 [this](net::server_request request, net::response_writer& writer) {
                   return answer(std::move(request), writer);
@@ -84,8 +83,8 @@
     while (loads_ >= FLAGS_weight_slots)
       co_await clock_.sleep_for(queue_poll);
     ++loads_;
-    co_await clock_.sleep_for(std::chrono::milliseconds(
-        std::stoi(request.query_value("milliseconds").value_or("1000"))));
+    co_await clock_.sleep_for(
+        std::chrono::milliseconds(std::stoi(request.query_value("milliseconds").value_or("1000"))));
     --loads_;
     net::send_json(writer, 200, "{}\n");
   }
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -1,1 +1,150 @@
-int main() { return 0; }
+#include "camphorlug/net/curl_client.h"
+#include "camphorlug/support/asio_clock.h"
+#include "camphorlug/support/random_source.h"
+
+#include "exit_code.h"
+#include "request_command.h"
+#include "screen.h"
+#include "service_commands.h"
+#include "view_commands.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <random>
+
+DEFINE_string(node, "127.0.0.1:18120", "ip:port of a node's operator port");
+DEFINE_string(entry, "127.0.0.1:18100", "ip:port of a node's callers' port");
+DEFINE_string(key_file, "", "file with the key; else the environment's CAMPHORLUG_KEY");
+DEFINE_string(edit_id, "", "id of an earlier edit to ask for again");
+DEFINE_string(body, "", "request: the body");
+DEFINE_string(method, "POST", "request: the method");
+DEFINE_string(class_name, "", "request: the class");
+DEFINE_string(idempotency_key, "", "request: the idempotency key");
+DEFINE_bool(idempotent, true, "request: whether it may run more than once");
+DEFINE_bool(stream, false, "request: take the answer as a stream");
+DEFINE_bool(json, false, "print JSON for scripts");
+
+namespace camphorlug::ctl {
+
+static constexpr const char* usage = R"(camphorlugctl VERB [ARGUMENTS] [--flags]
+
+ status            this node and its peers
+ groups            the replica groups
+ why GROUP         one group, and why
+ entries           addresses for callers
+ request PATH      send a request
+ service list
+ service show S
+ service edit S    fetch S into S.toml
+ service apply S FILE
+ service check FILE
+ service diff S FILE
+ service history S
+ service rollback S NUMBER
+ service status S  version on each node
+
+Keys come from --key_file or CAMPHORLUG_KEY,
+never from the command line.
+
+Exit codes: 0 done, 1 refused, 2 wrong
+command or document, 3 conflict, 4 not
+known, 5 no node answered.)";
+
+static std::string read_key() {
+  std::string key;
+  if (!FLAGS_key_file.empty()) {
+    std::ifstream file(FLAGS_key_file);
+    std::getline(file, key);
+    return key;
+  }
+  const char* value = std::getenv("CAMPHORLUG_KEY");
+  return value ? value : "";
+}
+
+static std::string choose_edit_id() {
+  if (!FLAGS_edit_id.empty())
+    return FLAGS_edit_id;
+  return support::random_source(std::random_device{}()).identifier();
+}
+
+/// A body that is not JSON goes out as it is, for the node to say what is wrong.
+static std::string with_stream_field(const std::string& body) {
+  auto value = nlohmann::json::parse(body, nullptr, false);
+  if (!value.is_object())
+    return body;
+  value["stream"] = true;
+  return value.dump();
+}
+
+static caller::caller_request make_request(const std::string& path) {
+  caller::caller_request request;
+  request.method = FLAGS_method;
+  request.target = path;
+  request.body = FLAGS_stream ? with_stream_field(FLAGS_body) : FLAGS_body;
+  request.key = read_key();
+  request.class_name = FLAGS_class_name;
+  request.idempotency_key = FLAGS_idempotency_key;
+  request.idempotent = FLAGS_idempotent;
+  request.stream = FLAGS_stream;
+  return request;
+}
+
+static support::task<int> dispatch(std::vector<std::string> words, net::http_client& client,
+                                   support::clock& time) {
+  operator_client operators(client, FLAGS_node, read_key());
+  const output_options output{FLAGS_json};
+  const std::string verb = words.front();
+  const bool has_argument = words.size() == 2;
+  if (verb == "status")
+    co_return co_await show_status(operators, output);
+  if (verb == "groups")
+    co_return co_await show_groups(operators, output);
+  if (verb == "why" && has_argument)
+    co_return co_await explain_group(operators, words[1], output);
+  if (verb == "entries")
+    co_return co_await show_entries(client, FLAGS_entry);
+  if (verb == "request" && has_argument) {
+    caller::entry_cache entries(client, time, {FLAGS_entry}, "");
+    caller::reference_caller caller(client, time, entries);
+    co_return co_await send_request(caller, make_request(words[1]));
+  }
+  if (verb == "service") {
+    service_commands commands(operators, output, choose_edit_id());
+    words.erase(words.begin());
+    co_return co_await commands.run(std::move(words));
+  }
+  std::cout << usage << "\n";
+  co_return exit_usage;
+}
+
+static support::task<> run_and_keep(std::vector<std::string> words, net::http_client& client,
+                                    support::clock& time, asio::io_context& context, int& code) {
+  code = co_await dispatch(std::move(words), client, time);
+  context.stop();
+}
+
+static int run(int argc, char** argv) {
+  gflags::SetUsageMessage(usage);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  if (words.empty()) {
+    std::cout << usage << "\n";
+    return exit_usage;
+  }
+  asio::io_context context;
+  support::asio_clock time(context);
+  net::curl_client client(context, time);
+  int code = exit_refused;
+  support::spawn(context.get_executor(), "command",
+                 run_and_keep(words, client, time, context, code));
+  context.run();
+  return code;
+}
+
+} // namespace camphorlug::ctl
+
+int main(int argc, char** argv) {
+  return camphorlug::ctl::run(argc, argv);
+}
--- /dev/null
+++ b/tools/camphorlugctl/operator_client.cpp
@@ -0,0 +1,32 @@
+#include "operator_client.h"
+
+#include "camphorlug/net/transport_error.h"
+
+namespace camphorlug::ctl {
+
+static constexpr std::chrono::seconds answer_timeout{10};
+
+operator_client::operator_client(net::http_client& client, std::string address, std::string key)
+    : client_(client), address_(std::move(address)), key_(std::move(key)) {}
+
+support::task<operator_answer> operator_client::ask(std::string method, std::string path,
+                                                    std::string body) {
+  net::client_request request;
+  request.method = std::move(method);
+  request.address = address_;
+  request.target = "/operator/v1/" + path;
+  request.body = std::move(body);
+  request.headers.add("Authorization", "Bearer " + key_);
+  operator_answer answer;
+  try {
+    const net::client_response response =
+        co_await client_.fetch(std::move(request), answer_timeout);
+    answer.status = response.status;
+    answer.body = nlohmann::ordered_json::parse(response.body, nullptr, false);
+  } catch (const net::transport_error& error) {
+    answer.body["detail"] = error.what();
+  }
+  co_return answer;
+}
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/tools/camphorlugctl/operator_client.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "camphorlug/net/http_client.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace camphorlug::ctl {
+
+/// An answer of the operator port.
+struct operator_answer {
+  /// 0 when no node answered.
+  int status = 0;
+  nlohmann::ordered_json body;
+};
+
+/// Speaks to the operator port of one node.
+class operator_client {
+public:
+  operator_client(net::http_client& client, std::string address, std::string key);
+
+  support::task<operator_answer> ask(std::string method, std::string path, std::string body = "");
+
+private:
+  net::http_client& client_;
+  std::string address_;
+  std::string key_;
+};
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/tools/camphorlugctl/screen.cpp
@@ -0,0 +1,26 @@
+#include "screen.h"
+
+#include <iostream>
+#include <sstream>
+
+namespace camphorlug::ctl {
+
+static constexpr const char* indent = "  ";
+
+void print_folded(const std::string& text) {
+  std::istringstream words(text);
+  std::string word;
+  std::string line;
+  while (words >> word) {
+    const bool fits = line.size() + 1 + word.size() <= screen_columns;
+    if (!line.empty() && !fits) {
+      std::cout << line << "\n";
+      line = indent + word;
+      continue;
+    }
+    line += (line.empty() ? "" : " ") + word;
+  }
+  std::cout << line << "\n";
+}
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/tools/camphorlugctl/service_commands.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "operator_client.h"
+#include "view_commands.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphorlug::ctl {
+
+/// The verbs below `service`.
+class service_commands {
+public:
+  service_commands(operator_client& client, output_options output, std::string edit_id);
+
+  /// `words` are the verb and what follows it.
+  support::task<int> run(std::vector<std::string> words);
+
+private:
+  support::task<int> list();
+  support::task<int> show(std::string service);
+  support::task<int> edit(std::string service);
+  support::task<int> apply(std::string service, std::string file);
+  support::task<int> check(std::string file);
+  support::task<int> diff(std::string service, std::string file);
+  support::task<int> history(std::string service);
+  support::task<int> rollback(std::string service, std::uint64_t number);
+  support::task<int> status(std::string service);
+  support::task<int> send_edit(std::string service, std::string text, std::uint64_t seen,
+                               std::string kept_in);
+  support::task<int> explain_conflict(nlohmann::ordered_json current, std::string text,
+                                      std::string kept_in);
+
+  operator_client& client_;
+  output_options output_;
+  std::string edit_id_;
+};
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/tools/camphorlugctl/view_commands.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "operator_client.h"
+
+#include <string>
+
+namespace camphorlug::ctl {
+
+/// How results are printed.
+struct output_options {
+  bool json = false;
+};
+
+/// Prints why an answer is no success; returns the exit code.
+int print_failure(const operator_answer& answer);
+
+support::task<int> show_status(operator_client& client, output_options output);
+support::task<int> show_groups(operator_client& client, output_options output);
+support::task<int> explain_group(operator_client& client, std::string group, output_options output);
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/unittests/documents/editor_test.cpp
@@ -0,0 +1,121 @@
+#include "fakes/test_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using documents::edit_outcome;
+namespace data = boost::unit_test::data;
+
+namespace camphorlug::documents {
+std::ostream& operator<<(std::ostream& out, edit_outcome outcome) {
+  return out << static_cast<int>(outcome);
+}
+} // namespace camphorlug::documents
+
+namespace {
+
+support::task<> edit(documents::document_editor& editor, documents::edit_request request,
+                     documents::edit_result& result, std::size_t& done) {
+  result = co_await editor.edit(std::move(request));
+  ++done;
+}
+
+struct edit_world : fakes::test_world {
+  edit_world() {
+    add_nodes(6);
+    run_for(2s);
+  }
+
+  documents::edit_result edit_once(std::size_t node, documents::edit_request request) {
+    documents::edit_result result;
+    std::size_t done = 0;
+    support::spawn(context.get_executor(), "edit",
+                   edit(nodes[node].node->editor(), std::move(request), result, done));
+    run_until([&done] { return done == 1; }, 30s);
+    return result;
+  }
+};
+
+documents::edit_request make_edit(std::uint64_t seen, const std::string& id,
+                                  const std::string& author = "a") {
+  return {"plain", fakes::plain_document(), seen, id, author};
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(racing_operators_have_one_winner, data::make({2, 10}), operators) {
+  edit_world world;
+  std::vector<documents::edit_result> results(operators);
+  std::size_t done = 0;
+  for (int i = 0; i < operators; ++i)
+    support::spawn(world.context.get_executor(), "edit",
+                   edit(world.nodes[i % 6].node->editor(),
+                        make_edit(0, "e" + std::to_string(i), "author " + std::to_string(i)),
+                        results[i], done));
+  world.run_until([&] { return done == results.size(); }, 30s);
+  std::size_t winners = 0;
+  std::string winner;
+  for (const auto& result : results) {
+    if (result.outcome != edit_outcome::accepted)
+      continue;
+    ++winners;
+    winner = result.current.author;
+  }
+  BOOST_TEST(winners == 1);
+  for (const auto& result : results) {
+    if (result.outcome == edit_outcome::accepted)
+      continue;
+    BOOST_TEST(result.outcome == edit_outcome::conflict);
+    BOOST_TEST(result.current.author == winner);
+    BOOST_TEST(!result.current.written_at.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lost_answer_is_settled_and_asking_again_is_safe) {
+  edit_world world;
+  world.table.answers_to_lose = 1;
+  BOOST_TEST(world.edit_once(0, make_edit(0, "e1")).outcome == edit_outcome::accepted);
+  BOOST_TEST(world.edit_once(1, make_edit(1, "e2")).outcome == edit_outcome::accepted);
+  const auto again = world.edit_once(2, make_edit(0, "e1"));
+  BOOST_TEST(again.outcome == edit_outcome::accepted);
+  BOOST_TEST(again.current.number == 1);
+  BOOST_TEST(world.table.rows.scan("history/plain/").size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_end_settles_when_asked_again) {
+  edit_world world;
+  world.table.answers_to_lose = 1;
+  world.table.before_commit = [&world](const platform::transaction& change) {
+    // The store goes down right after the write took effect.
+    if (change.writes.front().key == "document/plain")
+      world.table.down = true;
+  };
+  BOOST_TEST(world.edit_once(0, make_edit(0, "e1")).outcome == edit_outcome::unknown);
+  world.table.before_commit = nullptr;
+  world.table.down = false;
+  const auto again = world.edit_once(3, make_edit(0, "e1"));
+  BOOST_TEST(again.outcome == edit_outcome::accepted);
+  BOOST_TEST(again.current.number == 1);
+}
+
+BOOST_AUTO_TEST_CASE(store_down_writes_nothing) {
+  edit_world world;
+  world.table.down = true;
+  BOOST_TEST(world.edit_once(0, make_edit(0, "e1")).outcome == edit_outcome::not_written);
+  BOOST_TEST(world.table.rows.scan("document/").empty());
+}
+
+BOOST_AUTO_TEST_CASE(malformed_row_leaves_the_version_before_in_force) {
+  edit_world world;
+  world.edit_once(0, make_edit(0, "e1"));
+  world.table.rows.commit({{}, {{"document/plain", "not json"}}});
+  world.table.rows.commit({{}, {{"document/other", "{}"}}});
+  world.run_for(5s);
+  for (auto& node : world.nodes) {
+    BOOST_REQUIRE(node.node->documents().find("plain"));
+    BOOST_TEST(node.node->documents().find("plain")->version.number == 1);
+  }
+}
--- /dev/null
+++ b/unittests/fakes/fake_fleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "camphorlug/platform/instance_list.h"
+#include "camphorlug/targets/target_client.h"
+
+#include "fakes/fake_engine.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorlug::fakes {
+
+/// All targets and the platform's list of them.
+class fake_fleet {
+public:
+  explicit fake_fleet(support::clock& time) : time_(time) {}
+
+  /// Adds an instance that is listed and alive.
+  fake_engine& add(platform::listed_instance instance);
+
+  fake_engine& engine(const std::string& id) { return engines_.at(id); }
+  std::map<std::string, fake_engine>& engines() { return engines_; }
+  std::map<std::string, platform::listed_instance>& listed() { return listed_; }
+
+  fake_engine* at_address(const std::string& address);
+  support::clock& time() { return time_; }
+
+  /// Brings readiness up to date.
+  void refresh(fake_engine& engine) const;
+
+private:
+  support::clock& time_;
+  std::map<std::string, fake_engine> engines_;
+  std::map<std::string, platform::listed_instance> listed_;
+};
+
+/// One node's connections to the fleet.
+class fake_target_client final : public targets::target_client {
+public:
+  explicit fake_target_client(fake_fleet& fleet) : fleet_(fleet) {}
+
+  support::task<targets::instance_report> report(std::string address,
+                                                 std::chrono::nanoseconds timeout) override;
+  support::task<bool> healthy(std::string address, std::chrono::nanoseconds timeout) override;
+  support::task<targets::order_result> order(std::string address, targets::instance_order what,
+                                             std::chrono::nanoseconds timeout,
+                                             std::function<bool()> still_allowed) override;
+  std::unique_ptr<net::http_exchange> open(net::client_request request) override;
+
+  /// Addresses that this node cannot reach.
+  std::set<std::string> unreachable;
+  /// Time that orders take on their way.
+  std::chrono::nanoseconds order_delay{0};
+
+private:
+  support::task<fake_engine*> connect(std::string address, std::chrono::nanoseconds timeout);
+
+  fake_fleet& fleet_;
+};
+
+/// The platform's list as the fleet has it.
+class fake_list final : public platform::instance_list {
+public:
+  explicit fake_list(fake_fleet& fleet) : fleet_(fleet) {}
+  support::task<std::vector<platform::listed_instance>> list() override;
+
+  bool down = false;
+
+private:
+  fake_fleet& fleet_;
+};
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/fakes/fake_store.cpp
@@ -0,0 +1,42 @@
+#include "fakes/fake_store.h"
+
+#include "camphorlug/platform/store_error.h"
+
+namespace camphorlug::fakes {
+
+support::task<> fake_store::travel() {
+  co_await time_.sleep_for(table_.delay);
+  if (cut || table_.down)
+    throw platform::store_error("down", false);
+}
+
+support::task<std::optional<platform::row>> fake_store::read(std::string key) {
+  const auto rows = co_await scan(key);
+  for (const platform::row& row : rows) {
+    if (row.key == key)
+      co_return row;
+  }
+  co_return std::nullopt;
+}
+
+support::task<std::vector<platform::row>> fake_store::scan(std::string prefix) {
+  co_await travel();
+  ++table_.reads;
+  co_return table_.rows.scan(prefix);
+}
+
+support::task<platform::commit_result> fake_store::commit(platform::transaction change) {
+  co_await travel();
+  ++table_.commits;
+  if (table_.before_commit)
+    table_.before_commit(change);
+  const platform::commit_result result = table_.rows.commit(change);
+  co_await time_.sleep_for(table_.delay);
+  if (table_.answers_to_lose > 0) {
+    --table_.answers_to_lose;
+    throw platform::store_error("answer lost", true);
+  }
+  co_return result;
+}
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/fakes/recording_writer.cpp
@@ -0,0 +1,57 @@
+#include "fakes/recording_writer.h"
+
+#include "camphorlug/net/sse_reader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::fakes {
+
+void recording_writer::send(int code, net::header_list fields, std::string whole) {
+  status = code;
+  headers = std::move(fields);
+  body = std::move(whole);
+  finished = true;
+}
+
+void recording_writer::start(int code, net::header_list fields) {
+  status = code;
+  headers = std::move(fields);
+}
+
+support::task<bool> recording_writer::write(std::string piece) {
+  if (pieces_ >= pieces_until_gone)
+    co_return false;
+  ++pieces_;
+  body += piece;
+  co_return true;
+}
+
+static std::vector<net::sse_event> events_of(const std::string& body) {
+  net::sse_reader reader;
+  reader.append(body);
+  std::vector<net::sse_event> events;
+  while (auto event = reader.next())
+    events.push_back(std::move(*event));
+  return events;
+}
+
+std::string recording_writer::text() const {
+  std::string text;
+  for (const net::sse_event& event : events_of(body)) {
+    const auto value = nlohmann::json::parse(event.data, nullptr, false);
+    if (value.is_object() && value.contains("choices"))
+      text += value["choices"][0]["delta"].value("content", "");
+  }
+  return text;
+}
+
+std::string recording_writer::last_id() const {
+  std::string id;
+  for (const net::sse_event& event : events_of(body)) {
+    if (!event.id.empty())
+      id = event.id;
+  }
+  return id;
+}
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/groups/lease_test.cpp
@@ -0,0 +1,114 @@
+#include "camphorlug/groups/table_lease.h"
+
+#include "fakes/fake_store.h"
+#include "fakes/test_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A candidate with a clock of its own, which stands still while it is paused.
+struct candidate {
+  candidate(fakes::test_world& world, const std::string& name)
+      : store(world.clock, world.table), lease(store, world.clock, world.random, "pool", name) {}
+
+  fakes::fake_store store;
+  groups::table_lease lease;
+  bool paused = false;
+};
+
+support::task<> compete(fakes::test_world& world, candidate& self) {
+  for (;;) {
+    co_await world.clock.sleep_for(1s);
+    if (self.paused)
+      continue;
+    if (self.lease.held())
+      co_await self.lease.renew();
+    else
+      co_await self.lease.try_acquire();
+  }
+}
+
+bool at_most_one_holder(std::uint64_t seed) {
+  fakes::test_world world(seed);
+  std::vector<std::unique_ptr<candidate>> candidates;
+  for (int i = 0; i < 4; ++i) {
+    candidates.push_back(std::make_unique<candidate>(world, "n" + std::to_string(i)));
+    support::spawn(world.context.get_executor(), "compete", compete(world, *candidates.back()));
+  }
+  std::uint64_t newest = 0;
+  bool holds = true;
+  for (int step = 0; step < 400 && holds; ++step) {
+    candidate& one = *candidates[world.random.below(candidates.size())];
+    switch (world.random.below(8)) {
+    case 0:
+      one.paused = !one.paused;
+      break;
+    case 1:
+      one.store.cut = !one.store.cut;
+      break;
+    case 2:
+      world.table.answers_to_lose = static_cast<int>(world.random.below(3));
+      break;
+    case 3:
+      world.table.delay = std::chrono::milliseconds(world.random.below(1500));
+      break;
+    default:
+      break;
+    }
+    world.run_for(std::chrono::milliseconds(world.random.below(1500)));
+    std::size_t holders = 0;
+    for (const auto& each : candidates) {
+      if (!each->lease.held())
+        continue;
+      ++holders;
+      holds = holds && each->lease.number() >= newest;
+      newest = std::max(newest, each->lease.number());
+    }
+    holds = holds && holders <= 1;
+  }
+  world.clock.shut_down();
+  return holds;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(never_two_holders_and_numbers_only_grow) {
+  const bool holds = rc::check("at most one holder under pauses, cuts and lost answers", [] {
+    RC_ASSERT(at_most_one_holder(*rc::gen::arbitrary<std::uint64_t>()));
+  });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_CASE(lapsed_lease_is_taken_over_within_bound) {
+  fakes::test_world world;
+  candidate first(world, "first");
+  candidate second(world, "second");
+  support::spawn(world.context.get_executor(), "compete", compete(world, first));
+  BOOST_REQUIRE(world.run_until([&] { return first.lease.held(); }, 5s));
+  support::spawn(world.context.get_executor(), "compete", compete(world, second));
+  world.run_for(10s);
+  BOOST_TEST(!second.lease.held());
+  first.paused = true;
+  const auto lost_at = world.clock.now();
+  BOOST_TEST(world.run_until([&] { return second.lease.held(); }, 30s));
+  BOOST_TEST((world.clock.now() - lost_at <= 12s));
+  world.clock.shut_down();
+}
+
+BOOST_AUTO_TEST_CASE(released_lease_is_taken_at_once) {
+  fakes::test_world world;
+  candidate first(world, "first");
+  support::spawn(world.context.get_executor(), "compete", compete(world, first));
+  BOOST_REQUIRE(world.run_until([&] { return first.lease.held(); }, 5s));
+  candidate second(world, "second");
+  first.paused = true;
+  support::spawn(world.context.get_executor(), "release", first.lease.release());
+  support::spawn(world.context.get_executor(), "compete", compete(world, second));
+  BOOST_TEST(world.run_until([&] { return second.lease.held(); }, 3s));
+  world.clock.shut_down();
+}
--- /dev/null
+++ b/unittests/groups/planner_test.cpp
@@ -0,0 +1,259 @@
+#include "camphorlug/groups/row_keys.h"
+
+#include "fakes/test_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct pool_world : fakes::test_world {
+  pool_world(std::size_t domains, std::size_t per_domain, std::size_t replicas,
+             std::uint64_t seed = 1, std::size_t node_count = 3)
+      : test_world(seed) {
+    add_runners(domains, per_domain);
+    add_nodes(node_count);
+    run_for(1s);
+    apply(fakes::model_document("", "v1", replicas));
+    BOOST_REQUIRE(run_until([this, replicas] { return routable(0) >= replicas; }, 60s));
+  }
+
+  std::size_t leader() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      for (const auto& status : nodes[i].node->planner_statuses()) {
+        if (status.leads)
+          return i;
+      }
+    }
+    return nodes.size();
+  }
+
+  std::vector<groups::group_record> records(std::size_t node = 0) {
+    return nodes[node].node->live_groups().records();
+  }
+
+  std::string member_of_first_group(std::size_t rank) {
+    return records().front().members.at(rank).instance;
+  }
+
+  /// No instance is in two groups that are not dissolved, by the table's own rows.
+  bool instances_are_exclusive() {
+    std::set<std::string> seen;
+    for (const platform::row& row : table.rows.scan(groups::group_prefix)) {
+      const auto record = groups::group_record::from_json(row.value);
+      if (record.state == groups::group_state::dissolved)
+        continue;
+      for (const targets::group_member& member : record.members) {
+        if (!seen.insert(member.instance).second)
+          return false;
+      }
+    }
+    return true;
+  }
+
+  /// No instance is held by a group that does not list it.
+  bool nothing_is_leaked() {
+    std::set<std::string> listed;
+    for (const platform::row& row : table.rows.scan(groups::group_prefix)) {
+      const auto record = groups::group_record::from_json(row.value);
+      if (record.state == groups::group_state::dissolved)
+        continue;
+      for (const targets::group_member& member : record.members)
+        listed.insert(member.instance);
+      for (const groups::group_standby& standby : record.standbys)
+        listed.insert(standby.instance.instance);
+    }
+    for (const platform::row& row : table.rows.scan("instance/runners/")) {
+      if (!listed.contains(row.key.substr(std::string("instance/runners/").size())))
+        return false;
+    }
+    return true;
+  }
+
+  /// Numbers of the orders that an engine obeyed never go back.
+  bool numbers_never_go_back() {
+    for (auto& [id, engine] : fleet.engines()) {
+      std::uint64_t last = 0;
+      for (const auto& order : engine.orders) {
+        if (engine.checks_numbers && order.number < last)
+          return false;
+        last = order.number;
+      }
+    }
+    return true;
+  }
+
+  bool invariants_hold() {
+    return instances_are_exclusive() && nothing_is_leaked() && numbers_never_go_back();
+  }
+};
+
+constexpr auto load_time = 5s;
+/// Detection, load and the 3 s that are allowed on top.
+constexpr auto repair_bound = 4s + load_time + 3s;
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(dead_member_is_out_of_routing_and_replaced, data::make({0, 1, 2, 3}), rank) {
+  pool_world world(1, 5, 1);
+  const std::string lost = world.member_of_first_group(rank);
+  world.fleet.engine(lost).alive = false;
+  world.run_for(3s);
+  for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+    for (const auto& target : *world.nodes[node].node->live_groups().targets("model"))
+      BOOST_TEST(target.address != lost + ":1");
+  }
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, repair_bound));
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(frozen_member_stops_routing_within_three_seconds_everywhere) {
+  pool_world world(1, 4, 1);
+  world.fleet.engine(world.member_of_first_group(2)).frozen = true;
+  const auto stopped = [&] {
+    return world.routable(0) + world.routable(1) + world.routable(2) == 0;
+  };
+  BOOST_TEST(world.run_until(stopped, 3s + 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(short_pause_costs_no_reload) {
+  pool_world world(1, 5, 1);
+  const auto before = world.records().front();
+  fakes::fake_engine& paused = world.fleet.engine(before.members[1].instance);
+  paused.frozen = true;
+  world.run_for(2s);
+  paused.frozen = false;
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, 2s));
+  BOOST_TEST(world.records().front().number == before.number);
+}
+
+BOOST_AUTO_TEST_CASE(survivors_of_two_broken_groups_make_one) {
+  pool_world world(1, 8, 2);
+  for (const auto& record : world.records())
+    world.fleet.engine(record.members[3].instance).alive = false;
+  world.run_for(1s);
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, repair_bound));
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(dark_domain_is_replaced_elsewhere_and_comes_back) {
+  pool_world world(3, 4, 2);
+  const std::string dark = world.records().front().fabric_domain;
+  const auto set_alive = [&](bool alive) {
+    for (auto& [id, listed] : world.fleet.listed()) {
+      if (listed.fabric_domain == dark)
+        world.fleet.engine(id).alive = alive;
+    }
+  };
+  set_alive(false);
+  BOOST_TEST(world.run_until([&] { return world.routable(0) >= 2; }, repair_bound));
+  set_alive(true);
+  world.run_for(30s);
+  BOOST_TEST(world.routable(0) >= 2);
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_member_gets_nothing_new_and_is_replaced) {
+  pool_world world(1, 5, 1);
+  const std::string leaving = world.member_of_first_group(1);
+  world.fleet.listed().at(leaving).leaving = true;
+  world.run_for(3s);
+  BOOST_TEST(world.routable(0) == 0);
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, repair_bound + 4s));
+  for (const auto& member : world.records().front().members)
+    BOOST_TEST(member.instance != leaving);
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(instance_replaced_under_a_new_name_at_the_same_address) {
+  pool_world world(1, 4, 1);
+  const std::string old = world.member_of_first_group(2);
+  platform::listed_instance listed = world.fleet.listed().at(old);
+  world.fleet.listed().erase(old);
+  world.fleet.engines().erase(old);
+  listed.id = "new";
+  world.fleet.add(listed);
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, repair_bound));
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(dead_planner_is_succeeded_and_costs_no_group) {
+  pool_world world(1, 5, 1);
+  const std::size_t leader = world.leader();
+  const std::size_t other = leader == 0 ? 1 : 0;
+  world.kill_node(leader);
+  const bool kept_serving = !world.run_until([&] { return world.routable(other) == 0; }, 8s);
+  BOOST_TEST(kept_serving);
+  const auto succeeded = [&] {
+    for (const auto& status : world.nodes[other].node->planner_statuses())
+      return !status.leader.empty() && status.leader != world.nodes[leader].node->settings().id;
+    return false;
+  };
+  BOOST_TEST(world.run_until(succeeded, 4s));
+  world.fleet.engine(world.member_of_first_group(0)).alive = false;
+  world.run_for(1s);
+  BOOST_TEST(world.run_until([&] { return world.routable(other) == 1; }, repair_bound));
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(lost_transaction_answers_leave_no_double_membership) {
+  pool_world world(2, 6, 2);
+  for (int round = 0; round < 5; ++round) {
+    world.table.answers_to_lose = 2;
+    const auto records = world.records();
+    world.fleet.engine(records[round % records.size()].members[0].instance).alive = false;
+    world.run_for(20s);
+    for (auto& [id, engine] : world.fleet.engines())
+      engine.alive = true;
+    world.run_for(20s);
+    BOOST_TEST(world.invariants_hold());
+  }
+  BOOST_TEST(world.run_until([&] { return world.routable(0) >= 2; }, 30s));
+}
+
+BOOST_AUTO_TEST_CASE(store_down_for_minutes_costs_no_whole_group) {
+  pool_world world(2, 4, 2);
+  world.table.down = true;
+  world.run_for(3min);
+  BOOST_TEST(world.routable(0) == 2);
+  world.fleet.engine(world.member_of_first_group(0)).alive = false;
+  world.run_for(10s);
+  BOOST_TEST(world.routable(0) == 1);
+  world.table.down = false;
+  world.fleet.engine(world.member_of_first_group(0)).alive = true;
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 2; }, 12s + repair_bound));
+  BOOST_TEST(world.invariants_hold());
+}
+
+BOOST_AUTO_TEST_CASE(stray_order_at_a_careless_engine_is_mended) {
+  pool_world world(1, 4, 1);
+  fakes::fake_engine& careless = world.fleet.engine(world.member_of_first_group(1));
+  careless.checks_numbers = false;
+  careless.report.number = 1;
+  careless.report.group = "g-of-the-past";
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 0; }, 3s));
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, 10s));
+}
+
+BOOST_AUTO_TEST_CASE(version_rolls_without_falling_short) {
+  pool_world world(3, 8, 4);
+  BOOST_REQUIRE(world.run_until([&] { return world.routable(0) >= 4; }, 60s));
+  world.apply(fakes::model_document("", "v2", 4));
+  std::size_t fewest = 100;
+  const auto all_new = [&] {
+    fewest = std::min(fewest, world.routable(0));
+    for (const auto& record : world.records()) {
+      if (record.version != "v2" || record.state != groups::group_state::serving)
+        return false;
+    }
+    return world.routable(0) >= 4;
+  };
+  BOOST_TEST(world.run_until(all_new, 10min));
+  BOOST_TEST(fewest >= 4 - 1);
+  BOOST_TEST(world.invariants_hold());
+}
--- /dev/null
+++ b/unittests/requests/at_most_once_test.cpp
@@ -0,0 +1,197 @@
+#include "fakes/test_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using fakes::connection_fault;
+namespace data = boost::unit_test::data;
+
+namespace camphorlug::fakes {
+std::ostream& operator<<(std::ostream& out, connection_fault fault) {
+  return out << static_cast<int>(fault);
+}
+} // namespace camphorlug::fakes
+
+namespace {
+
+struct plain_world : fakes::test_world {
+  plain_world() {
+    add_plain(3);
+    add_nodes(2);
+    run_for(1s);
+    apply(fakes::plain_document());
+    BOOST_REQUIRE(run_until([this] { return usable(0) && usable(1); }, 10s));
+  }
+
+  bool usable(std::size_t node) { return routable(node, "plain") == 3; }
+
+  void set_fault(connection_fault fault, std::size_t connections) {
+    for (auto& [id, engine] : fleet.engines()) {
+      engine.next_connection = fault;
+      engine.faulty_connections = connections;
+    }
+  }
+
+  std::size_t executions() {
+    std::size_t count = 0;
+    for (auto& [id, engine] : fleet.engines())
+      count += engine.executed.size();
+    return count;
+  }
+
+  net::server_request keyed_order(const std::string& key) {
+    auto request = fakes::plain_request("/orders/1", "pay");
+    request.headers.add("Idempotency-Key", key);
+    return request;
+  }
+};
+
+struct expectation {
+  connection_fault fault;
+  std::size_t connections;
+  int status;
+  const char* outcome;
+  std::size_t executions;
+};
+
+std::ostream& operator<<(std::ostream& out, const expectation& row) {
+  return out << static_cast<int>(row.fault) << "x" << row.connections;
+}
+
+// What a request that must run at most once gets when each target has the fault.
+const expectation non_idempotent_rows[] = {
+    {connection_fault::none, 0, 200, "", 1},
+    {connection_fault::refused, 1, 503, "not-run", 0},
+    {connection_fault::broken_before_run, 1, 502, "unknown", 0},
+    {connection_fault::broken_after_run, 1, 502, "unknown", 1},
+    {connection_fault::silent, 1, 502, "unknown", 1},
+    {connection_fault::declared_not_run, 1, 503, "not-run", 0},
+    {connection_fault::crossed, 1, 502, "unknown", 1},
+};
+
+std::string outcome_of(const fakes::recording_writer& answer) {
+  return answer.headers.find("Camphorlug-Outcome").value_or("");
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(non_idempotent_runs_at_most_once, data::make(non_idempotent_rows), row) {
+  plain_world world;
+  world.set_fault(row.fault, row.connections);
+  const auto answer = world.call(0, fakes::plain_request("/orders/1", "pay"));
+  BOOST_TEST(answer->status == row.status);
+  BOOST_TEST(outcome_of(*answer) == row.outcome);
+  BOOST_TEST(world.executions() == row.executions);
+}
+
+BOOST_DATA_TEST_CASE(keyed_non_idempotent_runs_at_most_once_over_repeats,
+                     data::make(non_idempotent_rows), row) {
+  plain_world world;
+  world.set_fault(row.fault, row.connections);
+  const auto first = world.call(0, world.keyed_order("k1"));
+  BOOST_TEST(outcome_of(*first) == row.outcome);
+  world.set_fault(connection_fault::none, 0);
+  const auto second = world.call(1, world.keyed_order("k1"));
+  // A request that did not run may run now; any other may not run again.
+  const bool may_run_now = std::string(row.outcome) == "not-run";
+  BOOST_TEST(world.executions() == row.executions + (may_run_now ? 1 : 0));
+  if (row.status == 200) {
+    BOOST_TEST(second->body == first->body);
+    BOOST_TEST(second->headers.find("Camphorlug-Replayed").value_or("") == "true");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(single_refusing_target_is_passed_over) {
+  plain_world world;
+  for (const char* id : {"p0", "p1"}) {
+    world.fleet.engine(id).next_connection = connection_fault::refused;
+    world.fleet.engine(id).faulty_connections = 1;
+  }
+  const auto answer = world.call(0, fakes::plain_request("/orders/1", "pay"));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(world.executions() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(same_key_through_two_nodes_at_once_runs_once) {
+  plain_world world;
+  fakes::recording_writer first;
+  fakes::recording_writer second;
+  world.begin_call(0, world.keyed_order("k1"), first);
+  world.begin_call(1, world.keyed_order("k1"), second);
+  world.run_for(10s);
+  BOOST_TEST(world.executions() == 1);
+  BOOST_TEST((first.status == 200) != (second.status == 200));
+  const auto& other = first.status == 200 ? second : first;
+  BOOST_TEST(outcome_of(other) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(same_key_with_other_content_is_refused) {
+  plain_world world;
+  world.call(0, world.keyed_order("k1"));
+  auto changed = world.keyed_order("k1");
+  changed.body = "pay more";
+  const auto answer = world.call(1, std::move(changed));
+  BOOST_TEST(answer->status == 422);
+  BOOST_TEST(world.executions() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(claim_with_lost_answer_is_settled_by_reading_back) {
+  plain_world world;
+  world.table.answers_to_lose = 1;
+  const auto answer = world.call(0, world.keyed_order("k1"));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(world.executions() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(store_down_refuses_keyed_requests_as_not_run) {
+  plain_world world;
+  world.table.down = true;
+  const auto answer = world.call(0, world.keyed_order("k1"));
+  BOOST_TEST(answer->status == 503);
+  BOOST_TEST(outcome_of(*answer) == "not-run");
+  BOOST_TEST(world.executions() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(store_slow_past_the_deadline_refuses_as_not_run) {
+  plain_world world;
+  world.table.delay = 3s;
+  auto request = world.keyed_order("k1");
+  request.headers.add("Camphorlug-Deadline-Ms", "1000");
+  const auto answer = world.call(0, std::move(request));
+  BOOST_TEST(outcome_of(*answer) == "not-run");
+  BOOST_TEST(world.executions() == 0);
+}
+
+BOOST_DATA_TEST_CASE(idempotent_is_tried_elsewhere,
+                     data::make({connection_fault::refused, connection_fault::broken_before_run,
+                                 connection_fault::broken_after_run, connection_fault::silent,
+                                 connection_fault::declared_not_run, connection_fault::crossed}),
+                     fault) {
+  plain_world world;
+  for (const char* id : {"p0", "p1"}) {
+    world.fleet.engine(id).next_connection = fault;
+    world.fleet.engine(id).faulty_connections = 1;
+  }
+  const auto answer = world.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(answer->body.starts_with("ran "));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_budget_when_all_targets_fail) {
+  plain_world world;
+  constexpr std::size_t requests = 300;
+  world.set_fault(connection_fault::broken_before_run, 1'000'000);
+  std::size_t left_before = 0;
+  for (auto& [id, engine] : world.fleet.engines())
+    left_before += engine.faulty_connections;
+  for (std::size_t i = 0; i < requests; ++i)
+    world.call(0, fakes::plain_request("/title-cards/1"));
+  std::size_t left_after = 0;
+  for (auto& [id, engine] : world.fleet.engines())
+    left_after += engine.faulty_connections;
+  const double attempts_per_request = static_cast<double>(left_before - left_after) / requests;
+  BOOST_TEST(attempts_per_request < 1.15);
+}
--- /dev/null
+++ b/unittests/requests/own_answer_test.cpp
@@ -0,0 +1,56 @@
+#include "fakes/test_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using fakes::stream_fault;
+
+namespace {
+
+constexpr std::size_t callers = 12;
+
+/// Sends many callers' streams at once while connections misbehave; returns
+/// whether each caller got its own text or an honest failure.
+bool every_answer_is_its_callers_own(std::uint64_t seed) {
+  fakes::test_world world(seed);
+  world.add_runners(3, 4);
+  world.add_nodes(2);
+  world.run_for(1s);
+  world.apply(fakes::model_document("", "v1", 3));
+  if (!world.run_until([&world] { return world.routable(0) == 3 && world.routable(1) == 3; }, 30s))
+    return false;
+  std::vector<fakes::recording_writer> answers(callers);
+  std::vector<std::size_t> lengths(callers);
+  for (std::size_t i = 0; i < callers; ++i) {
+    lengths[i] = 1 + world.random.below(30);
+    world.begin_call(i % 2, fakes::chat_request("prompt " + std::to_string(i), lengths[i]),
+                     answers[i]);
+  }
+  for (int round = 0; round < 20; ++round) {
+    for (auto& [id, engine] : world.fleet.engines()) {
+      engine.fault = static_cast<stream_fault>(world.random.below(6));
+      engine.fault_at = world.random.below(30);
+    }
+    world.run_for(std::chrono::milliseconds(world.random.below(60)));
+  }
+  world.run_for(60s);
+  for (std::size_t i = 0; i < callers; ++i) {
+    const std::string expected = fakes::expected_text("prompt " + std::to_string(i), lengths[i]);
+    const std::string text = answers[i].text();
+    const bool is_whole = answers[i].body.ends_with("data: [DONE]\n\n");
+    if (!answers[i].finished || !expected.starts_with(text) || (is_whole && text != expected))
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(no_caller_sees_anothers_bytes) {
+  const bool holds = rc::check("each caller gets its own answer or an honest failure", [] {
+    RC_ASSERT(every_answer_is_its_callers_own(*rc::gen::arbitrary<std::uint64_t>()));
+  });
+  BOOST_TEST(holds);
+}
--- /dev/null
+++ b/unittests/requests/relay_test.cpp
@@ -0,0 +1,66 @@
+#include "fakes/test_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using fakes::stream_fault;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr std::size_t tokens = 12;
+
+struct serving_world : fakes::test_world {
+  serving_world() {
+    add_runners(2, 4);
+    add_nodes(2);
+    run_for(1s);
+    apply(fakes::model_document());
+    BOOST_REQUIRE(run_until([this] { return routable(0) == 2 && routable(1) == 2; }, 30s));
+  }
+
+  /// The leaders' faults hold for whichever group gets the request.
+  void set_fault(stream_fault fault, std::size_t at, bool forgets) {
+    for (auto& [id, engine] : fleet.engines()) {
+      engine.fault = fault;
+      engine.fault_at = at;
+      engine.forgets_streams = forgets;
+    }
+  }
+};
+
+const stream_fault faults[] = {stream_fault::cut, stream_fault::stall, stream_fault::crossed,
+                               stream_fault::repeated, stream_fault::gap};
+const std::size_t places[] = {0, 1, tokens / 2, tokens - 1, tokens};
+
+} // namespace
+
+namespace camphorlug::fakes {
+std::ostream& operator<<(std::ostream& out, stream_fault fault) {
+  return out << static_cast<int>(fault);
+}
+} // namespace camphorlug::fakes
+
+BOOST_DATA_TEST_CASE(disturbed_stream_has_the_undisturbed_text,
+                     data::make(faults) * data::make(places) * data::make({false, true}), fault,
+                     place, forgets) {
+  serving_world world;
+  world.set_fault(fault, place, forgets);
+  const auto answer = world.call(0, fakes::chat_request("tell me", tokens));
+  BOOST_TEST(answer->status == 200);
+  BOOST_TEST(answer->text() == fakes::expected_text("tell me", tokens));
+  BOOST_TEST(answer->body.ends_with("data: [DONE]\n\n"));
+}
+
+BOOST_DATA_TEST_CASE(whole_answer_survives_a_cut, data::make(places), place) {
+  serving_world world;
+  world.set_fault(stream_fault::cut, place, true);
+  const auto answer = world.call(0, fakes::chat_request("tell me", tokens, false));
+  BOOST_TEST(answer->status == 200);
+  const auto body = nlohmann::json::parse(answer->body);
+  BOOST_TEST(body["choices"][0]["message"]["content"].get<std::string>() ==
+             fakes::expected_text("tell me", tokens));
+}
--- /dev/null
+++ b/unittests/requests/stream_resume_test.cpp
@@ -0,0 +1,101 @@
+#include "camphorlug/requests/stream_token.h"
+
+#include "fakes/test_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr std::size_t tokens = 20;
+
+struct resume_world : fakes::test_world {
+  resume_world() {
+    add_runners(2, 4);
+    add_nodes(2);
+    run_for(1s);
+    apply(fakes::model_document());
+    BOOST_REQUIRE(run_until([this] { return routable(0) == 2 && routable(1) == 2; }, 30s));
+  }
+
+  /// Breaks off after `pieces` events and goes on at the other node.
+  std::unique_ptr<fakes::recording_writer> resume(const std::string& last_id,
+                                                  const std::string& key) {
+    auto request = fakes::chat_request("tell me", tokens, true, key);
+    request.headers.add("Last-Event-ID", last_id);
+    return call(1, std::move(request));
+  }
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(caller_goes_on_at_another_node, data::make({1, 2, 10, 19, 20}), pieces) {
+  resume_world world;
+  fakes::recording_writer first;
+  first.pieces_until_gone = pieces;
+  world.begin_call(0, fakes::chat_request("tell me", tokens), first);
+  world.run_for(2s);
+  const auto second = world.resume(first.last_id(), fakes::organisation_key);
+  BOOST_TEST(second->status == 200);
+  BOOST_TEST(first.text() + second->text() == fakes::expected_text("tell me", tokens));
+}
+
+BOOST_AUTO_TEST_CASE(caller_goes_on_after_node_and_group_are_lost) {
+  resume_world world;
+  fakes::recording_writer first;
+  first.pieces_until_gone = 7;
+  world.begin_call(0, fakes::chat_request("tell me", tokens), first);
+  world.run_for(2s);
+  for (auto& [id, engine] : world.fleet.engines())
+    engine.streams.clear();
+  const auto second = world.resume(first.last_id(), fakes::organisation_key);
+  BOOST_TEST(first.text() + second->text() == fakes::expected_text("tell me", tokens));
+}
+
+BOOST_AUTO_TEST_CASE(other_prompt_does_not_continue_the_stream) {
+  resume_world world;
+  fakes::recording_writer first;
+  first.pieces_until_gone = 7;
+  world.begin_call(0, fakes::chat_request("tell me", tokens), first);
+  world.run_for(2s);
+  for (auto& [id, engine] : world.fleet.engines())
+    engine.streams.clear();
+  auto request = fakes::chat_request("something else", tokens);
+  request.headers.add("Last-Event-ID", first.last_id());
+  const auto second = world.call(1, std::move(request));
+  BOOST_TEST(second->status == 409);
+  BOOST_TEST(second->text() == "");
+}
+
+BOOST_AUTO_TEST_CASE(foreign_and_forged_positions_are_refused) {
+  resume_world world;
+  const auto first = world.call(0, fakes::chat_request("tell me", tokens));
+  const std::string id = first->last_id();
+  BOOST_TEST(world.resume(id, fakes::other_key)->status == 403);
+  std::string forged = id;
+  forged[forged.find('.') + 1] ^= 1;
+  BOOST_TEST(world.resume(forged, fakes::organisation_key)->status == 400);
+  const requests::stream_position made{"one", "model", "g-1", "a", 3, "0"};
+  BOOST_TEST(
+      world.resume(requests::sign_position(made, "another key"), fakes::organisation_key)->status ==
+      400);
+}
+
+BOOST_AUTO_TEST_CASE(lost_member_moves_the_stream) {
+  resume_world world;
+  fakes::recording_writer answer;
+  world.begin_call(0, fakes::chat_request("tell me", 400), answer);
+  world.run_for(500ms);
+  for (auto& [id, engine] : world.fleet.engines()) {
+    // The leader that runs the stream dies.
+    if (!engine.executed.empty())
+      engine.alive = false;
+  }
+  BOOST_TEST(world.run_until([&answer] { return answer.finished; }, 60s));
+  BOOST_TEST(answer.text() == fakes::expected_text("tell me", 400));
+}
