--- a/include/camphorlug/admission/return_bookings.h
+++ b/include/camphorlug/admission/return_bookings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace camphorlug::admission {
 
@@ -23,7 +24,7 @@
   /// Whether `fingerprint` comes back in its time; the booking is then used up.
   bool redeem(std::uint64_t fingerprint, support::clock::time_point now);
 
-  /// Bookings of an organisation that fall due within `span`.
+  /// Bookings of an organisation that are overdue or fall due within `span`.
   std::size_t due_within(const std::string& organisation, std::chrono::nanoseconds span,
                          support::clock::time_point now) const;
 
@@ -33,10 +34,18 @@
     support::clock::time_point due;
   };
 
+  /// Bookings by the second in which they fall due.
+  struct schedule {
+    support::clock::time_point next;
+    std::map<std::chrono::seconds, std::size_t> due;
+  };
+
   void drop_expired(support::clock::time_point now);
+  void remove(std::uint64_t fingerprint);
 
-  std::map<std::uint64_t, booking> bookings_;
-  std::map<std::string, support::clock::time_point> next_due_;
+  std::unordered_map<std::uint64_t, booking> bookings_;
+  std::multimap<support::clock::time_point, std::uint64_t> by_due_;
+  std::map<std::string, schedule> schedules_;
 };
 
 } // namespace camphorlug::admission
--- a/lib/admission/fair_queue.cpp
+++ b/lib/admission/fair_queue.cpp
@@ -130,10 +130,14 @@
   }
   const std::chrono::duration<double> patience = request.deadline - began;
   const double rate = drained_.per_second() * share_of(request);
-  const double expected = static_cast<double>(queue.waiters.size() + 1) / std::max(rate, 0.01);
+  // Those who were told to come back meanwhile go before a new request.
+  const std::size_t ahead =
+      queue.waiters.size() +
+      bookings_.due_within(request.organisation, request.deadline - began, began);
+  const double expected = static_cast<double>(ahead + 1) / std::max(rate, 0.01);
   if (!comes_back && expected > patience.count())
     co_return refuse(request, "its turn would come after its deadline");
-  if (waiting_ >= queue_limit_ && !crowd_out(request))
+  if (!comes_back && waiting_ >= queue_limit_ && !crowd_out(request))
     co_return refuse(request, "the queue is full");
   auto self = std::make_shared<waiter>(waiter{request, support::notification(time_)});
   if (comes_back)
