Keep affinity within its bounds under lagging loads

Change: one home within twice the mean load, which also has at most twice the mean of this node's own recent requests; else the better of two random ones.

--- /dev/null
+++ b/bench/placement_experiment.cpp
@@ -0,0 +1,102 @@
+#include "camphorlug/groups/domain_placement.h"
+
+#include "replay/baseline_placements.h"
+#include "replay/pool_replay.h"
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <gflags/gflags.h>
+
+DEFINE_string(traces, "bench/traces", "folder of the traces");
+DEFINE_bool(large, true, "also replay the pool of 6,500 instances");
+DEFINE_bool(write_traces, false, "make the traces anew from their seeds");
+
+namespace camphorlug::replay {
+
+/// One trace with the pool that it is about.
+struct experiment {
+  const char* name;
+  pool_shape shape;
+  std::size_t replicas;
+  std::size_t concurrent_loads;
+  std::function<std::vector<replay_event>(const pool_shape&)> make;
+};
+
+static constexpr std::size_t span = 4;
+static constexpr std::size_t largest_small_pool = 1000;
+
+static std::vector<experiment> experiments() {
+  const pool_shape today{3, 20};
+  const pool_shape target{65, 100};
+  // The letter's rates for 6,500 instances, scaled to 60 over twenty days.
+  const trace_rates scaled{std::chrono::hours(480), 55.0 * 60 / 6500, 520.0 * 60 / 6500, 2};
+  // A quarter of a day at the letter's rates.
+  const trace_rates full{std::chrono::hours(6), 55, 520, 200};
+  return {
+      {"days-60", today, 14, 8,
+       [scaled](const auto& shape) { return make_days(shape, scaled, 1); }},
+      {"outage-60", today, 10, 8, [](const auto& shape) { return make_outage(shape); }},
+      {"switch-60", today, 12, 8, [](const auto& shape) { return make_switch_failure(shape); }},
+      {"rolling-60", today, 14, 8, [](const auto& shape) { return make_rolling(shape); }},
+      {"rollout-60", today, 14, 8, [](const auto&) { return make_rollout(); }},
+      {"quarter-day-6500", target, 1600, 64,
+       [full](const auto& shape) { return make_days(shape, full, 1); }},
+  };
+}
+
+static documents::model_spec spec_for(const experiment& each, documents::favoured_measure favour) {
+  documents::model_spec spec;
+  spec.name = "m";
+  spec.version = "v1";
+  spec.replicas = each.replicas;
+  spec.span = span;
+  spec.favour = favour;
+  spec.concurrent_loads = each.concurrent_loads;
+  return spec;
+}
+
+static void write_trace(const experiment& each, const std::string& path) {
+  std::ofstream file(path);
+  for (const replay_event& event : each.make(each.shape))
+    file << event.to_json() << "\n";
+}
+
+static void report(const experiment& each, const char* policy_name,
+                   const groups::placement_policy& policy, documents::favoured_measure favour,
+                   const std::vector<replay_event>& events) {
+  pool_replay replay(policy, spec_for(each, favour), each.shape, {});
+  const replay_result result = replay.run(events);
+  std::printf("| %s | %s | %.0f | %.0f | %.0f | %zu | %zu |\n", each.name, policy_name,
+              result.group_downtime_s, result.stranded_instance_s, result.unavoidable_stranded_s,
+              result.loads, result.steps);
+  std::fflush(stdout);
+}
+
+static int run() {
+  std::printf("| trace | policy | group downtime s | stranded instance-s | of them unavoidable "
+              "| loads | steps |\n|---|---|---|---|---|---|---|\n");
+  const groups::domain_placement ours;
+  const in_place_placement in_place;
+  const re_form_placement re_form;
+  for (const experiment& each : experiments()) {
+    if (each.shape.instances() > largest_small_pool && !FLAGS_large)
+      continue;
+    const std::string path = FLAGS_traces + "/" + each.name + ".jsonl";
+    if (FLAGS_write_traces)
+      write_trace(each, path);
+    const auto events = read_trace(path);
+    report(each, "uptime", ours, documents::favoured_measure::uptime, events);
+    report(each, "utilisation", ours, documents::favoured_measure::utilisation, events);
+    report(each, "repair in place", in_place, documents::favoured_measure::uptime, events);
+    report(each, "dissolve and re-form", re_form, documents::favoured_measure::uptime, events);
+  }
+  return 0;
+}
+
+} // namespace camphorlug::replay
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return camphorlug::replay::run();
+}
--- /dev/null
+++ b/bench/replay/pool_replay.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "camphorlug/documents/model_spec.h"
+#include "camphorlug/groups/placement_policy.h"
+
+#include "replay/replay_event.h"
+#include "replay/trace_maker.h"
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace camphorlug::replay {
+
+/// How quickly things go in the replayed pool.
+struct replay_times {
+  std::chrono::milliseconds detection{1500};
+  std::chrono::milliseconds load{60'000};
+  std::chrono::milliseconds join{1000};
+  std::chrono::milliseconds drain{10'000};
+  /// Wait before a silent member is replaced.
+  std::chrono::milliseconds replacement_wait{15'000};
+};
+
+/// The two measures over a whole trace, from the first moment at which the
+/// document was met.
+struct replay_result {
+  double group_downtime_s = 0;
+  double stranded_instance_s = 0;
+  /// What no planner can avoid: instances that leave and those beyond whole
+  /// groups in their domains. Loads come on top and depend on the trace.
+  double unavoidable_stranded_s = 0;
+  std::size_t loads = 0;
+  std::size_t steps = 0;
+};
+
+/// Plays a trace against a placement policy: the policy's steps are carried
+/// out with the given times, and the two measures are added up.
+class pool_replay {
+public:
+  pool_replay(const groups::placement_policy& policy, documents::model_spec spec, pool_shape shape,
+              replay_times times);
+
+  replay_result run(const std::vector<replay_event>& events);
+
+private:
+  using time = std::chrono::milliseconds;
+
+  struct instance {
+    std::string fabric_domain;
+    bool listed = true;
+    bool leaving = false;
+    time silent_since{-1};
+    time silent_until{-1};
+    std::string group;
+    std::string shard_version;
+    std::size_t shard_rank = 0;
+    /// Counts orders, so that a load that was overtaken has no effect.
+    std::size_t generation = 0;
+    bool loading = false;
+  };
+
+  struct group {
+    groups::group_record record;
+    time drained_at{0};
+    time serves_at{-1};
+  };
+
+  /// A load that waits for its turn.
+  struct wanted_load {
+    std::string instance;
+    std::size_t generation = 0;
+    std::string version;
+    std::size_t rank = 0;
+  };
+
+  enum class wake_kind { plan, loaded, thawed };
+  struct wake {
+    time at{0};
+    wake_kind kind = wake_kind::plan;
+    std::string instance;
+    std::size_t generation = 0;
+    std::string version;
+    std::size_t rank = 0;
+    bool operator>(const wake& other) const { return at > other.at; }
+  };
+
+  void advance_to(time moment);
+  void integrate(time until);
+  void count();
+  void apply(const replay_event& event);
+  void lose(const std::string& id);
+  void plan();
+  void carry_out(const groups::placement_step& step);
+  void seat(group& target, std::size_t rank, const std::string& id);
+  void order_members(group& target);
+  void order(const std::string& id, const std::string& version, std::size_t rank);
+  void start_loads();
+  void take(const wake& event);
+  void update_serving();
+  bool is_present(const std::string& id) const;
+  bool can_serve(const group& candidate) const;
+  bool holds(const std::string& id, const std::string& version, std::size_t rank) const;
+  groups::pool_state observe() const;
+  void schedule_plan(time delay);
+
+  const groups::placement_policy& policy_;
+  documents::model_spec spec_;
+  replay_times times_;
+  time now_{0};
+  bool measuring_ = false;
+  /// Something changed since the counts were taken.
+  bool is_counted_ = false;
+  std::size_t serving_ = 0;
+  std::size_t live_ = 0;
+  /// Whole groups' worth of usable instances, by domain.
+  std::map<std::string, std::size_t> possible_groups_;
+  std::map<std::string, instance> instances_;
+  std::map<std::string, group> groups_;
+  std::deque<wanted_load> waiting_loads_;
+  std::size_t running_loads_ = 0;
+  std::size_t next_group_ = 0;
+  std::priority_queue<wake, std::vector<wake>, std::greater<>> wakes_;
+  time planned_for_{-1};
+  replay_result result_;
+};
+
+} // namespace camphorlug::replay
--- a/include/camphorlug/documents/model_spec.h
+++ b/include/camphorlug/documents/model_spec.h
@@ -8,9 +8,9 @@
 
 /// Which of the two measures a service weighs more.
 enum class favoured_measure {
-  /// Group downtime: idle instances are held as spares in each fabric domain.
+  /// Group downtime: planned work waits for groups beyond the document's number.
   uptime,
-  /// Stranded accelerators: idle instances are formed into further groups.
+  /// Stranded accelerators: planned work may go on while groups are short.
   utilisation,
 };
 
--- /dev/null
+++ b/include/camphorlug/routing/decaying_count.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cmath>
+
+namespace camphorlug::routing {
+
+/// Counts events; after each `memory` an event counts for a third of before.
+class decaying_count {
+public:
+  static constexpr std::chrono::seconds memory{1};
+
+  void add(std::chrono::nanoseconds now) {
+    count_ = value(now) + 1;
+    at_ = now;
+  }
+
+  double value(std::chrono::nanoseconds now) const {
+    return count_ * std::exp(-std::chrono::duration<double>(now - at_) /
+                             std::chrono::duration<double>(memory));
+  }
+
+private:
+  double count_ = 0;
+  std::chrono::nanoseconds at_{0};
+};
+
+} // namespace camphorlug::routing
--- a/include/camphorlug/routing/service_router.h
+++ b/include/camphorlug/routing/service_router.h
@@ -3,6 +3,7 @@
 #include "camphorlug/documents/service_document.h"
 #include "camphorlug/groups/group_view.h"
 #include "camphorlug/routing/concurrency_window.h"
+#include "camphorlug/routing/decaying_count.h"
 #include "camphorlug/routing/target_health.h"
 #include "camphorlug/routing/target_picker.h"
 #include "camphorlug/support/clock.h"
@@ -62,6 +63,7 @@
     std::size_t in_flight = 0;
     concurrency_window window;
     target_health health;
+    decaying_count sent;
   };
 
   target_state& state_of(const std::string& target);
--- a/include/camphorlug/routing/target_picker.h
+++ b/include/camphorlug/routing/target_picker.h
@@ -18,6 +18,8 @@
   /// This node's requests in progress there plus what the engine reports of
   /// other nodes' work, discounted by the report's age.
   double load = 0;
+  /// Requests that this node sent there lately; older ones count less.
+  double recent = 0;
 };
 
 /// Chooses one of several targets for a request.
--- a/lib/groups/domain_placement.cpp
+++ b/lib/groups/domain_placement.cpp
@@ -5,11 +5,14 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
+#include <string_view>
+#include <unordered_map>
 
 namespace camphorlug::groups {
 
-/// Free instances that `favour = "uptime"` leaves in each domain for repairs.
-static constexpr std::size_t spares_per_domain = 1;
+/// With `favour = "utilisation"` one group in so many may be rolled to another
+/// version at the same time even if too few are left meanwhile.
+static constexpr std::size_t groups_per_roll = 10;
 
 namespace {
 
@@ -23,6 +26,7 @@
 class planning_pass {
 public:
   explicit planning_pass(const pool_state& pool) : pool_(pool), free_(pool) {
+    by_id_.reserve(pool.instances.size());
     for (const pool_instance& each : pool.instances)
       by_id_.emplace(each.id, &each);
   }
@@ -190,12 +194,12 @@
     }
   }
 
-  /// The domain with the most free instances beyond `kept`, among equals in the
-  /// data centre with the fewest groups; empty when none has a group's worth.
-  std::string best_domain(std::size_t kept) const {
+  /// The domain with the most free instances, among equals in the data centre
+  /// with the fewest groups; empty when none has a group's worth.
+  std::string best_domain() const {
     std::string best;
     for (const std::string& domain : free_.domains()) {
-      if (free_.count(domain) < pool_.spec.span + kept)
+      if (free_.count(domain) < pool_.spec.span)
         continue;
       if (best.empty() || free_.count(domain) > free_.count(best) ||
           (free_.count(domain) == free_.count(best) &&
@@ -226,7 +230,7 @@
 
   void form_required() {
     while (whole_ < pool_.spec.replicas) {
-      std::string domain = best_domain(0);
+      std::string domain = best_domain();
       if (domain.empty()) {
         if (!gather_survivors())
           return;
@@ -258,10 +262,8 @@
   }
 
   void form_further() {
-    const bool keeps_spares = pool_.spec.favour == documents::favoured_measure::uptime;
-    const std::size_t kept = keeps_spares ? spares_per_domain : 0;
     while (pool_.spec.max_replicas == 0 || whole_ < pool_.spec.max_replicas) {
-      const std::string domain = best_domain(kept);
+      const std::string domain = best_domain();
       if (domain.empty())
         return;
       form(domain, "idle instances can serve");
@@ -309,7 +311,9 @@
     };
     std::size_t changing = std::count_if(pool_.groups.begin(), pool_.groups.end(), is_in_change);
     // As many at a time as serve beyond the document's number, and at least one.
-    const std::size_t beyond = serving_ > pool_.spec.replicas ? serving_ - pool_.spec.replicas : 1;
+    std::size_t beyond = serving_ > pool_.spec.replicas ? serving_ - pool_.spec.replicas : 1;
+    if (pool_.spec.favour == documents::favoured_measure::utilisation)
+      beyond = std::max(beyond, serving_ / groups_per_roll);
     for (const pool_group& group : pool_.groups) {
       if (changing >= beyond || !steps_.empty())
         return;
@@ -338,7 +342,7 @@
 
   const pool_state& pool_;
   free_instances free_;
-  std::map<std::string, const pool_instance*> by_id_;
+  std::unordered_map<std::string_view, const pool_instance*> by_id_;
   std::vector<broken_group> broken_;
   std::vector<placement_step> steps_;
   std::size_t whole_ = 0;
--- a/lib/routing/affinity_picker.cpp
+++ b/lib/routing/affinity_picker.cpp
@@ -3,46 +3,45 @@
 #include "camphorlug/routing/rendezvous.h"
 
 #include <algorithm>
-#include <array>
 
 namespace camphorlug::routing {
 
 /// Load over the mean that a home target may have.
-static constexpr double bound_factor = 1.25;
-/// Targets in rendezvous order that are tried before a random choice.
-static constexpr std::size_t homes = 2;
-
-static double load_bound(const std::vector<candidate>& candidates) {
-  double sum = 1;
-  for (const candidate& each : candidates)
-    sum += each.load;
-  return std::max(1.0, bound_factor * sum / static_cast<double>(candidates.size()));
-}
-
-static std::array<std::size_t, homes> find_homes(std::uint64_t affinity,
-                                                 const std::vector<candidate>& candidates) {
-  std::array<std::size_t, homes> best{0, 0};
-  std::array<std::uint64_t, homes> weights{0, 0};
+static constexpr double load_factor = 2.0;
+/// Recent requests over the mean that it may have, and some that any may have.
+static constexpr double recent_factor = 2.0;
+static constexpr double recent_allowance = 1.0;
+
+static std::size_t find_home(std::uint64_t affinity, const std::vector<candidate>& candidates) {
+  std::size_t home = 0;
+  std::uint64_t largest = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::uint64_t weight = rendezvous_weight(affinity, candidates[i].hash);
-    if (weight >= weights[0]) {
-      weights = {weight, weights[0]};
-      best = {i, best[0]};
-    } else if (weight >= weights[1]) {
-      weights[1] = weight;
-      best[1] = i;
-    }
+    if (weight < largest)
+      continue;
+    largest = weight;
+    home = i;
+  }
+  return home;
+}
+
+static bool is_crowded(const candidate& home, const std::vector<candidate>& candidates) {
+  double load = 1;
+  double recent = 0;
+  for (const candidate& each : candidates) {
+    load += each.load;
+    recent += each.recent;
   }
-  return best;
+  const auto count = static_cast<double>(candidates.size());
+  return home.load >= std::max(1.0, load_factor * load / count) ||
+         home.recent >= recent_allowance + recent_factor * recent / count;
 }
 
 std::size_t affinity_picker::pick(std::uint64_t affinity, const std::vector<candidate>& candidates,
                                   support::random_source& random) const {
-  const double bound = load_bound(candidates);
-  for (const std::size_t home : find_homes(affinity, candidates)) {
-    if (candidates[home].load < bound)
-      return home;
-  }
+  const std::size_t home = find_home(affinity, candidates);
+  if (!is_crowded(candidates[home], candidates))
+    return home;
   const std::size_t first = random.below(candidates.size());
   const std::size_t second = random.below(candidates.size());
   return candidates[first].load <= candidates[second].load ? first : second;
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -66,7 +66,8 @@
   std::vector<candidate> list;
   list.reserve(targets.size());
   for (const groups::routable_target& target : targets)
-    list.push_back({&target, support::fast_hash(target.id), load_of(target, state_of(target.id))});
+    list.push_back({&target, support::fast_hash(target.id), load_of(target, state_of(target.id)),
+                    state_of(target.id).sent.value(time_.now().time_since_epoch())});
   prefer(list, [&tried](const candidate& each) {
     return std::find(tried.begin(), tried.end(), each.target->id) == tried.end();
   });
@@ -113,6 +114,7 @@
 
 void service_router::begin(const std::string& target) {
   ++state_of(target).in_flight;
+  state_of(target).sent.add(time_.now().time_since_epoch());
 }
 
 void service_router::finish(const std::string& target) {
