Hear nodes that restart with an earlier calendar; log each request

Cause: a node whose calendar lay behind its predecessor's had a smaller incarnation, so peers ignored it until they forgot the old one; and requests left no line in the log. Change: a reply tells the sender the larger incarnation under which it is known, and it goes above it; one log line ends each request. Conclusion: nothing compares clocks of two machines.

--- a/include/camphorlug/peers/gossip.h
+++ b/include/camphorlug/peers/gossip.h
@@ -34,8 +34,11 @@
 /// sightings of instances that they miss. A row that goes forward is pushed at once.
 class gossip {
 public:
-  /// `self` gives this node's report as of now, with a new sequence.
-  gossip(gossip_context context, std::vector<std::string> seeds, std::function<node_report()> self);
+  /// `self` gives this node's report as of now, with a new sequence. `outranked`
+  /// is told the incarnation under which peers know this node when it is larger
+  /// than its own, as after a restart with an earlier calendar.
+  gossip(gossip_context context, std::vector<std::string> seeds, std::function<node_report()> self,
+         std::function<void(std::uint64_t)> outranked);
 
   /// Runs the periodic exchanges until the clock is shut down.
   support::task<> run();
@@ -57,6 +60,7 @@
   support::task<> exchange_with(std::string address, std::vector<platform::row> pushed);
   peer_message opening();
   void merge(const peer_message& message, support::clock::time_point began);
+  void take_digest(const report_digest& digest, support::clock::time_point now);
   void compare_rows(const peer_message& theirs, peer_message& mine) const;
   std::vector<row_digest> digest_buckets(const std::vector<std::size_t>& buckets) const;
   void add_news_of_nodes(const peer_message& message, peer_message& reply) const;
@@ -66,6 +70,7 @@
   gossip_context context_;
   std::vector<std::string> seeds_;
   std::function<node_report()> self_;
+  std::function<void(std::uint64_t)> outranked_;
   support::notification changed_;
   std::map<std::string, platform::row> unpushed_;
   std::set<std::string> in_progress_;
--- a/include/camphorlug/requests/call.h
+++ b/include/camphorlug/requests/call.h
@@ -20,6 +20,8 @@
 
 /// One caller's request on its way through a node.
 struct call {
+  /// Names the request in logs and towards its caller.
+  std::string id;
   net::server_request request;
   /// Path below `/services/{service}`.
   std::string path;
--- a/lib/peers/gossip.cpp
+++ b/lib/peers/gossip.cpp
@@ -18,8 +18,9 @@
 static constexpr std::chrono::milliseconds oldest_relayed_sighting{3000};
 
 gossip::gossip(gossip_context context, std::vector<std::string> seeds,
-               std::function<node_report()> self)
-    : context_(context), seeds_(std::move(seeds)), self_(std::move(self)), changed_(context.time) {
+               std::function<node_report()> self, std::function<void(std::uint64_t)> outranked)
+    : context_(context), seeds_(std::move(seeds)), self_(std::move(self)),
+      outranked_(std::move(outranked)), changed_(context.time) {
   context_.rows.add_listener([this](const platform::row& changed) {
     unpushed_[changed.key] = changed;
     changed_.notify();
@@ -137,7 +138,7 @@
   for (const node_report& report : message.reports)
     context_.board.take(report, now);
   for (const report_digest& digest : message.report_digests)
-    context_.board.take(digest, now);
+    take_digest(digest, now);
   for (const platform::row& row : message.rows)
     context_.rows.take(row);
   for (const relayed_sighting& sighting : message.sightings)
@@ -146,6 +147,14 @@
     context_.directory.adopt(message.instances);
 }
 
+void gossip::take_digest(const report_digest& digest, support::clock::time_point now) {
+  const node_report self = self_();
+  if (digest.id != self.id)
+    context_.board.take(digest, now);
+  else if (digest.incarnation > self.incarnation)
+    outranked_(digest.incarnation);
+}
+
 std::vector<row_digest> gossip::digest_buckets(const std::vector<std::size_t>& buckets) const {
   std::vector<row_digest> digests;
   for (const auto& [key, row] : context_.rows.rows()) {
@@ -194,9 +203,13 @@
   for (const report_digest& digest : message.report_digests)
     theirs[digest.id] = digest;
   for (const auto& [id, peer] : context_.board.peers()) {
-    if (id == message.sender.id)
-      continue;
     const report_digest ours = digest_of(peer.report);
+    if (id == message.sender.id) {
+      // The sender restarted and starts below what is known of it.
+      if (ours.incarnation > message.sender.incarnation)
+        reply.report_digests.push_back(ours);
+      continue;
+    }
     const auto found = theirs.find(id);
     if (found == theirs.end() || ours.has_newer_content_than(found->second))
       reply.reports.push_back(peer.report);
--- a/lib/requests/request_service.cpp
+++ b/lib/requests/request_service.cpp
@@ -7,6 +7,7 @@
 #include "camphorlug/requests/stream_relay.h"
 #include "camphorlug/requests/whole_answer_sink.h"
 #include "camphorlug/support/digest.h"
+#include "camphorlug/support/log.h"
 
 namespace camphorlug::requests {
 
@@ -39,6 +40,18 @@
   return *gate;
 }
 
+static void log_end(const call& ended, request_outcome outcome, std::chrono::nanoseconds took) {
+  support::log_event(support::log_level::info, "request",
+                     {{"request", ended.id},
+                      {"organisation", ended.labels.organisation},
+                      {"service", ended.labels.service},
+                      {"class", ended.labels.class_name},
+                      {"path", ended.path},
+                      {"outcome", to_string(outcome)},
+                      {"attempts", std::to_string(ended.attempts)},
+                      {"milliseconds", std::to_string(took / std::chrono::milliseconds(1))}});
+}
+
 support::task<> request_service::handle(net::server_request request, net::response_writer& writer) {
   if (!accepts_work_()) {
     send_outcome(writer, 503, request_outcome::not_run, "node-isolated",
@@ -57,9 +70,11 @@
                  std::chrono::seconds(0));
     co_return;
   }
+  current.id = environment_.random.identifier();
   const request_outcome outcome = co_await serve(current, writer);
-  environment_.observer.on_finished(current.labels, outcome,
-                                    environment_.time.now() - current.began);
+  const auto took = environment_.time.now() - current.began;
+  environment_.observer.on_finished(current.labels, outcome, took);
+  log_end(current, outcome, took);
 }
 
 support::task<request_outcome> request_service::serve(call& current, net::response_writer& writer) {
--- a/tests/process/run.py
+++ b/tests/process/run.py
@@ -99,6 +99,24 @@
         self.disturb("freeze", "frozen", seconds=4)
         wait_until(lambda: len(cluster.routable()) >= 5, "all groups are back")
 
+    def test_leaving_leader_finishes_and_gets_nothing_new(self):
+        stream = cluster.stream("leaving", 300)
+        stream.read(5)
+        leader = cluster.leader_of(stream.last_id.split(".")[2])
+        cluster.fault(leader, "leave", seconds=20)
+
+        def left_everywhere():
+            return all(leader["id"] not in group["members"]
+                       for node in range(4) for group in cluster.routable(node))
+        wait_until(left_everywhere, "no node routes to the leaving leader")
+        before = len(cluster.log(leader)["executed"])
+        for index in range(30):
+            cluster.stream(f"after {index}", 1).rest()
+        self.assertEqual(len(cluster.log(leader)["executed"]), before)
+        self.assertTrue(stream.rest().done)
+        self.assertEqual(stream.text, cluster.stream("leaving", 300).rest().text)
+        cluster.mend(leader)
+
     def test_killed_node_is_replaced_by_last_event_id(self):
         undisturbed = cluster.stream("killed node", TOKENS).rest().text
         first = cluster.stream("killed node", TOKENS, node=4)
--- a/unittests/fakes/fake_network.cpp
+++ b/unittests/fakes/fake_network.cpp
@@ -5,7 +5,7 @@
 namespace camphorlug::fakes {
 
 support::task<> fake_peer_client::travel(std::string address, std::chrono::nanoseconds timeout) {
-  const bool lost = network_.is_cut(self_, address) || !network_.nodes.contains(address) ||
+  const bool lost = dead || network_.is_cut(self_, address) || !network_.nodes.contains(address) ||
                     random_.below(1000) < network_.losses_per_thousand;
   if (lost) {
     co_await time_.sleep_for(timeout);
--- a/unittests/fakes/fake_network.h
+++ b/unittests/fakes/fake_network.h
@@ -40,6 +40,9 @@
   support::task<peers::peer_message> exchange(std::string address, peers::peer_message message,
                                               std::chrono::nanoseconds timeout) override;
 
+  /// The process has ended; its messages go nowhere.
+  bool dead = false;
+
 private:
   support::task<> travel(std::string address, std::chrono::nanoseconds timeout);
 
--- a/unittests/fakes/test_world.cpp
+++ b/unittests/fakes/test_world.cpp
@@ -34,40 +34,54 @@
   clock.shut_down();
 }
 
+world_node test_world::make_node(std::size_t index) {
+  node::node_settings settings;
+  settings.id = "n" + std::to_string(index);
+  settings.data_centre = "dc" + std::to_string(index % 3);
+  settings.address = settings.id + ":1";
+  settings.operator_address = settings.id + ":2";
+  settings.platform_address = "platform:1";
+  settings.seeds = {"n0:2", "n1:2", "n2:2"};
+  settings.peer_key = "a key that signs exchanges";
+  settings.stream_key = stream_key;
+  world_node added;
+  added.store = std::make_unique<fake_store>(clock, table);
+  added.list = std::make_unique<fake_list>(fleet);
+  added.targets = std::make_unique<fake_target_client>(fleet);
+  added.peers =
+      std::make_unique<fake_peer_client>(clock, random, network, settings.operator_address);
+  added.node = node::node_builder(context.get_executor())
+                   .settings(settings)
+                   .clock(clock)
+                   .random(random)
+                   .store(*added.store)
+                   .instances(*added.list)
+                   .targets(*added.targets)
+                   .peers(*added.peers)
+                   .build();
+  node::node* subject = added.node.get();
+  network.nodes[settings.operator_address] = [subject](const peers::peer_message& message) {
+    return subject->answer_peer(message);
+  };
+  subject->start();
+  return added;
+}
+
 void test_world::add_nodes(std::size_t count) {
   const std::size_t first = nodes.size();
-  for (std::size_t i = first; i < first + count; ++i) {
-    node::node_settings settings;
-    settings.id = "n" + std::to_string(i);
-    settings.data_centre = "dc" + std::to_string(i % 3);
-    settings.address = settings.id + ":1";
-    settings.operator_address = settings.id + ":2";
-    settings.platform_address = "platform:1";
-    settings.seeds = {"n0:2", "n1:2", "n2:2"};
-    settings.peer_key = "a key that signs exchanges";
-    settings.stream_key = stream_key;
-    world_node added;
-    added.store = std::make_unique<fake_store>(clock, table);
-    added.list = std::make_unique<fake_list>(fleet);
-    added.targets = std::make_unique<fake_target_client>(fleet);
-    added.peers =
-        std::make_unique<fake_peer_client>(clock, random, network, settings.operator_address);
-    added.node = node::node_builder(context.get_executor())
-                     .settings(settings)
-                     .clock(clock)
-                     .random(random)
-                     .store(*added.store)
-                     .instances(*added.list)
-                     .targets(*added.targets)
-                     .peers(*added.peers)
-                     .build();
-    node::node* subject = added.node.get();
-    network.nodes[settings.operator_address] = [subject](const peers::peer_message& message) {
-      return subject->answer_peer(message);
-    };
-    subject->start();
-    nodes.push_back(std::move(added));
-  }
+  for (std::size_t index = first; index < first + count; ++index)
+    nodes.push_back(make_node(index));
+}
+
+void test_world::replace_node(std::size_t index) {
+  kill_node(index);
+  nodes[index].peers->dead = true;
+  retired.push_back(std::move(nodes[index]));
+  const std::string address = retired.back().node->settings().operator_address;
+  std::erase_if(network.cuts, [&address](const auto& cut) {
+    return cut.first == address || cut.second == address;
+  });
+  nodes[index] = make_node(index);
 }
 
 void test_world::add_runners(std::size_t domains, std::size_t per_domain) {
--- a/unittests/fakes/test_world.h
+++ b/unittests/fakes/test_world.h
@@ -41,6 +41,8 @@
 
   /// Adds `count` nodes over three data centres and starts them.
   void add_nodes(std::size_t count);
+  /// Starts another process in the place of a node, with the same settings.
+  void replace_node(std::size_t index);
   /// Adds runners `r0`, `r1`, ... with `per_domain` in each fabric domain.
   void add_runners(std::size_t domains, std::size_t per_domain);
   void add_plain(std::size_t count);
@@ -60,6 +62,8 @@
   /// Takes a node away, as when its process is killed.
   void kill_node(std::size_t index);
 
+  world_node make_node(std::size_t index);
+
   std::size_t routable(std::size_t node = 0, const std::string& service = "model");
 
   asio::io_context context;
@@ -69,6 +73,8 @@
   fake_fleet fleet;
   fake_network network;
   std::vector<world_node> nodes;
+  /// Nodes that were replaced; what they still wait for ends with the clock.
+  std::vector<world_node> retired;
 };
 
 /// A chat request for `tokens` tokens.
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -165,7 +165,8 @@
   world.run_for(3s);
   BOOST_TEST(world.routable(0) == 0);
   BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, repair_bound + 4s));
-  for (const auto& member : world.records().front().members)
+  const auto record = world.records().front();
+  for (const auto& member : record.members)
     BOOST_TEST(member.instance != leaving);
   BOOST_TEST(world.invariants_hold());
 }
--- a/unittests/peers/gossip_test.cpp
+++ b/unittests/peers/gossip_test.cpp
@@ -103,6 +103,53 @@
   BOOST_TEST(world.nodes[5].node->serves());
 }
 
+BOOST_AUTO_TEST_CASE(documents_outlive_all_nodes_replaced_one_by_one) {
+  fakes::test_world world;
+  world.add_nodes(6);
+  world.run_for(2s);
+  world.apply(fakes::plain_document());
+  world.run_for(2s);
+  world.table.down = true;
+  for (std::size_t node = 0; node < 6; ++node) {
+    world.replace_node(node);
+    BOOST_TEST(world.run_until([&] { return version_at(world, node) == 1; }, 5s));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(documents_outlive_all_nodes_replaced_at_once) {
+  fakes::test_world world;
+  world.add_nodes(6);
+  world.run_for(2s);
+  world.apply(fakes::plain_document());
+  world.run_for(2s);
+  for (std::size_t node = 0; node < 6; ++node)
+    world.replace_node(node);
+  BOOST_TEST(world.run_until([&] { return all_have(world, 1); }, 5s));
+}
+
+BOOST_AUTO_TEST_CASE(node_that_restarts_with_an_earlier_calendar_is_heard) {
+  fakes::test_world world;
+  world.add_nodes(3);
+  // The others remember it from a time that its calendar has not reached yet.
+  peers::node_report past;
+  past.id = "n2";
+  past.address = "n2:1";
+  past.peer_address = "n2:2";
+  past.incarnation = 1'000'000'000'000;
+  past.sequence = 100;
+  past.revision = 100;
+  past.leaving = true;
+  peers::peer_message message;
+  message.sender = past;
+  for (std::size_t node = 0; node < 2; ++node)
+    world.nodes[node].node->answer_peer(message);
+  const auto is_heard = [&] {
+    const auto& peers = world.nodes[0].node->peer_board().peers();
+    return peers.contains("n2") && !peers.at("n2").report.leaving;
+  };
+  BOOST_TEST(world.run_until(is_heard, 8s));
+}
+
 BOOST_AUTO_TEST_CASE(node_cut_from_store_and_peers_refuses_work) {
   fakes::test_world world;
   world.add_plain(1);
