Read the tables by what changed

Cause: each reader scanned all document and group rows every second: about 700 bytes a group, so 1,625 groups would cost a reader 1.1 MB/s against a budget of 10 KB/s. Change: each transaction also writes a small index row for the prefix that it changes; readers look at those, and scan a prefix only when no row of its newest commit has come from a peer. All rows are read every ten minutes. Conclusion: what a reader reads at rest no longer grows with the groups.

--- a/include/camphorlug/node/store_reader.h
+++ b/include/camphorlug/node/store_reader.h
@@ -9,8 +9,9 @@
 
 namespace camphorlug::node {
 
-/// Reads the document and group rows into the row cache once a second, as long
-/// as this node is one of its data centre's readers.
+/// Looks once a second for changes of the document and group rows, as long as
+/// this node is one of its data centre's readers, and reads into the row cache
+/// what peers have not brought.
 class store_reader {
 public:
   store_reader(support::clock& time, platform::table_store& store, platform::row_cache& rows,
@@ -22,7 +23,9 @@
   bool has_read() const { return has_read_; }
 
 private:
-  support::task<> read();
+  support::task<> read_all();
+  support::task<> read_changes();
+  support::task<> read_prefix(std::string prefix);
 
   support::clock& time_;
   platform::table_store& store_;
@@ -30,6 +33,7 @@
   isolation_monitor& isolation_;
   std::function<bool()> is_reader_;
   bool has_read_ = false;
+  support::clock::time_point read_all_at_;
 };
 
 } // namespace camphorlug::node
--- a/include/camphorlug/platform/row_cache.h
+++ b/include/camphorlug/platform/row_cache.h
@@ -31,6 +31,9 @@
   /// The rows whose key begins with `prefix`, in the order of their keys.
   std::vector<const row*> with_prefix(std::string_view prefix) const;
 
+  /// The largest version of the rows whose key begins with `prefix`; 0 without any.
+  std::uint64_t newest_version(std::string_view prefix) const;
+
   const std::map<std::string, row, std::less<>>& rows() const { return rows_; }
 
   /// A hash of all keys and versions: equal for equal contents, whatever the
--- a/lib/documents/document_editor.cpp
+++ b/lib/documents/document_editor.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorlug/documents/cached_documents.h"
 #include "camphorlug/documents/parse_document.h"
+#include "camphorlug/platform/change_index.h"
 #include "camphorlug/platform/store_error.h"
 
 #include <ctime>
@@ -76,6 +77,7 @@
   change.checks.push_back({key, held ? held->version : 0});
   change.writes.push_back({key, next.to_json()});
   change.writes.push_back({history_key(request.service, next.number), next.to_json()});
+  change.writes.push_back(platform::index_write(document_prefix));
   const platform::commit_result result = co_await store_.commit(std::move(change));
   if (!result.committed) {
     edit_result lost{edit_outcome::conflict, present, {}};
--- a/lib/groups/pool_table.cpp
+++ b/lib/groups/pool_table.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/groups/pool_table.h"
 
 #include "camphorlug/groups/row_keys.h"
+#include "camphorlug/platform/change_index.h"
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
@@ -178,6 +179,7 @@
   change.change.checks.push_back(lease_.check());
   change.change.checks.push_back({key, held == groups_.end() ? 0 : held->second.row_version});
   change.change.writes.push_back({key, record.to_json()});
+  change.change.writes.push_back(platform::index_write(pool_group_prefix(pool_)));
   // Until the answer is here it is not known what the rows say.
   loaded_ = false;
   const platform::commit_result result = co_await store_.commit(change.change);
--- a/lib/node/store_reader.cpp
+++ b/lib/node/store_reader.cpp
@@ -2,11 +2,14 @@
 
 #include "camphorlug/documents/cached_documents.h"
 #include "camphorlug/groups/row_keys.h"
+#include "camphorlug/platform/change_index.h"
 #include "camphorlug/platform/store_error.h"
 
 namespace camphorlug::node {
 
 static constexpr std::chrono::seconds read_interval{1};
+/// All rows are read this often, in case a change was missed on every path.
+static constexpr std::chrono::minutes full_read_interval{10};
 
 store_reader::store_reader(support::clock& time, platform::table_store& store,
                            platform::row_cache& rows, isolation_monitor& isolation,
@@ -16,23 +19,43 @@
 
 support::task<> store_reader::run() {
   for (;;) {
-    if (!has_read_ || is_reader_())
-      co_await read();
+    if (!has_read_ || is_reader_()) {
+      try {
+        if (!has_read_ || time_.now() - read_all_at_ > full_read_interval)
+          co_await read_all();
+        else
+          co_await read_changes();
+        isolation_.store_answered();
+      } catch (const platform::store_error&) {
+        // What is known stays in force; peers bring what is new.
+      }
+    }
     co_await time_.sleep_for(read_interval);
   }
 }
 
-support::task<> store_reader::read() {
-  try {
-    for (const char* prefix : {documents::document_prefix, groups::group_prefix}) {
-      const std::vector<platform::row> found = co_await store_.scan(prefix);
-      for (const platform::row& row : found)
-        rows_.take(row);
-    }
-    has_read_ = true;
-    isolation_.store_answered();
-  } catch (const platform::store_error&) {
-    // What is known stays in force; peers bring what is new.
+support::task<> store_reader::read_prefix(std::string prefix) {
+  const std::vector<platform::row> found = co_await store_.scan(std::move(prefix));
+  for (const platform::row& row : found)
+    rows_.take(row);
+}
+
+support::task<> store_reader::read_all() {
+  const auto began = time_.now();
+  co_await read_prefix(documents::document_prefix);
+  co_await read_prefix(groups::group_prefix);
+  has_read_ = true;
+  read_all_at_ = began;
+}
+
+support::task<> store_reader::read_changes() {
+  const std::string index(platform::index_prefix);
+  const std::vector<platform::row> changes = co_await store_.scan(index);
+  for (const platform::row& change : changes) {
+    std::string prefix = platform::indexed_prefix(change.key);
+    // A row of the newest commit is there; earlier ones come from the peers too.
+    if (rows_.newest_version(prefix) < change.version)
+      co_await read_prefix(std::move(prefix));
   }
 }
 
--- a/lib/platform/row_cache.cpp
+++ b/lib/platform/row_cache.cpp
@@ -2,6 +2,8 @@
 
 #include "camphorlug/support/digest.h"
 
+#include <algorithm>
+
 namespace camphorlug::platform {
 
 static std::uint64_t fingerprint_of(const row& entry) {
@@ -44,6 +46,13 @@
   return {buckets_.begin(), buckets_.end()};
 }
 
+std::uint64_t row_cache::newest_version(std::string_view prefix) const {
+  std::uint64_t newest = 0;
+  for (const row* each : with_prefix(prefix))
+    newest = std::max(newest, each->version);
+  return newest;
+}
+
 void row_cache::add_listener(listener on_change) {
   listeners_.push_back(std::move(on_change));
 }
