--- a/lib/groups/domain_placement.cpp
+++ b/lib/groups/domain_placement.cpp
@@ -125,8 +125,8 @@
         serving_ += group.record.state == group_state::serving ? 1 : 0;
         continue;
       }
-      if (missing.size() == group.record.members.size() || is_outdated(group.record)) {
-        dissolve(group, "too little of it is left to repair");
+      if (is_outdated(group.record)) {
+        dissolve(group, "it is broken and its version is outdated");
         continue;
       }
       broken_.push_back({&group, std::move(missing)});
