Read bearer keys and stream events in one place each

Cause: the callers' and the operators' side each took the bearer key apart, and the relay and the reference caller each read stream events, with small differences. Change: net/bearer_key and net/generation_event; the request tests share a world. Before and after: test-requests and test-node pass. Conclusion: no behaviour changed but that an odd delta reads as no text in both.

--- /dev/null
+++ b/include/camphorlug/net/bearer_key.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "camphorlug/net/header_list.h"
+
+#include <optional>
+#include <string>
+
+namespace camphorlug::net {
+
+/// The key of an `Authorization: Bearer KEY` header.
+std::optional<std::string> bearer_key(const header_list& headers);
+
+} // namespace camphorlug::net
--- a/lib/caller/reference_caller.cpp
+++ b/lib/caller/reference_caller.cpp
@@ -1,10 +1,9 @@
 #include "camphorlug/caller/reference_caller.h"
 
+#include "camphorlug/net/generation_event.h"
 #include "camphorlug/net/sse_reader.h"
 #include "camphorlug/net/transport_error.h"
 
-#include <nlohmann/json.hpp>
-
 namespace camphorlug::caller {
 
 static constexpr std::size_t most_attempts = 6;
@@ -96,30 +95,20 @@
   }
 }
 
-static std::string text_of(const std::string& data) {
-  const auto value = nlohmann::json::parse(data, nullptr, false);
-  if (!value.is_object() || !value.contains("choices") || value["choices"].empty())
-    return {};
-  const auto& choice = value["choices"][0];
-  if (choice.contains("delta"))
-    return choice["delta"].value("content", "");
-  return choice.value("text", "");
-}
-
 support::task<reference_caller::try_end>
 reference_caller::read_stream(net::http_exchange& exchange, const caller_request& request,
                               progress& state) {
   net::sse_reader reader;
   for (;;) {
     while (std::optional<net::sse_event> event = reader.next()) {
-      if (event->data == "[DONE]") {
+      if (event->data == net::end_of_stream) {
         state.result.complete = true;
         co_return try_end::finished;
       }
       if (event->id.empty())
         co_return request.idempotent ? try_end::try_again : try_end::give_up;
       state.last_event_id = event->id;
-      const std::string text = text_of(event->data);
+      const std::string text = net::generation_event::parse(event->data).text;
       if (text.empty())
         continue;
       const auto now = time_.now();
--- /dev/null
+++ b/lib/net/bearer_key.cpp
@@ -0,0 +1,13 @@
+#include "camphorlug/net/bearer_key.h"
+
+namespace camphorlug::net {
+
+std::optional<std::string> bearer_key(const header_list& headers) {
+  static constexpr std::string_view scheme = "Bearer ";
+  const std::optional<std::string> given = headers.find("Authorization");
+  if (!given || !given->starts_with(scheme))
+    return std::nullopt;
+  return given->substr(scheme.size());
+}
+
+} // namespace camphorlug::net
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/node/operator_api.h"
 
 #include "camphorlug/documents/parse_document.h"
+#include "camphorlug/net/bearer_key.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/node/node.h"
 #include "camphorlug/platform/store_error.h"
@@ -45,11 +46,10 @@
 }
 
 const operator_account* operator_api::authenticate(const net::server_request& request) const {
-  static constexpr std::string_view scheme = "Bearer ";
-  const std::string given = request.headers.find("Authorization").value_or("");
-  if (!given.starts_with(scheme))
+  const std::optional<std::string> key = net::bearer_key(request.headers);
+  if (!key)
     return nullptr;
-  const std::string hash = support::sha256_hex(std::string_view(given).substr(scheme.size()));
+  const std::string hash = support::sha256_hex(*key);
   for (const operator_account& account : node_.settings().operators) {
     if (support::equal_in_constant_time(account.key_hash, hash))
       return &account;
--- a/lib/requests/call_parser.cpp
+++ b/lib/requests/call_parser.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/requests/call_parser.h"
 
+#include "camphorlug/net/bearer_key.h"
 #include "camphorlug/requests/caller_error.h"
 #include "camphorlug/support/digest.h"
 
@@ -50,11 +51,10 @@
 }
 
 void call_parser::authenticate(call& parsed) const {
-  static constexpr std::string_view scheme = "Bearer ";
-  const std::string given = parsed.request.headers.find("Authorization").value_or("");
-  if (!given.starts_with(scheme))
+  const std::optional<std::string> key = net::bearer_key(parsed.request.headers);
+  if (!key)
     refuse(401, "no-key", "send the organisation's key as 'Authorization: Bearer KEY'");
-  const std::string hash = support::sha256_hex(std::string_view(given).substr(scheme.size()));
+  const std::string hash = support::sha256_hex(*key);
   if (const documents::organisation* caller = parsed.document().find_by_key_hash(hash)) {
     parsed.labels.organisation = caller->name;
     parsed.labels.class_name = caller->default_class;
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/requests/stream_relay.h"
 
+#include "camphorlug/net/generation_event.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/requests/outcome_answer.h"
 #include "camphorlug/support/digest.h"
@@ -14,33 +15,6 @@
 static constexpr std::size_t most_moves = 2;
 static constexpr std::chrono::milliseconds connect_timeout{500};
 static constexpr std::chrono::milliseconds cancel_timeout{500};
-static constexpr const char* end_of_stream = "[DONE]";
-
-namespace {
-
-/// What an engine's event says.
-struct generation_event {
-  std::string text;
-  bool is_last = false;
-};
-
-} // namespace
-
-static generation_event parse_event(const std::string& data) {
-  generation_event parsed;
-  const auto value = nlohmann::json::parse(data, nullptr, false);
-  if (!value.is_object() || !value.contains("choices") || value["choices"].empty())
-    return parsed;
-  const nlohmann::json& choice = value["choices"][0];
-  const auto finish = choice.find("finish_reason");
-  parsed.is_last = finish != choice.end() && !finish->is_null();
-  if (choice.contains("delta") && choice["delta"].contains("content") &&
-      choice["delta"]["content"].is_string())
-    parsed.text = choice["delta"]["content"];
-  else if (choice.contains("text") && choice["text"].is_string())
-    parsed.text = choice["text"];
-  return parsed;
-}
 
 static std::uint64_t extend_hash(std::uint64_t hash, const std::string& text) {
   return support::fast_hash(text, hash);
@@ -202,7 +176,7 @@
 
 /// Checks one event and passes it on. `refused` stands for "go on reading".
 support::task<stream_relay::leg_end> stream_relay::take_event(net::sse_event event) {
-  if (event.data == end_of_stream)
+  if (event.data == net::end_of_stream)
     co_return finish_seen_ ? leg_end::finished : leg_end::broken;
   if (event.id != attempt_ + ":" + std::to_string(leg_index_)) {
     // Another stream's event, a repeated or a missing one: nothing on this
@@ -212,7 +186,7 @@
     call_.may_have_run = true;
     co_return leg_end::broken;
   }
-  const generation_event parsed = parse_event(event.data);
+  const net::generation_event parsed = net::generation_event::parse(event.data);
   leg_hash_ = extend_hash(leg_hash_, parsed.text);
   const bool was_sent = leg_index_ < next_index_;
   ++leg_index_;
--- a/unittests/fakes/test_world.cpp
+++ b/unittests/fakes/test_world.cpp
@@ -167,6 +167,16 @@
   return nodes[node].node->live_groups().targets(service)->size();
 }
 
+model_world::model_world() {
+  add_runners(2, 4);
+  add_nodes(2);
+  run_for(std::chrono::seconds(1));
+  apply(model_document());
+  const auto both_whole = [this] { return routable(0) == 2 && routable(1) == 2; };
+  if (!run_until(both_whole, std::chrono::seconds(30)))
+    throw std::runtime_error("the groups of the test world did not form");
+}
+
 static net::server_request make_request(const std::string& method, const std::string& path,
                                         std::string body, const std::string& key) {
   net::server_request request;
--- a/unittests/fakes/test_world.h
+++ b/unittests/fakes/test_world.h
@@ -77,6 +77,11 @@
   std::vector<world_node> retired;
 };
 
+/// Two nodes before two whole groups of four.
+struct model_world : test_world {
+  model_world();
+};
+
 /// A chat request for `tokens` tokens.
 net::server_request chat_request(const std::string& prompt, std::size_t tokens, bool stream = true,
                                  const std::string& key = organisation_key);
--- a/unittests/requests/relay_test.cpp
+++ b/unittests/requests/relay_test.cpp
@@ -13,15 +13,7 @@
 
 constexpr std::size_t tokens = 12;
 
-struct serving_world : fakes::test_world {
-  serving_world() {
-    add_runners(2, 4);
-    add_nodes(2);
-    run_for(1s);
-    apply(fakes::model_document());
-    BOOST_REQUIRE(run_until([this] { return routable(0) == 2 && routable(1) == 2; }, 30s));
-  }
-
+struct serving_world : fakes::model_world {
   /// The leaders' faults hold for whichever group gets the request.
   void set_fault(stream_fault fault, std::size_t at, bool forgets) {
     for (auto& [id, engine] : fleet.engines()) {
--- a/unittests/requests/stream_resume_test.cpp
+++ b/unittests/requests/stream_resume_test.cpp
@@ -14,16 +14,8 @@
 
 constexpr std::size_t tokens = 20;
 
-struct resume_world : fakes::test_world {
-  resume_world() {
-    add_runners(2, 4);
-    add_nodes(2);
-    run_for(1s);
-    apply(fakes::model_document());
-    BOOST_REQUIRE(run_until([this] { return routable(0) == 2 && routable(1) == 2; }, 30s));
-  }
-
-  /// Breaks off after `pieces` events and goes on at the other node.
+struct resume_world : fakes::model_world {
+  /// Goes on at the other node.
   std::unique_ptr<fakes::recording_writer> resume(const std::string& last_id,
                                                   const std::string& key) {
     auto request = fakes::chat_request("tell me", tokens, true, key);
