Include what two tests use

Cause: scripts/lint, which builds without precompiled headers, found two tests that took nlohmann/json from them.

--- a/unittests/node/entries_test.cpp
+++ b/unittests/node/entries_test.cpp
@@ -1,6 +1,7 @@
 #include "fakes/test_world.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
--- a/unittests/requests/relay_test.cpp
+++ b/unittests/requests/relay_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
