Make no report for each sign of life that is read

Change: gossip is told its own id and address; the node itself decides whether an incarnation under which it is known is larger than its own. Conclusion: behaviour is the same; the processor slope was not measured again.

--- a/include/camphorlug/peers/gossip.h
+++ b/include/camphorlug/peers/gossip.h
@@ -27,6 +27,9 @@
   platform::row_cache& rows;
   watching::instance_directory& directory;
   watching::sighting_board& sightings;
+  /// Id and peer address of this node.
+  std::string self_id;
+  std::string self_address;
 };
 
 /// Anti-entropy between nodes: each second an exchange with a few others, in
@@ -34,11 +37,10 @@
 /// sightings of instances that they miss. A row that goes forward is pushed at once.
 class gossip {
 public:
-  /// `self` gives this node's report as of now, with a new sequence. `outranked`
-  /// is told the incarnation under which peers know this node when it is larger
-  /// than its own, as after a restart with an earlier calendar.
+  /// `self` gives this node's report as of now, with a new sequence. `known_as`
+  /// is told each incarnation under which peers know this node.
   gossip(gossip_context context, std::vector<std::string> seeds, std::function<node_report()> self,
-         std::function<void(std::uint64_t)> outranked);
+         std::function<void(std::uint64_t)> known_as);
 
   /// Runs the periodic exchanges until the clock is shut down.
   support::task<> run();
@@ -70,7 +72,7 @@
   gossip_context context_;
   std::vector<std::string> seeds_;
   std::function<node_report()> self_;
-  std::function<void(std::uint64_t)> outranked_;
+  std::function<void(std::uint64_t)> known_as_;
   support::notification changed_;
   std::map<std::string, platform::row> unpushed_;
   std::set<std::string> in_progress_;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -34,8 +34,8 @@
   groups::group_planner planner;
 };
 
-/// Later starts have larger incarnations as long as calendars are roughly
-/// right; an earlier one only delays the node's news until it is forgotten.
+/// Later starts have larger incarnations if calendars are roughly right; if not,
+/// peers tell the larger one that they remember.
 static std::uint64_t make_incarnation(support::clock& time) {
   return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
                                     std::chrono::milliseconds(1));
@@ -53,9 +53,12 @@
                [this](const platform::listed_instance& instance) { return watches(instance); }),
       gossip_(
           {context.executor, context.time, context.random, context.peers, peer_board_, rows_,
-           directory_, sightings_},
+           directory_, sightings_, settings_.id, settings_.operator_address},
           settings_.seeds, [this] { return report(); },
-          [this](std::uint64_t known) { incarnation_ = known + 1; }),
+          [this](std::uint64_t known) {
+            if (known > incarnation_)
+              incarnation_ = known + 1;
+          }),
       claims_(context.store), requests_({context.executor, context.time, context.random,
                                          context.targets, claims_, metrics_, settings_.stream_key},
                                         documents_, live_groups_, picker_,
--- a/lib/peers/gossip.cpp
+++ b/lib/peers/gossip.cpp
@@ -18,9 +18,9 @@
 static constexpr std::chrono::milliseconds oldest_relayed_sighting{3000};
 
 gossip::gossip(gossip_context context, std::vector<std::string> seeds,
-               std::function<node_report()> self, std::function<void(std::uint64_t)> outranked)
+               std::function<node_report()> self, std::function<void(std::uint64_t)> known_as)
     : context_(context), seeds_(std::move(seeds)), self_(std::move(self)),
-      outranked_(std::move(outranked)), changed_(context.time) {
+      known_as_(std::move(known_as)), changed_(context.time) {
   context_.rows.add_listener([this](const platform::row& changed) {
     unpushed_[changed.key] = changed;
     changed_.notify();
@@ -69,7 +69,7 @@
     if (instance.role == platform::instance_role::entry)
       known.insert(instance.address);
   }
-  known.erase(self_().peer_address);
+  known.erase(context_.self_address);
   std::vector<std::string> chosen(known.begin(), known.end());
   std::shuffle(chosen.begin(), chosen.end(), context_.random.engine());
   chosen.resize(std::min(count, chosen.size()));
@@ -148,11 +148,10 @@
 }
 
 void gossip::take_digest(const report_digest& digest, support::clock::time_point now) {
-  const node_report self = self_();
-  if (digest.id != self.id)
+  if (digest.id == context_.self_id)
+    known_as_(digest.incarnation);
+  else
     context_.board.take(digest, now);
-  else if (digest.incarnation > self.incarnation)
-    outranked_(digest.incarnation);
 }
 
 std::vector<row_digest> gossip::digest_buckets(const std::vector<std::size_t>& buckets) const {
