--- a/include/camphorlug/documents/cached_documents.h
+++ b/include/camphorlug/documents/cached_documents.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "camphorlug/documents/document_view.h"
-#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/table/row_cache.h"
 
 #include <functional>
 #include <map>
@@ -16,7 +16,7 @@
 /// logged and the version before it stays in force.
 class cached_documents final : public document_view {
 public:
-  explicit cached_documents(platform::row_cache& rows);
+  explicit cached_documents(table::row_cache& rows);
 
   std::shared_ptr<const document_in_force> find(const std::string& service) const override;
   std::vector<std::shared_ptr<const document_in_force>> all() const override;
@@ -25,7 +25,7 @@
   void add_listener(std::function<void(const document_in_force&)> on_change);
 
 private:
-  void take(const platform::row& changed);
+  void take(const table::row& changed);
 
   std::map<std::string, std::shared_ptr<const document_in_force>> documents_;
   std::vector<std::function<void(const document_in_force&)>> listeners_;
--- a/include/camphorlug/documents/document_editor.h
+++ b/include/camphorlug/documents/document_editor.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "camphorlug/documents/edit_result.h"
-#include "camphorlug/platform/row_cache.h"
-#include "camphorlug/platform/table_store.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/table/row_cache.h"
+#include "camphorlug/table/table_store.h"
 
 #include <cstdint>
 #include <string>
@@ -25,20 +25,20 @@
 /// kept as a row of its own under `history/`.
 class document_editor {
 public:
-  document_editor(platform::table_store& store, platform::row_cache& rows, support::clock& time);
+  document_editor(table::table_store& store, table::row_cache& rows, support::clock& time);
 
   /// Writes one version if nobody wrote since the one that was seen.
   support::task<edit_result> edit(edit_request request);
 
-  /// The accepted versions of `service`, oldest first. Throws platform::store_error.
+  /// The accepted versions of `service`, oldest first. Throws table::store_error.
   support::task<std::vector<document_version>> history(std::string service);
 
 private:
   support::task<edit_result> write(edit_request request);
   support::task<edit_result> settle(edit_request request);
 
-  platform::table_store& store_;
-  platform::row_cache& rows_;
+  table::table_store& store_;
+  table::row_cache& rows_;
   support::clock& time_;
 };
 
--- /dev/null
+++ b/include/camphorlug/edge/edge_node.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "camphorlug/edge/edge_settings.h"
+#include "camphorlug/edge/row_decoder.h"
+#include "camphorlug/gateway/caller_protocol.h"
+#include "camphorlug/gateway/peer_circle.h"
+#include "camphorlug/gateway/request_gateway.h"
+#include "camphorlug/groups/table_lease.h"
+#include "camphorlug/replicas/replica_keeper.h"
+#include "camphorlug/table/table_follower.h"
+#include "camphorlug/table/table_store.h"
+
+#include <asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorlug::edge {
+
+/// What an edge node reaches the world through; everything must outlive it.
+struct edge_context {
+  asio::any_io_executor executor;
+  support::clock& time;
+  support::random_source& random;
+  net::http_client& client;
+  table::table_store& store;
+  table::change_feed& feed;
+  const row_decoder& decoder;
+  const gateway::caller_protocol& protocol;
+  replicas::order_client& orders;
+  table_names tables;
+};
+
+/// One node between callers and targets: routes requests, keeps groups whole
+/// with its peers, and tells callers which nodes to use.
+class edge_node {
+public:
+  edge_node(edge_context context, edge_settings settings);
+  ~edge_node();
+
+  void start();
+
+  support::task<> handle_caller(net::server_request request, net::response_writer& writer);
+  support::task<> handle_peer(net::server_request request, net::response_writer& writer);
+
+  /// Whether it takes requests, for the platform's checks.
+  bool ready() const;
+
+  /// Addresses that a caller in `data_centre` may use now.
+  std::vector<std::string> entries(const std::string& data_centre) const;
+
+  /// Tells everyone that this node leaves and returns when callers have moved away.
+  support::task<> leave();
+
+  std::string metrics();
+
+private:
+  gateway::node_status status();
+  support::task<> register_self();
+  support::task<> keep_house();
+  support::task<> fetch_config(std::string peer_address);
+  void take_config(const std::string& text);
+  void take_targets(const table::feed_batch& batch, bool whole);
+  void take_own_rows(const table::feed_batch& batch);
+  std::size_t nodes_alive() const { return peers_.alive().size() + 1; }
+
+  edge_context context_;
+  edge_settings settings_;
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  bool leaving_ = false;
+  bool fetching_config_ = false;
+  bool others_served_ = false;
+  std::string config_text_;
+
+  gateway::config_in_force config_;
+  gateway::target_registry registry_;
+  gateway::group_directory groups_;
+  gateway::load_board loads_;
+  gateway::suspicion_list suspicions_;
+  gateway::target_chooser chooser_;
+  gateway::waiting_line line_;
+  gateway::retry_allowance retries_;
+  gateway::gateway_metrics metrics_;
+  gateway::request_gateway requests_;
+  gateway::peer_circle peers_;
+  groups::table_lease lease_;
+  replicas::replica_keeper keeper_;
+  table::table_follower config_follower_;
+  table::table_follower target_follower_;
+  table::table_follower own_follower_;
+};
+
+} // namespace camphorlug::edge
--- /dev/null
+++ b/include/camphorlug/gateway/caller_protocol.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "camphorlug/gateway/caller_request.h"
+#include "camphorlug/gateway/sending.h"
+#include "camphorlug/gateway/target_answer.h"
+#include "camphorlug/net/client_request.h"
+#include "camphorlug/net/http_exchange.h"
+#include "camphorlug/net/server_request.h"
+
+#include <chrono>
+#include <optional>
+
+namespace camphorlug::gateway {
+
+/// How callers and targets spell what a request means.
+class caller_protocol {
+public:
+  caller_protocol() = default;
+  caller_protocol(const caller_protocol&) = delete;
+  caller_protocol& operator=(const caller_protocol&) = delete;
+  virtual ~caller_protocol() = default;
+
+  virtual caller_request read(net::server_request request) const = 0;
+
+  /// The request as it goes to a target.
+  virtual net::client_request forward(const caller_request& request,
+                                      const sending& details) const = 0;
+
+  /// Reads the head of the answer to `request`.
+  virtual target_answer read_answer(const caller_request& request,
+                                    const net::response_head& head) const = 0;
+
+  /// Headers of an answer of this node's own.
+  virtual net::header_list
+  own_answer_headers(const caller_request& request,
+                     std::optional<std::chrono::milliseconds> retry_after) const = 0;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/forwarded_call.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "camphorlug/gateway/event_splitter.h"
+#include "camphorlug/gateway/gateway_environment.h"
+#include "camphorlug/net/response_writer.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// One admitted request on its way through targets to its one answer.
+class forwarded_call {
+public:
+  forwarded_call(gateway_environment& environment, net::response_writer& writer,
+                 caller_request request, std::shared_ptr<const route> chosen,
+                 std::string organisation, int priority, bool closes_connection);
+
+  support::task<> run();
+
+private:
+  /// How one sending ended.
+  enum class sending_end {
+    /// The caller has its final answer, or is gone.
+    answered,
+    /// The target did not run the request.
+    not_run,
+    /// The target may have run it, and no whole answer came.
+    unknown,
+    /// The target ran it and answered with a failure that may be passed on.
+    failed,
+  };
+
+  support::task<sending_end> send_to(const chosen_target& target);
+  support::task<sending_end> relay_whole(net::http_exchange& exchange, target_answer answer,
+                                         const chosen_target& target);
+  support::task<sending_end> relay_stream(net::http_exchange& exchange, target_answer answer,
+                                          const chosen_target& target);
+  support::task<bool> pass_on(const target_answer& answer, raw_event event);
+  std::optional<sending_end> judge_head(const target_answer& answer, const chosen_target& target);
+
+  support::task<std::optional<held_slot>> wait_for_slot();
+  support::clock::time_point slot_deadline() const;
+  bool may_send_again(sending_end last);
+  void refuse(std::string reason, std::chrono::nanoseconds expected_wait);
+  void end_without_answer(sending_end last);
+  void send_own(int status, std::string_view reason,
+                std::optional<std::chrono::milliseconds> retry_after);
+  void send_kept_failure();
+  void finish(std::string outcome, std::string detail);
+  net::header_list with_connection_state(net::header_list headers) const;
+
+  std::chrono::nanoseconds left() const { return deadline_ - env_.time.now(); }
+  std::chrono::nanoseconds first_event_limit() const;
+  std::chrono::nanoseconds pause_limit() const;
+  target_pool pool() const { return {service_, request_.model}; }
+
+  gateway_environment& env_;
+  net::response_writer& writer_;
+  caller_request request_;
+  std::shared_ptr<const route> route_;
+  std::string organisation_;
+  int priority_;
+  bool closes_connection_;
+  std::string service_;
+  support::clock::time_point arrived_at_;
+  support::clock::time_point deadline_;
+  std::optional<support::clock::time_point> first_byte_at_;
+
+  bool gone_ = false;
+  net::http_exchange* current_ = nullptr;
+  std::set<std::string> tried_;
+  std::string last_target_;
+  std::size_t sendings_ = 0;
+  bool may_have_run_ = false;
+  std::optional<std::uint64_t> last_event_;
+  std::size_t events_ = 0;
+  /// A target's own failure, passed on when no other target does better.
+  std::optional<target_answer> kept_failure_;
+  std::string kept_body_;
+  std::string trail_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/group_directory.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "camphorlug/gateway/config_in_force.h"
+#include "camphorlug/gateway/serving_group.h"
+#include "camphorlug/gateway/target_registry.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// The groups that may get requests, from what their members say of
+/// themselves: the head is open, every rank is there under the same name and
+/// epoch, and none of them is leaving or missing.
+class group_directory {
+public:
+  group_directory(const target_registry& registry, const config_in_force& config)
+      : registry_(registry), config_(config) {}
+
+  /// The groups of a service that serve `model`.
+  const std::vector<serving_group>& serving(const std::string& service, const std::string& model);
+
+  /// The group that `head` leads, or null when it may get no requests.
+  const serving_group* led_by(const std::string& head);
+
+private:
+  void refresh();
+
+  const target_registry& registry_;
+  const config_in_force& config_;
+  std::uint64_t seen_revision_ = 0;
+  std::uint64_t seen_config_ = 0;
+  std::map<std::pair<std::string, std::string>, std::vector<serving_group>> by_model_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/load_board.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "camphorlug/support/clock.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// Requests in flight at each target.
+using target_loads = std::map<std::string, std::size_t>;
+
+/// Requests that this node and its peers have in flight. Without the peers'
+/// counts, each node would fill a target's slots by itself.
+class load_board {
+public:
+  /// A peer's counts are left out when they are older than this.
+  static constexpr std::chrono::seconds freshness{2};
+
+  explicit load_board(support::clock& time) : time_(time) {}
+
+  void add(const std::string& target) { ++own_[target]; }
+  void remove(const std::string& target);
+
+  /// Takes a peer's newest counts.
+  void take(const std::string& peer, target_loads loads);
+
+  /// In flight at `target`, over all nodes as far as known.
+  std::size_t in_flight(const std::string& target) const;
+  /// The same from this node alone.
+  std::size_t own(const std::string& target) const;
+  const target_loads& own_loads() const { return own_; }
+
+private:
+  struct peer_loads {
+    target_loads loads;
+    support::clock::time_point taken_at;
+  };
+
+  support::clock& time_;
+  target_loads own_;
+  std::map<std::string, peer_loads> peers_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "camphorlug/gateway/load_board.h"
+#include "camphorlug/gateway/node_status.h"
+#include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/net/http_client.h"
+#include "camphorlug/support/clock.h"
+
+#include <asio/any_io_executor.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// Path at which a node takes its peers' statuses.
+inline constexpr const char* status_path = "/camphorlug/v1/status";
+/// Path at which a node hands out the configuration text that it has in force.
+inline constexpr const char* config_path = "/camphorlug/v1/config";
+
+/// The other nodes: every few moments each sends its status to each and gets
+/// theirs in the answer, so that all know who lives, who leaves and what is in
+/// flight where. Without the store this alone goes on.
+class peer_circle {
+public:
+  static constexpr std::chrono::milliseconds interval{250};
+  /// Without a status for this long a peer counts as not alive.
+  static constexpr std::chrono::milliseconds silence{1500};
+
+  /// A peer with when its newest status came.
+  struct peer {
+    node_status status;
+    support::clock::time_point heard_at;
+  };
+
+  peer_circle(asio::any_io_executor executor, support::clock& time, net::http_client& client,
+              load_board& loads, suspicion_list& suspicions, std::function<node_status()> own);
+
+  /// Learns of a node's peer address, from the store, the settings or a peer.
+  void add_address(const std::string& address);
+
+  /// Runs until the clock is shut down.
+  support::task<> run();
+
+  /// Takes a peer's status and answers with this node's own.
+  std::string answer(const std::string& body);
+
+  /// Tells all peers at once, as when this node begins to leave.
+  void announce();
+
+  /// Statuses of the peers that were heard lately.
+  std::vector<node_status> alive() const;
+
+  /// Calls `listener` with a peer's status when it has a newer configuration.
+  void on_newer_config(std::function<void(const node_status&)> listener) {
+    on_newer_config_ = std::move(listener);
+  }
+
+private:
+  /// How the exchanges with one address go.
+  struct contact {
+    bool busy = false;
+    int failures = 0;
+    support::clock::time_point next_at;
+  };
+
+  support::task<> exchange(std::string address);
+  void take(node_status status);
+
+  asio::any_io_executor executor_;
+  support::clock& time_;
+  net::http_client& client_;
+  load_board& loads_;
+  suspicion_list& suspicions_;
+  std::function<node_status()> own_;
+  std::function<void(const node_status&)> on_newer_config_;
+  std::map<std::string, contact> contacts_;
+  std::map<std::string, peer> peers_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/retry_allowance.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "camphorlug/support/clock.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// Bounds of the sendings beyond the first of each request, over all nodes.
+struct retry_limits {
+  /// Further sendings for each request of a window.
+  double ratio = 0.2;
+  std::chrono::milliseconds window{10'000};
+  /// Further sendings of a window whatever its requests.
+  double slack = 100;
+};
+
+/// This node's share of the retries that all nodes together may make.
+class retry_allowance {
+public:
+  /// Part of the bound that is used, since windows slide and nodes come and go.
+  static constexpr double used_part = 0.7;
+
+  /// `nodes` tells how many nodes share the slack.
+  retry_allowance(support::clock& time, retry_limits limits, std::function<std::size_t()> nodes)
+      : time_(time), limits_(limits), nodes_(std::move(nodes)) {}
+
+  void count_request(const std::string& service);
+
+  /// Takes one retry if there is one left.
+  bool take(const std::string& service);
+
+private:
+  struct history {
+    std::deque<support::clock::time_point> requests;
+    std::deque<support::clock::time_point> retries;
+  };
+
+  void forget_old(history& past) const;
+
+  support::clock& time_;
+  retry_limits limits_;
+  std::function<std::size_t()> nodes_;
+  std::map<std::string, history> services_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/routing_config.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "camphorlug/gateway/organisation_key.h"
+#include "camphorlug/gateway/route.h"
+#include "camphorlug/gateway/service_spec.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// What a caller may send.
+struct request_limits {
+  std::size_t header_bytes = 16 * 1024;
+  std::size_t body_bytes = 4 * 1024 * 1024;
+};
+
+/// One version of the operators' configuration.
+class routing_config {
+public:
+  std::uint64_t version = 0;
+  std::map<std::string, service_spec> services;
+  /// Keys of all organisations.
+  std::unordered_map<std::string, organisation_key> keys;
+  /// Whether requests need a key at all.
+  bool has_organisations = false;
+  request_limits limits;
+
+  void add_route(route added);
+  const std::vector<std::shared_ptr<const route>>& routes() const { return routes_; }
+
+  /// The route with the longest prefix of `path` at `host`, or null. `path` has no query.
+  std::shared_ptr<const route> find_route(std::string_view host, std::string_view path) const;
+
+private:
+  std::vector<std::shared_ptr<const route>> routes_;
+  /// By host, a line break and the prefix.
+  std::unordered_map<std::string, std::shared_ptr<const route>> by_place_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/service_spec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "camphorlug/gateway/engine_profile.h"
+
+#include <optional>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// A service that routes lead to.
+struct service_spec {
+  std::string name;
+  /// Path of a target's health check.
+  std::string health_path;
+  /// Present when the service runs models on groups of instances.
+  std::optional<engine_profile> engine;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/target_registry.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "camphorlug/gateway/target_entry.h"
+#include "camphorlug/support/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// An entry with what this process thinks of it.
+struct registered_target {
+  target_entry entry;
+  /// Commit number of the row that the entry was read from.
+  std::uint64_t version = 0;
+  /// When its row was first seen to be missing after the store had been away.
+  std::optional<support::clock::time_point> missing_since;
+};
+
+/// All targets that the registry names. Rows only go forward.
+class target_registry {
+public:
+  /// Entries that lapsed during an outage of the store are back within this
+  /// time after its return if their targets live.
+  static constexpr std::chrono::milliseconds lapse_grace{1800};
+
+  explicit target_registry(support::clock& time) : time_(time) {}
+
+  /// Takes a row that was read or changed; nothing when it does not name a usable target.
+  void update(const std::string& id, std::uint64_t version, std::optional<target_entry> entry);
+
+  /// Takes a row's deletion.
+  void remove(const std::string& id, std::uint64_t version);
+
+  /// Takes a complete reading of the registry: targets outside `present` have no row.
+  void retain(const std::set<std::string>& present, std::uint64_t version);
+
+  /// The store answers again after an outage.
+  void store_returned() { returned_at_ = time_.now(); }
+
+  /// Drops entries that stayed missing. Call it a few times a second.
+  void expire();
+
+  const std::map<std::string, registered_target>& all() const { return targets_; }
+  /// The entry of `id`, or null.
+  const target_entry* find(const std::string& id) const;
+
+  /// Grows with each change of any entry.
+  std::uint64_t revision() const { return revision_; }
+  /// False until the registry was read once.
+  bool was_read() const { return was_read_; }
+
+  void add_listener(std::function<void()> on_change) { listeners_.push_back(std::move(on_change)); }
+
+private:
+  bool in_grace() const;
+  void erase(const std::string& id);
+  void changed();
+
+  support::clock& time_;
+  std::map<std::string, registered_target> targets_;
+  /// Versions of deletions, so that a late older reading brings nothing back.
+  std::map<std::string, std::uint64_t> removed_;
+  std::optional<support::clock::time_point> returned_at_;
+  std::uint64_t revision_ = 0;
+  bool was_read_ = false;
+  std::vector<std::function<void()>> listeners_;
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/waiting_line.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "camphorlug/gateway/held_slot.h"
+#include "camphorlug/gateway/load_board.h"
+#include "camphorlug/gateway/target_chooser.h"
+#include "camphorlug/gateway/waiting_rank.h"
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/notification.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// Hands out the slots of targets and keeps requests waiting in order while
+/// there are none.
+class waiting_line {
+public:
+  /// One request that wants a slot.
+  struct applicant {
+    target_pool pool;
+    waiting_rank rank;
+    std::set<std::string> avoided;
+    /// Set to end the wait without a slot.
+    const bool* withdrawn = nullptr;
+  };
+
+  waiting_line(support::clock& time, target_chooser& chooser, load_board& loads)
+      : time_(time), chooser_(chooser), loads_(loads) {}
+
+  /// A slot, or nothing at `until`.
+  support::task<std::optional<held_slot>> take(applicant wish, support::clock::time_point until);
+
+  /// Gives free slots to those that wait. Call it when targets or loads changed.
+  void pump();
+
+  /// Time until a request that comes now would get a slot; zero when one is free.
+  std::chrono::nanoseconds expected_wait(const target_pool& pool, const waiting_rank& rank);
+
+  /// Learns how long a slot of the pool was held.
+  void learn(const target_pool& pool, std::chrono::nanoseconds held);
+
+  std::size_t waiting() const;
+
+private:
+  struct waiter {
+    applicant wish;
+    support::notification called;
+    std::optional<chosen_target> given;
+    waiter(support::clock& time, applicant wanted) : wish(std::move(wanted)), called(time) {}
+  };
+  using queue = std::multimap<waiting_rank, waiter*>;
+
+  held_slot hold(chosen_target target);
+  void pump(queue& line);
+
+  support::clock& time_;
+  target_chooser& chooser_;
+  load_board& loads_;
+  std::map<target_pool, queue> queues_;
+  std::map<target_pool, std::chrono::duration<double>> usual_hold_;
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/groups/group_planner.h
+++ b/include/camphorlug/groups/group_planner.h
@@ -19,8 +19,8 @@
   asio::any_io_executor executor;
   support::clock& time;
   support::random_source& random;
-  platform::table_store& store;
-  platform::row_cache& rows;
+  table::table_store& store;
+  table::row_cache& rows;
   const documents::document_view& documents;
   const watching::instance_directory& directory;
   const watching::sighting_board& board;
@@ -53,9 +53,9 @@
   support::task<> write_steps(const documents::model_spec& spec);
   support::task<> confirm_serving();
   pool_state observe(const documents::model_spec& spec);
-  pool_instance observe_instance(const platform::listed_instance& listed);
+  pool_instance observe_instance(const table::listed_instance& listed);
   pool_group observe_group(const held_group& held);
-  instance_condition condition_of(const platform::listed_instance& listed);
+  instance_condition condition_of(const table::listed_instance& listed);
   bool has_drained(const group_record& record);
   bool all_ready(const group_record& record) const;
   bool sees_most_members() const;
--- a/include/camphorlug/groups/lease.h
+++ b/include/camphorlug/groups/lease.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "camphorlug/platform/transaction.h"
 #include "camphorlug/support/task.h"
+#include "camphorlug/table/transaction.h"
 
 #include <cstdint>
 #include <string>
@@ -33,7 +33,7 @@
   virtual std::uint64_t number() const = 0;
 
   /// Holds in a transaction only while nobody else took the lease.
-  virtual platform::row_check check() const = 0;
+  virtual table::row_check check() const = 0;
 
   /// The node that held it when it was last read; for operators.
   virtual std::string last_holder() const = 0;
--- a/include/camphorlug/groups/live_groups.h
+++ b/include/camphorlug/groups/live_groups.h
@@ -3,7 +3,7 @@
 #include "camphorlug/documents/document_view.h"
 #include "camphorlug/groups/group_record.h"
 #include "camphorlug/groups/group_view.h"
-#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/table/row_cache.h"
 #include "camphorlug/watching/instance_directory.h"
 #include "camphorlug/watching/sighting_board.h"
 
@@ -20,7 +20,7 @@
   /// How old the sighting of a member may be.
   static constexpr std::chrono::seconds freshness{3};
 
-  live_groups(support::clock& time, platform::row_cache& rows,
+  live_groups(support::clock& time, table::row_cache& rows,
               const documents::document_view& documents,
               const watching::instance_directory& directory, const watching::sighting_board& board);
 
@@ -40,7 +40,7 @@
     std::uint64_t rows_fingerprint = 0;
   };
 
-  void take(const platform::row& changed);
+  void take(const table::row& changed);
   bool is_fresh(const cached_targets& cached) const;
   std::vector<routable_target> collect(const std::string& service) const;
   void collect_groups(const std::string& service, std::vector<routable_target>& found) const;
@@ -48,7 +48,7 @@
                          std::vector<routable_target>& found) const;
 
   support::clock& time_;
-  platform::row_cache& rows_;
+  table::row_cache& rows_;
   const documents::document_view& documents_;
   const watching::instance_directory& directory_;
   const watching::sighting_board& board_;
--- a/include/camphorlug/groups/pool_table.h
+++ b/include/camphorlug/groups/pool_table.h
@@ -4,9 +4,9 @@
 #include "camphorlug/groups/lease.h"
 #include "camphorlug/groups/placement_step.h"
 #include "camphorlug/groups/pool_state.h"
-#include "camphorlug/platform/row_cache.h"
-#include "camphorlug/platform/table_store.h"
 #include "camphorlug/support/random_source.h"
+#include "camphorlug/table/row_cache.h"
+#include "camphorlug/table/table_store.h"
 
 #include <cstdint>
 #include <map>
@@ -31,20 +31,20 @@
 /// lease: that alone keeps an instance out of two groups.
 class pool_table {
 public:
-  pool_table(platform::table_store& store, platform::row_cache& rows, const lease& holding,
+  pool_table(table::table_store& store, table::row_cache& rows, const lease& holding,
              support::random_source& random, std::string pool);
 
-  /// Reads all rows of the pool. Throws platform::store_error.
+  /// Reads all rows of the pool. Throws table::store_error.
   support::task<> load();
 
   /// Forgets what was read, so that the next pass reads it again.
   void invalidate() { loaded_ = false; }
   bool loaded() const { return loaded_; }
 
-  /// Writes one step; false when a row had changed. Throws platform::store_error.
+  /// Writes one step; false when a row had changed. Throws table::store_error.
   support::task<bool> write(placement_step step, std::string service, documents::model_spec spec);
 
-  /// Moves a group to `state`; false when its row had changed. Throws platform::store_error.
+  /// Moves a group to `state`; false when its row had changed. Throws table::store_error.
   support::task<bool> set_state(std::string group, group_state state, std::string reason);
 
   /// Rows of groups that are not dissolved, by id.
@@ -64,8 +64,8 @@
   void free_instance(draft& change, const std::string& instance);
   support::task<bool> commit(draft change);
 
-  platform::table_store& store_;
-  platform::row_cache& rows_;
+  table::table_store& store_;
+  table::row_cache& rows_;
   const lease& lease_;
   support::random_source& random_;
   std::string pool_;
--- a/include/camphorlug/groups/table_lease.h
+++ b/include/camphorlug/groups/table_lease.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "camphorlug/groups/lease.h"
-#include "camphorlug/platform/table_store.h"
 #include "camphorlug/support/clock.h"
 #include "camphorlug/support/random_source.h"
+#include "camphorlug/table/table_store.h"
 
 #include <chrono>
 #include <optional>
@@ -22,7 +22,7 @@
   /// The holder stops this much before its term ends.
   static constexpr std::chrono::seconds margin{1};
 
-  table_lease(platform::table_store& store, support::clock& time, support::random_source& random,
+  table_lease(table::table_store& store, support::clock& time, support::random_source& random,
               std::string pool, std::string node);
 
   support::task<bool> try_acquire() override;
@@ -30,7 +30,7 @@
   support::task<> release() override;
   bool held() const override;
   std::uint64_t number() const override { return number_; }
-  platform::row_check check() const override;
+  table::row_check check() const override;
   std::string last_holder() const override { return last_holder_; }
 
 private:
@@ -40,7 +40,7 @@
   support::task<bool> confirm(std::string attempt, support::clock::time_point sent_at);
   void hold_from(support::clock::time_point sent_at, std::uint64_t holder_version);
 
-  platform::table_store& store_;
+  table::table_store& store_;
   support::clock& time_;
   support::random_source& random_;
   std::string pool_;
--- a/include/camphorlug/net/client_request.h
+++ b/include/camphorlug/net/client_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/net/header_list.h"
+#include "camphorlug/net/response_head.h"
 
 #include <chrono>
 #include <functional>
@@ -13,7 +14,8 @@
   /// Always a connection of its own, so that a failure before it was made is
   /// known to have reached nobody and the library cannot repeat the request.
   fresh,
-  /// May reuse a connection: only for requests that are harmless to repeat.
+  /// May reuse a connection. A request whose reused connection dies is never sent again,
+  /// but the target may have run it.
   pooled,
 };
 
@@ -31,6 +33,9 @@
   /// Asked once the connection stands and before the first byte goes out; false
   /// ends the request unsent. Empty for always.
   std::function<bool()> send_if;
+  /// Asked for the head of the answer; false spoils the connection, which has
+  /// bytes of another request on it. Empty for always.
+  std::function<bool(const response_head&)> accept_head;
 };
 
 } // namespace camphorlug::net
--- a/include/camphorlug/net/http_exchange.h
+++ b/include/camphorlug/net/http_exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "camphorlug/net/header_list.h"
+#include "camphorlug/net/response_head.h"
 #include "camphorlug/support/task.h"
 
 #include <chrono>
@@ -9,12 +9,6 @@
 
 namespace camphorlug::net {
 
-/// Status and headers of an answer.
-struct response_head {
-  int status = 0;
-  header_list headers;
-};
-
 /// A request under way. Destroying it closes its connection unless the answer is whole.
 class http_exchange {
 public:
@@ -28,6 +22,9 @@
 
   /// The next bytes of the body, nothing at its regular end. Throws transport_error.
   virtual support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) = 0;
+
+  /// Makes present and later waits throw transport_error.
+  virtual void cancel() = 0;
 };
 
 } // namespace camphorlug::net
--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -4,6 +4,7 @@
 #include "camphorlug/net/server_request.h"
 
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -11,6 +12,13 @@
 
 namespace camphorlug::net {
 
+/// What a listener takes from its callers.
+struct server_limits {
+  std::size_t header_value_bytes = 16 * 1024;
+  std::size_t body_bytes = 4 * 1024 * 1024;
+  std::chrono::seconds idle_connection{60};
+};
+
 /// Answers one request; runs as a coroutine of its own.
 using request_handler = std::function<support::task<>(server_request, response_writer&)>;
 
@@ -18,7 +26,8 @@
 class http_server {
 public:
   /// `address` is `ip:port`. Throws std::runtime_error when it cannot listen.
-  http_server(asio::io_context& context, const std::string& address, request_handler handler);
+  http_server(asio::io_context& context, const std::string& address, request_handler handler,
+              server_limits limits = {});
   ~http_server();
 
   /// Stops accepting connections; answers in progress run to their end.
--- /dev/null
+++ b/include/camphorlug/net/response_head.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "camphorlug/net/header_list.h"
+
+namespace camphorlug::net {
+
+/// Status and headers of an answer.
+struct response_head {
+  int status = 0;
+  header_list headers;
+};
+
+} // namespace camphorlug::net
--- a/include/camphorlug/net/response_writer.h
+++ b/include/camphorlug/net/response_writer.h
@@ -3,6 +3,7 @@
 #include "camphorlug/net/header_list.h"
 #include "camphorlug/support/task.h"
 
+#include <functional>
 #include <string>
 
 namespace camphorlug::net {
@@ -28,6 +29,12 @@
   /// Ends an answer begun by `start`.
   virtual void finish() = 0;
 
+  /// Resets the connection, so that the answer cannot be taken for a whole one.
+  virtual void abort() = 0;
+
+  /// Calls `action` once when the caller has closed its connection.
+  virtual void on_gone(std::function<void()> action) = 0;
+
   /// True after `send` or `start`.
   virtual bool started() const = 0;
 };
--- a/include/camphorlug/net/server_request.h
+++ b/include/camphorlug/net/server_request.h
@@ -12,6 +12,8 @@
 /// A whole request as a caller sent it.
 struct server_request {
   std::string method;
+  /// Path and query as they were sent.
+  std::string target;
   /// Without the query part.
   std::string path;
   /// Without the question mark; empty when there is none.
--- a/include/camphorlug/node/node.h
+++ b/include/camphorlug/node/node.h
@@ -12,9 +12,9 @@
 #include "camphorlug/node/node_settings.h"
 #include "camphorlug/node/store_reader.h"
 #include "camphorlug/peers/gossip.h"
-#include "camphorlug/platform/instance_list.h"
 #include "camphorlug/requests/request_service.h"
 #include "camphorlug/routing/affinity_picker.h"
+#include "camphorlug/table/instance_list.h"
 #include "camphorlug/watching/watcher.h"
 
 #include <asio/any_io_executor.hpp>
@@ -30,8 +30,8 @@
   asio::any_io_executor executor;
   support::clock& time;
   support::random_source& random;
-  platform::table_store& store;
-  platform::instance_list& instances;
+  table::table_store& store;
+  table::instance_list& instances;
   targets::target_client& targets;
   peers::peer_client& peers;
 };
@@ -64,7 +64,7 @@
 
   const node_settings& settings() const { return settings_; }
   const documents::document_view& documents() const { return documents_; }
-  const platform::row_cache& rows() const { return rows_; }
+  const table::row_cache& rows() const { return rows_; }
   const peers::peer_board& peer_board() const { return peer_board_; }
   groups::live_groups& live_groups() { return live_groups_; }
   documents::document_editor& editor() { return editor_; }
@@ -80,7 +80,7 @@
   support::task<> read_instances();
   support::task<> keep_house();
   bool is_reader() const;
-  bool watches(const platform::listed_instance& instance) const;
+  bool watches(const table::listed_instance& instance) const;
   void send_entries(const net::server_request& request, net::response_writer& writer);
   void send_metrics(net::response_writer& writer);
   void answer_peer_request(const net::server_request& request, net::response_writer& writer);
@@ -92,7 +92,7 @@
   peers::node_report last_report_;
   bool leaving_ = false;
 
-  platform::row_cache rows_;
+  table::row_cache rows_;
   watching::instance_directory directory_;
   watching::sighting_board sightings_;
   peers::peer_board peer_board_;
--- a/include/camphorlug/node/node_builder.h
+++ b/include/camphorlug/node/node_builder.h
@@ -15,8 +15,8 @@
   node_builder& settings(node_settings settings);
   node_builder& clock(support::clock& time);
   node_builder& random(support::random_source& random);
-  node_builder& store(platform::table_store& store);
-  node_builder& instances(platform::instance_list& instances);
+  node_builder& store(table::table_store& store);
+  node_builder& instances(table::instance_list& instances);
   node_builder& targets(targets::target_client& targets);
   node_builder& peers(peers::peer_client& peers);
 
@@ -28,8 +28,8 @@
   std::optional<node_settings> settings_;
   support::clock* time_ = nullptr;
   support::random_source* random_ = nullptr;
-  platform::table_store* store_ = nullptr;
-  platform::instance_list* instances_ = nullptr;
+  table::table_store* store_ = nullptr;
+  table::instance_list* instances_ = nullptr;
   targets::target_client* targets_ = nullptr;
   peers::peer_client* peers_ = nullptr;
 };
--- a/include/camphorlug/node/store_reader.h
+++ b/include/camphorlug/node/store_reader.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "camphorlug/node/isolation_monitor.h"
-#include "camphorlug/platform/row_cache.h"
-#include "camphorlug/platform/table_store.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/table/row_cache.h"
+#include "camphorlug/table/table_store.h"
 
 #include <functional>
 
@@ -14,7 +14,7 @@
 /// what peers have not brought.
 class store_reader {
 public:
-  store_reader(support::clock& time, platform::table_store& store, platform::row_cache& rows,
+  store_reader(support::clock& time, table::table_store& store, table::row_cache& rows,
                isolation_monitor& isolation, std::function<bool()> is_reader);
 
   /// Runs until the clock is shut down.
@@ -28,8 +28,8 @@
   support::task<> read_prefix(std::string prefix);
 
   support::clock& time_;
-  platform::table_store& store_;
-  platform::row_cache& rows_;
+  table::table_store& store_;
+  table::row_cache& rows_;
   isolation_monitor& isolation_;
   std::function<bool()> is_reader_;
   bool has_read_ = false;
--- a/include/camphorlug/peers/gossip.h
+++ b/include/camphorlug/peers/gossip.h
@@ -2,9 +2,9 @@
 
 #include "camphorlug/peers/peer_board.h"
 #include "camphorlug/peers/peer_client.h"
-#include "camphorlug/platform/row_cache.h"
 #include "camphorlug/support/notification.h"
 #include "camphorlug/support/random_source.h"
+#include "camphorlug/table/row_cache.h"
 #include "camphorlug/watching/instance_directory.h"
 #include "camphorlug/watching/sighting_board.h"
 
@@ -24,7 +24,7 @@
   support::random_source& random;
   peer_client& client;
   peer_board& board;
-  platform::row_cache& rows;
+  table::row_cache& rows;
   watching::instance_directory& directory;
   watching::sighting_board& sightings;
   /// Id and peer address of this node.
@@ -59,7 +59,7 @@
 
 private:
   std::vector<std::string> choose_addresses(std::size_t count);
-  support::task<> exchange_with(std::string address, std::vector<platform::row> pushed);
+  support::task<> exchange_with(std::string address, std::vector<table::row> pushed);
   peer_message opening();
   void merge(const peer_message& message, support::clock::time_point began);
   void take_digest(const report_digest& digest, support::clock::time_point now);
@@ -74,7 +74,7 @@
   std::function<node_report()> self_;
   std::function<void(std::uint64_t)> known_as_;
   support::notification changed_;
-  std::map<std::string, platform::row> unpushed_;
+  std::map<std::string, table::row> unpushed_;
   std::set<std::string> in_progress_;
   std::uint64_t exchanges_ = 0;
 };
--- a/include/camphorlug/peers/peer_message.h
+++ b/include/camphorlug/peers/peer_message.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "camphorlug/peers/node_report.h"
-#include "camphorlug/platform/listed_instance.h"
-#include "camphorlug/platform/row.h"
+#include "camphorlug/table/listed_instance.h"
+#include "camphorlug/table/row.h"
 #include "camphorlug/targets/instance_report.h"
 
 #include <chrono>
@@ -60,13 +60,13 @@
   std::vector<row_digest> row_digests;
   std::vector<std::size_t> differing_buckets;
   std::vector<std::string> wanted_rows;
-  std::vector<platform::row> rows;
+  std::vector<table::row> rows;
   /// Instances that the sender has not seen lately.
   std::vector<std::string> missed_instances;
   std::vector<relayed_sighting> sightings;
   /// Set by a node that has no instance list of its own.
   bool wants_instances = false;
-  std::vector<platform::listed_instance> instances;
+  std::vector<table::listed_instance> instances;
 
   std::string to_json() const;
 
--- /dev/null
+++ b/include/camphorlug/replicas/order_client.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "camphorlug/replicas/order_result.h"
+#include "camphorlug/replicas/replica_order.h"
+#include "camphorlug/support/task.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace camphorlug::replicas {
+
+/// The way by which orders reach instances.
+class order_client {
+public:
+  order_client() = default;
+  order_client(const order_client&) = delete;
+  order_client& operator=(const order_client&) = delete;
+  virtual ~order_client() = default;
+
+  /// Sends `order` with the fencing number `fence` if `send_if` still holds
+  /// once the connection stands.
+  virtual support::task<order_result> send(replica_order order, std::uint64_t fence,
+                                           std::function<bool()> send_if) = 0;
+};
+
+} // namespace camphorlug::replicas
--- /dev/null
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "camphorlug/gateway/engine_profile.h"
+#include "camphorlug/gateway/target_registry.h"
+#include "camphorlug/replicas/formation.h"
+#include "camphorlug/replicas/load_limiter.h"
+#include "camphorlug/replicas/order_result.h"
+#include "camphorlug/replicas/replica_order.h"
+#include "camphorlug/support/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorlug::replicas {
+
+/// What a plan is made from.
+struct planning_view {
+  const gateway::engine_profile& engine;
+  const std::map<std::string, gateway::registered_target>& targets;
+  /// Loads are free and quick until then.
+  bool traffic_has_begun = false;
+};
+
+/// Decides which instances of one service form which groups. It keeps what it
+/// ordered during one holding of the lease; what existed before, it learns from
+/// what the instances say of themselves. Nothing here waits or sends.
+class replica_planner {
+public:
+  replica_planner(support::clock& time, std::string service)
+      : time_(time), service_(std::move(service)), loads_(time) {}
+
+  /// Starts anew under another fencing number. `first` is false when an earlier
+  /// planner may have ordered loads a moment ago.
+  void begin_term(std::uint64_t fence, bool first);
+
+  /// The orders to send now. Each counts as sent until its result is taken.
+  std::vector<replica_order> plan(const planning_view& view);
+
+  void take_result(const replica_order& order, order_result result);
+
+  const std::vector<formation>& formations() const { return formations_; }
+
+private:
+  struct pending_order {
+    order_kind kind = order_kind::join;
+    std::uint64_t epoch = 0;
+    support::clock::time_point sent_at;
+    bool answered = false;
+  };
+  /// What is known of an instance beyond its entry.
+  struct instance_memory {
+    std::int64_t started_at_ms = 0;
+    std::optional<pending_order> pending;
+    /// Epochs that it confirmed to have left.
+    std::set<std::uint64_t> left;
+    std::string last_model;
+  };
+  struct pool;
+
+  void refresh_memory(const planning_view& view);
+  void adopt(const planning_view& view);
+  void observe(formation& group, const planning_view& view);
+  void advance(formation& group, const planning_view& view, std::vector<replica_order>& orders);
+  void advance_forming(formation& group, const planning_view& view,
+                       std::vector<replica_order>& orders);
+  void dissolve(formation& group, const planning_view& view, std::vector<replica_order>& orders);
+  void release_strays(const planning_view& view, std::vector<replica_order>& orders);
+  void form_missing(const planning_view& view, std::vector<replica_order>& orders);
+  bool form_one(const planning_view& view, const gateway::model_profile& model,
+                std::vector<replica_order>& orders);
+  void stage_spares(const planning_view& view, std::vector<replica_order>& orders);
+
+  std::map<std::string, std::vector<const gateway::target_entry*>>
+  free_by_domain(const planning_view& view);
+  std::size_t wanted_groups(const planning_view& view, const gateway::model_profile& model) const;
+  std::size_t live_groups(const std::string& model) const;
+  int join_cost(const gateway::target_entry& entry, const std::string& model) const;
+  bool is_assigned(const std::string& id) const;
+  bool may_order(const std::string& id, order_kind kind, std::uint64_t epoch);
+  bool may_load(const planning_view& view);
+  void order(std::vector<replica_order>& orders, replica_order wanted);
+  void enter(formation& group, formation_phase phase, const std::string& reason);
+  bool has_left(const gateway::target_entry& entry) const;
+
+  support::clock& time_;
+  std::string service_;
+  load_limiter loads_;
+  std::uint64_t fence_ = 0;
+  std::uint64_t next_epoch_ = 0;
+  support::clock::time_point term_began_at_;
+  bool first_term_ = true;
+  bool adopted_ = false;
+  std::size_t most_instances_ = 0;
+  std::vector<formation> formations_;
+  std::map<std::string, instance_memory> memory_;
+};
+
+} // namespace camphorlug::replicas
--- a/include/camphorlug/requests/claim_book.h
+++ b/include/camphorlug/requests/claim_book.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "camphorlug/platform/table_store.h"
+#include "camphorlug/table/table_store.h"
 
 #include <optional>
 #include <string>
@@ -50,7 +50,7 @@
 /// run the request, once.
 class claim_book {
 public:
-  explicit claim_book(platform::table_store& store);
+  explicit claim_book(table::table_store& store);
 
   support::task<claim_result> acquire(claim wanted);
 
@@ -65,7 +65,7 @@
   support::task<claim_result> read_back(claim wanted);
   support::task<> replace(claim held, std::optional<std::string> value);
 
-  platform::table_store& store_;
+  table::table_store& store_;
 };
 
 } // namespace camphorlug::requests
--- a/include/camphorlug/support/log.h
+++ b/include/camphorlug/support/log.h
@@ -15,10 +15,13 @@
 /// How much a log line matters.
 enum class log_level { info, warning, error };
 
-/// Sends all log lines to standard error as one JSON object each, with `node` in every line.
+/// Sends all log lines to standard output as one JSON object each, with `node` in every line.
 /// Lines below `lowest` are dropped.
 void start_json_log(std::string_view node, log_level lowest);
 
+/// Writes out the lines that are kept in memory until there are enough of them.
+void flush_log();
+
 /// Writes one line for `event`.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
--- a/include/camphorlug/platform/change_index.h
+++ b/include/camphorlug/table/change_index.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "camphorlug/platform/transaction.h"
+#include "camphorlug/table/transaction.h"
 
 #include <string>
 #include <string_view>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// Key prefix of the rows that tell when the rows under another prefix last
 /// changed: a reader looks at these few and reads the others only when it
@@ -19,4 +19,4 @@
 /// The prefix that an index row speaks of.
 std::string indexed_prefix(std::string_view index_key);
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/commit_result.h
+++ b/include/camphorlug/table/commit_result.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "camphorlug/platform/row.h"
+#include "camphorlug/table/row.h"
 
 #include <cstdint>
 #include <vector>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The table service's answer to a transaction.
 struct commit_result {
@@ -16,4 +16,4 @@
   std::vector<row> current;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/http_instance_list.h
+++ b/include/camphorlug/table/http_instance_list.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "camphorlug/net/http_client.h"
-#include "camphorlug/platform/instance_list.h"
+#include "camphorlug/table/instance_list.h"
 
 #include <string>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The instance list over the platform's HTTP interface.
 class http_instance_list final : public instance_list {
@@ -19,4 +19,4 @@
   std::string address_;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/http_table_store.h
+++ b/include/camphorlug/table/http_table_store.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "camphorlug/net/http_client.h"
-#include "camphorlug/platform/table_store.h"
+#include "camphorlug/table/table_store.h"
 
 #include <string>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The table service over its HTTP interface.
 class http_table_store final : public table_store {
@@ -21,4 +21,4 @@
   std::string address_;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/instance_list.h
+++ b/include/camphorlug/table/instance_list.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "camphorlug/platform/listed_instance.h"
 #include "camphorlug/support/task.h"
+#include "camphorlug/table/listed_instance.h"
 
 #include <vector>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The platform's lagging list of live and leaving instances.
 class instance_list {
@@ -19,4 +19,4 @@
   virtual support::task<std::vector<listed_instance>> list() = 0;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/listed_instance.h
+++ b/include/camphorlug/table/listed_instance.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// What an instance is there for.
 enum class instance_role {
@@ -30,4 +30,4 @@
   bool operator==(const listed_instance&) const = default;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/row.h
+++ b/include/camphorlug/table/row.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// One row of the table service.
 struct row {
@@ -15,4 +15,4 @@
   std::uint64_t version = 0;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/row_cache.h
+++ b/include/camphorlug/table/row_cache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "camphorlug/platform/row.h"
+#include "camphorlug/table/row.h"
 
 #include <array>
 #include <cstddef>
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The newest version of each row that this node has seen, from the table
 /// service or from a peer. A row only ever goes forward.
@@ -55,4 +55,4 @@
   std::array<std::uint64_t, bucket_count> buckets_{};
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/store_error.h
+++ b/include/camphorlug/table/store_error.h
@@ -3,7 +3,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The table service or the instance list gave no usable answer.
 class store_error final : public std::runtime_error {
@@ -18,4 +18,4 @@
   bool may_have_committed_;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- /dev/null
+++ b/include/camphorlug/table/table_follower.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "camphorlug/support/clock.h"
+#include "camphorlug/support/random_source.h"
+#include "camphorlug/table/change_feed.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace camphorlug::table {
+
+/// Keeps a node up to date on one table: reads it whole, follows its changes,
+/// and reads it again now and then, since a feed may hear nothing without
+/// ending. Answers older than what is known are dropped.
+class table_follower {
+public:
+  /// Takes a batch; `whole` tells that rows which are not in it do not exist.
+  using listener = std::function<void(const feed_batch& batch, bool whole)>;
+
+  table_follower(support::clock& time, support::random_source& random, change_feed& feed,
+                 std::string table, std::chrono::milliseconds reread_interval, listener on_batch);
+
+  /// Follows the feed until the clock is shut down.
+  support::task<> follow();
+  /// Reads the whole table now and then until the clock is shut down.
+  support::task<> reread();
+
+  /// Whether the last call to the store had an answer.
+  bool in_contact() const { return failures_ == 0; }
+
+  /// Calls `action` when the store answers again after it did not.
+  void on_regained(std::function<void()> action) { on_regained_ = std::move(action); }
+
+private:
+  support::task<bool> read_whole();
+  void succeeded();
+  void failed(const std::string& reason);
+
+  support::clock& time_;
+  support::random_source& random_;
+  change_feed& feed_;
+  std::string table_;
+  std::chrono::milliseconds reread_interval_;
+  listener on_batch_;
+  std::function<void()> on_regained_;
+  std::uint64_t version_ = 0;
+  bool must_read_ = true;
+  int failures_ = 0;
+};
+
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/table_store.h
+++ b/include/camphorlug/table/table_store.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "camphorlug/platform/commit_result.h"
-#include "camphorlug/platform/row.h"
-#include "camphorlug/platform/transaction.h"
 #include "camphorlug/support/task.h"
+#include "camphorlug/table/commit_result.h"
+#include "camphorlug/table/row.h"
+#include "camphorlug/table/transaction.h"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// The platform's transactional table service.
 class table_store {
@@ -29,4 +29,4 @@
   virtual support::task<commit_result> commit(transaction change) = 0;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/platform/transaction.h
+++ b/include/camphorlug/table/transaction.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 /// Requires that a row still has a version; 0 requires that it does not exist.
 struct row_check {
@@ -25,4 +25,4 @@
   std::vector<row_write> writes;
 };
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/include/camphorlug/watching/instance_directory.h
+++ b/include/camphorlug/watching/instance_directory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "camphorlug/platform/instance_list.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/table/instance_list.h"
 
 #include <functional>
 #include <map>
@@ -15,21 +15,20 @@
 class instance_directory {
 public:
   /// Replaces what is known. Instances that are listed no more are dropped.
-  void update(const std::vector<platform::listed_instance>& list,
-              support::clock::time_point read_at);
+  void update(const std::vector<table::listed_instance>& list, support::clock::time_point read_at);
 
   /// Adds what a peer knows, as long as this node has no list of its own.
-  void adopt(const std::vector<platform::listed_instance>& list);
+  void adopt(const std::vector<table::listed_instance>& list);
 
-  const platform::listed_instance* find(const std::string& id) const;
-  const std::map<std::string, platform::listed_instance>& all() const { return instances_; }
+  const table::listed_instance* find(const std::string& id) const;
+  const std::map<std::string, table::listed_instance>& all() const { return instances_; }
 
   /// Whether a list of this node's own reading is there.
   bool was_read() const { return was_read_; }
   support::clock::time_point read_at() const { return read_at_; }
 
 private:
-  std::map<std::string, platform::listed_instance> instances_;
+  std::map<std::string, table::listed_instance> instances_;
   support::clock::time_point read_at_;
   bool was_read_ = false;
 };
--- a/include/camphorlug/watching/watcher.h
+++ b/include/camphorlug/watching/watcher.h
@@ -14,7 +14,7 @@
 namespace camphorlug::watching {
 
 /// Decides which instances this node watches by itself.
-using watch_filter = std::function<bool(const platform::listed_instance&)>;
+using watch_filter = std::function<bool(const table::listed_instance&)>;
 
 /// Keeps one coroutine for each watched instance, which asks for its report
 /// twice a second and writes what it learns on the board.
@@ -32,8 +32,8 @@
 
 private:
   support::task<> watch(std::string instance);
-  support::task<> ask(platform::listed_instance instance);
-  bool should_watch(const platform::listed_instance& instance) const;
+  support::task<> ask(table::listed_instance instance);
+  bool should_watch(const table::listed_instance& instance) const;
 
   asio::any_io_executor executor_;
   support::clock& time_;
--- a/lib/documents/cached_documents.cpp
+++ b/lib/documents/cached_documents.cpp
@@ -5,10 +5,10 @@
 
 namespace camphorlug::documents {
 
-cached_documents::cached_documents(platform::row_cache& rows) {
-  for (const platform::row* present : rows.with_prefix(document_prefix))
+cached_documents::cached_documents(table::row_cache& rows) {
+  for (const table::row* present : rows.with_prefix(document_prefix))
     take(*present);
-  rows.add_listener([this](const platform::row& changed) { take(changed); });
+  rows.add_listener([this](const table::row& changed) { take(changed); });
 }
 
 std::shared_ptr<const document_in_force> cached_documents::find(const std::string& service) const {
@@ -27,7 +27,7 @@
   listeners_.push_back(std::move(on_change));
 }
 
-static std::shared_ptr<const document_in_force> parse_row(const platform::row& changed) {
+static std::shared_ptr<const document_in_force> parse_row(const table::row& changed) {
   auto parsed = std::make_shared<document_in_force>();
   parsed->version = document_version::from_json(changed.value);
   support::config_errors errors;
@@ -40,7 +40,7 @@
   return parsed;
 }
 
-void cached_documents::take(const platform::row& changed) {
+void cached_documents::take(const table::row& changed) {
   if (!changed.key.starts_with(document_prefix))
     return;
   std::shared_ptr<const document_in_force> parsed;
--- a/lib/documents/document_editor.cpp
+++ b/lib/documents/document_editor.cpp
@@ -2,8 +2,8 @@
 
 #include "camphorlug/documents/cached_documents.h"
 #include "camphorlug/documents/parse_document.h"
-#include "camphorlug/platform/change_index.h"
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/change_index.h"
+#include "camphorlug/table/store_error.h"
 
 #include <ctime>
 
@@ -27,7 +27,7 @@
   return history_prefix + service + "/" + digits;
 }
 
-document_editor::document_editor(platform::table_store& store, platform::row_cache& rows,
+document_editor::document_editor(table::table_store& store, table::row_cache& rows,
                                  support::clock& time)
     : store_(store), rows_(rows), time_(time) {}
 
@@ -46,7 +46,7 @@
   bool answer_lost = false;
   try {
     co_return co_await write(request);
-  } catch (const platform::store_error& error) {
+  } catch (const table::store_error& error) {
     answer_lost = error.may_have_committed();
   }
   if (!answer_lost)
@@ -56,7 +56,7 @@
 
 support::task<edit_result> document_editor::write(edit_request request) {
   const std::string key = document_prefix + request.service;
-  const std::optional<platform::row> held = co_await store_.read(key);
+  const std::optional<table::row> held = co_await store_.read(key);
   document_version present;
   if (held)
     present = document_version::from_json(held->value);
@@ -73,15 +73,15 @@
   }
   document_version next{request.service, present.number + 1, request.text,
                         request.edit_id, request.author,     calendar_text(time_.wall_time())};
-  platform::transaction change;
+  table::transaction change;
   change.checks.push_back({key, held ? held->version : 0});
   change.writes.push_back({key, next.to_json()});
   change.writes.push_back({history_key(request.service, next.number), next.to_json()});
-  change.writes.push_back(platform::index_write(document_prefix));
-  const platform::commit_result result = co_await store_.commit(std::move(change));
+  change.writes.push_back(table::index_write(document_prefix));
+  const table::commit_result result = co_await store_.commit(std::move(change));
   if (!result.committed) {
     edit_result lost{edit_outcome::conflict, present, {}};
-    for (const platform::row& row : result.current) {
+    for (const table::row& row : result.current) {
       if (row.key == key)
         lost.current = document_version::from_json(row.value);
     }
@@ -98,7 +98,7 @@
       if (each.edit_id == request.edit_id)
         co_return edit_result{edit_outcome::accepted, each, {}};
     }
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     // Still not known; the operator asks again with the same id.
   }
   // A write whose answer was lost may also be still on its way, so that its
@@ -109,7 +109,7 @@
 support::task<std::vector<document_version>> document_editor::history(std::string service) {
   std::vector<document_version> versions;
   const auto rows = co_await store_.scan(history_prefix + service + "/");
-  for (const platform::row& row : rows)
+  for (const table::row& row : rows)
     versions.push_back(document_version::from_json(row.value));
   co_return versions;
 }
--- /dev/null
+++ b/lib/edge/edge_node.cpp
@@ -0,0 +1,241 @@
+#include "camphorlug/edge/edge_node.h"
+
+#include "camphorlug/gateway/entry_choice.h"
+#include "camphorlug/net/problem.h"
+#include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::edge {
+
+static constexpr const char* node_prefix = "node/";
+static constexpr const char* lease_pool = "replicas";
+static constexpr std::chrono::milliseconds config_reread{2000};
+static constexpr std::chrono::milliseconds targets_reread{4000};
+static constexpr std::chrono::milliseconds own_reread{8000};
+static constexpr std::chrono::milliseconds housekeeping_interval{50};
+static constexpr std::chrono::milliseconds registration_retry{500};
+static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
+/// Some callers keep an answer of the entry directory for this many times its life.
+static constexpr int overlong_use = 3;
+
+/// Later starts have larger incarnations if calendars are roughly right.
+static std::uint64_t make_incarnation(support::clock& time) {
+  return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
+                                    std::chrono::milliseconds(1));
+}
+
+edge_node::edge_node(edge_context context, edge_settings settings)
+    : context_(std::move(context)), settings_(std::move(settings)),
+      incarnation_(make_incarnation(context_.time)), registry_(context_.time),
+      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
+      chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
+      line_(context_.time, chooser_, loads_),
+      retries_(context_.time, settings_.retries, [this] { return nodes_alive(); }),
+      requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
+                 registry_, line_, suspicions_, retries_, metrics_},
+                [this] { return leaving_; }),
+      peers_(context_.executor, context_.time, context_.client, loads_, suspicions_,
+             [this] { return status(); }),
+      lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id),
+      keeper_({context_.executor, context_.time, config_, registry_, lease_, context_.orders,
+               [this] { return others_served_ || requests_.handled() > 0; }}),
+      config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
+                       config_reread,
+                       [this](const table::feed_batch& batch, bool) {
+                         for (const table::feed_row& row : batch.rows) {
+                           if (row.key == context_.tables.config_key && !row.deleted)
+                             take_config(row.value);
+                         }
+                       }),
+      target_follower_(
+          context_.time, context_.random, context_.feed, context_.tables.target_table,
+          targets_reread,
+          [this](const table::feed_batch& batch, bool whole) { take_targets(batch, whole); }),
+      own_follower_(context_.time, context_.random, context_.feed, context_.tables.own_table,
+                    own_reread,
+                    [this](const table::feed_batch& batch, bool) { take_own_rows(batch); }) {
+  registry_.add_listener([this] { line_.pump(); });
+  target_follower_.on_regained([this] { registry_.store_returned(); });
+  peers_.on_newer_config([this](const gateway::node_status& peer) {
+    if (!std::exchange(fetching_config_, true))
+      support::spawn(context_.executor, "fetch_config", fetch_config(peer.peer_address));
+  });
+}
+
+edge_node::~edge_node() = default;
+
+void edge_node::start() {
+  for (const std::string& seed : settings_.seeds)
+    peers_.add_address(seed);
+  const auto& executor = context_.executor;
+  support::spawn(executor, "follow_config", config_follower_.follow());
+  support::spawn(executor, "reread_config", config_follower_.reread());
+  support::spawn(executor, "follow_targets", target_follower_.follow());
+  support::spawn(executor, "reread_targets", target_follower_.reread());
+  support::spawn(executor, "follow_own_rows", own_follower_.follow());
+  support::spawn(executor, "reread_own_rows", own_follower_.reread());
+  support::spawn(executor, "register", register_self());
+  support::spawn(executor, "peers", peers_.run());
+  support::spawn(executor, "lease", keeper_.keep_lease());
+  support::spawn(executor, "replicas", keeper_.run());
+  support::spawn(executor, "housekeeping", keep_house());
+}
+
+void edge_node::take_config(const std::string& text) {
+  std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
+  if (config && config_.take(std::move(config)))
+    config_text_ = text;
+}
+
+void edge_node::take_targets(const table::feed_batch& batch, bool whole) {
+  std::set<std::string> present;
+  for (const table::feed_row& row : batch.rows) {
+    if (row.deleted) {
+      registry_.remove(row.key, row.version);
+      continue;
+    }
+    present.insert(row.key);
+    registry_.update(row.key, row.version, context_.decoder.read_target(row.key, row.value));
+  }
+  if (whole)
+    registry_.retain(present, batch.version);
+}
+
+void edge_node::take_own_rows(const table::feed_batch& batch) {
+  for (const table::feed_row& row : batch.rows) {
+    if (!row.key.starts_with(node_prefix) || row.deleted)
+      continue;
+    try {
+      const std::string address = nlohmann::json::parse(row.value).at("peer_address");
+      peers_.add_address(address);
+    } catch (const nlohmann::json::exception& error) {
+      support::log_event(support::log_level::warning, "node_row_unreadable",
+                         {{"key", row.key}, {"error", error.what()}});
+    }
+  }
+}
+
+support::task<> edge_node::register_self() {
+  for (;;) {
+    table::transaction change;
+    const nlohmann::json value{{"peer_address", settings_.peer_address}};
+    change.writes.push_back({node_prefix + settings_.id, value.dump()});
+    try {
+      const table::commit_result result = co_await context_.store.commit(std::move(change));
+      if (result.committed)
+        co_return;
+    } catch (const table::store_error& error) {
+      support::log_event(support::log_level::warning, "registration_failed",
+                         {{"error", error.what()}});
+    }
+    co_await context_.time.sleep_for(registration_retry);
+  }
+}
+
+support::task<> edge_node::fetch_config(std::string peer_address) {
+  net::client_request request;
+  request.address = peer_address;
+  request.target = gateway::config_path;
+  request.connection = net::connection_use::pooled;
+  try {
+    const net::client_response response =
+        co_await context_.client.fetch(std::move(request), config_fetch_timeout);
+    if (response.status == 200)
+      take_config(response.body);
+  } catch (const net::transport_error& error) {
+    support::log_event(support::log_level::warning, "config_fetch_failed",
+                       {{"peer", peer_address}, {"error", error.what()}});
+  }
+  fetching_config_ = false;
+}
+
+support::task<> edge_node::keep_house() {
+  for (;;) {
+    registry_.expire();
+    for (const gateway::node_status& peer : peers_.alive())
+      others_served_ = others_served_ || peer.has_served;
+    line_.pump();
+    support::flush_log();
+    co_await context_.time.sleep_for(housekeeping_interval);
+  }
+}
+
+bool edge_node::ready() const {
+  return !leaving_ && config_.current() && registry_.was_read();
+}
+
+gateway::node_status edge_node::status() {
+  gateway::node_status status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.public_address = settings_.public_address;
+  status.peer_address = settings_.peer_address;
+  status.incarnation = incarnation_;
+  status.sequence = ++sequence_;
+  status.ready = ready();
+  status.leaving = leaving_;
+  status.config_version = config_.current() ? config_.current()->version : 0;
+  status.has_served = requests_.handled() > 0;
+  status.loads = loads_.own_loads();
+  status.suspects = suspicions_.own();
+  return status;
+}
+
+std::vector<std::string> edge_node::entries(const std::string& data_centre) const {
+  std::vector<gateway::node_status> nodes = peers_.alive();
+  gateway::node_status self;
+  self.data_centre = settings_.data_centre;
+  self.public_address = settings_.public_address;
+  self.ready = ready();
+  self.leaving = leaving_;
+  nodes.push_back(std::move(self));
+  return gateway::choose_entries(nodes, data_centre, settings_.least_entries);
+}
+
+support::task<> edge_node::handle_caller(net::server_request request,
+                                         net::response_writer& writer) {
+  return requests_.handle(std::move(request), writer);
+}
+
+support::task<> edge_node::handle_peer(net::server_request request, net::response_writer& writer) {
+  if (request.path == gateway::config_path) {
+    if (config_text_.empty())
+      net::send_problem(writer, {404, "no-configuration", "ask another node or the store"});
+    else
+      net::send_json(writer, 200, config_text_);
+    co_return;
+  }
+  if (request.path != gateway::status_path) {
+    net::send_problem(writer, {404, "unknown-path", "peers use the paths of peer_circle.h"});
+    co_return;
+  }
+  try {
+    net::send_json(writer, 200, peers_.answer(request.body));
+  } catch (const nlohmann::json::exception& error) {
+    net::send_problem(writer, {400, "bad-status", error.what()});
+  }
+}
+
+support::task<> edge_node::leave() {
+  leaving_ = true;
+  support::log_event(support::log_level::info, "leaving");
+  peers_.announce();
+  support::spawn(context_.executor, "step_down", keeper_.step_down());
+  const auto away = settings_.entries_valid_for * overlong_use;
+  co_await context_.time.sleep_for(std::min(away, settings_.termination_grace * 6 / 10));
+}
+
+std::string edge_node::metrics() {
+  gateway::gateway_gauges gauges;
+  gauges.waiting_requests = line_.waiting();
+  gauges.known_targets = registry_.all().size();
+  gauges.live_peers = peers_.alive().size();
+  gauges.config_version = config_.current() ? config_.current()->version : 0;
+  gauges.leads = keeper_.leads();
+  return metrics_.serialize(gauges);
+}
+
+} // namespace camphorlug::edge
--- /dev/null
+++ b/lib/gateway/config_in_force.cpp
@@ -0,0 +1,18 @@
+#include "camphorlug/gateway/config_in_force.h"
+
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::gateway {
+
+bool config_in_force::take(std::shared_ptr<const routing_config> candidate) {
+  if (current_ && candidate->version <= current_->version)
+    return false;
+  support::log_event(support::log_level::info, "config_in_force",
+                     {{"version", std::to_string(candidate->version)},
+                      {"before", std::to_string(current_ ? current_->version : 0)},
+                      {"routes", std::to_string(candidate->routes().size())}});
+  current_ = std::move(candidate);
+  return true;
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/gateway_metrics.cpp
@@ -0,0 +1,78 @@
+#include "camphorlug/gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace camphorlug::gateway {
+
+/// Bounds in seconds around the objectives of 0.1 to 0.5 s.
+static const prometheus::Histogram::BucketBoundaries first_byte_bounds{0.025, 0.05, 0.1, 0.2, 0.3,
+                                                                       0.4,   0.5,  1,   2,   6};
+/// Routes with a label of their own; later ones share one, so that a grown
+/// configuration does not grow the metrics.
+static constexpr std::size_t max_labelled_routes = 20;
+
+struct gateway_metrics::implementation {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter()
+                                                          .Name("camphorlug_gateway_requests_total")
+                                                          .Help("Requests by route and outcome")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter>& retries =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_retries_total")
+          .Help("Sendings beyond the first of a request, by reason")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& first_byte =
+      prometheus::BuildHistogram()
+          .Name("camphorlug_gateway_first_byte_seconds")
+          .Help("Time from a whole request to the first byte of its answer")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
+                                                      .Name("camphorlug_gateway_state")
+                                                      .Help("What this process knows and holds")
+                                                      .Register(registry);
+  std::map<std::string, std::string> labels;
+
+  std::string label_of(const std::string& route) {
+    const auto found = labels.find(route);
+    if (found != labels.end())
+      return found->second;
+    if (labels.size() >= max_labelled_routes)
+      return "other";
+    return labels[route] = route;
+  }
+};
+
+gateway_metrics::gateway_metrics() : implementation_(std::make_unique<implementation>()) {}
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::count_request(const std::string& route, const std::string& outcome,
+                                    std::chrono::nanoseconds first_byte) {
+  const std::string label = implementation_->label_of(route);
+  implementation_->requests.Add({{"route", label}, {"outcome", outcome}}).Increment();
+  implementation_->first_byte.Add({{"route", label}}, first_byte_bounds)
+      .Observe(std::chrono::duration<double>(first_byte).count());
+}
+
+void gateway_metrics::count_retry(const std::string& reason) {
+  implementation_->retries.Add({{"reason", reason}}).Increment();
+}
+
+std::string gateway_metrics::serialize(const gateway_gauges& gauges) {
+  const auto set = [this](const char* name, double value) {
+    implementation_->gauges.Add({{"value", name}}).Set(value);
+  };
+  set("waiting_requests", static_cast<double>(gauges.waiting_requests));
+  set("known_targets", static_cast<double>(gauges.known_targets));
+  set("serving_groups", static_cast<double>(gauges.serving_groups));
+  set("live_peers", static_cast<double>(gauges.live_peers));
+  set("config_version", static_cast<double>(gauges.config_version));
+  set("leads", gauges.leads ? 1 : 0);
+  return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/group_directory.cpp
@@ -0,0 +1,81 @@
+#include "camphorlug/gateway/group_directory.h"
+
+#include <tuple>
+
+namespace camphorlug::gateway {
+
+namespace {
+
+/// Members by rank of one epoch of a group.
+struct observed_group {
+  const target_entry* head = nullptr;
+  std::map<std::size_t, std::string> members;
+  bool sound = true;
+};
+
+} // namespace
+
+static bool serves(membership_state state) {
+  return state == membership_state::ready || state == membership_state::open;
+}
+
+static void observe(observed_group& group, const registered_target& target) {
+  const group_membership& membership = *target.entry.membership;
+  const bool sound = !target.entry.draining && !target.missing_since && serves(membership.state);
+  // Two instances at one rank: one of them has an outdated list of members.
+  const bool first = group.members.emplace(membership.rank, target.entry.id).second;
+  group.sound = group.sound && sound && first;
+  if (membership.rank == 0 && membership.state == membership_state::open)
+    group.head = &target.entry;
+}
+
+void group_directory::refresh() {
+  const std::uint64_t version = config_.current() ? config_.current()->version : 0;
+  if (seen_revision_ == registry_.revision() && seen_config_ == version)
+    return;
+  seen_revision_ = registry_.revision();
+  seen_config_ = version;
+  by_model_.clear();
+  if (!config_.current())
+    return;
+  std::map<std::tuple<std::string, std::string, std::uint64_t>, observed_group> observed;
+  for (const auto& [id, target] : registry_.all()) {
+    if (target.entry.membership)
+      observe(observed[{target.entry.service, target.entry.membership->group,
+                        target.entry.membership->epoch}],
+              target);
+  }
+  for (const auto& [key, group] : observed) {
+    const auto& [service, name, epoch] = key;
+    const auto spec = config_.current()->services.find(service);
+    if (!group.sound || !group.head || spec == config_.current()->services.end() ||
+        !spec->second.engine)
+      continue;
+    const model_profile* model = spec->second.engine->find(group.head->model);
+    if (!model || group.members.size() != model->size)
+      continue;
+    serving_group whole{name, epoch, model->name, {}};
+    for (const auto& [rank, id] : group.members)
+      whole.members.push_back(id);
+    by_model_[{service, model->name}].push_back(std::move(whole));
+  }
+}
+
+const std::vector<serving_group>& group_directory::serving(const std::string& service,
+                                                           const std::string& model) {
+  refresh();
+  return by_model_[{service, model}];
+}
+
+const serving_group* group_directory::led_by(const std::string& head) {
+  refresh();
+  for (const auto& [key, groups] : by_model_) {
+    for (const serving_group& each : groups) {
+      if (each.members.front() == head)
+        return &each;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/node_status.cpp
@@ -0,0 +1,42 @@
+#include "camphorlug/gateway/node_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::gateway {
+
+// Short names: several of these travel between data centres each second.
+std::string node_status::to_json() const {
+  return nlohmann::json{{"id", id},
+                        {"dc", data_centre},
+                        {"pub", public_address},
+                        {"peer", peer_address},
+                        {"inc", incarnation},
+                        {"seq", sequence},
+                        {"ready", ready},
+                        {"leave", leaving},
+                        {"cfg", config_version},
+                        {"srv", has_served},
+                        {"load", loads},
+                        {"sus", suspects}}
+      .dump();
+}
+
+node_status node_status::from_json(const std::string& text) {
+  const auto value = nlohmann::json::parse(text);
+  node_status status;
+  value.at("id").get_to(status.id);
+  value.at("dc").get_to(status.data_centre);
+  value.at("pub").get_to(status.public_address);
+  value.at("peer").get_to(status.peer_address);
+  value.at("inc").get_to(status.incarnation);
+  value.at("seq").get_to(status.sequence);
+  value.at("ready").get_to(status.ready);
+  value.at("leave").get_to(status.leaving);
+  value.at("cfg").get_to(status.config_version);
+  value.at("srv").get_to(status.has_served);
+  value.at("load").get_to(status.loads);
+  value.at("sus").get_to(status.suspects);
+  return status;
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/peer_circle.cpp
@@ -0,0 +1,113 @@
+#include "camphorlug/gateway/peer_circle.h"
+
+#include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::gateway {
+
+static constexpr std::chrono::milliseconds exchange_timeout{400};
+/// A peer that does not answer is asked less often, up to this.
+static constexpr std::chrono::milliseconds longest_interval{2000};
+
+peer_circle::peer_circle(asio::any_io_executor executor, support::clock& time,
+                         net::http_client& client, load_board& loads, suspicion_list& suspicions,
+                         std::function<node_status()> own)
+    : executor_(std::move(executor)), time_(time), client_(client), loads_(loads),
+      suspicions_(suspicions), own_(std::move(own)) {}
+
+void peer_circle::add_address(const std::string& address) {
+  if (address != own_().peer_address)
+    contacts_.try_emplace(address);
+}
+
+support::task<> peer_circle::run() {
+  for (;;) {
+    for (auto& [address, known] : contacts_) {
+      if (!known.busy && time_.now() >= known.next_at) {
+        known.busy = true;
+        support::spawn(executor_, "exchange " + address, exchange(address));
+      }
+    }
+    co_await time_.sleep_for(interval / 5);
+  }
+}
+
+void peer_circle::announce() {
+  for (auto& [address, known] : contacts_)
+    support::spawn(executor_, "announce " + address, exchange(address));
+}
+
+support::task<> peer_circle::exchange(std::string address) {
+  net::client_request request;
+  request.method = "POST";
+  request.address = address;
+  request.target = status_path;
+  request.headers.add("Content-Type", "application/json");
+  request.body = own_().to_json();
+  request.connect_timeout = exchange_timeout;
+  request.connection = net::connection_use::pooled;
+  bool heard = false;
+  try {
+    const net::client_response response =
+        co_await client_.fetch(std::move(request), exchange_timeout);
+    if (response.status == 200) {
+      take(node_status::from_json(response.body));
+      heard = true;
+    }
+  } catch (const net::transport_error&) {
+    // Counted below; the peer may be gone or cut off.
+  } catch (const nlohmann::json::exception& error) {
+    support::log_event(support::log_level::warning, "peer_status_unreadable",
+                       {{"peer", address}, {"error", error.what()}});
+  }
+  contact& known = contacts_[address];
+  if (heard && known.failures > 1)
+    support::log_event(support::log_level::info, "peer_regained", {{"peer", address}});
+  known.failures = heard ? 0 : known.failures + 1;
+  if (known.failures == 2)
+    support::log_event(support::log_level::warning, "peer_lost", {{"peer", address}});
+  known.busy = false;
+  known.next_at = time_.now() + std::min<std::chrono::milliseconds>(interval * (1 + known.failures),
+                                                                    longest_interval);
+}
+
+std::string peer_circle::answer(const std::string& body) {
+  take(node_status::from_json(body));
+  return own_().to_json();
+}
+
+void peer_circle::take(node_status status) {
+  const node_status own = own_();
+  if (status.id == own.id)
+    return;
+  add_address(status.peer_address);
+  const auto known = peers_.find(status.id);
+  if (known != peers_.end()) {
+    const node_status& before = known->second.status;
+    // Exchanges overtake each other.
+    if (std::tie(status.incarnation, status.sequence) <=
+        std::tie(before.incarnation, before.sequence))
+      return;
+  }
+  loads_.take(status.id, status.loads);
+  for (const std::string& target : status.suspects)
+    suspicions_.take(target);
+  if (status.config_version > own.config_version && on_newer_config_)
+    on_newer_config_(status);
+  const std::string id = status.id;
+  peers_[id] = {std::move(status), time_.now()};
+}
+
+std::vector<node_status> peer_circle::alive() const {
+  std::vector<node_status> statuses;
+  for (const auto& [id, known] : peers_) {
+    if (time_.now() - known.heard_at < silence)
+      statuses.push_back(known.status);
+  }
+  return statuses;
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/request_gateway.cpp
@@ -0,0 +1,70 @@
+#include "camphorlug/gateway/request_gateway.h"
+
+#include "camphorlug/gateway/forwarded_call.h"
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::gateway {
+
+/// A node without any configuration has one as soon as it reaches the store.
+static constexpr std::chrono::milliseconds no_config_retry_after{500};
+
+void request_gateway::reject(const caller_request& request, net::response_writer& writer,
+                             int status, std::string_view reason) {
+  std::optional<std::chrono::milliseconds> retry_after;
+  if (status == 503)
+    retry_after = no_config_retry_after;
+  net::header_list headers = env_.protocol.own_answer_headers(request, retry_after);
+  if (leaving_())
+    headers.add("Connection", "close");
+  writer.send(status, std::move(headers), std::string(reason) + "\n");
+  const auto& config = env_.config.current();
+  env_.metrics.count_request("none", "rejected", std::chrono::nanoseconds(0));
+  support::log_event(support::log_level::warning, "request",
+                     {{"request", request.id},
+                      {"outcome", "rejected"},
+                      {"status", std::to_string(status)},
+                      {"detail", std::string(reason)},
+                      {"host", request.host},
+                      {"path", request.path},
+                      {"config", std::to_string(config ? config->version : 0)}});
+}
+
+support::task<> request_gateway::handle(net::server_request raw, net::response_writer& writer) {
+  ++handled_;
+  caller_request request = env_.protocol.read(std::move(raw));
+  // Kept alive here: a newer version may come into force meanwhile.
+  const std::shared_ptr<const routing_config> config = env_.config.current();
+  if (!config) {
+    reject(request, writer, 503, "no configuration is known yet");
+    co_return;
+  }
+  if (request.header_bytes > config->limits.header_bytes) {
+    reject(request, writer, 431, "the headers are larger than the configuration allows");
+    co_return;
+  }
+  if (request.body.size() > config->limits.body_bytes) {
+    reject(request, writer, 413, "the body is larger than the configuration allows");
+    co_return;
+  }
+  const std::shared_ptr<const route> chosen = config->find_route(request.host, request.path);
+  if (!chosen) {
+    reject(request, writer, 404, "no route leads there");
+    co_return;
+  }
+  std::string organisation;
+  int priority = chosen->priority;
+  if (config->has_organisations && !chosen->is_public) {
+    const auto known = request.key ? config->keys.find(*request.key) : config->keys.end();
+    if (known == config->keys.end()) {
+      reject(request, writer, 401, "the key is missing or unknown");
+      co_return;
+    }
+    organisation = known->second.organisation;
+    priority = known->second.priority.value_or(priority);
+  }
+  forwarded_call call(env_, writer, std::move(request), chosen, std::move(organisation), priority,
+                      leaving_());
+  co_await call.run();
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/suspicion_list.cpp
@@ -0,0 +1,59 @@
+#include "camphorlug/gateway/suspicion_list.h"
+
+#include "camphorlug/support/log.h"
+
+#include <algorithm>
+
+namespace camphorlug::gateway {
+
+/// A peer's word counts for one exchange and a little more, so that it ends with the peer's own.
+static constexpr std::chrono::milliseconds relayed_suspension{600};
+
+void suspicion_list::suspect(const std::string& target, const std::string& reason) {
+  record& known = records_[target];
+  const auto now = time_.now();
+  known.failures = 0;
+  if (known.own && now < known.until)
+    return;
+  const auto span = std::min<std::chrono::nanoseconds>(
+      first_suspension * (1 << std::min(known.suspensions, 4)), longest_suspension);
+  known.suspensions += 1;
+  known.until = now + span;
+  known.own = true;
+  support::log_event(support::log_level::warning, "target_suspected",
+                     {{"target", target},
+                      {"reason", reason},
+                      {"for_ms", std::to_string(span / std::chrono::milliseconds(1))}});
+}
+
+void suspicion_list::count_failure(const std::string& target, const std::string& reason) {
+  record& known = records_[target];
+  known.failures += 1;
+  if (known.failures > tolerated_failures)
+    suspect(target, reason);
+}
+
+void suspicion_list::count_success(const std::string& target) {
+  records_.erase(target);
+}
+
+void suspicion_list::take(const std::string& target) {
+  record& known = records_[target];
+  known.until = std::max(known.until, time_.now() + relayed_suspension);
+}
+
+bool suspicion_list::suspected(const std::string& target) const {
+  const auto found = records_.find(target);
+  return found != records_.end() && time_.now() < found->second.until;
+}
+
+std::vector<std::string> suspicion_list::own() const {
+  std::vector<std::string> targets;
+  for (const auto& [target, known] : records_) {
+    if (known.own && time_.now() < known.until)
+      targets.push_back(target);
+  }
+  return targets;
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/target_registry.cpp
@@ -0,0 +1,115 @@
+#include "camphorlug/gateway/target_registry.h"
+
+#include "camphorlug/support/log.h"
+
+namespace camphorlug::gateway {
+
+const char* to_string(membership_state state) {
+  switch (state) {
+  case membership_state::joining:
+    return "joining";
+  case membership_state::ready:
+    return "ready";
+  case membership_state::open:
+    return "open";
+  case membership_state::closing:
+    return "closing";
+  case membership_state::broken:
+    return "broken";
+  }
+  return "broken";
+}
+
+static void log_target(std::string_view event, const std::string& id, std::uint64_t version) {
+  support::log_event(support::log_level::info, event,
+                     {{"target", id}, {"version", std::to_string(version)}});
+}
+
+void target_registry::update(const std::string& id, std::uint64_t version,
+                             std::optional<target_entry> entry) {
+  const auto removed = removed_.find(id);
+  if (removed != removed_.end() && version <= removed->second)
+    return;
+  const auto held = targets_.find(id);
+  if (held != targets_.end() && version < held->second.version)
+    return;
+  if (!entry) {
+    if (held != targets_.end())
+      log_target("target_unusable", id, version);
+    erase(id);
+    return;
+  }
+  if (held != targets_.end() && version == held->second.version) {
+    held->second.missing_since.reset();
+    return;
+  }
+  if (held == targets_.end())
+    log_target("target_added", id, version);
+  else if (held->second.entry.started_at_ms != entry->started_at_ms)
+    log_target("target_restarted", id, version);
+  else if (!held->second.entry.draining && entry->draining)
+    log_target("target_draining", id, version);
+  targets_[id] = {std::move(*entry), version, std::nullopt};
+  changed();
+}
+
+bool target_registry::in_grace() const {
+  return returned_at_ && time_.now() - *returned_at_ < lapse_grace;
+}
+
+void target_registry::remove(const std::string& id, std::uint64_t version) {
+  std::uint64_t& removed = removed_[id];
+  removed = std::max(removed, version);
+  const auto held = targets_.find(id);
+  if (held == targets_.end() || held->second.version > version)
+    return;
+  if (in_grace() && !held->second.entry.draining) {
+    held->second.missing_since = time_.now();
+    return;
+  }
+  log_target("target_removed", id, version);
+  erase(id);
+}
+
+void target_registry::retain(const std::set<std::string>& present, std::uint64_t version) {
+  was_read_ = true;
+  std::vector<std::string> missing;
+  for (const auto& [id, target] : targets_) {
+    if (!present.contains(id) && target.version <= version && !target.missing_since)
+      missing.push_back(id);
+  }
+  for (const std::string& id : missing)
+    remove(id, version);
+}
+
+void target_registry::expire() {
+  if (in_grace())
+    return;
+  std::vector<std::string> expired;
+  for (const auto& [id, target] : targets_) {
+    if (target.missing_since)
+      expired.push_back(id);
+  }
+  for (const std::string& id : expired) {
+    log_target("target_lapsed", id, targets_[id].version);
+    erase(id);
+  }
+}
+
+const target_entry* target_registry::find(const std::string& id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : &found->second.entry;
+}
+
+void target_registry::erase(const std::string& id) {
+  if (targets_.erase(id) > 0)
+    changed();
+}
+
+void target_registry::changed() {
+  ++revision_;
+  for (const auto& listener : listeners_)
+    listener();
+}
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/lib/gateway/waiting_line.cpp
@@ -0,0 +1,99 @@
+#include "camphorlug/gateway/waiting_line.h"
+
+namespace camphorlug::gateway {
+
+/// Share of a new holding time in the running mean.
+static constexpr double hold_gain = 0.05;
+/// Assumed until the first slot of a pool was given back.
+static constexpr std::chrono::duration<double> first_hold_estimate{0.5};
+/// Applicants that are tried in one go when the first ones find no slot: those
+/// that avoid a target must not block the others.
+static constexpr int tried_in_one_go = 4;
+
+held_slot waiting_line::hold(chosen_target target) {
+  return {std::move(target), [this](const std::string& id) {
+            loads_.remove(id);
+            pump();
+          }};
+}
+
+support::task<std::optional<held_slot>> waiting_line::take(applicant wish,
+                                                           support::clock::time_point until) {
+  queue& line = queues_[wish.pool];
+  const bool first = line.empty() || wish.rank < line.begin()->first;
+  if (first) {
+    if (auto target = chooser_.choose(wish.pool, wish.avoided)) {
+      loads_.add(target->id);
+      co_return hold(std::move(*target));
+    }
+  }
+  const waiting_rank rank = wish.rank;
+  waiter self(time_, std::move(wish));
+  const auto place = line.emplace(rank, &self);
+  while (!self.given && !(self.wish.withdrawn && *self.wish.withdrawn)) {
+    const auto left = until - time_.now();
+    if (left <= std::chrono::nanoseconds(0))
+      break;
+    co_await self.called.wait_for(
+        std::min<std::chrono::nanoseconds>(left, std::chrono::milliseconds(50)));
+  }
+  line.erase(place);
+  if (!self.given)
+    co_return std::nullopt;
+  co_return hold(std::move(*self.given));
+}
+
+void waiting_line::pump() {
+  for (auto& [pool, line] : queues_)
+    pump(line);
+}
+
+void waiting_line::pump(queue& line) {
+  int failures = 0;
+  for (auto& [rank, each] : line) {
+    if (each->given)
+      continue;
+    auto target = chooser_.choose(each->wish.pool, each->wish.avoided);
+    if (!target) {
+      if (++failures == tried_in_one_go)
+        return;
+      continue;
+    }
+    loads_.add(target->id);
+    each->given = std::move(target);
+    each->called.notify();
+  }
+}
+
+std::chrono::nanoseconds waiting_line::expected_wait(const target_pool& pool,
+                                                     const waiting_rank& rank) {
+  const std::size_t slots = chooser_.slots(pool);
+  if (slots == 0)
+    return std::chrono::hours(1);
+  const queue& line = queues_[pool];
+  std::size_t ahead = 0;
+  for (auto each = line.begin(); each != line.end() && each->first < rank; ++each)
+    ++ahead;
+  const std::size_t busy = chooser_.in_flight(pool);
+  if (ahead == 0 && busy < slots)
+    return std::chrono::nanoseconds(0);
+  const auto known = usual_hold_.find(pool);
+  const auto hold = known == usual_hold_.end() ? first_hold_estimate : known->second;
+  const double rounds = (static_cast<double>(ahead) + 1) / static_cast<double>(slots);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(hold * rounds);
+}
+
+void waiting_line::learn(const target_pool& pool, std::chrono::nanoseconds held) {
+  auto [known, fresh] = usual_hold_.emplace(pool, held);
+  if (!fresh)
+    known->second += (std::chrono::duration<double>(held) - known->second) * hold_gain;
+}
+
+std::size_t waiting_line::waiting() const {
+  std::size_t sum = 0;
+  for (const auto& [pool, line] : queues_)
+    sum += line.size();
+  return sum;
+}
+
+} // namespace camphorlug::gateway
--- a/lib/groups/group_planner.cpp
+++ b/lib/groups/group_planner.cpp
@@ -1,7 +1,7 @@
 #include "camphorlug/groups/group_planner.h"
 
-#include "camphorlug/platform/store_error.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
 
 namespace camphorlug::groups {
 
@@ -39,7 +39,7 @@
         co_await lead();
       else
         co_await follow();
-    } catch (const platform::store_error& error) {
+    } catch (const table::store_error& error) {
       status_.waits_for = std::string("the table service: ") + error.what();
     }
     status_.leads = context_.holding.held();
@@ -149,7 +149,7 @@
                                               longest_replacement_wait);
 }
 
-instance_condition group_planner::condition_of(const platform::listed_instance& listed) {
+instance_condition group_planner::condition_of(const table::listed_instance& listed) {
   const watching::sighting* seen = context_.board.find(listed.id);
   if (seen && seen->absent)
     return instance_condition::lost;
@@ -163,7 +163,7 @@
                                                 : instance_condition::present;
 }
 
-pool_instance group_planner::observe_instance(const platform::listed_instance& listed) {
+pool_instance group_planner::observe_instance(const table::listed_instance& listed) {
   pool_instance instance;
   instance.id = listed.id;
   instance.address = listed.address;
@@ -208,7 +208,7 @@
 pool_state group_planner::observe(const documents::model_spec& spec) {
   pool_state pool{service_, spec, {}, {}};
   for (const auto& [id, listed] : context_.directory.all()) {
-    if (listed.pool == pool_ && listed.role == platform::instance_role::runner)
+    if (listed.pool == pool_ && listed.role == table::instance_role::runner)
       pool.instances.push_back(observe_instance(listed));
   }
   for (const auto& [id, held] : table_.groups())
--- a/lib/groups/live_groups.cpp
+++ b/lib/groups/live_groups.cpp
@@ -8,17 +8,17 @@
 /// How long a collected set may be used when nothing is known to have changed.
 static constexpr std::chrono::milliseconds longest_use{100};
 
-live_groups::live_groups(support::clock& time, platform::row_cache& rows,
+live_groups::live_groups(support::clock& time, table::row_cache& rows,
                          const documents::document_view& documents,
                          const watching::instance_directory& directory,
                          const watching::sighting_board& board)
     : time_(time), rows_(rows), documents_(documents), directory_(directory), board_(board) {
-  for (const platform::row* present : rows.with_prefix(group_prefix))
+  for (const table::row* present : rows.with_prefix(group_prefix))
     take(*present);
-  rows.add_listener([this](const platform::row& changed) { take(changed); });
+  rows.add_listener([this](const table::row& changed) { take(changed); });
 }
 
-void live_groups::take(const platform::row& changed) {
+void live_groups::take(const table::row& changed) {
   if (!changed.key.starts_with(group_prefix))
     return;
   try {
@@ -54,7 +54,7 @@
       return instance + " does not report this group and number";
     if (!report.ready)
       return instance + " is not ready";
-    const platform::listed_instance* listed = directory_.find(instance);
+    const table::listed_instance* listed = directory_.find(instance);
     if (report.leaving || (listed && listed->leaving))
       return instance + " is leaving";
   }
@@ -108,7 +108,7 @@
                                     std::vector<routable_target>& found) const {
   for (const auto& [id, instance] : directory_.all()) {
     if (instance.pool != document.pool || instance.leaving ||
-        instance.role != platform::instance_role::plain)
+        instance.role != table::instance_role::plain)
       continue;
     const watching::sighting* seen = board_.find(id);
     const bool usable = seen && !seen->absent && seen->report.ready && !seen->report.leaving &&
--- a/lib/groups/order_sender.cpp
+++ b/lib/groups/order_sender.cpp
@@ -71,10 +71,9 @@
 void order_sender::collect_strays(const pool_table& table,
                                   std::vector<wanted_order>& wanted) const {
   for (const auto& [id, seen] : board_.all()) {
-    const platform::listed_instance* listed = directory_.find(id);
-    const bool is_stray = listed && listed->role == platform::instance_role::runner &&
-                          !seen.absent && !seen.report.group.empty() &&
-                          !table.instances().contains(id);
+    const table::listed_instance* listed = directory_.find(id);
+    const bool is_stray = listed && listed->role == table::instance_role::runner && !seen.absent &&
+                          !seen.report.group.empty() && !table.instances().contains(id);
     if (is_stray)
       wanted.push_back({id,
                         listed->address,
--- a/lib/groups/pool_table.cpp
+++ b/lib/groups/pool_table.cpp
@@ -1,8 +1,8 @@
 #include "camphorlug/groups/pool_table.h"
 
 #include "camphorlug/groups/row_keys.h"
-#include "camphorlug/platform/change_index.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/change_index.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -15,13 +15,13 @@
 /// A transaction under construction and the record that it writes.
 struct pool_table::draft {
   group_record record;
-  platform::transaction change;
+  table::transaction change;
   std::vector<std::string> assigned;
   std::vector<std::string> freed;
 };
 
-pool_table::pool_table(platform::table_store& store, platform::row_cache& rows,
-                       const lease& holding, support::random_source& random, std::string pool)
+pool_table::pool_table(table::table_store& store, table::row_cache& rows, const lease& holding,
+                       support::random_source& random, std::string pool)
     : store_(store), rows_(rows), lease_(holding), random_(random), pool_(std::move(pool)) {}
 
 support::task<> pool_table::load() {
@@ -29,13 +29,13 @@
   const auto instance_rows = co_await store_.scan(pool_instance_prefix(pool_));
   groups_.clear();
   instances_.clear();
-  for (const platform::row& row : group_rows) {
+  for (const table::row& row : group_rows) {
     rows_.take(row);
     group_record record = group_record::from_json(row.value);
     if (record.state != group_state::dissolved)
       groups_.emplace(record.id, held_group{record, row.version});
   }
-  for (const platform::row& row : instance_rows) {
+  for (const table::row& row : instance_rows) {
     const std::string id = row.key.substr(pool_instance_prefix(pool_).size());
     instances_[id] = {nlohmann::json::parse(row.value).at("group"), row.version};
   }
@@ -179,10 +179,10 @@
   change.change.checks.push_back(lease_.check());
   change.change.checks.push_back({key, held == groups_.end() ? 0 : held->second.row_version});
   change.change.writes.push_back({key, record.to_json()});
-  change.change.writes.push_back(platform::index_write(pool_group_prefix(pool_)));
+  change.change.writes.push_back(table::index_write(pool_group_prefix(pool_)));
   // Until the answer is here it is not known what the rows say.
   loaded_ = false;
-  const platform::commit_result result = co_await store_.commit(change.change);
+  const table::commit_result result = co_await store_.commit(change.change);
   if (!result.committed)
     co_return false;
   loaded_ = true;
--- a/lib/groups/table_lease.cpp
+++ b/lib/groups/table_lease.cpp
@@ -1,7 +1,7 @@
 #include "camphorlug/groups/table_lease.h"
 
-#include "camphorlug/platform/store_error.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
 
@@ -45,7 +45,7 @@
   std::uint64_t renewal_version = 0;
 };
 
-table_lease::table_lease(platform::table_store& store, support::clock& time,
+table_lease::table_lease(table::table_store& store, support::clock& time,
                          support::random_source& random, std::string pool, std::string node)
     : store_(store), time_(time), random_(random), pool_(std::move(pool)), node_(std::move(node)) {}
 
@@ -53,14 +53,14 @@
   return holding_ && time_.now() < held_since_ + term - margin;
 }
 
-platform::row_check table_lease::check() const {
+table::row_check table_lease::check() const {
   return {holder_key(pool_), holder_version_};
 }
 
 support::task<table_lease::observed_rows> table_lease::observe() {
   observed_rows rows;
   const auto found = co_await store_.scan("pool/" + pool_ + "/");
-  for (const platform::row& row : found) {
+  for (const table::row& row : found) {
     if (row.key == holder_key(pool_)) {
       rows.holder = holder_value::from_json(row.value);
       rows.holder_version = row.version;
@@ -86,14 +86,14 @@
     if (!free && asked_at - *unchanged_since_ < term)
       co_return false;
     co_return co_await take_over(rows);
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     co_return false;
   }
 }
 
 support::task<bool> table_lease::take_over(observed_rows rows) {
   const holder_value mine{node_, rows.holder.number + 1, random_.identifier(), false};
-  platform::transaction change;
+  table::transaction change;
   change.checks.push_back({holder_key(pool_), rows.holder_version});
   change.checks.push_back({renewal_key(pool_), rows.renewal_version});
   change.writes.push_back({holder_key(pool_), mine.to_json()});
@@ -101,12 +101,12 @@
   const auto sent_at = time_.now();
   bool answer_lost = false;
   try {
-    const platform::commit_result result = co_await store_.commit(std::move(change));
+    const table::commit_result result = co_await store_.commit(std::move(change));
     if (!result.committed)
       co_return false;
     number_ = mine.number;
     hold_from(sent_at, result.version);
-  } catch (const platform::store_error& error) {
+  } catch (const table::store_error& error) {
     if (!error.may_have_committed())
       throw;
     answer_lost = true;
@@ -139,17 +139,17 @@
 }
 
 support::task<> table_lease::renew() {
-  platform::transaction change;
+  table::transaction change;
   change.checks.push_back(check());
   change.writes.push_back({renewal_key(pool_), random_.identifier()});
   const auto sent_at = time_.now();
   try {
-    const platform::commit_result result = co_await store_.commit(std::move(change));
+    const table::commit_result result = co_await store_.commit(std::move(change));
     if (result.committed)
       held_since_ = std::max(held_since_, sent_at);
     else
       holding_ = false;
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     // The term goes on from the last renewal that is known to be written.
   }
 }
@@ -158,12 +158,12 @@
   if (!std::exchange(holding_, false))
     co_return;
   const holder_value mine{node_, number_, random_.identifier(), true};
-  platform::transaction change;
+  table::transaction change;
   change.checks.push_back(check());
   change.writes.push_back({holder_key(pool_), mine.to_json()});
   try {
     co_await store_.commit(std::move(change));
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     // The next holder waits for the term instead.
   }
 }
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -18,6 +18,9 @@
 /// Silence after sending that ends a connection.
 static constexpr std::chrono::milliseconds tcp_user_timeout{5000};
 
+/// Idle connections that are kept for reuse.
+static constexpr long max_idle_connections = 500;
+
 /// How long an idle pooled connection may be used again.
 static constexpr long max_pooled_age_seconds = 20;
 
@@ -30,6 +33,7 @@
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &driver::on_timer);
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
   }
 
   ~driver() { curl_multi_cleanup(multi_); }
@@ -175,7 +179,11 @@
     co_return piece;
   }
 
+  void cancel() override { finish(CURLE_ABORTED_BY_CALLBACK); }
+
   void finish(CURLcode result) {
+    if (finished_)
+      return;
     finished_ = true;
     result_ = result;
     changed_.notify();
@@ -195,9 +203,19 @@
                        static_cast<curl_off_t>(request_.body.size()));
       curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.c_str());
     }
+    curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
     header_lines_ = curl_slist_append(header_lines_, "Expect:");
-    for (const header& entry : request_.headers)
-      header_lines_ = curl_slist_append(header_lines_, (entry.name + ": " + entry.value).c_str());
+    // The library adds these by itself unless told otherwise.
+    for (const char* added : {"Accept", "Content-Type"}) {
+      if (!request_.headers.find(added))
+        header_lines_ = curl_slist_append(header_lines_, (std::string(added) + ":").c_str());
+    }
+    for (const header& entry : request_.headers) {
+      // The library drops a header with nothing behind the colon.
+      const std::string line =
+          entry.value.empty() ? entry.name + ";" : entry.name + ": " + entry.value;
+      header_lines_ = curl_slist_append(header_lines_, line.c_str());
+    }
     curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_lines_);
   }
 
@@ -235,6 +253,10 @@
 
   static int before_sending(void* self, char*, char*, int, int) {
     auto* exchange = static_cast<curl_exchange*>(self);
+    // The second call comes when the library repeats a request whose reused
+    // connection died before any answer: the target may have run it.
+    if (exchange->sending_)
+      return CURL_PREREQFUNC_ABORT;
     if (exchange->request_.send_if && !exchange->request_.send_if())
       return CURL_PREREQFUNC_ABORT;
     exchange->sending_ = true;
@@ -242,36 +264,39 @@
   }
 
   static std::size_t on_header(char* data, std::size_t, std::size_t size, void* self) {
-    static_cast<curl_exchange*>(self)->take_header_line({data, size});
-    return size;
+    const bool taken = static_cast<curl_exchange*>(self)->take_header_line({data, size});
+    return taken ? size : 0;
   }
 
   static std::size_t on_body(char* data, std::size_t, std::size_t size, void* self) {
     return static_cast<curl_exchange*>(self)->take_body({data, size});
   }
 
-  void take_header_line(std::string_view line) {
+  /// Returns false when the answer must not be read any further.
+  bool take_header_line(std::string_view line) {
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
       line.remove_suffix(1);
     if (line.empty()) {
       // An interim answer (1xx) is followed by the real one.
       head_complete_ = head_.status >= 200;
-      if (head_complete_)
-        changed_.notify();
-      return;
+      if (!head_complete_)
+        return true;
+      changed_.notify();
+      return !request_.accept_head || request_.accept_head(head_);
     }
     if (line.starts_with("HTTP/")) {
       head_ = {};
       head_.status = std::atoi(std::string(line.substr(line.find(' ') + 1)).c_str());
-      return;
+      return true;
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
-      return;
+      return true;
     std::string_view value = line.substr(colon + 1);
     while (!value.empty() && value.front() == ' ')
       value.remove_prefix(1);
     head_.headers.add(std::string(line.substr(0, colon)), std::string(value));
+    return true;
   }
 
   std::size_t take_body(std::string_view piece) {
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -6,26 +6,56 @@
 #include <asio/async_result.hpp>
 #include <asio/post.hpp>
 #include <asio/use_awaitable.hpp>
+#include <map>
 #include <netinet/tcp.h>
 #include <restinio/all.hpp>
+#include <strings.h>
+#include <vector>
 
 namespace camphorlug::net {
 
-/// Limits above which a request is answered 413 or 431. The library's own
-/// limits lie higher, since it closes the connection without an answer.
-static constexpr std::size_t max_body_bytes = 4 * 1024 * 1024;
-static constexpr std::size_t max_header_value_bytes = 16 * 1024;
+/// More headers than this are answered 431.
 static constexpr std::size_t max_headers = 100;
 
+/// The library closes a connection without an answer above its own limits, so
+/// they lie this much higher than ours.
+static constexpr std::size_t library_limit_factor = 16;
+
 static constexpr std::chrono::hours longest_answer{24};
-static constexpr std::chrono::seconds idle_connection_limit{60};
 static constexpr std::chrono::seconds write_limit{20};
 
 namespace {
 
+/// Actions to take when connections end, by connection.
+class gone_actions {
+public:
+  void add(restinio::connection_id_t connection, std::function<void()> action) {
+    actions_.emplace(connection, std::move(action));
+  }
+
+  void drop(restinio::connection_id_t connection) { actions_.erase(connection); }
+
+  /// RESTinio calls this for each change of a connection's state.
+  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
+    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+      return;
+    const auto [begin, end] = actions_.equal_range(notice.connection_id());
+    std::vector<std::function<void()>> due;
+    for (auto entry = begin; entry != end; ++entry)
+      due.push_back(std::move(entry->second));
+    actions_.erase(begin, end);
+    for (const auto& action : due)
+      action();
+  }
+
+private:
+  std::multimap<restinio::connection_id_t, std::function<void()>> actions_;
+};
+
 struct server_traits : restinio::default_single_thread_traits_t {
   using request_handler_t =
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+  using connection_state_listener_t = gone_actions;
 };
 
 using server_type = restinio::http_server_t<server_traits>;
@@ -33,13 +63,23 @@
 
 template<class Builder>
 void add_headers(Builder& builder, const header_list& headers) {
-  for (const header& entry : headers)
-    builder.append_header(entry.name, entry.value);
+  for (const header& entry : headers) {
+    if (strcasecmp(entry.name.c_str(), "Connection") == 0)
+      builder.connection_close();
+    else
+      builder.append_header(entry.name, entry.value);
+  }
 }
 
 class restinio_writer final : public response_writer {
 public:
-  explicit restinio_writer(restinio::request_handle_t request) : request_(std::move(request)) {}
+  restinio_writer(restinio::request_handle_t request, std::shared_ptr<gone_actions> gone)
+      : request_(std::move(request)), gone_(std::move(gone)) {}
+
+  ~restinio_writer() override {
+    if (watches_)
+      gone_->drop(request_->connection_id());
+  }
 
   void send(int status, header_list headers, std::string body) override {
     started_ = true;
@@ -51,6 +91,7 @@
 
   void start(int status, header_list headers) override {
     started_ = true;
+    connection_ = restinio::impl::access_req_connection(*request_);
     chunks_.emplace(request_->create_response<restinio::chunked_output_t>(status_line(status)));
     add_headers(*chunks_, headers);
     chunks_->flush();
@@ -75,6 +116,28 @@
 
   void finish() override { chunks_->done(); }
 
+  void abort() override {
+    using connection_type = restinio::impl::connection_t<server_traits>;
+    started_ = true;
+    auto held = std::move(restinio::impl::access_req_connection(*request_));
+    if (!held && connection_)
+      held = connection_;
+    const auto connection = std::dynamic_pointer_cast<connection_type>(held);
+    if (!connection)
+      return;
+    // The library has no call for this: taking the socket as an upgrade would
+    // and closing it with unsent bytes dropped resets the connection.
+    auto taken = connection->move_upgrade_internals();
+    asio::error_code ignored;
+    taken.m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    taken.m_socket.close(ignored);
+  }
+
+  void on_gone(std::function<void()> action) override {
+    watches_ = true;
+    gone_->add(request_->connection_id(), std::move(action));
+  }
+
   bool started() const override { return started_; }
 
 private:
@@ -89,13 +152,18 @@
   }
 
   restinio::request_handle_t request_;
+  std::shared_ptr<gone_actions> gone_;
   std::optional<chunked_builder> chunks_;
+  /// Kept while the answer is written, since the builder takes it from the request.
+  restinio::impl::connection_handle_t connection_;
+  bool watches_ = false;
   bool started_ = false;
 };
 
 server_request to_server_request(const restinio::request_handle_t& request) {
   server_request copy;
   copy.method = request->header().method().c_str();
+  copy.target = request->header().request_target();
   copy.path = std::string(request->header().path());
   copy.query = std::string(request->header().query());
   request->header().for_each_field([&copy](const restinio::http_header_field_t& field) {
@@ -106,17 +174,17 @@
   return copy;
 }
 
-std::optional<problem> check_limits(const server_request& request) {
-  if (request.body.size() > max_body_bytes)
+std::optional<problem> check_limits(const server_request& request, const server_limits& limits) {
+  if (request.body.size() > limits.body_bytes)
     return problem{413, "body-too-large",
                    "the body has " + std::to_string(request.body.size()) + " bytes; at most " +
-                       std::to_string(max_body_bytes) + " are taken"};
+                       std::to_string(limits.body_bytes) + " are taken"};
   std::size_t count = 0;
   for (const header& entry : request.headers) {
-    if (++count > max_headers || entry.value.size() > max_header_value_bytes)
+    if (++count > max_headers || entry.value.size() > limits.header_value_bytes)
       return problem{431, "headers-too-large",
                      "at most " + std::to_string(max_headers) + " headers of at most " +
-                         std::to_string(max_header_value_bytes) + " bytes are taken; " +
+                         std::to_string(limits.header_value_bytes) + " bytes are taken; " +
                          "shorten " + entry.name};
   }
   return std::nullopt;
@@ -127,21 +195,23 @@
 struct http_server::implementation : std::enable_shared_from_this<implementation> {
   asio::io_context& context;
   request_handler handler;
+  server_limits limits;
+  std::shared_ptr<gone_actions> gone = std::make_shared<gone_actions>();
   std::unique_ptr<server_type> server;
   std::size_t in_progress = 0;
   bool accepting = true;
 
-  implementation(asio::io_context& io, request_handler handle)
-      : context(io), handler(std::move(handle)) {}
+  implementation(asio::io_context& io, request_handler handle, server_limits bounds)
+      : context(io), handler(std::move(handle)), limits(bounds) {}
 
   static support::task<> answer(std::shared_ptr<implementation> self,
                                 restinio::request_handle_t handle) {
     ++self->in_progress;
-    restinio_writer writer(handle);
+    restinio_writer writer(handle, self->gone);
     server_request request = to_server_request(handle);
     std::exception_ptr failure;
     try {
-      if (const auto refused = check_limits(request))
+      if (const auto refused = check_limits(request, self->limits))
         send_problem(writer, *refused);
       else
         co_await self->handler(std::move(request), writer);
@@ -157,8 +227,8 @@
 };
 
 http_server::http_server(asio::io_context& context, const std::string& address,
-                         request_handler handler)
-    : implementation_(std::make_shared<implementation>(context, std::move(handler))) {
+                         request_handler handler, server_limits limits)
+    : implementation_(std::make_shared<implementation>(context, std::move(handler), limits)) {
   const std::size_t colon = address.rfind(':');
   const std::string host = address.substr(0, colon);
   const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
@@ -174,16 +244,20 @@
   auto configure = [&](auto& settings) {
     settings.address(host).port(port).request_handler(accept);
     settings.handle_request_timeout(longest_answer);
-    settings.read_next_http_message_timelimit(idle_connection_limit);
+    settings.read_next_http_message_timelimit(limits.idle_connection);
+    settings.connection_state_listener(implementation_->gone);
     settings.write_http_response_timelimit(write_limit);
     settings.concurrent_accepts_count(8);
-    settings.max_pipelined_requests(1);
-    settings.incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                          .max_url_size(16 * 1024)
-                                          .max_field_name_size(16 * 1024)
-                                          .max_field_value_size(256 * 1024)
-                                          .max_field_count(1000)
-                                          .max_body_size(64 * 1024 * 1024));
+    // With room for one more request the library goes on reading, so that it
+    // notices at once when a waiting caller closes its connection.
+    settings.max_pipelined_requests(2);
+    settings.incoming_http_msg_limits(
+        restinio::incoming_http_msg_limits_t{}
+            .max_url_size(16 * 1024)
+            .max_field_name_size(16 * 1024)
+            .max_field_value_size(limits.header_value_bytes * library_limit_factor)
+            .max_field_count(max_headers * library_limit_factor)
+            .max_body_size(limits.body_bytes * library_limit_factor));
     settings.acceptor_options_setter(
         [](auto& options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); });
     settings.socket_options_setter([](auto& options) {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -5,10 +5,10 @@
 #include "camphorlug/node/entry_list.h"
 #include "camphorlug/node/operator_api.h"
 #include "camphorlug/peers/http_peer_client.h"
-#include "camphorlug/platform/store_error.h"
 #include "camphorlug/routing/rendezvous.h"
 #include "camphorlug/support/digest.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
 
 #include <algorithm>
 
@@ -50,7 +50,7 @@
       reader_(context.time, context.store, rows_, isolation_, [this] { return is_reader(); }),
       watcher_(context.executor, context.time, context.random, context.targets, directory_,
                sightings_, settings_.id,
-               [this](const platform::listed_instance& instance) { return watches(instance); }),
+               [this](const table::listed_instance& instance) { return watches(instance); }),
       gossip_(
           {context.executor, context.time, context.random, context.peers, peer_board_, rows_,
            directory_, sightings_, settings_.id, settings_.operator_address},
@@ -92,9 +92,9 @@
 support::task<> node::read_instances() {
   for (;;) {
     try {
-      const std::vector<platform::listed_instance> list = co_await context_.instances.list();
+      const std::vector<table::listed_instance> list = co_await context_.instances.list();
       directory_.update(list, context_.time.now());
-    } catch (const platform::store_error&) {
+    } catch (const table::store_error&) {
       // The list before stays.
     }
     watcher_.refresh();
@@ -105,6 +105,7 @@
 support::task<> node::keep_house() {
   for (;;) {
     isolation_.update();
+    support::flush_log();
     co_await context_.time.sleep_for(housekeeping_interval);
   }
 }
@@ -131,7 +132,7 @@
                           0) < settings_.readers_per_data_centre;
 }
 
-bool node::watches(const platform::listed_instance& instance) const {
+bool node::watches(const table::listed_instance& instance) const {
   return rank_among_peers(settings_.id, "", peer_board_, context_.time.now(),
                           support::fast_hash(instance.id)) < settings_.watchers_per_instance;
 }
--- a/lib/node/node_builder.cpp
+++ b/lib/node/node_builder.cpp
@@ -19,12 +19,12 @@
   return *this;
 }
 
-node_builder& node_builder::store(platform::table_store& store) {
+node_builder& node_builder::store(table::table_store& store) {
   store_ = &store;
   return *this;
 }
 
-node_builder& node_builder::instances(platform::instance_list& instances) {
+node_builder& node_builder::instances(table::instance_list& instances) {
   instances_ = &instances;
   return *this;
 }
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -4,8 +4,8 @@
 #include "camphorlug/net/bearer_key.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/node/node.h"
-#include "camphorlug/platform/store_error.h"
 #include "camphorlug/support/digest.h"
+#include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
 
@@ -161,7 +161,7 @@
   bool store_failed = false;
   try {
     versions = co_await node_.editor().history(service);
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     store_failed = true;
   }
   if (store_failed) {
--- a/lib/node/store_reader.cpp
+++ b/lib/node/store_reader.cpp
@@ -2,8 +2,8 @@
 
 #include "camphorlug/documents/cached_documents.h"
 #include "camphorlug/groups/row_keys.h"
-#include "camphorlug/platform/change_index.h"
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/change_index.h"
+#include "camphorlug/table/store_error.h"
 
 namespace camphorlug::node {
 
@@ -11,9 +11,8 @@
 /// All rows are read this often, in case a change was missed on every path.
 static constexpr std::chrono::minutes full_read_interval{10};
 
-store_reader::store_reader(support::clock& time, platform::table_store& store,
-                           platform::row_cache& rows, isolation_monitor& isolation,
-                           std::function<bool()> is_reader)
+store_reader::store_reader(support::clock& time, table::table_store& store, table::row_cache& rows,
+                           isolation_monitor& isolation, std::function<bool()> is_reader)
     : time_(time), store_(store), rows_(rows), isolation_(isolation),
       is_reader_(std::move(is_reader)) {}
 
@@ -26,7 +25,7 @@
         else
           co_await read_changes();
         isolation_.store_answered();
-      } catch (const platform::store_error&) {
+      } catch (const table::store_error&) {
         // What is known stays in force; peers bring what is new.
       }
     }
@@ -35,8 +34,8 @@
 }
 
 support::task<> store_reader::read_prefix(std::string prefix) {
-  const std::vector<platform::row> found = co_await store_.scan(std::move(prefix));
-  for (const platform::row& row : found)
+  const std::vector<table::row> found = co_await store_.scan(std::move(prefix));
+  for (const table::row& row : found)
     rows_.take(row);
 }
 
@@ -49,10 +48,10 @@
 }
 
 support::task<> store_reader::read_changes() {
-  const std::string index(platform::index_prefix);
-  const std::vector<platform::row> changes = co_await store_.scan(index);
-  for (const platform::row& change : changes) {
-    std::string prefix = platform::indexed_prefix(change.key);
+  const std::string index(table::index_prefix);
+  const std::vector<table::row> changes = co_await store_.scan(index);
+  for (const table::row& change : changes) {
+    std::string prefix = table::indexed_prefix(change.key);
     // A row of the newest commit is there; earlier ones come from the peers too.
     if (rows_.newest_version(prefix) < change.version)
       co_await read_prefix(std::move(prefix));
--- a/lib/peers/gossip.cpp
+++ b/lib/peers/gossip.cpp
@@ -21,7 +21,7 @@
                std::function<node_report()> self, std::function<void(std::uint64_t)> known_as)
     : context_(context), seeds_(std::move(seeds)), self_(std::move(self)),
       known_as_(std::move(known_as)), changed_(context.time) {
-  context_.rows.add_listener([this](const platform::row& changed) {
+  context_.rows.add_listener([this](const table::row& changed) {
     unpushed_[changed.key] = changed;
     changed_.notify();
   });
@@ -43,7 +43,7 @@
     const bool notified = co_await changed_.wait_for(std::chrono::hours(1));
     if (!notified)
       continue;
-    std::vector<platform::row> pushed;
+    std::vector<table::row> pushed;
     for (auto& [key, row] : unpushed_)
       pushed.push_back(std::move(row));
     unpushed_.clear();
@@ -66,7 +66,7 @@
   for (const auto& [id, peer] : context_.board.peers())
     known.insert(peer.report.peer_address);
   for (const auto& [id, instance] : context_.directory.all()) {
-    if (instance.role == platform::instance_role::entry)
+    if (instance.role == table::instance_role::entry)
       known.insert(instance.address);
   }
   known.erase(context_.self_address);
@@ -80,7 +80,7 @@
   std::vector<std::string> missed;
   const auto now = context_.time.now();
   for (const auto& [id, instance] : context_.directory.all()) {
-    if (instance.role == platform::instance_role::entry)
+    if (instance.role == table::instance_role::entry)
       continue;
     const watching::sighting* seen = context_.sightings.find(id);
     if (!seen || now - seen->seen_at > sighting_wanted_after)
@@ -100,7 +100,7 @@
   return message;
 }
 
-support::task<> gossip::exchange_with(std::string address, std::vector<platform::row> pushed) {
+support::task<> gossip::exchange_with(std::string address, std::vector<table::row> pushed) {
   if (pushed.empty() && !in_progress_.insert(address).second)
     co_return;
   const bool is_round = pushed.empty();
@@ -139,7 +139,7 @@
     context_.board.take(report, now);
   for (const report_digest& digest : message.report_digests)
     take_digest(digest, now);
-  for (const platform::row& row : message.rows)
+  for (const table::row& row : message.rows)
     context_.rows.take(row);
   for (const relayed_sighting& sighting : message.sightings)
     context_.sightings.record_report(sighting.report, began - sighting.age, message.sender.id);
@@ -157,7 +157,7 @@
 std::vector<row_digest> gossip::digest_buckets(const std::vector<std::size_t>& buckets) const {
   std::vector<row_digest> digests;
   for (const auto& [key, row] : context_.rows.rows()) {
-    const std::size_t bucket = platform::row_cache::bucket_of(key);
+    const std::size_t bucket = table::row_cache::bucket_of(key);
     if (std::find(buckets.begin(), buckets.end(), bucket) != buckets.end())
       digests.push_back({key, row.version});
   }
@@ -170,7 +170,7 @@
   for (const row_digest& digest : theirs.row_digests)
     versions[digest.key] = digest.version;
   for (const auto& [key, row] : context_.rows.rows()) {
-    const std::size_t bucket = platform::row_cache::bucket_of(key);
+    const std::size_t bucket = table::row_cache::bucket_of(key);
     const auto& differing = theirs.differing_buckets;
     if (std::find(differing.begin(), differing.end(), bucket) == differing.end())
       continue;
@@ -179,7 +179,7 @@
       mine.rows.push_back(row);
   }
   for (const auto& [key, version] : versions) {
-    const platform::row* held = context_.rows.find(key);
+    const table::row* held = context_.rows.find(key);
     if (!held || held->version < version)
       mine.wanted_rows.push_back(key);
   }
@@ -234,7 +234,7 @@
     compare_rows(message, reply);
   reply.wanted_rows.clear();
   for (const std::string& key : message.wanted_rows) {
-    if (const platform::row* held = context_.rows.find(key))
+    if (const table::row* held = context_.rows.find(key))
       reply.rows.push_back(*held);
   }
   add_sightings(message.missed_instances, reply);
--- a/lib/peers/peer_message.cpp
+++ b/lib/peers/peer_message.cpp
@@ -76,21 +76,21 @@
   return sighting;
 }
 
-static json encode(const platform::listed_instance& instance) {
+static json encode(const table::listed_instance& instance) {
   return {instance.id,          instance.address,
           instance.data_centre, instance.fabric_domain,
           instance.pool,        static_cast<int>(instance.role),
           instance.leaving};
 }
 
-static platform::listed_instance decode_instance(const json& value) {
-  platform::listed_instance instance;
+static table::listed_instance decode_instance(const json& value) {
+  table::listed_instance instance;
   instance.id = value.at(0);
   instance.address = value.at(1);
   instance.data_centre = value.at(2);
   instance.fabric_domain = value.at(3);
   instance.pool = value.at(4);
-  instance.role = static_cast<platform::instance_role>(value.at(5).get<int>());
+  instance.role = static_cast<table::instance_role>(value.at(5).get<int>());
   instance.leaving = value.at(6);
   return instance;
 }
@@ -111,11 +111,11 @@
   return {value.at(0), value.at(1)};
 }
 
-static json encode(const platform::row& row) {
+static json encode(const table::row& row) {
   return {row.key, row.value, row.version};
 }
 
-static platform::row decode_row(const json& value) {
+static table::row decode_row(const json& value) {
   return {value.at(0), value.at(1), value.at(2)};
 }
 
--- a/lib/requests/claim_book.cpp
+++ b/lib/requests/claim_book.cpp
@@ -1,8 +1,8 @@
 #include "camphorlug/requests/claim_book.h"
 
-#include "camphorlug/platform/store_error.h"
 #include "camphorlug/support/digest.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,7 +20,7 @@
   return {{"attempt", held.attempt}, {"content", held.content_hash}, {"state", state}};
 }
 
-static claim_result read_claim(const claim& wanted, const platform::row& row) {
+static claim_result read_claim(const claim& wanted, const table::row& row) {
   const auto value = nlohmann::json::parse(row.value);
   if (value.at("attempt") == wanted.attempt)
     return {claim_state::owned, {}};
@@ -34,13 +34,13 @@
   return {claim_state::answered, {value.at("status"), value.at("content_type"), value.at("body")}};
 }
 
-claim_book::claim_book(platform::table_store& store) : store_(store) {}
+claim_book::claim_book(table::table_store& store) : store_(store) {}
 
 support::task<claim_result> claim_book::acquire(claim wanted) {
   bool answer_lost = false;
   try {
     co_return co_await insert(wanted);
-  } catch (const platform::store_error& error) {
+  } catch (const table::store_error& error) {
     answer_lost = error.may_have_committed();
   }
   if (!answer_lost)
@@ -50,10 +50,10 @@
 
 support::task<claim_result> claim_book::insert(claim wanted) {
   const std::string key = claim_key(wanted);
-  platform::transaction change;
+  table::transaction change;
   change.checks.push_back({key, 0});
   change.writes.push_back({key, claim_value(wanted, "running").dump()});
-  const platform::commit_result result = co_await store_.commit(std::move(change));
+  const table::commit_result result = co_await store_.commit(std::move(change));
   if (result.committed)
     co_return claim_result{claim_state::owned, {}};
   co_return read_claim(wanted, result.current.at(0));
@@ -64,7 +64,7 @@
     const auto row = co_await store_.read(claim_key(wanted));
     if (row)
       co_return read_claim(wanted, *row);
-  } catch (const platform::store_error&) {
+  } catch (const table::store_error&) {
     // Not known whether the claim stands; the request has not been sent.
   }
   co_return claim_result{claim_state::unavailable, {}};
@@ -76,11 +76,11 @@
     const auto row = co_await store_.read(key);
     if (!row || read_claim(held, *row).state != claim_state::owned)
       co_return;
-    platform::transaction change;
+    table::transaction change;
     change.checks.push_back({key, row->version});
     change.writes.push_back({key, std::move(value)});
     co_await store_.commit(std::move(change));
-  } catch (const platform::store_error& error) {
+  } catch (const table::store_error& error) {
     support::log_event(support::log_level::warning, "claim_not_settled",
                        {{"organisation", held.organisation}, {"error", error.what()}});
   }
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -11,13 +11,13 @@
 
 namespace {
 
-/// Writes what glog hands over to standard error; the text is already one JSON object.
+/// Writes what glog hands over to standard output; the text is already one JSON object.
 class json_sink final : public google::LogSink {
 public:
   void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime&,
             const char* message, size_t size) override {
-    std::fwrite(message, 1, size, stderr);
-    std::fputc('\n', stderr);
+    std::fwrite(message, 1, size, stdout);
+    std::fputc('\n', stdout);
   }
 };
 
@@ -47,7 +47,15 @@
   return "error";
 }
 
+/// Lines are kept up to this size, so that a busy node writes seldom.
+static constexpr std::size_t log_buffer_bytes = 32 * 1024;
+
+void flush_log() {
+  std::fflush(stdout);
+}
+
 void start_json_log(std::string_view node, log_level lowest) {
+  std::setvbuf(stdout, nullptr, _IOFBF, log_buffer_bytes);
   static json_sink sink;
   log_node = node;
   log_started = true;
--- a/lib/platform/change_index.cpp
+++ b/lib/table/change_index.cpp
@@ -1,6 +1,6 @@
-#include "camphorlug/platform/change_index.h"
+#include "camphorlug/table/change_index.h"
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 row_write index_write(std::string_view prefix) {
   return {std::string(index_prefix) + std::string(prefix), std::string("{}")};
@@ -10,4 +10,4 @@
   return std::string(index_key.substr(index_prefix.size()));
 }
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/lib/platform/http_instance_list.cpp
+++ b/lib/table/http_instance_list.cpp
@@ -1,11 +1,11 @@
-#include "camphorlug/platform/http_instance_list.h"
+#include "camphorlug/table/http_instance_list.h"
 
 #include "camphorlug/net/transport_error.h"
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 static constexpr std::chrono::milliseconds list_timeout{2000};
 
@@ -51,4 +51,4 @@
   }
 }
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/lib/platform/http_table_store.cpp
+++ b/lib/table/http_table_store.cpp
@@ -1,11 +1,11 @@
-#include "camphorlug/platform/http_table_store.h"
+#include "camphorlug/table/http_table_store.h"
 
 #include "camphorlug/net/transport_error.h"
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 static constexpr std::chrono::milliseconds store_timeout{2000};
 
@@ -91,4 +91,4 @@
   }
 }
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- a/lib/platform/row_cache.cpp
+++ b/lib/table/row_cache.cpp
@@ -1,10 +1,10 @@
-#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/table/row_cache.h"
 
 #include "camphorlug/support/digest.h"
 
 #include <algorithm>
 
-namespace camphorlug::platform {
+namespace camphorlug::table {
 
 static std::uint64_t fingerprint_of(const row& entry) {
   return support::fast_hash(entry.key, entry.version);
@@ -57,4 +57,4 @@
   listeners_.push_back(std::move(on_change));
 }
 
-} // namespace camphorlug::platform
+} // namespace camphorlug::table
--- /dev/null
+++ b/lib/table/table_follower.cpp
@@ -0,0 +1,97 @@
+#include "camphorlug/table/table_follower.h"
+
+#include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
+
+#include <algorithm>
+
+namespace camphorlug::table {
+
+/// How long one call waits for a change.
+static constexpr std::chrono::milliseconds feed_wait{3000};
+static constexpr std::chrono::milliseconds first_backoff{100};
+static constexpr std::chrono::milliseconds longest_backoff{800};
+/// Failures in a row after which the store counts as lost.
+static constexpr int failures_until_lost = 2;
+
+table_follower::table_follower(support::clock& time, support::random_source& random,
+                               change_feed& feed, std::string table,
+                               std::chrono::milliseconds reread_interval, listener on_batch)
+    : time_(time), random_(random), feed_(feed), table_(std::move(table)),
+      reread_interval_(reread_interval), on_batch_(std::move(on_batch)) {}
+
+void table_follower::succeeded() {
+  if (failures_ >= failures_until_lost) {
+    support::log_event(support::log_level::info, "store_regained",
+                       {{"table", table_}, {"version", std::to_string(version_)}});
+    if (on_regained_)
+      on_regained_();
+  }
+  failures_ = 0;
+}
+
+void table_follower::failed(const std::string& reason) {
+  if (++failures_ == failures_until_lost)
+    support::log_event(support::log_level::warning, "store_lost",
+                       {{"table", table_}, {"error", reason}});
+}
+
+support::task<bool> table_follower::read_whole() {
+  std::string reason;
+  try {
+    const feed_batch batch = co_await feed_.read_all(table_);
+    succeeded();
+    if (batch.version < version_)
+      co_return false;
+    version_ = batch.version;
+    on_batch_(batch, true);
+    co_return true;
+  } catch (const store_error& error) {
+    reason = error.what();
+  }
+  failed(reason);
+  co_return false;
+}
+
+support::task<> table_follower::follow() {
+  for (;;) {
+    bool healthy = true;
+    if (must_read_) {
+      healthy = co_await read_whole();
+      must_read_ = !healthy;
+    } else {
+      std::string reason;
+      try {
+        const std::uint64_t since = version_;
+        const feed_batch batch = co_await feed_.changes(table_, since, feed_wait);
+        succeeded();
+        must_read_ = batch.history_gone;
+        if (!batch.history_gone && batch.version >= since) {
+          on_batch_(batch, false);
+          version_ = std::max(version_, batch.version);
+        }
+      } catch (const store_error& error) {
+        reason = error.what();
+        healthy = false;
+      }
+      if (!healthy)
+        failed(reason);
+    }
+    if (healthy)
+      continue;
+    const auto backoff = std::min(first_backoff * (1 << std::min(failures_, 3)), longest_backoff);
+    co_await time_.sleep_for(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(backoff * (0.5 + random_.unit())));
+  }
+}
+
+support::task<> table_follower::reread() {
+  for (;;) {
+    co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
+        reread_interval_ * (0.75 + 0.5 * random_.unit())));
+    if (!must_read_)
+      co_await read_whole();
+  }
+}
+
+} // namespace camphorlug::table
--- a/lib/watching/watcher.cpp
+++ b/lib/watching/watcher.cpp
@@ -14,8 +14,8 @@
     : executor_(std::move(executor)), time_(time), random_(random), targets_(targets),
       directory_(directory), board_(board), node_(std::move(node)), filter_(std::move(filter)) {}
 
-bool watcher::should_watch(const platform::listed_instance& instance) const {
-  return instance.role != platform::instance_role::entry && filter_(instance);
+bool watcher::should_watch(const table::listed_instance& instance) const {
+  return instance.role != table::instance_role::entry && filter_(instance);
 }
 
 void watcher::refresh() {
@@ -30,7 +30,7 @@
   co_await time_.sleep_for(
       std::chrono::duration_cast<std::chrono::nanoseconds>(report_interval * random_.unit()));
   for (;;) {
-    const platform::listed_instance* listed = directory_.find(instance);
+    const table::listed_instance* listed = directory_.find(instance);
     if (!listed || !should_watch(*listed))
       break;
     co_await ask(*listed);
@@ -39,11 +39,11 @@
   watched_.erase(instance);
 }
 
-support::task<> watcher::ask(platform::listed_instance instance) {
+support::task<> watcher::ask(table::listed_instance instance) {
   const auto began = time_.now();
   try {
     targets::instance_report report;
-    if (instance.role == platform::instance_role::plain) {
+    if (instance.role == table::instance_role::plain) {
       report.ready = co_await targets_.healthy(instance.address, report_timeout);
       report.instance = instance.id;
     } else {
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -89,9 +89,9 @@
     net::send_json(writer, 200, "{}\n");
   }
 
-  static nlohmann::json to_json(const std::vector<platform::row>& rows) {
+  static nlohmann::json to_json(const std::vector<table::row>& rows) {
     auto list = nlohmann::json::array();
-    for (const platform::row& row : rows)
+    for (const table::row& row : rows)
       list.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
     return list;
   }
@@ -100,9 +100,9 @@
     net::send_json(writer, 200, nlohmann::json{{"rows", to_json(table_.scan(prefix))}}.dump());
   }
 
-  static platform::transaction parse(const std::string& body) {
+  static table::transaction parse(const std::string& body) {
     const auto value = nlohmann::json::parse(body);
-    platform::transaction change;
+    table::transaction change;
     for (const auto& check : value.at("checks"))
       change.checks.push_back({check.at("key"), check.at("version")});
     for (const auto& write : value.at("writes")) {
@@ -115,7 +115,7 @@
   }
 
   support::task<> commit(const net::server_request& request, net::response_writer& writer) {
-    const platform::commit_result result = table_.commit(parse(request.body));
+    const table::commit_result result = table_.commit(parse(request.body));
     if (faults_.active("lose_answers"))
       co_await clock_.sleep_for(lost_answer_time);
     nlohmann::json answer{{"committed", result.committed}, {"version", result.version}};
@@ -124,7 +124,7 @@
   }
 
   support::asio_clock clock_;
-  table table_;
+  row_table table_;
   lagging_list list_;
   int loads_ = 0;
   fault_port faults_;
--- a/tests/standins/table.cpp
+++ b/tests/standins/table.cpp
@@ -4,18 +4,18 @@
 
 namespace camphorlug::standins {
 
-std::vector<platform::row> table::scan(const std::string& prefix) const {
-  std::vector<platform::row> found;
+std::vector<table::row> row_table::scan(const std::string& prefix) const {
+  std::vector<table::row> found;
   for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix);
        ++row)
     found.push_back(row->second);
   return found;
 }
 
-platform::commit_result table::commit(const platform::transaction& change) {
-  platform::commit_result result;
+table::commit_result row_table::commit(const table::transaction& change) {
+  table::commit_result result;
   result.committed = true;
-  for (const platform::row_check& check : change.checks) {
+  for (const table::row_check& check : change.checks) {
     const auto held = rows_.find(check.key);
     if (held != rows_.end())
       result.current.push_back(held->second);
@@ -27,7 +27,7 @@
   result.current.clear();
   result.version = ++commits_;
   nlohmann::json entry{{"commit", commits_}, {"writes", nlohmann::json::array()}};
-  for (const platform::row_write& write : change.writes) {
+  for (const table::row_write& write : change.writes) {
     entry["writes"].push_back(
         {{"key", write.key}, {"value", write.value ? nlohmann::json(*write.value) : nullptr}});
     if (write.value)
--- a/tests/standins/table.h
+++ b/tests/standins/table.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "camphorlug/platform/commit_result.h"
-#include "camphorlug/platform/row.h"
-#include "camphorlug/platform/transaction.h"
+#include "camphorlug/table/commit_result.h"
+#include "camphorlug/table/row.h"
+#include "camphorlug/table/transaction.h"
 
 #include <cstdint>
 #include <map>
@@ -12,16 +12,16 @@
 namespace camphorlug::standins {
 
 /// Versioned rows with conditional transactions over several of them.
-class table {
+class row_table {
 public:
-  std::vector<platform::row> scan(const std::string& prefix) const;
-  platform::commit_result commit(const platform::transaction& change);
+  std::vector<table::row> scan(const std::string& prefix) const;
+  table::commit_result commit(const table::transaction& change);
 
   /// Committed transactions as a JSON list.
   std::string log() const;
 
 private:
-  std::map<std::string, platform::row> rows_;
+  std::map<std::string, table::row> rows_;
   std::uint64_t commits_ = 0;
   std::vector<std::string> log_;
 };
--- a/tools/camphorlugd/main.cpp
+++ b/tools/camphorlugd/main.cpp
@@ -2,10 +2,10 @@
 #include "camphorlug/net/http_server.h"
 #include "camphorlug/node/node_builder.h"
 #include "camphorlug/peers/http_peer_client.h"
-#include "camphorlug/platform/http_instance_list.h"
-#include "camphorlug/platform/http_table_store.h"
 #include "camphorlug/support/asio_clock.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/http_instance_list.h"
+#include "camphorlug/table/http_table_store.h"
 #include "camphorlug/targets/http_target_client.h"
 
 #include <asio/signal_set.hpp>
@@ -82,8 +82,8 @@
   support::asio_clock time_;
   support::random_source random_;
   net::curl_client http_;
-  platform::http_table_store store_;
-  platform::http_instance_list instances_;
+  table::http_table_store store_;
+  table::http_instance_list instances_;
   targets::http_target_client targets_;
   peers::http_peer_client peers_;
   std::unique_ptr<node::node> node_;
@@ -128,12 +128,13 @@
     daemon_process process(context, *settings);
     support::log_event(support::log_level::info, "started", {{"address", settings->address}});
     context.run();
-    std::cerr.flush();
+    support::flush_log();
     // The duties that still wait hold references into the process; the
     // system takes everything back at once.
     std::quick_exit(0);
   } catch (const std::exception& error) {
     support::log_event(support::log_level::error, "failed", {{"error", error.what()}});
+    support::flush_log();
     std::quick_exit(1);
   }
 }
--- a/unittests/documents/editor_test.cpp
+++ b/unittests/documents/editor_test.cpp
@@ -1,4 +1,4 @@
-#include "camphorlug/platform/change_index.h"
+#include "camphorlug/table/change_index.h"
 
 #include "fakes/test_world.h"
 
@@ -90,7 +90,7 @@
 BOOST_AUTO_TEST_CASE(unknown_end_settles_when_asked_again) {
   edit_world world;
   world.table.answers_to_lose = 1;
-  world.table.before_commit = [&world](const platform::transaction& change) {
+  world.table.before_commit = [&world](const table::transaction& change) {
     // The store goes down right after the write took effect.
     if (change.writes.front().key == "document/plain")
       world.table.down = true;
@@ -113,9 +113,8 @@
 BOOST_AUTO_TEST_CASE(malformed_row_leaves_the_version_before_in_force) {
   edit_world world;
   world.edit_once(0, make_edit(0, "e1"));
-  world.table.rows.commit(
-      {{}, {{"document/plain", "not json"}, platform::index_write("document/")}});
-  world.table.rows.commit({{}, {{"document/other", "{}"}, platform::index_write("document/")}});
+  world.table.rows.commit({{}, {{"document/plain", "not json"}, table::index_write("document/")}});
+  world.table.rows.commit({{}, {{"document/other", "{}"}, table::index_write("document/")}});
   world.run_for(5s);
   for (auto& node : world.nodes) {
     BOOST_REQUIRE(node.node->documents().find("plain"));
--- a/unittests/fakes/fake_fleet.cpp
+++ b/unittests/fakes/fake_fleet.cpp
@@ -1,7 +1,7 @@
 #include "fakes/fake_fleet.h"
 
 #include "camphorlug/net/transport_error.h"
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/store_error.h"
 
 #include "generator.h"
 
@@ -66,6 +66,8 @@
     co_return engine_event(attempt_, stream, index_++);
   }
 
+  void cancel() override {}
+
 private:
   [[noreturn]] void break_off() {
     if (engine_->forgets_streams)
@@ -148,11 +150,11 @@
 
 } // namespace
 
-fake_engine& fake_fleet::add(platform::listed_instance instance) {
+fake_engine& fake_fleet::add(table::listed_instance instance) {
   fake_engine engine;
   engine.report.instance = instance.id;
   engine.report.incarnation = "1";
-  engine.report.ready = instance.role == platform::instance_role::plain;
+  engine.report.ready = instance.role == table::instance_role::plain;
   engine.address = instance.address;
   listed_[instance.id] = instance;
   return engines_[instance.id] = engine;
@@ -235,11 +237,11 @@
   return std::make_unique<fake_exchange>(fleet_, std::move(request), reachable);
 }
 
-support::task<std::vector<platform::listed_instance>> fake_list::list() {
+support::task<std::vector<table::listed_instance>> fake_list::list() {
   co_await fleet_.time().sleep_for(hop);
   if (down)
-    throw platform::store_error("down", false);
-  std::vector<platform::listed_instance> instances;
+    throw table::store_error("down", false);
+  std::vector<table::listed_instance> instances;
   for (const auto& [id, instance] : fleet_.listed())
     instances.push_back(instance);
   co_return instances;
--- a/unittests/fakes/fake_fleet.h
+++ b/unittests/fakes/fake_fleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "camphorlug/platform/instance_list.h"
+#include "camphorlug/table/instance_list.h"
 #include "camphorlug/targets/target_client.h"
 
 #include "fakes/fake_engine.h"
@@ -18,11 +18,11 @@
   explicit fake_fleet(support::clock& time) : time_(time) {}
 
   /// Adds an instance that is listed and alive.
-  fake_engine& add(platform::listed_instance instance);
+  fake_engine& add(table::listed_instance instance);
 
   fake_engine& engine(const std::string& id) { return engines_.at(id); }
   std::map<std::string, fake_engine>& engines() { return engines_; }
-  std::map<std::string, platform::listed_instance>& listed() { return listed_; }
+  std::map<std::string, table::listed_instance>& listed() { return listed_; }
 
   fake_engine* at_address(const std::string& address);
   support::clock& time() { return time_; }
@@ -33,7 +33,7 @@
 private:
   support::clock& time_;
   std::map<std::string, fake_engine> engines_;
-  std::map<std::string, platform::listed_instance> listed_;
+  std::map<std::string, table::listed_instance> listed_;
 };
 
 /// One node's connections to the fleet.
@@ -61,10 +61,10 @@
 };
 
 /// The platform's list as the fleet has it.
-class fake_list final : public platform::instance_list {
+class fake_list final : public table::instance_list {
 public:
   explicit fake_list(fake_fleet& fleet) : fleet_(fleet) {}
-  support::task<std::vector<platform::listed_instance>> list() override;
+  support::task<std::vector<table::listed_instance>> list() override;
 
   bool down = false;
 
--- a/unittests/fakes/fake_store.cpp
+++ b/unittests/fakes/fake_store.cpp
@@ -1,40 +1,40 @@
 #include "fakes/fake_store.h"
 
-#include "camphorlug/platform/store_error.h"
+#include "camphorlug/table/store_error.h"
 
 namespace camphorlug::fakes {
 
 support::task<> fake_store::travel() {
   co_await time_.sleep_for(table_.delay);
   if (cut || table_.down)
-    throw platform::store_error("down", false);
+    throw table::store_error("down", false);
 }
 
-support::task<std::optional<platform::row>> fake_store::read(std::string key) {
+support::task<std::optional<table::row>> fake_store::read(std::string key) {
   const auto rows = co_await scan(key);
-  for (const platform::row& row : rows) {
+  for (const table::row& row : rows) {
     if (row.key == key)
       co_return row;
   }
   co_return std::nullopt;
 }
 
-support::task<std::vector<platform::row>> fake_store::scan(std::string prefix) {
+support::task<std::vector<table::row>> fake_store::scan(std::string prefix) {
   co_await travel();
   ++table_.reads;
   co_return table_.rows.scan(prefix);
 }
 
-support::task<platform::commit_result> fake_store::commit(platform::transaction change) {
+support::task<table::commit_result> fake_store::commit(table::transaction change) {
   co_await travel();
   ++table_.commits;
   if (table_.before_commit)
     table_.before_commit(change);
-  const platform::commit_result result = table_.rows.commit(change);
+  const table::commit_result result = table_.rows.commit(change);
   co_await time_.sleep_for(table_.delay);
   if (table_.answers_to_lose > 0) {
     --table_.answers_to_lose;
-    throw platform::store_error("answer lost", true);
+    throw table::store_error("answer lost", true);
   }
   co_return result;
 }
--- a/unittests/fakes/fake_store.h
+++ b/unittests/fakes/fake_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "camphorlug/platform/table_store.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/table/table_store.h"
 
 #include "table.h"
 
@@ -14,7 +14,7 @@
 
 /// The table service's rows, shared by the connections of all nodes.
 struct shared_table {
-  standins::table rows;
+  standins::row_table rows;
   bool down = false;
   /// Commits take effect and their answers are lost.
   int answers_to_lose = 0;
@@ -22,17 +22,17 @@
   std::size_t reads = 0;
   std::size_t commits = 0;
   /// Called before each commit, with its transaction.
-  std::function<void(const platform::transaction&)> before_commit;
+  std::function<void(const table::transaction&)> before_commit;
 };
 
 /// One node's connection to the table service.
-class fake_store final : public platform::table_store {
+class fake_store final : public table::table_store {
 public:
   fake_store(support::clock& time, shared_table& table) : time_(time), table_(table) {}
 
-  support::task<std::optional<platform::row>> read(std::string key) override;
-  support::task<std::vector<platform::row>> scan(std::string prefix) override;
-  support::task<platform::commit_result> commit(platform::transaction change) override;
+  support::task<std::optional<table::row>> read(std::string key) override;
+  support::task<std::vector<table::row>> scan(std::string prefix) override;
+  support::task<table::commit_result> commit(table::transaction change) override;
 
   /// Cuts this node off.
   bool cut = false;
--- a/unittests/fakes/recording_writer.h
+++ b/unittests/fakes/recording_writer.h
@@ -15,6 +15,14 @@
   void start(int status, net::header_list headers) override;
   support::task<bool> write(std::string piece) override;
   void finish() override { finished = true; }
+  void abort() override { aborted = true; }
+  void on_gone(std::function<void()> action) override { gone_action_ = std::move(action); }
+
+  /// The caller closes its connection.
+  void leave() {
+    if (gone_action_)
+      gone_action_();
+  }
   bool started() const override { return status != 0; }
 
   /// The text of the streamed events, and the id of the last one.
@@ -25,11 +33,14 @@
   net::header_list headers;
   std::string body;
   bool finished = false;
+  /// The connection was reset before the answer was whole.
+  bool aborted = false;
   /// Pieces after which the caller is gone.
   std::size_t pieces_until_gone = 1'000'000;
 
 private:
   std::size_t pieces_ = 0;
+  std::function<void()> gone_action_;
 };
 
 } // namespace camphorlug::fakes
--- a/unittests/fakes/test_world.cpp
+++ b/unittests/fakes/test_world.cpp
@@ -87,7 +87,7 @@
 void test_world::add_runners(std::size_t domains, std::size_t per_domain) {
   for (std::size_t i = 0; i < domains * per_domain; ++i) {
     const std::size_t domain = i / per_domain;
-    platform::listed_instance instance;
+    table::listed_instance instance;
     instance.id = "r" + std::to_string(i);
     instance.address = instance.id + ":1";
     instance.data_centre = "dc" + std::to_string(domain % 3);
@@ -99,12 +99,12 @@
 
 void test_world::add_plain(std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) {
-    platform::listed_instance instance;
+    table::listed_instance instance;
     instance.id = "p" + std::to_string(i);
     instance.address = instance.id + ":1";
     instance.data_centre = "dc" + std::to_string(i % 3);
     instance.pool = "counter";
-    instance.role = platform::instance_role::plain;
+    instance.role = table::instance_role::plain;
     fleet.add(instance);
   }
 }
--- a/unittests/groups/planner_property_test.cpp
+++ b/unittests/groups/planner_property_test.cpp
@@ -52,7 +52,7 @@
 
 bool is_exclusive(fakes::test_world& world) {
   std::set<std::string> seen;
-  for (const platform::row& row : world.table.rows.scan(groups::group_prefix)) {
+  for (const table::row& row : world.table.rows.scan(groups::group_prefix)) {
     const auto record = groups::group_record::from_json(row.value);
     if (record.state == groups::group_state::dissolved)
       continue;
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -44,7 +44,7 @@
   /// No instance is in two groups that are not dissolved, by the table's own rows.
   bool instances_are_exclusive() {
     std::set<std::string> seen;
-    for (const platform::row& row : table.rows.scan(groups::group_prefix)) {
+    for (const table::row& row : table.rows.scan(groups::group_prefix)) {
       const auto record = groups::group_record::from_json(row.value);
       if (record.state == groups::group_state::dissolved)
         continue;
@@ -59,7 +59,7 @@
   /// No instance is held by a group that does not list it.
   bool nothing_is_leaked() {
     std::set<std::string> listed;
-    for (const platform::row& row : table.rows.scan(groups::group_prefix)) {
+    for (const table::row& row : table.rows.scan(groups::group_prefix)) {
       const auto record = groups::group_record::from_json(row.value);
       if (record.state == groups::group_state::dissolved)
         continue;
@@ -68,7 +68,7 @@
       for (const groups::group_standby& standby : record.standbys)
         listed.insert(standby.instance.instance);
     }
-    for (const platform::row& row : table.rows.scan("instance/runners/")) {
+    for (const table::row& row : table.rows.scan("instance/runners/")) {
       if (!listed.contains(row.key.substr(std::string("instance/runners/").size())))
         return false;
     }
@@ -174,7 +174,7 @@
 BOOST_AUTO_TEST_CASE(instance_replaced_under_a_new_name_at_the_same_address) {
   pool_world world(1, 4, 1);
   const std::string old = world.member_of_first_group(2);
-  platform::listed_instance listed = world.fleet.listed().at(old);
+  table::listed_instance listed = world.fleet.listed().at(old);
   world.fleet.listed().erase(old);
   world.fleet.engines().erase(old);
   listed.id = "new";
--- a/unittests/groups/pool_table_test.cpp
+++ b/unittests/groups/pool_table_test.cpp
@@ -17,7 +17,7 @@
         table(store, rows, lease, world.random, "pool") {}
 
   fakes::fake_store store;
-  platform::row_cache rows;
+  table::row_cache rows;
   groups::table_lease lease;
   groups::pool_table table;
 };
--- a/unittests/support/row_cache_test.cpp
+++ b/unittests/support/row_cache_test.cpp
@@ -1,12 +1,12 @@
-#include "camphorlug/platform/row_cache.h"
+#include "camphorlug/table/row_cache.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <random>
 
-using camphorlug::platform::row;
-using camphorlug::platform::row_cache;
+using camphorlug::table::row;
+using camphorlug::table::row_cache;
 
 BOOST_AUTO_TEST_CASE(rows_only_go_forward) {
   row_cache cache;
