Repair groups from their domain's survivors and staged spares; take over in 3 s

Change: a group that ends counts until its members are free; each domain keeps a reserve; spares are staged by what is at stake in their domain; a lease of 2 s that candidates watch through peers; feed answers are taken in batches.

--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -23,6 +23,8 @@
   bool ready = false;
   bool leaving = false;
   std::uint64_t config_version = 0;
+  /// It plans the groups.
+  bool leads = false;
   /// Whether it has handled any request.
   bool has_served = false;
   target_loads loads;
--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -53,6 +53,9 @@
   /// Statuses of the peers that were heard lately.
   std::vector<node_status> alive() const;
 
+  /// Whether a peer that was heard within `silence` says that it plans the groups.
+  bool another_leads(std::chrono::nanoseconds silence) const;
+
   /// Calls `listener` with a peer's status when it has a newer configuration.
   void on_newer_config(std::function<void(const node_status&)> listener) {
     on_newer_config_ = std::move(listener);
--- a/include/camphorlug/groups/table_lease.h
+++ b/include/camphorlug/groups/table_lease.h
@@ -11,19 +11,22 @@
 
 namespace camphorlug::groups {
 
+/// How long a holding lasts without renewal.
+struct lease_timing {
+  /// Time that the holder may act after the sending of a renewal.
+  std::chrono::milliseconds term{6000};
+  /// The holder stops this much before its term ends.
+  std::chrono::milliseconds margin{1000};
+};
+
 /// A lease in two rows of the table service: `pool/P/holder` changes only when
 /// the holder does, so that transactions can check it; `pool/P/renewal` changes
 /// with each renewal. No two nodes' clocks are compared: a candidate waits
 /// until it has seen the renewal row unchanged for a whole term.
 class table_lease final : public lease {
 public:
-  /// Time that the holder may act after the sending of a renewal.
-  static constexpr std::chrono::seconds term{6};
-  /// The holder stops this much before its term ends.
-  static constexpr std::chrono::seconds margin{1};
-
   table_lease(table::table_store& store, support::clock& time, support::random_source& random,
-              std::string pool, std::string node);
+              std::string pool, std::string node, lease_timing timing = {});
 
   support::task<bool> try_acquire() override;
   support::task<> renew() override;
@@ -45,6 +48,7 @@
   support::random_source& random_;
   std::string pool_;
   std::string node_;
+  lease_timing timing_;
   std::string last_holder_;
 
   bool holding_ = false;
--- a/include/camphorlug/replicas/replica_keeper.h
+++ b/include/camphorlug/replicas/replica_keeper.h
@@ -24,6 +24,8 @@
   order_client& orders;
   /// Whether any node has handled a request.
   std::function<bool()> traffic_has_begun;
+  /// Whether another node said a moment ago that it leads: the lease need not be read then.
+  std::function<bool()> other_leads;
 };
 
 /// Forms and repairs the groups of all engine services while this node holds the lease.
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -78,6 +78,9 @@
   free_by_domain(const planning_view& view);
   std::size_t wanted_groups(const planning_view& view, const gateway::model_profile& model) const;
   std::size_t live_groups(const std::string& model) const;
+  std::size_t reserve_of(const std::string& domain, const planning_view& view) const;
+  std::map<std::string, std::size_t> wanted_spares(const std::string& domain, std::size_t spares,
+                                                   const planning_view& view) const;
   int join_cost(const gateway::target_entry& entry, const std::string& model) const;
   bool is_assigned(const std::string& id) const;
   bool may_order(const std::string& id, order_kind kind, std::uint64_t epoch);
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -12,9 +12,14 @@
 
 static constexpr const char* node_prefix = "node/";
 static constexpr const char* lease_pool = "replicas";
+/// Short, since no group is repaired between a planner's end and the next one's start.
+static constexpr groups::lease_timing lease_timing{std::chrono::milliseconds(2000),
+                                                   std::chrono::milliseconds(300)};
+/// A planner whose status is older than this may be gone.
+static constexpr std::chrono::milliseconds leader_silence{700};
 static constexpr std::chrono::milliseconds config_reread{2000};
 static constexpr std::chrono::milliseconds targets_reread{4000};
-static constexpr std::chrono::milliseconds own_reread{8000};
+static constexpr std::chrono::milliseconds own_reread{5000};
 static constexpr std::chrono::milliseconds housekeeping_interval{50};
 static constexpr std::chrono::milliseconds registration_retry{500};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
@@ -39,9 +44,11 @@
                 [this] { return leaving_; }),
       peers_(context_.executor, context_.time, context_.client, loads_, suspicions_,
              [this] { return status(); }),
-      lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id),
+      lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
+             lease_timing),
       keeper_({context_.executor, context_.time, config_, registry_, lease_, context_.orders,
-               [this] { return others_served_ || requests_.handled() > 0; }}),
+               [this] { return others_served_ || requests_.handled() > 0; },
+               [this] { return peers_.another_leads(leader_silence); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread,
                        [this](const table::feed_batch& batch, bool) {
@@ -75,7 +82,6 @@
   support::spawn(executor, "reread_config", config_follower_.reread());
   support::spawn(executor, "follow_targets", target_follower_.follow());
   support::spawn(executor, "reread_targets", target_follower_.reread());
-  support::spawn(executor, "follow_own_rows", own_follower_.follow());
   support::spawn(executor, "reread_own_rows", own_follower_.reread());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", peers_.run());
@@ -178,6 +184,7 @@
   status.ready = ready();
   status.leaving = leaving_;
   status.config_version = config_.current() ? config_.current()->version : 0;
+  status.leads = keeper_.leads();
   status.has_served = requests_.handled() > 0;
   status.loads = loads_.own_loads();
   status.suspects = suspicions_.own();
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -101,6 +101,12 @@
   peers_[id] = {std::move(status), time_.now()};
 }
 
+bool peer_circle::another_leads(std::chrono::nanoseconds silence) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.status.leads && time_.now() - entry.second.heard_at < silence;
+  });
+}
+
 std::vector<node_status> peer_circle::alive() const {
   std::vector<node_status> statuses;
   for (const auto& [id, known] : peers_) {
--- a/lib/groups/table_lease.cpp
+++ b/lib/groups/table_lease.cpp
@@ -46,11 +46,13 @@
 };
 
 table_lease::table_lease(table::table_store& store, support::clock& time,
-                         support::random_source& random, std::string pool, std::string node)
-    : store_(store), time_(time), random_(random), pool_(std::move(pool)), node_(std::move(node)) {}
+                         support::random_source& random, std::string pool, std::string node,
+                         lease_timing timing)
+    : store_(store), time_(time), random_(random), pool_(std::move(pool)), node_(std::move(node)),
+      timing_(timing) {}
 
 bool table_lease::held() const {
-  return holding_ && time_.now() < held_since_ + term - margin;
+  return holding_ && time_.now() < held_since_ + timing_.term - timing_.margin;
 }
 
 table::row_check table_lease::check() const {
@@ -83,7 +85,7 @@
       unchanged_since_ = time_.now();
     }
     // The row was unchanged at least until the question was sent.
-    if (!free && asked_at - *unchanged_since_ < term)
+    if (!free && asked_at - *unchanged_since_ < timing_.term)
       co_return false;
     co_return co_await take_over(rows);
   } catch (const table::store_error&) {
--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -5,8 +5,8 @@
 namespace camphorlug::replicas {
 
 static constexpr std::chrono::milliseconds planning_interval{100};
-static constexpr std::chrono::milliseconds renewal_interval{1000};
-static constexpr std::chrono::milliseconds candidate_interval{700};
+static constexpr std::chrono::milliseconds renewal_interval{500};
+static constexpr std::chrono::milliseconds candidate_interval{400};
 
 support::task<> replica_keeper::run() {
   for (;;) {
@@ -24,7 +24,7 @@
         co_await context_.holding.renew();
       continue;
     }
-    if (!stepping_down_) {
+    if (!stepping_down_ && !context_.other_leads()) {
       const bool acquired = co_await context_.holding.try_acquire();
       if (acquired)
         continue;
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -24,9 +24,17 @@
 /// Members that cannot be reached for this long keep nobody waiting.
 static constexpr milliseconds longest_dissolving{3000};
 /// Part of the instances that is kept out of groups to repair others.
-static constexpr double spare_part = 0.2;
-/// Spares of a fabric domain that are staged with a model.
-static constexpr std::size_t staged_spares = 2;
+static constexpr double spare_part = 0.3;
+/// Free instances that stay in each fabric domain when a group is formed there
+/// from instances without its weights: a lost member is replaced from its own
+/// domain, and failures come in pairs.
+static constexpr std::size_t domain_reserve = 2;
+/// Costs of a join: nothing to fetch, weights on the host, weights to be
+/// loaded; and the latter where it would also cost another model its spare.
+static constexpr int cost_in_memory = 0;
+static constexpr int cost_staged = 1;
+static constexpr int cost_load = 10;
+static constexpr int cost_load_over_staged = 11;
 
 const char* to_string(order_kind kind) {
   switch (kind) {
@@ -345,11 +353,6 @@
     if (usable && !is_assigned(id) && has_left(entry))
       free[entry.fabric_domain].push_back(&entry);
   }
-  // Members that are about to be free are better than a spare that must load.
-  for (const formation& group : formations_) {
-    if (group.phase == formation_phase::dissolving)
-      free.erase(group.fabric_domain);
-  }
   return free;
 }
 
@@ -366,19 +369,30 @@
 std::size_t replica_planner::live_groups(const std::string& model) const {
   return static_cast<std::size_t>(
       std::count_if(formations_.begin(), formations_.end(), [&](const formation& group) {
-        return group.model == model && group.phase != formation_phase::dissolving &&
-               group.phase != formation_phase::closing;
+        // One that ends counts until its members are free: they still hold the
+        // weights, so it is best formed again from them.
+        return group.model == model;
       }));
 }
 
-/// 0 when the weights are in memory, 1 when they are staged, 10 when they must be loaded.
 int replica_planner::join_cost(const target_entry& entry, const std::string& model) const {
   const auto known = memory_.find(entry.id);
   if (known != memory_.end() && known->second.last_model == model)
-    return 0;
+    return cost_in_memory;
   const bool staged =
       std::find(entry.staged.begin(), entry.staged.end(), model) != entry.staged.end();
-  return staged ? 1 : 10;
+  if (staged)
+    return cost_staged;
+  return entry.staged.empty() ? cost_load : cost_load_over_staged;
+}
+
+std::size_t replica_planner::reserve_of(const std::string& domain,
+                                        const planning_view& view) const {
+  const auto size = std::count_if(view.targets.begin(), view.targets.end(), [&](const auto& each) {
+    return each.second.entry.service == service_ && each.second.entry.fabric_domain == domain;
+  });
+  // A small domain would otherwise hold no group at all.
+  return std::min(domain_reserve, static_cast<std::size_t>(size) / 5);
 }
 
 bool replica_planner::may_load(const planning_view& view) {
@@ -399,6 +413,9 @@
     int cost = 0;
     for (std::size_t i = 0; i < model.size; ++i)
       cost += join_cost(*free[i], model.name);
+    const bool keeps_weights = join_cost(*free.front(), model.name) < cost_load;
+    if (!keeps_weights && free.size() < model.size + reserve_of(domain, view))
+      continue;
     if (!best.empty() && std::tie(cost, best_free) >= std::make_tuple(best_cost, free.size()))
       continue;
     best.assign(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(model.size));
@@ -408,7 +425,7 @@
   if (best.empty())
     return false;
   for (const target_entry* entry : best) {
-    if (join_cost(*entry, model.name) >= 10 && !may_load(view))
+    if (join_cost(*entry, model.name) >= cost_load && !may_load(view))
       return false;
   }
   formation group;
@@ -423,7 +440,7 @@
     ids.push_back(entry->id);
   }
   for (const target_entry* entry : best) {
-    const bool loads = join_cost(*entry, model.name) >= 10;
+    const bool loads = join_cost(*entry, model.name) >= cost_load;
     memory_[entry->id].last_model = model.name;
     order(orders, {order_kind::join, entry->id, entry->address, group.group, group.epoch,
                    model.name, ids, loads, "the group forms"});
@@ -452,35 +469,64 @@
   }
 }
 
+/// How many spares of a domain should hold each model's weights: as many as
+/// the domain's largest group of it loses in a pair of failures, most for the
+/// models with the most instances at stake.
+std::map<std::string, std::size_t> replica_planner::wanted_spares(const std::string& domain,
+                                                                  std::size_t spares,
+                                                                  const planning_view& view) const {
+  std::map<std::string, std::size_t> at_stake;
+  for (const formation& group : formations_) {
+    if (group.fabric_domain == domain)
+      at_stake[group.model] += group.members.size();
+  }
+  if (at_stake.empty()) {
+    for (const model_profile& model : view.engine.models)
+      at_stake[model.name] = model.size;
+  }
+  std::map<std::string, std::size_t> wanted;
+  for (std::size_t given = 0; given < spares; ++given) {
+    const auto neediest = std::max_element(
+        at_stake.begin(), at_stake.end(), [&](const auto& left, const auto& right) {
+          return left.second * (wanted[right.first] + 1) < right.second * (wanted[left.first] + 1);
+        });
+    ++wanted[neediest->first];
+  }
+  return wanted;
+}
+
 void replica_planner::stage_spares(const planning_view& view, std::vector<replica_order>& orders) {
   for (const auto& [domain, free] : free_by_domain(view)) {
-    std::set<std::string> covered;
-    std::vector<const target_entry*> bare;
+    std::map<std::string, std::size_t> missing = wanted_spares(domain, free.size(), view);
+    std::vector<const target_entry*> useless;
     for (const target_entry* entry : free) {
       const auto useful = std::find_if(entry->staged.begin(), entry->staged.end(),
-                                       [&](const auto& model) { return !covered.contains(model); });
+                                       [&](const auto& model) { return missing[model] > 0; });
       if (useful != entry->staged.end())
-        covered.insert(*useful);
+        --missing[*useful];
       else
-        bare.push_back(entry);
+        useless.push_back(entry);
     }
-    for (const model_profile& model : view.engine.models) {
-      if (covered.contains(model.name) || bare.empty() || covered.size() >= staged_spares)
-        continue;
-      const target_entry* entry = bare.back();
-      bare.pop_back();
-      covered.insert(model.name);
-      if (!may_order(entry->id, order_kind::stage, 0) || !may_load(view))
-        continue;
-      order(orders, {order_kind::stage,
-                     entry->id,
-                     entry->address,
-                     "",
-                     0,
-                     model.name,
-                     {},
-                     true,
-                     "a spare of the domain"});
+    // Staging replaces what the host holds, so bare hosts go first.
+    std::stable_sort(useless.begin(), useless.end(), [](const auto* left, const auto* right) {
+      return left->staged.size() < right->staged.size();
+    });
+    auto next = useless.begin();
+    for (const auto& [model, count] : missing) {
+      for (std::size_t i = 0; i < count && next != useless.end(); ++i, ++next) {
+        const target_entry& entry = **next;
+        const bool due = may_order(entry.id, order_kind::stage, 0) && may_load(view);
+        if (due)
+          order(orders, {order_kind::stage,
+                         entry.id,
+                         entry.address,
+                         "",
+                         0,
+                         model,
+                         {},
+                         true,
+                         "a spare of the domain"});
+      }
     }
   }
 }
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -9,6 +9,8 @@
 
 /// How long one call waits for a change.
 static constexpr std::chrono::milliseconds feed_wait{3000};
+/// Pause after changes, so that those that follow come in one answer: calls are paid for.
+static constexpr std::chrono::milliseconds batching_pause{80};
 static constexpr std::chrono::milliseconds first_backoff{100};
 static constexpr std::chrono::milliseconds longest_backoff{800};
 /// Failures in a row after which the store counts as lost.
@@ -70,6 +72,8 @@
           on_batch_(batch, false);
           version_ = std::max(version_, batch.version);
         }
+        if (!batch.rows.empty())
+          co_await time_.sleep_for(batching_pause);
       } catch (const store_error& error) {
         reason = error.what();
         healthy = false;
@@ -86,11 +90,12 @@
 }
 
 support::task<> table_follower::reread() {
+  // A table that is not followed is read for the first time here.
+  co_await read_whole();
   for (;;) {
     co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
         reread_interval_ * (0.75 + 0.5 * random_.unit())));
-    if (!must_read_)
-      co_await read_whole();
+    co_await read_whole();
   }
 }
 
--- a/tests/standins/table.cpp
+++ b/tests/standins/table.cpp
@@ -39,7 +39,7 @@
   return result;
 }
 
-std::string table::log() const {
+std::string row_table::log() const {
   std::string text = "[";
   for (const std::string& entry : log_)
     text += (text.size() > 1 ? ",\n" : "\n") + entry;
