See stalls by an engine's silence, size groups by demand, hold two models an instance

Cause: a lost member showed only when its entry lapsed (3.4 s); repairs waited for loads of 16 s and more, which slow each other beyond seven at once; sizes came from the configured shares, not from the requests. Change: streams of an engine that writes to none for 450 ms move at once and its members are asked for a sign of life; groups are wanted by measured slots; before traffic each instance takes one model into memory and another onto its host.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -28,6 +28,7 @@
   const row_decoder& decoder;
   const gateway::caller_protocol& protocol;
   replicas::order_client& orders;
+  replicas::instance_prober& prober;
   table_names tables;
 };
 
@@ -56,6 +57,8 @@
 
 private:
   gateway::node_status status();
+  gateway::slot_demand demand_of_all() const;
+  std::vector<std::string> stalled_anywhere() const;
   support::task<> register_self();
   support::task<> keep_house();
   support::task<> fetch_config(std::string peer_address);
@@ -81,6 +84,8 @@
   gateway::target_chooser chooser_;
   gateway::waiting_line line_;
   gateway::retry_allowance retries_;
+  gateway::stall_watch stalls_;
+  gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::request_gateway requests_;
   gateway::peer_circle peers_;
--- a/include/camphorlug/gateway/forwarded_call.h
+++ b/include/camphorlug/gateway/forwarded_call.h
@@ -71,6 +71,7 @@
 
   bool gone_ = false;
   net::http_exchange* current_ = nullptr;
+  stall_watch::stream* watched_ = nullptr;
   std::set<std::string> tried_;
   std::string last_target_;
   std::size_t sendings_ = 0;
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -2,8 +2,10 @@
 
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/config_in_force.h"
+#include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/gateway_metrics.h"
 #include "camphorlug/gateway/retry_allowance.h"
+#include "camphorlug/gateway/stall_watch.h"
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/gateway/waiting_line.h"
@@ -24,6 +26,8 @@
   waiting_line& line;
   suspicion_list& suspicions;
   retry_allowance& retries;
+  stall_watch& stalls;
+  demand_meter& demand;
   gateway_metrics& metrics;
 };
 
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/load_board.h"
 
 #include <cstdint>
@@ -28,6 +29,10 @@
   /// Whether it has handled any request.
   bool has_served = false;
   target_loads loads;
+  /// Slots that its requests need, by service and model.
+  slot_demand demand;
+  /// Heads of groups that stopped in the middle of their work a moment ago.
+  std::vector<std::string> stalled;
   /// Targets that it suspects.
   std::vector<std::string> suspects;
 
--- a/include/camphorlug/replicas/formation.h
+++ b/include/camphorlug/replicas/formation.h
@@ -41,6 +41,8 @@
   std::string fabric_domain;
   /// The first is the head.
   std::vector<formation_member> members;
+  /// It never opens: its member only takes the model into its memory.
+  bool only_warms = false;
   formation_phase phase = formation_phase::forming;
   support::clock::time_point phase_since;
 };
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -23,6 +23,8 @@
   const std::map<std::string, gateway::registered_target>& targets;
   /// Loads are free and quick until then.
   bool traffic_has_begun = false;
+  /// Slots that the requests for each model need; empty until that is known.
+  std::map<std::string, double> slots_needed;
 };
 
 /// Decides which instances of one service form which groups. It keeps what it
@@ -42,6 +44,13 @@
 
   void take_result(const replica_order& order, order_result result);
 
+  /// Whether an instance answers, as far as it was asked. One that does not is
+  /// taken for lost until it answers or starts again.
+  void note_answer(const std::string& id, bool answers);
+
+  /// Instances that were asked and did not answer.
+  std::vector<std::string> silent() const;
+
   const std::vector<formation>& formations() const { return formations_; }
 
 private:
@@ -50,6 +59,9 @@
     std::uint64_t epoch = 0;
     support::clock::time_point sent_at;
     bool answered = false;
+    /// It fetches `model` from the weight store.
+    bool loads = false;
+    std::string model;
   };
   /// What is known of an instance beyond its entry.
   struct instance_memory {
@@ -58,8 +70,8 @@
     /// Epochs that it confirmed to have left.
     std::set<std::uint64_t> left;
     std::string last_model;
+    bool silent = false;
   };
-  struct pool;
 
   void refresh_memory(const planning_view& view);
   void adopt(const planning_view& view);
@@ -72,18 +84,26 @@
   void form_missing(const planning_view& view, std::vector<replica_order>& orders);
   bool form_one(const planning_view& view, const gateway::model_profile& model,
                 std::vector<replica_order>& orders);
-  void stage_spares(const planning_view& view, std::vector<replica_order>& orders);
+  formation make_formation(const gateway::model_profile& model,
+                           const std::vector<const gateway::target_entry*>& members);
+  void order_joins(const formation& group, const std::vector<const gateway::target_entry*>& members,
+                   const std::string& reason, std::vector<replica_order>& orders);
+  void warm_spares(const planning_view& view, std::vector<replica_order>& orders);
+  void stage_models(const planning_view& view, std::vector<replica_order>& orders);
 
   std::map<std::string, std::vector<const gateway::target_entry*>>
   free_by_domain(const planning_view& view);
   std::size_t wanted_groups(const planning_view& view, const gateway::model_profile& model) const;
   std::size_t live_groups(const std::string& model) const;
   std::size_t reserve_of(const std::string& domain, const planning_view& view) const;
-  std::map<std::string, std::size_t> wanted_spares(const std::string& domain, std::size_t spares,
-                                                   const planning_view& view) const;
+  const gateway::model_profile* second_model(const gateway::target_entry& entry,
+                                             const planning_view& view) const;
+  std::size_t loads_in_progress(const planning_view& view) const;
+  bool is_loading(const std::string& id) const;
   int join_cost(const gateway::target_entry& entry, const std::string& model) const;
   bool is_assigned(const std::string& id) const;
   bool may_order(const std::string& id, order_kind kind, std::uint64_t epoch);
+  bool is_silent(const std::string& id) const;
   bool may_load(const planning_view& view);
   void order(std::vector<replica_order>& orders, replica_order wanted);
   void enter(formation& group, formation_phase phase, const std::string& reason);
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -39,16 +39,18 @@
       chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
       line_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return nodes_alive(); }),
+      stalls_(context_.time), demand_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
-                 registry_, line_, suspicions_, retries_, metrics_},
+                 registry_, line_, suspicions_, retries_, stalls_, demand_, metrics_},
                 [this] { return leaving_; }),
       peers_(context_.executor, context_.time, context_.client, loads_, suspicions_,
              [this] { return status(); }),
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
              lease_timing),
       keeper_({context_.executor, context_.time, config_, registry_, lease_, context_.orders,
-               [this] { return others_served_ || requests_.handled() > 0; },
-               [this] { return peers_.another_leads(leader_silence); }}),
+               context_.prober, [this] { return others_served_ || requests_.handled() > 0; },
+               [this] { return peers_.another_leads(leader_silence); },
+               [this] { return demand_of_all(); }, [this] { return stalled_anywhere(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread,
                        [this](const table::feed_batch& batch, bool) {
@@ -163,6 +165,8 @@
     registry_.expire();
     for (const gateway::node_status& peer : peers_.alive())
       others_served_ = others_served_ || peer.has_served;
+    for (const std::string& target : stalls_.check())
+      suspicions_.suspect(target, "it stands still");
     line_.pump();
     support::flush_log();
     co_await context_.time.sleep_for(housekeeping_interval);
@@ -187,10 +191,28 @@
   status.leads = keeper_.leads();
   status.has_served = requests_.handled() > 0;
   status.loads = loads_.own_loads();
+  status.demand = demand_.demand();
+  status.stalled = stalls_.recent();
   status.suspects = suspicions_.own();
   return status;
 }
 
+gateway::slot_demand edge_node::demand_of_all() const {
+  gateway::slot_demand sum = demand_.demand();
+  for (const gateway::node_status& peer : peers_.alive()) {
+    for (const auto& [pool, slots] : peer.demand)
+      sum[pool] += slots;
+  }
+  return sum;
+}
+
+std::vector<std::string> edge_node::stalled_anywhere() const {
+  std::vector<std::string> heads = stalls_.recent();
+  for (const gateway::node_status& peer : peers_.alive())
+    heads.insert(heads.end(), peer.stalled.begin(), peer.stalled.end());
+  return heads;
+}
+
 std::vector<std::string> edge_node::entries(const std::string& data_centre) const {
   std::vector<gateway::node_status> nodes = peers_.alive();
   gateway::node_status self;
--- /dev/null
+++ b/lib/gateway/demand_meter.cpp
@@ -0,0 +1,40 @@
+#include "camphorlug/gateway/demand_meter.h"
+
+#include <cmath>
+
+namespace camphorlug::gateway {
+
+/// Share of a new holding time in the running mean.
+static constexpr double hold_gain = 0.03;
+
+static constexpr double horizon_seconds =
+    std::chrono::duration<double>(demand_meter::horizon).count();
+
+double demand_meter::decayed(const flow& known, support::clock::time_point now) {
+  const double age = std::chrono::duration<double>(now - known.updated_at).count();
+  return known.rate * std::exp(-age / horizon_seconds);
+}
+
+void demand_meter::count_arrival(const target_pool& pool) {
+  flow& known = flows_[pool];
+  const auto now = time_.now();
+  known.rate = decayed(known, now) + 1 / horizon_seconds;
+  known.updated_at = now;
+}
+
+void demand_meter::count_hold(const target_pool& pool, std::chrono::nanoseconds held) {
+  flow& known = flows_[pool];
+  const double seconds = std::chrono::duration<double>(held).count();
+  known.hold_seconds = known.hold_seconds == 0
+                           ? seconds
+                           : known.hold_seconds + (seconds - known.hold_seconds) * hold_gain;
+}
+
+slot_demand demand_meter::demand() const {
+  slot_demand slots;
+  for (const auto& [pool, known] : flows_)
+    slots[pool] = decayed(known, time_.now()) * known.hold_seconds;
+  return slots;
+}
+
+} // namespace camphorlug::gateway
--- a/lib/gateway/forwarded_call.cpp
+++ b/lib/gateway/forwarded_call.cpp
@@ -68,6 +68,7 @@
       current_->cancel();
   });
   env_.retries.count_request(service_);
+  env_.demand.count_arrival(pool());
   auto last = sending_end::not_run;
   while (!gone_) {
     std::optional<held_slot> slot = co_await wait_for_slot();
@@ -83,6 +84,8 @@
     const auto began_at = env_.time.now();
     last = co_await send_to(slot->target());
     env_.line.learn(pool(), env_.time.now() - began_at);
+    if (last == sending_end::answered)
+      env_.demand.count_hold(pool(), env_.time.now() - began_at);
     if (last == sending_end::answered)
       co_return;
     if (gone_ || !may_send_again(last))
@@ -147,8 +150,15 @@
   auto end = sending_end::unknown;
   std::unique_ptr<net::http_exchange> exchange = env_.client.open(std::move(outgoing));
   current_ = exchange.get();
+  const bool stream = route_->kind == request_kind::stream;
+  std::optional<stall_watch::stream> watched;
+  if (stream && route_->repeatable() && sendings_ < route_->attempts)
+    watched.emplace(env_.stalls, target.id, [this, open = exchange.get()] {
+      trail_ += " (stalled)";
+      open->cancel();
+    });
+  watched_ = watched ? &*watched : nullptr;
   try {
-    const bool stream = route_->kind == request_kind::stream;
     nanoseconds limit = left();
     if (route_->repeatable() && sendings_ < route_->attempts) {
       const auto part = std::chrono::duration_cast<nanoseconds>(limit * first_sending_part);
@@ -173,6 +183,7 @@
       env_.suspicions.count_failure(target.id, error.what());
   }
   current_ = nullptr;
+  watched_ = nullptr;
   may_have_run_ = may_have_run_ || end == sending_end::unknown || end == sending_end::failed;
   co_return end;
 }
@@ -244,6 +255,8 @@
         co_await exchange.read(may_move ? std::min(left(), patience) : left());
     if (!piece)
       break;
+    if (watched_)
+      watched_->progress();
     splitter.append(*piece);
     while (auto event = splitter.next()) {
       const bool in_order = event->id && (!last_event_ || *event->id == *last_event_ + 1);
--- a/lib/gateway/node_status.cpp
+++ b/lib/gateway/node_status.cpp
@@ -1,9 +1,24 @@
 #include "camphorlug/gateway/node_status.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::gateway {
 
+static nlohmann::json to_list(const slot_demand& demand) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [pool, slots] : demand)
+    list.push_back({pool.service, pool.model, std::round(slots * 10) / 10});
+  return list;
+}
+
+static slot_demand read_demand(const nlohmann::json& list) {
+  slot_demand demand;
+  for (const auto& entry : list)
+    demand[{entry.at(0), entry.at(1)}] = entry.at(2);
+  return demand;
+}
+
 // Short names: several of these travel between data centres each second.
 std::string node_status::to_json() const {
   return nlohmann::json{{"id", id},
@@ -18,6 +33,8 @@
                         {"lead", leads},
                         {"srv", has_served},
                         {"load", loads},
+                        {"need", to_list(demand)},
+                        {"stall", stalled},
                         {"sus", suspects}}
       .dump();
 }
@@ -37,6 +54,8 @@
   value.at("lead").get_to(status.leads);
   value.at("srv").get_to(status.has_served);
   value.at("load").get_to(status.loads);
+  status.demand = read_demand(value.at("need"));
+  value.at("stall").get_to(status.stalled);
   value.at("sus").get_to(status.suspects);
   return status;
 }
--- /dev/null
+++ b/lib/gateway/stall_watch.cpp
@@ -0,0 +1,61 @@
+#include "camphorlug/gateway/stall_watch.h"
+
+#include <algorithm>
+
+namespace camphorlug::gateway {
+
+/// How long a stall is told to others.
+static constexpr std::chrono::milliseconds told_for{1000};
+
+stall_watch::stream::stream(stall_watch& watch, std::string target, std::function<void()> on_stall)
+    : watch_(watch), target_(std::move(target)), on_stall_(std::move(on_stall)) {
+  watch_.targets_[target_].streams.push_back(this);
+}
+
+stall_watch::stream::~stream() {
+  const auto found = watch_.targets_.find(target_);
+  std::erase(found->second.streams, this);
+  if (found->second.streams.empty())
+    watch_.targets_.erase(found);
+}
+
+void stall_watch::stream::progress() {
+  writing_ = true;
+  watch_.targets_[target_].last_progress = watch_.time_.now();
+}
+
+std::vector<std::string> stall_watch::check() {
+  const auto now = time_.now();
+  const bool stood_still = now - checked_at_ > own_pause;
+  checked_at_ = now;
+  std::vector<std::string> stalled;
+  std::vector<std::function<void()>> actions;
+  for (auto& [target, known] : targets_) {
+    if (stood_still)
+      known.last_progress = now;
+    const bool writes = std::any_of(known.streams.begin(), known.streams.end(),
+                                    [](const stream* each) { return each->writing_; });
+    if (!writes || now - known.last_progress < stall_after)
+      continue;
+    // Streams on it go elsewhere; those that come later begin with a fresh count.
+    known.last_progress = now;
+    stalled.push_back(target);
+    stalled_[target] = now;
+    for (const stream* each : known.streams)
+      actions.push_back(each->on_stall_);
+  }
+  for (const auto& action : actions)
+    action();
+  return stalled;
+}
+
+std::vector<std::string> stall_watch::recent() const {
+  std::vector<std::string> targets;
+  for (const auto& [target, when] : stalled_) {
+    if (time_.now() - when < told_for)
+      targets.push_back(target);
+  }
+  return targets;
+}
+
+} // namespace camphorlug::gateway
--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -2,9 +2,16 @@
 
 #include "camphorlug/support/log.h"
 
+#include <algorithm>
+#include <set>
+
 namespace camphorlug::replicas {
 
 static constexpr std::chrono::milliseconds planning_interval{100};
+/// An instance is asked for a sign of life at most this often.
+static constexpr std::chrono::milliseconds probe_interval{1000};
+/// The demand counts after this, when the rates have settled.
+static constexpr std::chrono::milliseconds demand_settling{3000};
 static constexpr std::chrono::milliseconds renewal_interval{500};
 static constexpr std::chrono::milliseconds candidate_interval{400};
 
@@ -51,16 +58,59 @@
     const bool created = !planner;
     if (created)
       planner = std::make_unique<replica_planner>(context_.time, name);
-    if (new_term || created)
+    if (new_term || created) {
       planner->begin_term(fence, fence == 1);
-    const planning_view view{*service.engine, context_.registry.all(),
-                             context_.traffic_has_begun()};
-    for (replica_order& order : planner->plan(view))
+      led_since_ = context_.time.now();
+    }
+    question(name, *planner);
+    for (replica_order& order : planner->plan(view_of(service)))
       support::spawn(context_.executor, "order " + order.target,
                      send(name, std::move(order), fence));
   }
 }
 
+planning_view replica_keeper::view_of(const gateway::service_spec& service) const {
+  planning_view view{*service.engine, context_.registry.all(), context_.traffic_has_begun(), {}};
+  const bool known = context_.time.now() - led_since_ > demand_settling;
+  if (!view.traffic_has_begun || !known)
+    return view;
+  for (const gateway::model_profile& model : service.engine->models)
+    view.slots_needed[model.name] = 0;
+  for (const auto& [pool, slots] : context_.demand()) {
+    if (pool.service == service.name && view.slots_needed.contains(pool.model))
+      view.slots_needed[pool.model] = slots;
+  }
+  return view;
+}
+
+void replica_keeper::question(const std::string& service, replica_planner& planner) {
+  std::set<std::string> asked;
+  const std::vector<std::string> stalled = context_.stalled();
+  for (const formation& group : planner.formations()) {
+    const std::string& head = group.members.front().id;
+    if (std::find(stalled.begin(), stalled.end(), head) == stalled.end())
+      continue;
+    for (const formation_member& member : group.members)
+      asked.insert(member.id);
+  }
+  for (const std::string& id : planner.silent())
+    asked.insert(id);
+  for (const std::string& id : asked) {
+    const gateway::target_entry* entry = context_.registry.find(id);
+    auto& last = probed_at_[id];
+    if (!entry || context_.time.now() - last < probe_interval)
+      continue;
+    last = context_.time.now();
+    support::spawn(context_.executor, "probe " + id, probe(service, *entry));
+  }
+}
+
+support::task<> replica_keeper::probe(std::string service, gateway::target_entry entry) {
+  const std::string id = entry.id;
+  const bool answers = co_await context_.prober.answers(std::move(entry));
+  planners_.at(service)->note_answer(id, answers);
+}
+
 support::task<> replica_keeper::send(std::string service, replica_order order,
                                      std::uint64_t fence) {
   const auto still_leads = [this, fence] {
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -3,6 +3,7 @@
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace camphorlug::replicas {
@@ -17,14 +18,20 @@
 static constexpr std::uint64_t epochs_per_fence = 1'000'000;
 /// An order without visible effect is given again after this.
 static constexpr milliseconds order_repeat{1200};
-/// Beyond the load time, after which a group that does not become ready is given up.
-static constexpr milliseconds forming_slack{8000};
+/// A group whose head does not open in this time is given up.
+static constexpr milliseconds longest_opening{8000};
+/// The same for a group that does not become ready; loads slow each other down.
+static constexpr milliseconds longest_load{40'000};
 /// How long a head may finish its requests once a member drains.
 static constexpr milliseconds longest_closing{9000};
 /// Members that cannot be reached for this long keep nobody waiting.
 static constexpr milliseconds longest_dissolving{3000};
 /// Part of the instances that is kept out of groups to repair others.
-static constexpr double spare_part = 0.3;
+static constexpr double spare_part = 0.2;
+/// Part of a group's slots that its requests fill on average: beyond it, waiting grows fast.
+static constexpr double planned_fill = 0.5;
+/// Groups of a model that exist whatever the demand, so that one may fail.
+static constexpr std::size_t least_groups = 2;
 /// Free instances that stay in each fabric domain when a group is formed there
 /// from instances without its weights: a lost member is replaced from its own
 /// domain, and failures come in pairs.
@@ -119,7 +126,8 @@
   std::erase_if(formations_, [](const formation& group) { return group.members.empty(); });
   release_strays(view, orders);
   form_missing(view, orders);
-  stage_spares(view, orders);
+  warm_spares(view, orders);
+  stage_models(view, orders);
   return orders;
 }
 
@@ -131,7 +139,7 @@
     ++instances;
     instance_memory& known = memory_[id];
     if (known.started_at_ms != target.entry.started_at_ms)
-      known = {target.entry.started_at_ms, std::nullopt, {}, ""};
+      known = {target.entry.started_at_ms, std::nullopt, {}, "", false};
     if (!target.entry.model.empty())
       known.last_model = target.entry.model;
   }
@@ -192,6 +200,10 @@
       enter(group, formation_phase::dissolving, member.id + " is gone");
       return;
     }
+    if (is_silent(member.id)) {
+      enter(group, formation_phase::dissolving, member.id + " does not answer");
+      return;
+    }
     const target_entry& entry = target->entry;
     if (entry.started_at_ms != member.started_at_ms) {
       enter(group, formation_phase::dissolving, member.id + " has restarted");
@@ -240,7 +252,7 @@
   case formation_phase::opening:
     if (head_in && head->entry.membership->state == membership_state::open)
       enter(group, formation_phase::serving, "its head is open");
-    else if (in_phase > forming_slack)
+    else if (in_phase > longest_opening)
       enter(group, formation_phase::dissolving, "its head does not open");
     else if (head_in && head->entry.membership->state == membership_state::ready)
       to_head(order_kind::open, "all members are ready");
@@ -265,7 +277,7 @@
 void replica_planner::advance_forming(formation& group, const planning_view& view,
                                       std::vector<replica_order>& orders) {
   const model_profile* model = view.engine.find(group.model);
-  if (!model || time_.now() - group.phase_since > model->load_time + forming_slack) {
+  if (!model || time_.now() - group.phase_since > longest_load) {
     enter(group, formation_phase::dissolving, "it did not become ready in time");
     return;
   }
@@ -281,7 +293,9 @@
     order(orders, {order_kind::join, entry.id, entry.address, group.group, group.epoch, group.model,
                    ids, false, "the group forms"});
   }
-  if (all_ready)
+  if (all_ready && group.only_warms)
+    enter(group, formation_phase::dissolving, "the spare holds the model");
+  else if (all_ready)
     enter(group, formation_phase::opening, "all members are ready");
 }
 
@@ -302,6 +316,8 @@
     const auto known = memory_.find(member.id);
     if (known != memory_.end() && known->second.left.contains(group.epoch))
       continue;
+    if (is_silent(member.id))
+      continue;
     // Also an instance that does not show the group yet may still join it.
     all_left = false;
     order(orders, {order_kind::leave,
@@ -330,7 +346,7 @@
                                      std::vector<replica_order>& orders) {
   for (const auto& [id, target] : view.targets) {
     const target_entry& entry = target.entry;
-    if (entry.service != service_ || is_assigned(id) || has_left(entry))
+    if (entry.service != service_ || is_assigned(id) || has_left(entry) || is_silent(id))
       continue;
     order(orders, {order_kind::leave,
                    id,
@@ -349,7 +365,8 @@
   std::map<std::string, std::vector<const target_entry*>> free;
   for (const auto& [id, target] : view.targets) {
     const target_entry& entry = target.entry;
-    const bool usable = entry.service == service_ && !entry.draining && !target.missing_since;
+    const bool usable =
+        entry.service == service_ && !entry.draining && !target.missing_since && !is_silent(id);
     if (usable && !is_assigned(id) && has_left(entry))
       free[entry.fabric_domain].push_back(&entry);
   }
@@ -358,6 +375,11 @@
 
 std::size_t replica_planner::wanted_groups(const planning_view& view,
                                            const model_profile& model) const {
+  const auto needed = view.slots_needed.find(model.name);
+  if (needed != view.slots_needed.end()) {
+    const double slots = static_cast<double>(view.engine.batch_slots) * planned_fill;
+    return std::max(least_groups, static_cast<std::size_t>(std::ceil(needed->second / slots)));
+  }
   double shares = 0;
   for (const model_profile& each : view.engine.models)
     shares += each.share;
@@ -371,7 +393,7 @@
       std::count_if(formations_.begin(), formations_.end(), [&](const formation& group) {
         // One that ends counts until its members are free: they still hold the
         // weights, so it is best formed again from them.
-        return group.model == model;
+        return group.model == model && !group.only_warms;
       }));
 }
 
@@ -395,8 +417,34 @@
   return std::min(domain_reserve, static_cast<std::size_t>(size) / 5);
 }
 
+bool replica_planner::is_silent(const std::string& id) const {
+  const auto known = memory_.find(id);
+  return known != memory_.end() && known->second.silent;
+}
+
+std::vector<std::string> replica_planner::silent() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, known] : memory_) {
+    if (known.silent)
+      ids.push_back(id);
+  }
+  return ids;
+}
+
+void replica_planner::note_answer(const std::string& id, bool answers) {
+  const auto known = memory_.find(id);
+  if (known == memory_.end() || known->second.silent == !answers)
+    return;
+  known->second.silent = !answers;
+  support::log_event(support::log_level::info, "instance_answers",
+                     {{"target", id}, {"answers", answers ? "yes" : "no"}});
+}
+
 bool replica_planner::may_load(const planning_view& view) {
-  return !view.traffic_has_begun || loads_.take(view.engine.loads_per_second);
+  if (!view.traffic_has_begun)
+    return true;
+  return loads_in_progress(view) < view.engine.concurrent_loads &&
+         loads_.take(view.engine.loads_per_second);
 }
 
 bool replica_planner::form_one(const planning_view& view, const model_profile& model,
@@ -428,25 +476,37 @@
     if (join_cost(*entry, model.name) >= cost_load && !may_load(view))
       return false;
   }
+  formation group = make_formation(model, best);
+  order_joins(group, best, "the group forms", orders);
+  formations_.push_back(std::move(group));
+  return true;
+}
+
+formation replica_planner::make_formation(const model_profile& model,
+                                          const std::vector<const target_entry*>& members) {
   formation group;
   group.epoch = next_epoch_++;
   group.group = "g" + std::to_string(group.epoch);
   group.model = model.name;
-  group.fabric_domain = best.front()->fabric_domain;
+  group.fabric_domain = members.front()->fabric_domain;
   group.phase_since = time_.now();
-  std::vector<std::string> ids;
-  for (const target_entry* entry : best) {
+  for (const target_entry* entry : members)
     group.members.push_back({entry->id, entry->started_at_ms, false});
-    ids.push_back(entry->id);
-  }
-  for (const target_entry* entry : best) {
-    const bool loads = join_cost(*entry, model.name) >= cost_load;
-    memory_[entry->id].last_model = model.name;
+  return group;
+}
+
+void replica_planner::order_joins(const formation& group,
+                                  const std::vector<const target_entry*>& members,
+                                  const std::string& reason, std::vector<replica_order>& orders) {
+  std::vector<std::string> ids;
+  for (const formation_member& member : group.members)
+    ids.push_back(member.id);
+  for (const target_entry* entry : members) {
+    const bool loads = join_cost(*entry, group.model) >= cost_load;
+    memory_[entry->id].last_model = group.model;
     order(orders, {order_kind::join, entry->id, entry->address, group.group, group.epoch,
-                   model.name, ids, loads, "the group forms"});
+                   group.model, ids, loads, reason});
   }
-  formations_.push_back(std::move(group));
-  return true;
 }
 
 void replica_planner::form_missing(const planning_view& view, std::vector<replica_order>& orders) {
@@ -469,64 +529,87 @@
   }
 }
 
-/// How many spares of a domain should hold each model's weights: as many as
-/// the domain's largest group of it loses in a pair of failures, most for the
-/// models with the most instances at stake.
-std::map<std::string, std::size_t> replica_planner::wanted_spares(const std::string& domain,
-                                                                  std::size_t spares,
-                                                                  const planning_view& view) const {
-  std::map<std::string, std::size_t> at_stake;
-  for (const formation& group : formations_) {
-    if (group.fabric_domain == domain)
-      at_stake[group.model] += group.members.size();
+std::size_t replica_planner::loads_in_progress(const planning_view& view) const {
+  std::size_t loads = 0;
+  for (const auto& [id, known] : memory_) {
+    if (!known.pending || !known.pending->loads)
+      continue;
+    const registered_target* target = find(view, id);
+    const auto& staged = target->entry.staged;
+    const bool done = std::find(staged.begin(), staged.end(), known.pending->model) != staged.end();
+    loads += !done && time_.now() - known.pending->sent_at < longest_load ? 1 : 0;
   }
-  if (at_stake.empty()) {
-    for (const model_profile& model : view.engine.models)
-      at_stake[model.name] = model.size;
+  return loads;
+}
+
+/// The model that an instance should have on its host beside the one in its
+/// memory, so that it can join a group of either within moments.
+const model_profile* replica_planner::second_model(const target_entry& entry,
+                                                   const planning_view& view) const {
+  const model_profile* best = nullptr;
+  for (const model_profile& model : view.engine.models) {
+    const int cost = join_cost(entry, model.name);
+    if (cost == cost_in_memory)
+      continue;
+    if (cost == cost_staged)
+      return nullptr;
+    if (!best || model.size > best->size)
+      best = &model;
   }
-  std::map<std::string, std::size_t> wanted;
-  for (std::size_t given = 0; given < spares; ++given) {
-    const auto neediest = std::max_element(
-        at_stake.begin(), at_stake.end(), [&](const auto& left, const auto& right) {
-          return left.second * (wanted[right.first] + 1) < right.second * (wanted[left.first] + 1);
-        });
-    ++wanted[neediest->first];
+  return best;
+}
+
+void replica_planner::stage_models(const planning_view& view, std::vector<replica_order>& orders) {
+  for (const bool spares : {true, false}) {
+    for (const auto& [id, target] : view.targets) {
+      const target_entry& entry = target.entry;
+      const bool usable =
+          entry.service == service_ && !entry.draining && !target.missing_since && !is_silent(id);
+      const bool settled = !entry.membership || has_left(entry) ||
+                           entry.membership->state != membership_state::joining;
+      if (!usable || !settled || is_assigned(id) == spares || is_loading(id))
+        continue;
+      const model_profile* model = second_model(entry, view);
+      if (!model || !may_order(id, order_kind::stage, 0) || !may_load(view))
+        continue;
+      order(orders, {order_kind::stage,
+                     id,
+                     entry.address,
+                     "",
+                     0,
+                     model->name,
+                     {},
+                     true,
+                     spares ? "a spare" : "a member may be needed elsewhere"});
+    }
   }
-  return wanted;
 }
 
-void replica_planner::stage_spares(const planning_view& view, std::vector<replica_order>& orders) {
+bool replica_planner::is_loading(const std::string& id) const {
+  const auto known = memory_.find(id);
+  if (known == memory_.end() || !known->second.pending || !known->second.pending->loads)
+    return false;
+  return time_.now() - known->second.pending->sent_at < order_repeat;
+}
+
+/// Before traffic, when loads are free, spares load a model as the only member
+/// of a group that never opens. It stays in their memory after they leave.
+void replica_planner::warm_spares(const planning_view& view, std::vector<replica_order>& orders) {
+  if (view.traffic_has_begun || !first_term_)
+    return;
   for (const auto& [domain, free] : free_by_domain(view)) {
-    std::map<std::string, std::size_t> missing = wanted_spares(domain, free.size(), view);
-    std::vector<const target_entry*> useless;
+    if (free.size() > reserve_of(domain, view) + 1)
+      continue;
     for (const target_entry* entry : free) {
-      const auto useful = std::find_if(entry->staged.begin(), entry->staged.end(),
-                                       [&](const auto& model) { return missing[model] > 0; });
-      if (useful != entry->staged.end())
-        --missing[*useful];
-      else
-        useless.push_back(entry);
-    }
-    // Staging replaces what the host holds, so bare hosts go first.
-    std::stable_sort(useless.begin(), useless.end(), [](const auto* left, const auto* right) {
-      return left->staged.size() < right->staged.size();
-    });
-    auto next = useless.begin();
-    for (const auto& [model, count] : missing) {
-      for (std::size_t i = 0; i < count && next != useless.end(); ++i, ++next) {
-        const target_entry& entry = **next;
-        const bool due = may_order(entry.id, order_kind::stage, 0) && may_load(view);
-        if (due)
-          order(orders, {order_kind::stage,
-                         entry.id,
-                         entry.address,
-                         "",
-                         0,
-                         model,
-                         {},
-                         true,
-                         "a spare of the domain"});
-      }
+      if (!memory_[entry->id].last_model.empty())
+        continue;
+      const auto largest = std::max_element(
+          view.engine.models.begin(), view.engine.models.end(),
+          [](const auto& left, const auto& right) { return left.size < right.size; });
+      formation group = make_formation(*largest, {entry});
+      group.only_warms = true;
+      order_joins(group, {entry}, "a spare loads a model", orders);
+      formations_.push_back(std::move(group));
     }
   }
 }
@@ -537,7 +620,7 @@
     return true;
   // A load in progress shows only at its end.
   const auto patience = kind == order_kind::stage && pending->answered
-                            ? std::chrono::nanoseconds(std::chrono::seconds(30))
+                            ? std::chrono::nanoseconds(longest_load)
                             : std::chrono::nanoseconds(order_repeat);
   return time_.now() - pending->sent_at >= patience;
 }
@@ -545,7 +628,8 @@
 void replica_planner::order(std::vector<replica_order>& orders, replica_order wanted) {
   if (!may_order(wanted.target, wanted.kind, wanted.epoch))
     return;
-  memory_[wanted.target].pending = pending_order{wanted.kind, wanted.epoch, time_.now(), false};
+  memory_[wanted.target].pending =
+      pending_order{wanted.kind, wanted.epoch, time_.now(), false, wanted.loads, wanted.model};
   orders.push_back(std::move(wanted));
 }
 
