--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -55,7 +55,6 @@
 
 private:
   struct pending_order {
-    order_kind kind = order_kind::join;
     std::uint64_t epoch = 0;
     support::clock::time_point sent_at;
     bool answered = false;
@@ -66,7 +65,8 @@
   /// What is known of an instance beyond its entry.
   struct instance_memory {
     std::int64_t started_at_ms = 0;
-    std::optional<pending_order> pending;
+    /// The newest order of each kind.
+    std::map<order_kind, pending_order> pending;
     /// Epochs that it confirmed to have left.
     std::set<std::uint64_t> left;
     std::string last_model;
@@ -82,6 +82,8 @@
   void dissolve(formation& group, const planning_view& view, std::vector<replica_order>& orders);
   void release_strays(const planning_view& view, std::vector<replica_order>& orders);
   void form_missing(const planning_view& view, std::vector<replica_order>& orders);
+  void give_up_group(const planning_view& view, const gateway::model_profile& richest,
+                     const gateway::model_profile& neediest);
   bool form_one(const planning_view& view, const gateway::model_profile& model,
                 std::vector<replica_order>& orders);
   formation make_formation(const gateway::model_profile& model,
@@ -99,7 +101,10 @@
   const gateway::model_profile* second_model(const gateway::target_entry& entry,
                                              const planning_view& view) const;
   std::size_t loads_in_progress(const planning_view& view) const;
-  bool is_loading(const std::string& id) const;
+  bool loads(const gateway::target_entry& entry, const pending_order& pending) const;
+  bool is_loading(const gateway::target_entry& entry) const;
+  double planned_instances(const planning_view& view) const;
+  double planned_fill(const planning_view& view) const;
   int join_cost(const gateway::target_entry& entry, const std::string& model) const;
   bool is_assigned(const std::string& id) const;
   bool may_order(const std::string& id, order_kind kind, std::uint64_t epoch);
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -28,14 +28,23 @@
 static constexpr milliseconds longest_dissolving{3000};
 /// Part of the instances that is kept out of groups to repair others.
 static constexpr double spare_part = 0.2;
-/// Part of a group's slots that its requests fill on average: beyond it, waiting grows fast.
-static constexpr double planned_fill = 0.5;
+/// Bounds of the part of a group's slots that its requests fill on average.
+/// Below the first, more groups serve nobody better; beyond the second, waiting
+/// grows fast.
+static constexpr double least_fill = 0.25;
+static constexpr double most_fill = 0.75;
 /// Groups of a model that exist whatever the demand, so that one may fail.
 static constexpr std::size_t least_groups = 2;
 /// Free instances that stay in each fabric domain when a group is formed there
 /// from instances without its weights: a lost member is replaced from its own
 /// domain, and failures come in pairs.
 static constexpr std::size_t domain_reserve = 2;
+/// While a model lacks groups that cannot be formed yet, others get no further
+/// ones beyond this part of what they want: small groups would use up the
+/// instances that a large one waits for.
+static constexpr double supply_before_neediest = 0.75;
+/// A model gives up a group for another one whose supply is lower by this much.
+static constexpr double supply_gap = 0.3;
 /// Costs of a join: nothing to fetch, weights on the host, weights to be
 /// loaded; and the latter where it would also cost another model its spare.
 static constexpr int cost_in_memory = 0;
@@ -139,7 +148,7 @@
     ++instances;
     instance_memory& known = memory_[id];
     if (known.started_at_ms != target.entry.started_at_ms)
-      known = {target.entry.started_at_ms, std::nullopt, {}, "", false};
+      known = {target.entry.started_at_ms, {}, {}, "", false};
     if (!target.entry.model.empty())
       known.last_model = target.entry.model;
   }
@@ -373,18 +382,38 @@
   return free;
 }
 
+/// Instances that stay in groups: the others repair them.
+double replica_planner::planned_instances(const planning_view& view) const {
+  std::size_t usable = 0;
+  for (const auto& [id, target] : view.targets)
+    usable += target.entry.service == service_ && !target.entry.draining && !is_silent(id) ? 1 : 0;
+  // Before traffic the instances appear one by one; most of them are to come.
+  const std::size_t counted = view.traffic_has_begun ? usable : most_instances_;
+  return static_cast<double>(counted) * (1 - spare_part);
+}
+
+/// The part of its slots that a group is to have busy so that the planned
+/// instances carry the whole demand.
+double replica_planner::planned_fill(const planning_view& view) const {
+  double instances = 0;
+  for (const model_profile& model : view.engine.models)
+    instances += view.slots_needed.at(model.name) * static_cast<double>(model.size) /
+                 static_cast<double>(view.engine.batch_slots);
+  return std::clamp(instances / std::max(planned_instances(view), 1.0), least_fill, most_fill);
+}
+
 std::size_t replica_planner::wanted_groups(const planning_view& view,
                                            const model_profile& model) const {
-  const auto needed = view.slots_needed.find(model.name);
-  if (needed != view.slots_needed.end()) {
-    const double slots = static_cast<double>(view.engine.batch_slots) * planned_fill;
-    return std::max(least_groups, static_cast<std::size_t>(std::ceil(needed->second / slots)));
+  if (!view.slots_needed.empty()) {
+    const double slots = static_cast<double>(view.engine.batch_slots) * planned_fill(view);
+    const double groups = std::ceil(view.slots_needed.at(model.name) / slots);
+    return std::max(least_groups, static_cast<std::size_t>(groups));
   }
   double shares = 0;
   for (const model_profile& each : view.engine.models)
     shares += each.share;
-  const double instances = static_cast<double>(most_instances_) * (1 - spare_part);
-  const double groups = instances * model.share / shares / static_cast<double>(model.size);
+  const double groups =
+      planned_instances(view) * model.share / shares / static_cast<double>(model.size);
   return std::max<std::size_t>(1, static_cast<std::size_t>(groups + 0.5));
 }
 
@@ -521,25 +550,58 @@
     std::stable_sort(models.begin(), models.end(), [&](const auto* left, const auto* right) {
       return supply(left) < supply(right);
     });
+    const double enough = supply(models.front()) < 1 ? supply_before_neediest : 1;
     const bool formed = std::any_of(models.begin(), models.end(), [&](const model_profile* model) {
-      return supply(model) < 1 && form_one(view, *model, orders);
+      const double limit = model == models.front() ? 1 : enough;
+      return supply(model) < limit && form_one(view, *model, orders);
     });
     if (!formed)
+      break;
+  }
+  const model_profile* neediest = models.front();
+  const model_profile* richest = models.back();
+  if (view.traffic_has_begun && supply(neediest) < 1 &&
+      supply(richest) - supply(neediest) > supply_gap)
+    give_up_group(view, *richest, *neediest);
+}
+
+/// Ends a group of `richest` in the domain where that comes closest to a group of `neediest`.
+void replica_planner::give_up_group(const planning_view& view, const model_profile& richest,
+                                    const model_profile& neediest) {
+  const auto free = free_by_domain(view);
+  formation* best = nullptr;
+  std::size_t best_free = 0;
+  for (formation& group : formations_) {
+    // One at a time: its instances may be enough.
+    if (group.phase == formation_phase::closing)
       return;
+    if (group.model != richest.name || group.phase != formation_phase::serving)
+      continue;
+    const auto known = free.find(group.fabric_domain);
+    const std::size_t there = known == free.end() ? 0 : known->second.size();
+    if (there + 2 * group.members.size() < neediest.size || (best && there <= best_free))
+      continue;
+    best = &group;
+    best_free = there;
   }
+  if (best)
+    enter(*best, formation_phase::closing, "its instances are needed for " + neediest.name);
+}
+
+bool replica_planner::loads(const target_entry& entry, const pending_order& pending) const {
+  const bool done =
+      std::find(entry.staged.begin(), entry.staged.end(), pending.model) != entry.staged.end();
+  return pending.loads && !done && time_.now() - pending.sent_at < longest_load;
 }
 
 std::size_t replica_planner::loads_in_progress(const planning_view& view) const {
-  std::size_t loads = 0;
+  std::size_t count = 0;
   for (const auto& [id, known] : memory_) {
-    if (!known.pending || !known.pending->loads)
-      continue;
-    const registered_target* target = find(view, id);
-    const auto& staged = target->entry.staged;
-    const bool done = std::find(staged.begin(), staged.end(), known.pending->model) != staged.end();
-    loads += !done && time_.now() - known.pending->sent_at < longest_load ? 1 : 0;
+    const target_entry& entry = find(view, id)->entry;
+    for (const auto& [kind, pending] : known.pending)
+      count += loads(entry, pending) ? 1 : 0;
   }
-  return loads;
+  return count;
 }
 
 /// The model that an instance should have on its host beside the one in its
@@ -567,7 +629,7 @@
           entry.service == service_ && !entry.draining && !target.missing_since && !is_silent(id);
       const bool settled = !entry.membership || has_left(entry) ||
                            entry.membership->state != membership_state::joining;
-      if (!usable || !settled || is_assigned(id) == spares || is_loading(id))
+      if (!usable || !settled || is_assigned(id) == spares || is_loading(entry))
         continue;
       const model_profile* model = second_model(entry, view);
       if (!model || !may_order(id, order_kind::stage, 0) || !may_load(view))
@@ -585,11 +647,11 @@
   }
 }
 
-bool replica_planner::is_loading(const std::string& id) const {
-  const auto known = memory_.find(id);
-  if (known == memory_.end() || !known->second.pending || !known->second.pending->loads)
-    return false;
-  return time_.now() - known->second.pending->sent_at < order_repeat;
+bool replica_planner::is_loading(const target_entry& entry) const {
+  const auto known = memory_.find(entry.id);
+  return known != memory_.end() &&
+         std::any_of(known->second.pending.begin(), known->second.pending.end(),
+                     [&](const auto& each) { return loads(entry, each.second); });
 }
 
 /// Before traffic, when loads are free, spares load a model as the only member
@@ -616,20 +678,19 @@
 
 bool replica_planner::may_order(const std::string& id, order_kind kind, std::uint64_t epoch) {
   const auto& pending = memory_[id].pending;
-  if (!pending || pending->kind != kind || pending->epoch != epoch)
+  const auto known = pending.find(kind);
+  if (known == pending.end() || known->second.epoch != epoch)
     return true;
   // A load in progress shows only at its end.
-  const auto patience = kind == order_kind::stage && pending->answered
-                            ? std::chrono::nanoseconds(longest_load)
-                            : std::chrono::nanoseconds(order_repeat);
-  return time_.now() - pending->sent_at >= patience;
+  const bool loads = kind == order_kind::stage && known->second.answered;
+  return time_.now() - known->second.sent_at >= (loads ? longest_load : order_repeat);
 }
 
 void replica_planner::order(std::vector<replica_order>& orders, replica_order wanted) {
   if (!may_order(wanted.target, wanted.kind, wanted.epoch))
     return;
-  memory_[wanted.target].pending =
-      pending_order{wanted.kind, wanted.epoch, time_.now(), false, wanted.loads, wanted.model};
+  memory_[wanted.target].pending[wanted.kind] = {wanted.epoch, time_.now(), false, wanted.loads,
+                                                 wanted.model};
   orders.push_back(std::move(wanted));
 }
 
@@ -639,8 +700,9 @@
     return;
   instance_memory& known = found->second;
   const bool accepted = result == order_result::begun || result == order_result::done;
-  if (known.pending && known.pending->kind == order.kind && known.pending->epoch == order.epoch)
-    known.pending->answered = accepted;
+  const auto pending = known.pending.find(order.kind);
+  if (pending != known.pending.end() && pending->second.epoch == order.epoch)
+    pending->second.answered = accepted;
   if (order.kind == order_kind::leave && accepted)
     known.left.insert(order.epoch);
 }
