Give up a group only where another forms from it without loads; let demand settle

Cause: the first holding times come from short requests, so the demand for the long model was read too low at 3 s and its groups were closed; groups were given up in domains where no other one could then be formed.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -12,6 +12,7 @@
 
 #include <asio/any_io_executor.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
   gateway::node_status status();
   gateway::slot_demand demand_of_all() const;
   std::vector<std::string> stalled_anywhere() const;
+  void note_traffic();
   support::task<> register_self();
   support::task<> keep_house();
   support::task<> fetch_config(std::string peer_address);
@@ -73,7 +75,8 @@
   std::uint64_t sequence_ = 0;
   bool leaving_ = false;
   bool fetching_config_ = false;
-  bool others_served_ = false;
+  /// When the first request of any node was seen.
+  std::optional<support::clock::time_point> traffic_since_;
   std::string config_text_;
 
   gateway::config_in_force config_;
--- a/include/camphorlug/replicas/replica_keeper.h
+++ b/include/camphorlug/replicas/replica_keeper.h
@@ -30,7 +30,7 @@
   std::function<bool()> traffic_has_begun;
   /// Whether another node said a moment ago that it leads: the lease need not be read then.
   std::function<bool()> other_leads;
-  /// Slots that the requests of all nodes need.
+  /// Slots that the requests of all nodes need; empty until that is known.
   std::function<gateway::slot_demand()> demand;
   /// Heads of groups that some node saw standing still a moment ago.
   std::function<std::vector<std::string>()> stalled;
@@ -61,7 +61,6 @@
   keeper_context context_;
   std::map<std::string, std::unique_ptr<replica_planner>> planners_;
   std::uint64_t term_ = 0;
-  support::clock::time_point led_since_;
   /// When each instance was last asked.
   std::map<std::string, support::clock::time_point> probed_at_;
   bool stepping_down_ = false;
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -120,6 +120,7 @@
   std::uint64_t fence_ = 0;
   std::uint64_t next_epoch_ = 0;
   support::clock::time_point term_began_at_;
+  support::clock::time_point gave_up_at_;
   bool first_term_ = true;
   bool adopted_ = false;
   std::size_t most_instances_ = 0;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -6,6 +6,7 @@
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::edge {
@@ -17,6 +18,9 @@
                                                    std::chrono::milliseconds(300)};
 /// A planner whose status is older than this may be gone.
 static constexpr std::chrono::milliseconds leader_silence{700};
+/// The demand counts after this: short requests end first, so that the first
+/// holding times are too short.
+static constexpr std::chrono::milliseconds demand_settling{8000};
 static constexpr std::chrono::milliseconds config_reread{2000};
 static constexpr std::chrono::milliseconds targets_reread{4000};
 static constexpr std::chrono::milliseconds own_reread{5000};
@@ -48,7 +52,7 @@
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
              lease_timing),
       keeper_({context_.executor, context_.time, config_, registry_, lease_, context_.orders,
-               context_.prober, [this] { return others_served_ || requests_.handled() > 0; },
+               context_.prober, [this] { return traffic_since_.has_value(); },
                [this] { return peers_.another_leads(leader_silence); },
                [this] { return demand_of_all(); }, [this] { return stalled_anywhere(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
@@ -163,8 +167,7 @@
 support::task<> edge_node::keep_house() {
   for (;;) {
     registry_.expire();
-    for (const gateway::node_status& peer : peers_.alive())
-      others_served_ = others_served_ || peer.has_served;
+    note_traffic();
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     line_.pump();
@@ -173,6 +176,17 @@
   }
 }
 
+void edge_node::note_traffic() {
+  if (traffic_since_)
+    return;
+  const std::vector<gateway::node_status> peers = peers_.alive();
+  const bool served =
+      requests_.handled() > 0 ||
+      std::any_of(peers.begin(), peers.end(), [](const auto& peer) { return peer.has_served; });
+  if (served)
+    traffic_since_ = context_.time.now();
+}
+
 bool edge_node::ready() const {
   return !leaving_ && config_.current() && registry_.was_read();
 }
@@ -198,6 +212,8 @@
 }
 
 gateway::slot_demand edge_node::demand_of_all() const {
+  if (!traffic_since_ || context_.time.now() - *traffic_since_ < demand_settling)
+    return {};
   gateway::slot_demand sum = demand_.demand();
   for (const gateway::node_status& peer : peers_.alive()) {
     for (const auto& [pool, slots] : peer.demand)
--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -10,8 +10,6 @@
 static constexpr std::chrono::milliseconds planning_interval{100};
 /// An instance is asked for a sign of life at most this often.
 static constexpr std::chrono::milliseconds probe_interval{1000};
-/// The demand counts after this, when the rates have settled.
-static constexpr std::chrono::milliseconds demand_settling{3000};
 static constexpr std::chrono::milliseconds renewal_interval{500};
 static constexpr std::chrono::milliseconds candidate_interval{400};
 
@@ -60,7 +58,6 @@
       planner = std::make_unique<replica_planner>(context_.time, name);
     if (new_term || created) {
       planner->begin_term(fence, fence == 1);
-      led_since_ = context_.time.now();
     }
     question(name, *planner);
     for (replica_order& order : planner->plan(view_of(service)))
@@ -71,12 +68,12 @@
 
 planning_view replica_keeper::view_of(const gateway::service_spec& service) const {
   planning_view view{*service.engine, context_.registry.all(), context_.traffic_has_begun(), {}};
-  const bool known = context_.time.now() - led_since_ > demand_settling;
-  if (!view.traffic_has_begun || !known)
+  const gateway::slot_demand demand = context_.demand();
+  if (demand.empty())
     return view;
   for (const gateway::model_profile& model : service.engine->models)
     view.slots_needed[model.name] = 0;
-  for (const auto& [pool, slots] : context_.demand()) {
+  for (const auto& [pool, slots] : demand) {
     if (pool.service == service.name && view.slots_needed.contains(pool.model))
       view.slots_needed[pool.model] = slots;
   }
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -44,7 +44,9 @@
 /// instances that a large one waits for.
 static constexpr double supply_before_neediest = 0.75;
 /// A model gives up a group for another one whose supply is lower by this much.
-static constexpr double supply_gap = 0.3;
+static constexpr double supply_gap = 0.25;
+/// Time for the last change to show before another group is given up.
+static constexpr milliseconds give_up_interval{2500};
 /// Costs of a join: nothing to fetch, weights on the host, weights to be
 /// loaded; and the latter where it would also cost another model its spare.
 static constexpr int cost_in_memory = 0;
@@ -565,27 +567,35 @@
     give_up_group(view, *richest, *neediest);
 }
 
-/// Ends a group of `richest` in the domain where that comes closest to a group of `neediest`.
+/// Ends a group of `richest` where its members and the free instances can
+/// form one of `neediest` without loading.
 void replica_planner::give_up_group(const planning_view& view, const model_profile& richest,
                                     const model_profile& neediest) {
+  const bool one_ends =
+      std::any_of(formations_.begin(), formations_.end(),
+                  [](const formation& group) { return group.phase == formation_phase::closing; });
+  if (one_ends || time_.now() - gave_up_at_ < give_up_interval)
+    return;
   const auto free = free_by_domain(view);
-  formation* best = nullptr;
-  std::size_t best_free = 0;
+  const auto joins_quickly = [&](const target_entry& entry) {
+    return join_cost(entry, neediest.name) < cost_load;
+  };
   for (formation& group : formations_) {
-    // One at a time: its instances may be enough.
-    if (group.phase == formation_phase::closing)
-      return;
     if (group.model != richest.name || group.phase != formation_phase::serving)
       continue;
-    const auto known = free.find(group.fabric_domain);
-    const std::size_t there = known == free.end() ? 0 : known->second.size();
-    if (there + 2 * group.members.size() < neediest.size || (best && there <= best_free))
+    std::size_t quick = 0;
+    if (const auto known = free.find(group.fabric_domain); known != free.end()) {
+      for (const target_entry* entry : known->second)
+        quick += joins_quickly(*entry) ? 1 : 0;
+    }
+    for (const formation_member& member : group.members)
+      quick += joins_quickly(find(view, member.id)->entry) ? 1 : 0;
+    if (quick < neediest.size)
       continue;
-    best = &group;
-    best_free = there;
+    gave_up_at_ = time_.now();
+    enter(group, formation_phase::closing, "its instances are needed for " + neediest.name);
+    return;
   }
-  if (best)
-    enter(*best, formation_phase::closing, "its instances are needed for " + neediest.name);
 }
 
 bool replica_planner::loads(const target_entry& entry, const pending_order& pending) const {
