--- a/include/camphorlug/gateway/waiting_line.h
+++ b/include/camphorlug/gateway/waiting_line.h
@@ -47,13 +47,22 @@
   std::size_t waiting() const;
 
 private:
+  struct waiter;
+  using queue = std::multimap<waiting_rank, waiter*>;
+
+  /// An applicant in its line; leaves it on destruction, also when the wait ends by an exception.
   struct waiter {
+    waiter(support::clock& time, queue& waiting, applicant wanted);
+    ~waiter() { line.erase(place); }
+    waiter(const waiter&) = delete;
+    waiter& operator=(const waiter&) = delete;
+
     applicant wish;
     support::notification called;
     std::optional<chosen_target> given;
-    waiter(support::clock& time, applicant wanted) : wish(std::move(wanted)), called(time) {}
+    queue& line;
+    queue::iterator place;
   };
-  using queue = std::multimap<waiting_rank, waiter*>;
 
   held_slot hold(chosen_target target);
   void pump(queue& line);
--- a/lib/gateway/waiting_line.cpp
+++ b/lib/gateway/waiting_line.cpp
@@ -10,6 +10,9 @@
 /// that avoid a target must not block the others.
 static constexpr int tried_in_one_go = 4;
 
+waiting_line::waiter::waiter(support::clock& time, queue& waiting, applicant wanted)
+    : wish(std::move(wanted)), called(time), line(waiting), place(line.emplace(wish.rank, this)) {}
+
 held_slot waiting_line::hold(chosen_target target) {
   return {std::move(target), [this](const std::string& id) {
             loads_.remove(id);
@@ -27,9 +30,7 @@
       co_return hold(std::move(*target));
     }
   }
-  const waiting_rank rank = wish.rank;
-  waiter self(time_, std::move(wish));
-  const auto place = line.emplace(rank, &self);
+  waiter self(time_, line, std::move(wish));
   while (!self.given && !(self.wish.withdrawn && *self.wish.withdrawn)) {
     const auto left = until - time_.now();
     if (left <= std::chrono::nanoseconds(0))
@@ -37,7 +38,6 @@
     co_await self.called.wait_for(
         std::min<std::chrono::nanoseconds>(left, std::chrono::milliseconds(50)));
   }
-  line.erase(place);
   if (!self.given)
     co_return std::nullopt;
   co_return hold(std::move(*self.given));
--- /dev/null
+++ b/unittests/fakes/gateway_world.cpp
@@ -0,0 +1,112 @@
+#include "fakes/gateway_world.h"
+
+namespace camphorlug::fakes {
+
+using namespace std::chrono_literals;
+
+static constexpr const char* request_id = "r1";
+
+static gateway::route make_route(const char* prefix, gateway::request_kind kind, bool resumable) {
+  gateway::route made;
+  made.name = prefix;
+  made.host = "example";
+  made.path_prefix = prefix;
+  made.kind = kind;
+  made.resumable = resumable;
+  made.attempts = 2;
+  made.timeout = 4s;
+  made.objective = 300ms;
+  made.pause_objective = 200ms;
+  made.services = {{"shop", 1}};
+  return made;
+}
+
+gateway_world::gateway_world()
+    : gateway({clock, random, client, protocol, config, registry, line, suspicions, retries, stalls,
+               demand, metrics},
+              [this] { return leaving; }) {
+  auto first = std::make_shared<gateway::routing_config>();
+  first->version = 1;
+  first->has_organisations = true;
+  first->keys["key"] = {"org", std::nullopt};
+  first->add_route(make_route("/plain/", gateway::request_kind::idempotent, false));
+  first->add_route(make_route("/once/", gateway::request_kind::non_idempotent, false));
+  first->add_route(make_route("/stream/", gateway::request_kind::stream, true));
+  first->add_route(make_route("/cut/", gateway::request_kind::stream, false));
+  config.take(first);
+  registry.add_listener([this] { line.pump(); });
+}
+
+gateway_world::~gateway_world() {
+  clock.shut_down();
+}
+
+void gateway_world::add_target(const std::string& id, std::size_t slots) {
+  gateway::target_entry entry;
+  entry.id = id;
+  entry.address = id;
+  entry.service = "shop";
+  entry.data_centre = "here";
+  entry.slots = slots;
+  registry.update(id, ++versions_, entry);
+}
+
+support::task<> gateway_world::run(net::server_request request, recording_writer& writer) {
+  co_await gateway.handle(std::move(request), writer);
+  --unfinished;
+}
+
+void gateway_world::begin(const std::string& path, recording_writer& writer,
+                          std::chrono::milliseconds patience) {
+  net::server_request request;
+  request.method = "POST";
+  request.path = path;
+  request.headers.add("Host", "example");
+  request.headers.add("Id", request_id);
+  request.headers.add("Key", "key");
+  request.headers.add("Patience", std::to_string(patience.count()));
+  ++unfinished;
+  support::spawn(context.get_executor(), "call", run(std::move(request), writer));
+  clock.run_for(0ms);
+}
+
+std::unique_ptr<recording_writer> gateway_world::call(const std::string& path,
+                                                      std::chrono::milliseconds patience) {
+  auto writer = std::make_unique<recording_writer>();
+  const std::size_t before = unfinished;
+  begin(path, *writer, patience);
+  while (unfinished > before)
+    clock.run_for(5ms);
+  return writer;
+}
+
+void gateway_world::answer(const std::string& target, scripted_answer script) {
+  client.answers[target].push_back(std::move(script));
+}
+
+scripted_answer whole_answer(int status) {
+  scripted_answer script;
+  script.status = status;
+  script.headers.add("Id", request_id);
+  script.pieces = {"whole", " body"};
+  return script;
+}
+
+scripted_answer refusal() {
+  scripted_answer script;
+  script.status = 503;
+  script.headers.add("Not-Run", "1");
+  script.pieces = {"full"};
+  return script;
+}
+
+scripted_answer events(int first, int last, script_end end) {
+  scripted_answer script;
+  script.headers.add("Id", request_id);
+  for (int id = first; id <= last; ++id)
+    script.pieces.push_back("id: " + std::to_string(id) + "\ndata: x\n\n");
+  script.end = end;
+  return script;
+}
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/fakes/plain_protocol.cpp
@@ -0,0 +1,52 @@
+#include "fakes/plain_protocol.h"
+
+namespace camphorlug::fakes {
+
+gateway::caller_request plain_protocol::read(net::server_request request) const {
+  gateway::caller_request read;
+  read.method = request.method;
+  read.path = request.path;
+  read.host = request.headers.find("Host").value_or("");
+  read.id = request.headers.find("Id").value_or("");
+  read.key = request.headers.find("Key");
+  read.model = request.headers.find("Model").value_or("");
+  if (const auto after = request.headers.find("After"))
+    read.resume_after = std::stoull(*after);
+  if (const auto patience = request.headers.find("Patience"))
+    read.patience = std::chrono::milliseconds(std::stoll(*patience));
+  return read;
+}
+
+net::client_request plain_protocol::forward(const gateway::caller_request& request,
+                                            const gateway::sending& details) const {
+  net::client_request outgoing;
+  outgoing.address = details.address;
+  outgoing.headers.add("Id", request.id);
+  outgoing.headers.add("Organisation", details.organisation);
+  outgoing.headers.add("Left", std::to_string(details.time_left.count()));
+  if (details.resume_after)
+    outgoing.headers.add("After", std::to_string(*details.resume_after));
+  return outgoing;
+}
+
+gateway::target_answer plain_protocol::read_answer(const gateway::caller_request& request,
+                                                   const net::response_head& head) const {
+  gateway::target_answer answer;
+  answer.status = head.status;
+  answer.not_run = head.headers.find("Not-Run").has_value();
+  answer.wrong_instance = head.status == 421;
+  answer.genuine = head.headers.find("Id") == request.id || answer.not_run || answer.wrong_instance;
+  answer.passed_headers = head.headers;
+  return answer;
+}
+
+net::header_list
+plain_protocol::own_answer_headers(const gateway::caller_request&,
+                                   std::optional<std::chrono::milliseconds> retry_after) const {
+  net::header_list headers;
+  if (retry_after)
+    headers.add("Retry-After-Ms", std::to_string(retry_after->count()));
+  return headers;
+}
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/gateway/small_parts_test.cpp
@@ -0,0 +1,209 @@
+#include "camphorlug/gateway/demand_meter.h"
+#include "camphorlug/gateway/entry_choice.h"
+#include "camphorlug/gateway/event_splitter.h"
+#include "camphorlug/gateway/retry_allowance.h"
+#include "camphorlug/gateway/stall_watch.h"
+#include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/support/virtual_clock.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct timed_world {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+};
+
+/// Retries that six nodes take at random stay within the bound of every window.
+bool retries_stay_bounded(std::uint64_t seed) {
+  timed_world world;
+  std::mt19937_64 random(seed);
+  const gateway::retry_limits limits{0.2, 10s, 103};
+  std::vector<std::unique_ptr<gateway::retry_allowance>> nodes;
+  for (int i = 0; i < 6; ++i)
+    nodes.push_back(std::make_unique<gateway::retry_allowance>(world.clock, limits,
+                                                               [] { return std::size_t{6}; }));
+  std::deque<support::clock::time_point> requests;
+  std::deque<support::clock::time_point> retries;
+  for (int step = 0; step < 3000; ++step) {
+    world.clock.run_for(std::chrono::milliseconds(random() % 20));
+    auto& node = *nodes[random() % nodes.size()];
+    // The load comes and goes, so that old requests pay for no later retries.
+    if (step / 700 % 2 == 0) {
+      node.count_request("service");
+      requests.push_back(world.clock.now());
+    }
+    if (node.take("service"))
+      retries.push_back(world.clock.now());
+    while (!requests.empty() && world.clock.now() - requests.front() >= limits.window)
+      requests.pop_front();
+    while (!retries.empty() && world.clock.now() - retries.front() >= limits.window)
+      retries.pop_front();
+    const double bound = limits.ratio * static_cast<double>(requests.size()) + limits.slack;
+    if (static_cast<double>(retries.size()) > bound)
+      return false;
+  }
+  return true;
+}
+
+gateway::node_status node_at(const char* address, const char* data_centre, bool ready,
+                             bool leaving) {
+  gateway::node_status node;
+  node.public_address = address;
+  node.data_centre = data_centre;
+  node.ready = ready;
+  node.leaving = leaving;
+  return node;
+}
+
+struct entry_case {
+  const char* name;
+  std::vector<gateway::node_status> nodes;
+  std::vector<std::string> expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const entry_case& each) {
+  return out << each.name;
+}
+
+const std::vector<entry_case> entry_cases = {
+    {"near ones are enough",
+     {node_at("a", "here", true, false), node_at("b", "here", true, false),
+      node_at("c", "there", true, false)},
+     {"a", "b"}},
+    {"one near is not",
+     {node_at("a", "here", true, false), node_at("c", "there", true, false)},
+     {"a", "c"}},
+    {"leaving ones are left out",
+     {node_at("a", "here", true, true), node_at("b", "here", true, false),
+      node_at("c", "there", true, false)},
+     {"b", "c"}},
+    {"those that are not ready are left out",
+     {node_at("a", "here", false, false), node_at("c", "there", true, false)},
+     {"c"}},
+    {"not ready is better than nobody", {node_at("a", "here", false, false)}, {"a"}},
+    {"leaving is better than nobody", {node_at("a", "here", true, true)}, {"a"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(entries_are_near_ready_and_staying, data::make(entry_cases), each) {
+  const auto chosen = gateway::choose_entries(each.nodes, "here", 2);
+  BOOST_TEST(chosen == each.expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(retries_of_all_nodes_stay_below_one_bound) {
+  BOOST_TEST(rc::check("retries within ratio and slack", [] {
+    RC_ASSERT(retries_stay_bounded(*rc::gen::arbitrary<std::uint64_t>()));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(events_keep_their_bytes_and_ids) {
+  const std::string stream = "id: 1\ndata: a\n\nx-weight-versions: 3\nid:2\ndata: b\n\n"
+                             "id: x\ndata: c\n\nid: 4\r\ndata: d\r\n\r\nid: 5";
+  for (std::size_t piece = 1; piece < stream.size(); ++piece) {
+    gateway::event_splitter splitter;
+    std::string bytes;
+    std::string ids;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      splitter.append(std::string_view(stream).substr(at, piece));
+      while (auto event = splitter.next()) {
+        bytes += event->bytes;
+        ids += event->id ? std::to_string(*event->id) : "-";
+      }
+    }
+    BOOST_TEST(bytes == stream.substr(0, stream.size() - 5));
+    BOOST_TEST(ids == "12-4");
+    BOOST_TEST(splitter.has_rest());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(suspicion_ends_and_grows, timed_world) {
+  gateway::suspicion_list list(clock);
+  list.suspect("a", "test");
+  BOOST_TEST(list.suspected("a"));
+  BOOST_TEST(list.own().size() == 1);
+  clock.run_for(gateway::suspicion_list::first_suspension);
+  BOOST_TEST(!list.suspected("a"));
+  list.suspect("a", "test");
+  clock.run_for(gateway::suspicion_list::first_suspension);
+  BOOST_TEST(list.suspected("a"));
+  list.count_success("a");
+  BOOST_TEST(!list.suspected("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(single_failures_suspect_nobody, timed_world) {
+  gateway::suspicion_list list(clock);
+  for (int i = 0; i < gateway::suspicion_list::tolerated_failures; ++i)
+    list.count_failure("a", "test");
+  BOOST_TEST(!list.suspected("a"));
+  list.count_failure("a", "test");
+  BOOST_TEST(list.suspected("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(peers_word_is_not_passed_on, timed_world) {
+  gateway::suspicion_list list(clock);
+  list.take("a");
+  BOOST_TEST(list.suspected("a"));
+  BOOST_TEST(list.own().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(engine_that_writes_to_none_is_stalled, timed_world) {
+  gateway::stall_watch watch(clock);
+  int moved = 0;
+  gateway::stall_watch::stream first(watch, "head", [&] { ++moved; });
+  gateway::stall_watch::stream second(watch, "head", [&] { ++moved; });
+  gateway::stall_watch::stream waiting(watch, "other", [&] { ++moved; });
+  const auto run = [&](std::chrono::milliseconds span, bool writes) {
+    std::size_t stalled = 0;
+    for (auto spent = 0ms; spent < span; spent += 50ms) {
+      clock.run_for(50ms);
+      if (writes)
+        first.progress();
+      stalled += watch.check().size();
+    }
+    return stalled;
+  };
+  // A stream that waits for its first event is no sign while others are served.
+  BOOST_TEST(run(2000ms, true) == 0);
+  BOOST_TEST(run(600ms, false) == 1);
+  BOOST_TEST(moved == 2);
+  BOOST_TEST(watch.recent().size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(own_pause_is_no_stall, timed_world) {
+  gateway::stall_watch watch(clock);
+  int moved = 0;
+  gateway::stall_watch::stream stream(watch, "head", [&] { ++moved; });
+  stream.progress();
+  watch.check();
+  clock.run_for(3s);
+  BOOST_TEST(watch.check().empty());
+  BOOST_TEST(moved == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(demand_is_rate_times_hold_also_when_refused, timed_world) {
+  gateway::demand_meter meter(clock);
+  const gateway::target_pool pool{"engines", "model"};
+  for (int i = 0; i < 800; ++i) {
+    clock.run_for(25ms);
+    meter.count_arrival(pool);
+    // Half of the requests are refused and hold nothing.
+    if (i % 2 == 0)
+      meter.count_hold(pool, 500ms);
+  }
+  // 40 a second for half a second each.
+  BOOST_TEST(meter.demand().at(pool) > 17);
+  BOOST_TEST(meter.demand().at(pool) < 23);
+  clock.run_for(30s);
+  BOOST_TEST(meter.demand().at(pool) < 0.1);
+}
--- /dev/null
+++ b/unittests/gateway/stream_test.cpp
@@ -0,0 +1,124 @@
+#include "fakes/gateway_world.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace camphorlug::fakes;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct broken_stream {
+  const char* name;
+  scripted_answer script;
+  /// Events of it that may be passed on.
+  int good;
+};
+
+std::ostream& operator<<(std::ostream& out, const broken_stream& each) {
+  return out << each.name;
+}
+
+scripted_answer with_piece(scripted_answer script, const std::string& piece) {
+  script.pieces.push_back(piece);
+  return script;
+}
+
+const std::vector<broken_stream> broken_streams = {
+    {"reset between events", events(1, 3, script_end::reset), 3},
+    {"silent between events", events(1, 3, script_end::silence), 3},
+    {"reset within an event", with_piece(events(1, 3, script_end::reset), "id: 4\nda"), 3},
+    {"ended within an event", with_piece(events(1, 3), "id: 4\nda"), 3},
+    {"an event left out", with_piece(events(1, 3), "id: 5\ndata: x\n\n"), 3},
+    {"an event twice", with_piece(events(1, 3), "id: 3\ndata: x\n\n"), 3},
+    {"bytes that are no event", with_piece(events(1, 2), "garbage\n\n"), 2},
+};
+
+std::string text_of(int first, int last) {
+  std::string text;
+  for (const std::string& piece : events(first, last).pieces)
+    text += piece;
+  return text;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(resumable_stream_goes_on_elsewhere, data::make(broken_streams), each) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", each.script);
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.add_target("two");
+  world.answer("two", events(each.good + 1, 6));
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(!writer.aborted);
+  BOOST_TEST(writer.body == text_of(1, 6));
+  BOOST_REQUIRE(world.client.received.size() == 2);
+  BOOST_TEST(world.client.received[1].headers.find("After").value_or("") ==
+             std::to_string(each.good));
+}
+
+BOOST_DATA_TEST_CASE(other_stream_is_cut_and_not_repeated, data::make(broken_streams), each) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", each.script);
+  recording_writer writer;
+  world.begin("/cut/x", writer);
+  world.add_target("two");
+  world.answer("two", events(1, 6));
+  world.clock.run_for(10s);
+  BOOST_TEST(writer.aborted);
+  BOOST_TEST(!writer.finished);
+  BOOST_TEST(writer.body == text_of(1, each.good));
+  BOOST_TEST(world.client.received.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(stream_without_a_second_target_is_never_made_whole) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", events(1, 3, script_end::reset));
+  const auto writer = world.call("/stream/x");
+  BOOST_TEST(writer->aborted);
+  BOOST_TEST(!writer->finished);
+}
+
+BOOST_AUTO_TEST_CASE(callers_resume_point_is_kept) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", events(8, 9));
+  net::server_request request;
+  request.path = "/stream/x";
+  request.headers.add("Host", "example");
+  request.headers.add("Id", "r1");
+  request.headers.add("Key", "key");
+  request.headers.add("After", "7");
+  recording_writer writer;
+  support::spawn(world.context.get_executor(), "call",
+                 world.gateway.handle(std::move(request), writer));
+  world.clock.run_for(1s);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(world.client.received[0].headers.find("After").value_or("") == "7");
+}
+
+BOOST_AUTO_TEST_CASE(stalled_engine_loses_its_streams_before_their_own_limit) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", events(1, 3, script_end::silence));
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.add_target("two");
+  world.answer("two", events(4, 6));
+  const auto began = world.clock.now();
+  while (!writer.finished && world.clock.now() - began < 3s) {
+    world.clock.run_for(50ms);
+    world.stalls.check();
+  }
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(((world.clock.now() - began) < gateway::stall_watch::stall_after + 150ms));
+}
--- /dev/null
+++ b/unittests/gateway/target_registry_test.cpp
@@ -0,0 +1,80 @@
+#include "camphorlug/gateway/target_registry.h"
+
+#include "camphorlug/support/virtual_clock.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct registry_world {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  gateway::target_registry registry{clock};
+
+  void update(const std::string& id, std::uint64_t version, bool draining = false) {
+    gateway::target_entry entry;
+    entry.id = id;
+    entry.service = "service";
+    entry.draining = draining;
+    registry.update(id, version, entry);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(older_rows_change_nothing, registry_world) {
+  update("a", 5, true);
+  update("a", 4, false);
+  BOOST_TEST(registry.find("a")->draining);
+  registry.remove("a", 4);
+  BOOST_TEST(registry.find("a"));
+  registry.remove("a", 6);
+  BOOST_TEST(!registry.find("a"));
+  update("a", 5);
+  BOOST_TEST(!registry.find("a"));
+  update("a", 7);
+  BOOST_TEST(registry.find("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(unreadable_row_names_no_target_and_others_hold, registry_world) {
+  update("a", 1);
+  update("b", 2);
+  registry.update("a", 3, std::nullopt);
+  BOOST_TEST(!registry.find("a"));
+  BOOST_TEST(registry.find("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(complete_reading_removes_what_it_lacks, registry_world) {
+  update("a", 1);
+  update("b", 2);
+  update("newer", 9);
+  registry.retain({"a"}, 5);
+  BOOST_TEST(registry.find("a"));
+  BOOST_TEST(!registry.find("b"));
+  // It was written after the reading began.
+  BOOST_TEST(registry.find("newer"));
+}
+
+BOOST_FIXTURE_TEST_CASE(lapsed_entries_have_a_grace_after_an_outage, registry_world) {
+  update("back", 1);
+  update("gone", 2);
+  update("leaving", 3, true);
+  registry.store_returned();
+  registry.retain({}, 5);
+  BOOST_TEST(registry.find("back"));
+  BOOST_TEST(registry.find("gone"));
+  // Nothing speaks for one that had said that it ends.
+  BOOST_TEST(!registry.find("leaving"));
+  clock.run_for(1s);
+  update("back", 6);
+  registry.expire();
+  BOOST_TEST(registry.find("gone"));
+  clock.run_for(1s);
+  registry.expire();
+  BOOST_TEST(registry.find("back"));
+  BOOST_TEST(!registry.find("gone"));
+}
--- /dev/null
+++ b/unittests/gateway/waiting_line_test.cpp
@@ -0,0 +1,82 @@
+#include "fakes/gateway_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace camphorlug::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct line_world : gateway_world {
+  // Waiters unwind while what they write to is still there.
+  ~line_world() { clock.shut_down(); }
+
+  /// Takes a slot, notes the order, holds it for a moment and gives it back.
+  support::task<> take(std::string name, int priority, std::chrono::milliseconds wait) {
+    gateway::waiting_line::applicant wish{{"shop", ""}, {priority, clock.now() + 1s}, {}, nullptr};
+    const auto until = clock.now() + wait;
+    auto slot = co_await line.take(std::move(wish), until);
+    served += slot ? name : "(" + name + ")";
+    if (slot)
+      co_await clock.sleep_for(100ms);
+  }
+
+  void spawn(const std::string& name, int priority, std::chrono::milliseconds wait = 10s) {
+    support::spawn(context.get_executor(), "take", take(name, priority, wait));
+    clock.run_for(1ms);
+  }
+
+  std::string served;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(urgent_ones_go_first_and_equals_in_turn, line_world) {
+  add_target("one", 1);
+  spawn("a", 5);
+  spawn("b", 5);
+  spawn("c", 5);
+  spawn("d", 1);
+  clock.run_for(1s);
+  BOOST_TEST(served == "adbc");
+  BOOST_TEST(loads.in_flight("one") == 0);
+  BOOST_TEST(line.waiting() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(wait_ends_at_its_limit, line_world) {
+  add_target("one", 1);
+  spawn("a", 5);
+  spawn("b", 5, 50ms);
+  spawn("c", 5);
+  clock.run_for(1s);
+  BOOST_TEST(served == "a(b)c");
+}
+
+BOOST_FIXTURE_TEST_CASE(peers_requests_fill_slots_too, line_world) {
+  add_target("one", 2);
+  loads.take("peer", {{"one", 2}});
+  spawn("a", 5, 500ms);
+  clock.run_for(100ms);
+  BOOST_TEST(served.empty());
+  loads.take("peer", {});
+  line.pump();
+  clock.run_for(10ms);
+  BOOST_TEST(served == "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(expected_wait_grows_with_the_line, line_world) {
+  add_target("one", 1);
+  const gateway::target_pool pool{"shop", ""};
+  const gateway::waiting_rank rank{5, clock.now() + 5s};
+  BOOST_TEST((line.expected_wait(pool, rank) == 0ns));
+  line.learn(pool, 100ms);
+  spawn("a", 5);
+  const auto behind_one = line.expected_wait(pool, rank);
+  spawn("b", 5);
+  spawn("c", 5);
+  BOOST_TEST((behind_one > 0ns));
+  BOOST_TEST((line.expected_wait(pool, rank) > 2 * behind_one));
+  // A more urgent request does not wait for them.
+  BOOST_TEST((line.expected_wait(pool, {1, clock.now()}) == behind_one));
+}
