Give each order a larger fencing number, so that late orders are refused

Ruled out: waiting 13 s for each unanswered order (too few instances left), trusting the head's confirmation (its own late orders). Change: the fencing number grows with each order, not with each planner only. Also: a model with too few groups gets them where the fewest others have to end.

--- a/include/camphorlug/replicas/order_client.h
+++ b/include/camphorlug/replicas/order_client.h
@@ -4,7 +4,6 @@
 #include "camphorlug/replicas/replica_order.h"
 #include "camphorlug/support/task.h"
 
-#include <cstdint>
 #include <functional>
 
 namespace camphorlug::replicas {
@@ -17,10 +16,8 @@
   order_client& operator=(const order_client&) = delete;
   virtual ~order_client() = default;
 
-  /// Sends `order` with the fencing number `fence` if `send_if` still holds
-  /// once the connection stands.
-  virtual support::task<order_result> send(replica_order order, std::uint64_t fence,
-                                           std::function<bool()> send_if) = 0;
+  /// Sends `order` if `send_if` still holds once the connection stands.
+  virtual support::task<order_result> send(replica_order order, std::function<bool()> send_if) = 0;
 };
 
 } // namespace camphorlug::replicas
--- a/include/camphorlug/replicas/replica_order.h
+++ b/include/camphorlug/replicas/replica_order.h
@@ -37,6 +37,9 @@
   bool loads = false;
   /// For operators: why it is given.
   std::string reason;
+  /// Fencing number. Each order has a larger one than all before it, so that an
+  /// instance refuses a late order once it has carried out a newer one.
+  std::uint64_t fence = 0;
 };
 
 } // namespace camphorlug::replicas
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -35,9 +35,9 @@
   replica_planner(support::clock& time, std::string service)
       : time_(time), service_(std::move(service)), loads_(time) {}
 
-  /// Starts anew under another fencing number. `first` is false when an earlier
+  /// Starts anew under the number of another holding of the lease. `first` is false when an earlier
   /// planner may have ordered loads a moment ago.
-  void begin_term(std::uint64_t fence, bool first);
+  void begin_term(std::uint64_t term, bool first);
 
   /// The orders to send now. Each counts as sent until its result is taken.
   std::vector<replica_order> plan(const planning_view& view);
@@ -117,7 +117,7 @@
   support::clock& time_;
   std::string service_;
   load_limiter loads_;
-  std::uint64_t fence_ = 0;
+  std::uint64_t next_fence_ = 0;
   std::uint64_t next_epoch_ = 0;
   support::clock::time_point term_began_at_;
   support::clock::time_point gave_up_at_;
--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -113,13 +113,13 @@
   const auto still_leads = [this, fence] {
     return context_.holding.held() && context_.holding.number() == fence;
   };
-  const order_result result = co_await context_.orders.send(order, fence, still_leads);
+  const order_result result = co_await context_.orders.send(order, still_leads);
   support::log_event(support::log_level::info, "order",
                      {{"target", order.target},
                       {"kind", to_string(order.kind)},
                       {"group", order.group},
                       {"model", order.model},
-                      {"fence", std::to_string(fence)},
+                      {"fence", std::to_string(order.fence)},
                       {"result", to_string(result)},
                       {"reason", order.reason}});
   if (term_ == fence)
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -14,8 +14,8 @@
 using gateway::target_entry;
 using std::chrono::milliseconds;
 
-/// Epochs of one fencing number; those of the next one are all larger.
-static constexpr std::uint64_t epochs_per_fence = 1'000'000;
+/// Epochs and orders of one holding of the lease; the numbers of the next one are all larger.
+static constexpr std::uint64_t numbers_per_term = 1'000'000;
 /// An order without visible effect is given again after this.
 static constexpr milliseconds order_repeat{1200};
 /// A group whose head does not open in this time is given up.
@@ -116,9 +116,9 @@
          entry.membership->epoch == group.epoch;
 }
 
-void replica_planner::begin_term(std::uint64_t fence, bool first) {
-  fence_ = fence;
-  next_epoch_ = fence * epochs_per_fence + 1;
+void replica_planner::begin_term(std::uint64_t term, bool first) {
+  next_fence_ = term * numbers_per_term + 1;
+  next_epoch_ = term * numbers_per_term + 1;
   term_began_at_ = time_.now();
   first_term_ = first;
   adopted_ = false;
@@ -567,8 +567,8 @@
     give_up_group(view, *richest, *neediest);
 }
 
-/// Ends a group of `richest` where its members and the free instances can
-/// form one of `neediest` without loading.
+/// Ends a group of `richest` in the domain where the fewest have to end for a
+/// group of `neediest` that forms without loading.
 void replica_planner::give_up_group(const planning_view& view, const model_profile& richest,
                                     const model_profile& neediest) {
   const bool one_ends =
@@ -576,26 +576,36 @@
                   [](const formation& group) { return group.phase == formation_phase::closing; });
   if (one_ends || time_.now() - gave_up_at_ < give_up_interval)
     return;
-  const auto free = free_by_domain(view);
   const auto joins_quickly = [&](const target_entry& entry) {
     return join_cost(entry, neediest.name) < cost_load;
   };
+  std::map<std::string, std::size_t> free;
+  for (const auto& [domain, entries] : free_by_domain(view)) {
+    for (const target_entry* entry : entries)
+      free[domain] += joins_quickly(*entry) ? 1 : 0;
+  }
+  std::map<std::string, std::size_t> reachable = free;
+  std::map<std::string, formation*> candidates;
   for (formation& group : formations_) {
     if (group.model != richest.name || group.phase != formation_phase::serving)
       continue;
     std::size_t quick = 0;
-    if (const auto known = free.find(group.fabric_domain); known != free.end()) {
-      for (const target_entry* entry : known->second)
-        quick += joins_quickly(*entry) ? 1 : 0;
-    }
     for (const formation_member& member : group.members)
       quick += joins_quickly(find(view, member.id)->entry) ? 1 : 0;
-    if (quick < neediest.size)
-      continue;
-    gave_up_at_ = time_.now();
-    enter(group, formation_phase::closing, "its instances are needed for " + neediest.name);
-    return;
+    reachable[group.fabric_domain] += quick;
+    if (quick > 0)
+      candidates[group.fabric_domain] = &group;
+  }
+  formation* best = nullptr;
+  for (const auto& [domain, group] : candidates) {
+    const bool enough = reachable[domain] >= neediest.size;
+    if (enough && (!best || free[domain] > free[best->fabric_domain]))
+      best = group;
   }
+  if (!best)
+    return;
+  gave_up_at_ = time_.now();
+  enter(*best, formation_phase::closing, "its instances are needed for " + neediest.name);
 }
 
 bool replica_planner::loads(const target_entry& entry, const pending_order& pending) const {
@@ -701,6 +711,7 @@
     return;
   memory_[wanted.target].pending[wanted.kind] = {wanted.epoch, time_.now(), false, wanted.loads,
                                                  wanted.model};
+  wanted.fence = next_fence_++;
   orders.push_back(std::move(wanted));
 }
 
--- /dev/null
+++ b/unittests/fakes/runner_pool.cpp
@@ -0,0 +1,212 @@
+#include "fakes/runner_pool.h"
+
+#include <algorithm>
+
+namespace camphorlug::fakes {
+
+using gateway::membership_state;
+using replicas::order_kind;
+using replicas::order_result;
+using replicas::replica_order;
+using namespace std::chrono_literals;
+
+static constexpr auto join_in_memory = 200ms;
+static constexpr auto forming = 300ms;
+static constexpr auto longest_silence = 3600ms;
+/// Before traffic loads take this part of their time.
+static constexpr int quick_loads = 10;
+
+void runner_pool::add(const std::string& id, const std::string& domain) {
+  pool_runner runner;
+  runner.id = id;
+  runner.domain = domain;
+  runners_[id] = runner;
+  last_beat_[id] = time_.now();
+}
+
+const gateway::model_profile& runner_pool::model(const std::string& name) const {
+  return *engine_.find(name);
+}
+
+std::chrono::nanoseconds runner_pool::load_time(const std::string& name) const {
+  return traffic ? std::chrono::nanoseconds(model(name).load_time)
+                 : std::chrono::nanoseconds(model(name).load_time) / quick_loads;
+}
+
+order_result runner_pool::give(const replica_order& order) {
+  const bool late = std::uniform_real_distribution<>(0, 1)(random_) < late_part;
+  if (late) {
+    late_.push_back({order, time_.now() + 2s + std::chrono::milliseconds(random_() % 10'000)});
+    return order_result::unknown;
+  }
+  return carry_out(order);
+}
+
+order_result runner_pool::carry_out(const replica_order& order) {
+  const auto found = runners_.find(order.target);
+  if (found == runners_.end() || !found->second.alive)
+    return order_result::not_sent;
+  pool_runner& runner = found->second;
+  if (order.fence < runner.newest_fence)
+    return order_result::outdated;
+  runner.newest_fence = order.fence;
+  const bool member = runner.membership && runner.membership->group == order.group &&
+                      runner.membership->epoch == order.epoch;
+  switch (order.kind) {
+  case order_kind::join:
+    return join(runner, order);
+  case order_kind::open:
+    return member ? open(runner, order) : order_result::misfit;
+  case order_kind::close:
+    if (member && runner.membership->state == membership_state::open)
+      runner.membership->state = membership_state::ready;
+    return member ? order_result::done : order_result::misfit;
+  case order_kind::leave:
+    if (member)
+      runner.membership.reset();
+    return order_result::done;
+  case order_kind::stage:
+    if (runner.staged.contains(order.model))
+      return order_result::done;
+    runner.staging = order.model;
+    runner.staged_at = time_.now() + load_time(order.model);
+    loads_.push_back(time_.now());
+    return order_result::begun;
+  }
+  return order_result::misfit;
+}
+
+void runner_pool::check_join(const pool_runner& runner, const replica_order& order) {
+  if (!runner.membership || runner.membership->group == order.group)
+    return;
+  for (const auto& [id, head] : runners_) {
+    const bool leads = head.membership && head.membership->group == runner.membership->group &&
+                       head.membership->epoch == runner.membership->epoch &&
+                       head.membership->rank == 0;
+    if (leads && head.membership->state == membership_state::open)
+      broken_.push_back(runner.id + " joins " + order.group + " from under the open head " + id);
+  }
+}
+
+order_result runner_pool::join(pool_runner& runner, const replica_order& order) {
+  const bool same = runner.membership && runner.membership->group == order.group &&
+                    runner.membership->epoch == order.epoch;
+  if (order.epoch < runner.newest_epoch || (same && runner.members != order.members))
+    return order_result::outdated;
+  if (same)
+    return order_result::done;
+  check_join(runner, order);
+  const auto place = std::find(order.members.begin(), order.members.end(), runner.id);
+  auto wait = std::chrono::nanoseconds(join_in_memory);
+  if (runner.memory_model != order.model && runner.staged.contains(order.model)) {
+    wait = model(order.model).warm_time;
+  } else if (runner.memory_model != order.model) {
+    wait = load_time(order.model);
+    loads_.push_back(time_.now());
+    runner.staged = {order.model};
+  }
+  runner.newest_epoch = order.epoch;
+  runner.members = order.members;
+  runner.memory_model = order.model;
+  runner.ready_at = time_.now() + wait;
+  runner.membership = {order.group, order.epoch,
+                       static_cast<std::size_t>(place - order.members.begin()),
+                       membership_state::joining};
+  return order_result::begun;
+}
+
+void runner_pool::check_open(const pool_runner& head) {
+  const gateway::group_membership& place = *head.membership;
+  if (head.members.size() != model(head.memory_model).size)
+    broken_.push_back(place.group + " opens with " + std::to_string(head.members.size()));
+  for (const std::string& member : head.members) {
+    if (!ever_ready_.contains(place.group + "/" + std::to_string(place.epoch) + "/" + member))
+      broken_.push_back(place.group + " opens although " + member + " was never ready");
+  }
+}
+
+order_result runner_pool::open(pool_runner& runner, const replica_order&) {
+  if (runner.membership->rank != 0 || runner.membership->state == membership_state::joining)
+    return order_result::misfit;
+  if (runner.membership->state == membership_state::open)
+    return order_result::done;
+  check_open(runner);
+  runner.membership->state = membership_state::open;
+  return order_result::begun;
+}
+
+void runner_pool::advance() {
+  std::vector<late_order> due;
+  std::erase_if(late_, [&](const late_order& each) {
+    if (each.due <= time_.now())
+      due.push_back(each);
+    return each.due <= time_.now();
+  });
+  for (const late_order& each : due)
+    carry_out(each.order);
+  for (auto& [id, runner] : runners_) {
+    if (!runner.alive)
+      continue;
+    if (runner.membership && runner.membership->state == membership_state::joining &&
+        time_.now() >= runner.ready_at) {
+      runner.membership->state = membership_state::ready;
+      ever_ready_.insert(runner.membership->group + "/" + std::to_string(runner.membership->epoch) +
+                         "/" + id);
+    }
+    if (!runner.staging.empty() && time_.now() >= runner.staged_at) {
+      runner.staged = {runner.staging};
+      runner.staging.clear();
+    }
+    if (!runner.cut)
+      last_beat_[id] = time_.now();
+  }
+}
+
+std::map<std::string, gateway::registered_target> runner_pool::entries() {
+  std::map<std::string, gateway::registered_target> entries;
+  for (const auto& [id, runner] : runners_) {
+    if (time_.now() - last_beat_[id] > longest_silence)
+      continue;
+    gateway::target_entry entry;
+    entry.id = id;
+    entry.address = id;
+    entry.service = "engines";
+    entry.fabric_domain = runner.domain;
+    entry.started_at_ms = runner.started_at_ms;
+    entry.draining = runner.draining;
+    entry.staged.assign(runner.staged.begin(), runner.staged.end());
+    entry.model = runner.membership ? runner.memory_model : "";
+    entry.membership = runner.membership;
+    entries[id] = {entry, ++versions_, std::nullopt};
+  }
+  return entries;
+}
+
+void runner_pool::restart(const std::string& id) {
+  pool_runner& runner = at(id);
+  const pool_runner before = runner;
+  runner = {};
+  runner.id = id;
+  runner.domain = before.domain;
+  runner.staged = before.staged;
+  runner.started_at_ms = before.started_at_ms + 1;
+}
+
+std::map<std::string, std::size_t> runner_pool::serving() const {
+  std::map<std::string, std::size_t> groups;
+  for (const auto& [id, head] : runners_) {
+    const bool open = head.alive && head.membership && head.membership->rank == 0 &&
+                      head.membership->state == membership_state::open;
+    if (!open)
+      continue;
+    const bool whole = std::all_of(head.members.begin(), head.members.end(), [&](const auto& id) {
+      const pool_runner& member = runners_.at(id);
+      return member.alive && member.membership &&
+             member.membership->epoch == head.membership->epoch;
+    });
+    groups[head.memory_model] += whole ? 1 : 0;
+  }
+  return groups;
+}
+
+} // namespace camphorlug::fakes
--- /dev/null
+++ b/unittests/replicas/planner_test.cpp
@@ -0,0 +1,252 @@
+#include "camphorlug/replicas/replica_planner.h"
+
+#include "camphorlug/support/virtual_clock.h"
+
+#include "fakes/runner_pool.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+gateway::engine_profile two_models() {
+  gateway::engine_profile engine;
+  engine.batch_slots = 17;
+  engine.loads_per_second = 5;
+  engine.concurrent_loads = 7;
+  engine.models = {{"large", 4, 0.5, 1, 16s, 1600ms}, {"small", 2, 0.5, 0.6, 12s, 1100ms}};
+  return engine;
+}
+
+/// A planner before an emulated pool of 6 domains with 10 instances each.
+struct planner_world {
+  explicit planner_world(std::uint64_t seed = 1) : pool(clock, engine, seed) {
+    for (int i = 0; i < 60; ++i)
+      pool.add("i" + std::to_string(i), "d" + std::to_string(i / 10));
+    take_over(true);
+  }
+
+  void take_over(bool first) { planner.begin_term(++term, first); }
+
+  void step() {
+    clock.run_for(100ms);
+    pool.advance();
+    if (paused)
+      return;
+    const auto entries = pool.entries();
+    replicas::planning_view view{engine, entries, pool.traffic, needed};
+    for (const replicas::replica_order& order : planner.plan(view)) {
+      ++orders;
+      planner.take_result(order, pool.give(order));
+    }
+  }
+
+  void run_for(std::chrono::nanoseconds span) {
+    const auto until = clock.now() + span;
+    while (clock.now() < until)
+      step();
+  }
+
+  /// Time until `done` holds.
+  template<class Condition>
+  std::chrono::nanoseconds time_until(Condition done) {
+    const auto began = clock.now();
+    while (!done() && clock.now() - began < 60s)
+      step();
+    return clock.now() - began;
+  }
+
+  std::size_t serving(const std::string& model) { return pool.serving()[model]; }
+
+  /// Kills a member of a serving group of `model` that is not its head.
+  std::string kill_member(const std::string& model, std::size_t rank = 1) {
+    for (auto& [id, runner] : pool.runners()) {
+      if (runner.alive && runner.membership && runner.memory_model == model &&
+          runner.membership->rank == rank) {
+        pool.kill(id);
+        return id;
+      }
+    }
+    return "";
+  }
+
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  gateway::engine_profile engine = two_models();
+  fakes::runner_pool pool;
+  replicas::replica_planner planner{clock, "engines"};
+  std::map<std::string, double> needed;
+  std::uint64_t term = 0;
+  std::size_t orders = 0;
+  bool paused = false;
+};
+
+/// One random trouble of the pool or its planner.
+void disturb(planner_world& world, std::mt19937_64& random) {
+  auto runner = std::next(world.pool.runners().begin(),
+                          static_cast<std::ptrdiff_t>(random() % world.pool.runners().size()));
+  switch (random() % 9) {
+  case 0:
+    world.pool.kill(runner->first);
+    break;
+  case 1:
+    world.pool.restart(runner->first);
+    break;
+  case 2:
+    runner->second.cut = !runner->second.cut;
+    break;
+  case 3:
+    runner->second.draining = true;
+    break;
+  case 4:
+    world.pool.late_part = static_cast<double>(random() % 6) / 10;
+    break;
+  case 5:
+    world.take_over(false);
+    break;
+  case 6:
+    world.paused = !world.paused;
+    break;
+  case 7:
+    world.planner.note_answer(runner->first, random() % 2 == 0);
+    break;
+  default:
+    world.needed = {{"large", static_cast<double>(random() % 150)},
+                    {"small", static_cast<double>(random() % 250)}};
+    break;
+  }
+}
+
+bool no_rule_is_broken(std::uint64_t seed) {
+  planner_world world(seed);
+  std::mt19937_64 random(seed);
+  world.run_for(5s);
+  world.pool.traffic = true;
+  for (int i = 0; i < 60 && world.pool.broken().empty(); ++i) {
+    disturb(world, random);
+    world.run_for(std::chrono::milliseconds(random() % 1500));
+  }
+  for (const std::string& each : world.pool.broken())
+    BOOST_TEST_MESSAGE(each);
+  return world.pool.broken().empty();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_groups_form_before_traffic) {
+  planner_world world;
+  world.run_for(6s);
+  BOOST_TEST(world.serving("large") == 6);
+  BOOST_TEST(world.serving("small") == 12);
+  BOOST_TEST(world.pool.broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(steady_pool_gets_no_orders) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.orders = 0;
+  world.run_for(30s);
+  BOOST_TEST(world.orders == 0);
+}
+
+BOOST_DATA_TEST_CASE(lost_member_is_replaced_without_a_load,
+                     data::make({"large", "small"}) * data::make({0, 1}), model, rank) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  const std::size_t groups = world.serving(model);
+  const std::size_t loads = world.pool.loads().size();
+  const std::string lost = world.kill_member(model, static_cast<std::size_t>(rank));
+  world.planner.note_answer(lost, false);
+  const auto took = world.time_until([&] { return world.serving(model) == groups; });
+  BOOST_TEST((took < 2500ms));
+  BOOST_TEST(world.pool.loads().size() == loads);
+  BOOST_TEST(world.pool.broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(lost_member_is_noticed_by_its_entry_alone) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.kill_member("large");
+  const auto took = world.time_until([&] { return world.serving("large") == 6; });
+  BOOST_TEST((took < 7s));
+}
+
+BOOST_AUTO_TEST_CASE(group_with_a_draining_member_ends_and_another_forms) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  for (auto& [id, runner] : world.pool.runners()) {
+    if (runner.membership && runner.memory_model == "large" && runner.membership->rank == 2) {
+      runner.draining = true;
+      break;
+    }
+  }
+  world.run_for(5s);
+  BOOST_TEST(world.serving("large") == 6);
+  BOOST_TEST(world.pool.broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(new_planner_takes_over_what_serves) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.take_over(false);
+  world.orders = 0;
+  world.run_for(3s);
+  BOOST_TEST(world.serving("large") == 6);
+  BOOST_TEST(world.serving("small") == 12);
+  // It does not know what lies in the memory of the spares, and loads nothing for it.
+  BOOST_TEST(world.pool.broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(demand_moves_instances_between_models) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.needed = {{"large", 20}, {"small", 260}};
+  world.run_for(40s);
+  BOOST_TEST(world.serving("small") > 14);
+  world.needed = {{"large", 100}, {"small", 60}};
+  world.run_for(60s);
+  BOOST_TEST(world.serving("large") >= 8);
+  BOOST_TEST(world.pool.broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(loads_stay_below_their_rate) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  const std::size_t before = world.pool.loads().size();
+  // All instances of three domains start again without anything.
+  for (int i = 0; i < 30; ++i) {
+    world.pool.restart("i" + std::to_string(i));
+    world.pool.at("i" + std::to_string(i)).staged.clear();
+  }
+  world.run_for(10s);
+  world.take_over(false);
+  world.run_for(30s);
+  const auto& loads = world.pool.loads();
+  const double bound = world.engine.loads_per_second * 5 * 1.1 + 3;
+  for (std::size_t i = before; i < loads.size(); ++i) {
+    const auto in_window =
+        std::count_if(loads.begin() + static_cast<std::ptrdiff_t>(i), loads.end(),
+                      [&](const auto& each) { return each < loads[i] + 5s; });
+    BOOST_TEST(static_cast<double>(in_window) <= bound);
+  }
+  BOOST_TEST(loads.size() > before);
+}
+
+BOOST_AUTO_TEST_CASE(groups_are_whole_and_exclusive_under_random_troubles) {
+  BOOST_TEST(rc::check("no group opens early, no member is taken from an open head",
+                       [] { RC_ASSERT(no_rule_is_broken(*rc::gen::arbitrary<std::uint64_t>())); }));
+}
--- /dev/null
+++ b/unittests/table/table_follower_test.cpp
@@ -0,0 +1,157 @@
+#include "camphorlug/table/table_follower.h"
+
+#include "camphorlug/support/virtual_clock.h"
+#include "camphorlug/table/store_error.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One table whose feed may fail in each way that the real one may.
+class fake_feed final : public table::change_feed {
+public:
+  explicit fake_feed(support::clock& time) : time_(time) {}
+
+  support::task<table::feed_batch> read_all(std::string) override {
+    ++reads;
+    co_await time_.sleep_for(1ms);
+    if (down)
+      throw table::store_error("down", false);
+    table::feed_batch batch;
+    batch.version = stale ? 1 : version;
+    if (!stale) {
+      for (const auto& [key, row] : rows) {
+        if (!row.deleted)
+          batch.rows.push_back(row);
+      }
+    }
+    co_return batch;
+  }
+
+  support::task<table::feed_batch> changes(std::string, std::uint64_t since,
+                                           std::chrono::milliseconds wait) override {
+    const auto until = time_.now() + wait;
+    for (;;) {
+      co_await time_.sleep_for(10ms);
+      if (down)
+        throw table::store_error("down", false);
+      table::feed_batch batch;
+      batch.version = version;
+      batch.history_gone = since < oldest;
+      for (const auto& [key, row] : rows) {
+        if (row.version > since && !deaf)
+          batch.rows.push_back(row);
+      }
+      if (batch.history_gone || !batch.rows.empty() || time_.now() >= until) {
+        if (deaf)
+          batch.version = since;
+        co_return batch;
+      }
+    }
+  }
+
+  void put(const std::string& key, bool deleted = false) {
+    rows[key] = {key, "value", ++version, deleted};
+  }
+
+  std::map<std::string, table::feed_row> rows;
+  std::uint64_t version = 10;
+  std::uint64_t oldest = 0;
+  std::size_t reads = 0;
+  bool down = false;
+  bool stale = false;
+  /// The feed hears of no change.
+  bool deaf = false;
+
+private:
+  support::clock& time_;
+};
+
+struct follower_world {
+  follower_world() {
+    support::spawn(context.get_executor(), "follow", follower.follow());
+    support::spawn(context.get_executor(), "reread", follower.reread());
+  }
+  ~follower_world() { clock.shut_down(); }
+
+  void take(const table::feed_batch& batch, bool whole) {
+    if (whole)
+      seen.clear();
+    for (const table::feed_row& row : batch.rows) {
+      if (row.deleted)
+        seen.erase(row.key);
+      else
+        seen[row.key] = row.version;
+    }
+  }
+
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  support::random_source random{1};
+  fake_feed feed{clock};
+  std::map<std::string, std::uint64_t> seen;
+  table::table_follower follower{
+      clock,   random, feed,
+      "table", 2s,     [this](const table::feed_batch& batch, bool whole) { take(batch, whole); }};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(changes_are_seen_within_moments, follower_world) {
+  clock.run_for(100ms);
+  feed.put("a");
+  clock.run_for(200ms);
+  BOOST_TEST(seen.contains("a"));
+  feed.put("a", true);
+  clock.run_for(200ms);
+  BOOST_TEST(!seen.contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_history_is_made_up_for_by_reading_anew, follower_world) {
+  clock.run_for(100ms);
+  feed.deaf = true;
+  feed.put("a");
+  feed.put("b");
+  feed.oldest = feed.version + 1;
+  feed.deaf = false;
+  clock.run_for(500ms);
+  BOOST_TEST(seen.contains("a"));
+  BOOST_TEST(seen.contains("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(feed_that_hears_nothing_is_backed_by_rereading, follower_world) {
+  clock.run_for(100ms);
+  feed.deaf = true;
+  feed.put("a");
+  clock.run_for(3s);
+  BOOST_TEST(seen.contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(outdated_reading_takes_nothing_back, follower_world) {
+  feed.put("a");
+  clock.run_for(100ms);
+  BOOST_TEST(seen.contains("a"));
+  feed.stale = true;
+  clock.run_for(5s);
+  BOOST_TEST(seen.contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(outage_is_noticed_and_told_when_it_ends, follower_world) {
+  int regained = 0;
+  follower.on_regained([&] { ++regained; });
+  clock.run_for(100ms);
+  BOOST_TEST(follower.in_contact());
+  feed.down = true;
+  clock.run_for(5s);
+  BOOST_TEST(!follower.in_contact());
+  feed.put("a");
+  feed.down = false;
+  clock.run_for(2s);
+  BOOST_TEST(seen.contains("a"));
+  BOOST_TEST(regained == 1);
+}
