Keep each instance ready for both models, over planners too

Cause: a host staged once was not staged again for 40 s with another model, so that spares used once knew one model only; a new planner did not know what lay in memory after a group ended (its entry names no model then); a large group was given up where that left its model poorer than the one that it was given up for. Test changed: the repair of a lost member asserted that no load began; by design the replacement now stages its other model meanwhile, so it asserts that no join waits for a load, which is what the rule is about, and the time bound stays.

--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -19,6 +19,9 @@
   std::uint64_t version = 0;
   /// When its row was first seen to be missing after the store had been away.
   std::optional<support::clock::time_point> missing_since;
+  /// The model that it held last in this life: it stays in its memory after it
+  /// left its group, while its entry names none.
+  std::string memory_model;
 };
 
 /// All targets that the registry names. Rows only go forward.
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -57,7 +57,6 @@
   struct pending_order {
     std::uint64_t epoch = 0;
     support::clock::time_point sent_at;
-    bool answered = false;
     /// It fetches `model` from the weight store.
     bool loads = false;
     std::string model;
@@ -100,8 +99,8 @@
   std::size_t reserve_of(const std::string& domain, const planning_view& view) const;
   const gateway::model_profile* second_model(const gateway::target_entry& entry,
                                              const planning_view& view) const;
-  std::size_t loads_in_progress(const planning_view& view) const;
-  bool loads(const gateway::target_entry& entry, const pending_order& pending) const;
+  std::size_t loads_in_progress() const;
+  bool loads(const pending_order& pending) const;
   bool is_loading(const gateway::target_entry& entry) const;
   double planned_instances(const planning_view& view) const;
   double planned_fill(const planning_view& view) const;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -49,7 +49,11 @@
     log_target("target_restarted", id, version);
   else if (!held->second.entry.draining && entry->draining)
     log_target("target_draining", id, version);
-  targets_[id] = {std::move(*entry), version, std::nullopt};
+  std::string memory_model = entry->model;
+  if (memory_model.empty() && held != targets_.end() &&
+      held->second.entry.started_at_ms == entry->started_at_ms)
+    memory_model = held->second.memory_model;
+  targets_[id] = {std::move(*entry), version, std::nullopt, std::move(memory_model)};
   changed();
 }
 
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -151,8 +151,14 @@
     instance_memory& known = memory_[id];
     if (known.started_at_ms != target.entry.started_at_ms)
       known = {target.entry.started_at_ms, {}, {}, "", false};
-    if (!target.entry.model.empty())
-      known.last_model = target.entry.model;
+    if (!target.memory_model.empty())
+      known.last_model = target.memory_model;
+    for (auto& [kind, pending] : known.pending) {
+      const auto& staged = target.entry.staged;
+      // Noted for good: a later stage of another model replaces this one.
+      if (std::find(staged.begin(), staged.end(), pending.model) != staged.end())
+        pending.loads = false;
+    }
   }
   most_instances_ = std::max(most_instances_, instances);
   std::erase_if(memory_, [&](const auto& entry) { return !view.targets.contains(entry.first); });
@@ -474,7 +480,7 @@
 bool replica_planner::may_load(const planning_view& view) {
   if (!view.traffic_has_begun)
     return true;
-  return loads_in_progress(view) < view.engine.concurrent_loads &&
+  return loads_in_progress() < view.engine.concurrent_loads &&
          loads_.take(view.engine.loads_per_second);
 }
 
@@ -562,7 +568,8 @@
   }
   const model_profile* neediest = models.front();
   const model_profile* richest = models.back();
-  if (view.traffic_has_begun && supply(neediest) < 1 &&
+  const double left = supply(richest) - 1.0 / static_cast<double>(wanted_groups(view, *richest));
+  if (view.traffic_has_begun && supply(neediest) < 1 && left > supply(neediest) &&
       supply(richest) - supply(neediest) > supply_gap)
     give_up_group(view, *richest, *neediest);
 }
@@ -608,18 +615,15 @@
   enter(*best, formation_phase::closing, "its instances are needed for " + neediest.name);
 }
 
-bool replica_planner::loads(const target_entry& entry, const pending_order& pending) const {
-  const bool done =
-      std::find(entry.staged.begin(), entry.staged.end(), pending.model) != entry.staged.end();
-  return pending.loads && !done && time_.now() - pending.sent_at < longest_load;
+bool replica_planner::loads(const pending_order& pending) const {
+  return pending.loads && time_.now() - pending.sent_at < longest_load;
 }
 
-std::size_t replica_planner::loads_in_progress(const planning_view& view) const {
+std::size_t replica_planner::loads_in_progress() const {
   std::size_t count = 0;
   for (const auto& [id, known] : memory_) {
-    const target_entry& entry = find(view, id)->entry;
     for (const auto& [kind, pending] : known.pending)
-      count += loads(entry, pending) ? 1 : 0;
+      count += loads(pending) ? 1 : 0;
   }
   return count;
 }
@@ -671,7 +675,7 @@
   const auto known = memory_.find(entry.id);
   return known != memory_.end() &&
          std::any_of(known->second.pending.begin(), known->second.pending.end(),
-                     [&](const auto& each) { return loads(entry, each.second); });
+                     [&](const auto& each) { return loads(each.second); });
 }
 
 /// Before traffic, when loads are free, spares load a model as the only member
@@ -701,15 +705,13 @@
   const auto known = pending.find(kind);
   if (known == pending.end() || known->second.epoch != epoch)
     return true;
-  // A load in progress shows only at its end.
-  const bool loads = kind == order_kind::stage && known->second.answered;
-  return time_.now() - known->second.sent_at >= (loads ? longest_load : order_repeat);
+  return time_.now() - known->second.sent_at >= order_repeat;
 }
 
 void replica_planner::order(std::vector<replica_order>& orders, replica_order wanted) {
   if (!may_order(wanted.target, wanted.kind, wanted.epoch))
     return;
-  memory_[wanted.target].pending[wanted.kind] = {wanted.epoch, time_.now(), false, wanted.loads,
+  memory_[wanted.target].pending[wanted.kind] = {wanted.epoch, time_.now(), wanted.loads,
                                                  wanted.model};
   wanted.fence = next_fence_++;
   orders.push_back(std::move(wanted));
@@ -722,8 +724,8 @@
   instance_memory& known = found->second;
   const bool accepted = result == order_result::begun || result == order_result::done;
   const auto pending = known.pending.find(order.kind);
-  if (pending != known.pending.end() && pending->second.epoch == order.epoch)
-    pending->second.answered = accepted;
+  if (pending != known.pending.end() && pending->second.epoch == order.epoch && !accepted)
+    pending->second.loads = false;
   if (order.kind == order_kind::leave && accepted)
     known.left.insert(order.epoch);
 }
--- a/unittests/fakes/runner_pool.cpp
+++ b/unittests/fakes/runner_pool.cpp
@@ -102,6 +102,7 @@
     wait = model(order.model).warm_time;
   } else if (runner.memory_model != order.model) {
     wait = load_time(order.model);
+    ++slow_joins_;
     loads_.push_back(time_.now());
     runner.staged = {order.model};
   }
@@ -177,7 +178,7 @@
     entry.staged.assign(runner.staged.begin(), runner.staged.end());
     entry.model = runner.membership ? runner.memory_model : "";
     entry.membership = runner.membership;
-    entries[id] = {entry, ++versions_, std::nullopt};
+    entries[id] = {entry, ++versions_, std::nullopt, runner.memory_model};
   }
   return entries;
 }
--- a/unittests/fakes/runner_pool.h
+++ b/unittests/fakes/runner_pool.h
@@ -68,6 +68,8 @@
   const std::vector<std::string>& broken() const { return broken_; }
   /// When each load from the weight store began.
   const std::vector<support::clock::time_point>& loads() const { return loads_; }
+  /// Joins that had to wait for a load.
+  std::size_t slow_joins() const { return slow_joins_; }
   bool traffic = false;
 
 private:
@@ -94,6 +96,7 @@
   std::set<std::string> ever_ready_;
   std::vector<std::string> broken_;
   std::vector<support::clock::time_point> loads_;
+  std::size_t slow_joins_ = 0;
   std::uint64_t versions_ = 0;
 };
 
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -48,6 +48,21 @@
   BOOST_TEST(registry.find("b"));
 }
 
+BOOST_FIXTURE_TEST_CASE(model_in_memory_outlasts_the_group_but_not_the_life, registry_world) {
+  const auto update_model = [&](std::uint64_t version, const char* model, std::int64_t start) {
+    gateway::target_entry entry;
+    entry.id = "a";
+    entry.model = model;
+    entry.started_at_ms = start;
+    registry.update("a", version, entry);
+    return registry.all().at("a").memory_model;
+  };
+  BOOST_TEST(update_model(1, "m", 5) == "m");
+  BOOST_TEST(update_model(2, "", 5) == "m");
+  BOOST_TEST(update_model(3, "n", 5) == "n");
+  BOOST_TEST(update_model(4, "", 6) == "");
+}
+
 BOOST_FIXTURE_TEST_CASE(complete_reading_removes_what_it_lacks, registry_world) {
   update("a", 1);
   update("b", 2);
--- /dev/null
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -0,0 +1,131 @@
+#include "platform_caller_protocol.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const platform::platform_caller_protocol protocol;
+
+net::server_request sent_request() {
+  net::server_request request;
+  request.method = "PUT";
+  request.target = "/a//b/../c?x=%20&y";
+  request.path = "/a//b/../c";
+  request.body = "bytes";
+  for (const auto& [name, value] : std::initializer_list<std::pair<const char*, const char*>>{
+           {"Host", "h.example"},
+           {"X-Request-Id", "id1"},
+           {"X-Deadline-Ms", "800"},
+           {"X-Model", "m"},
+           {"X-Token-Counts", "10,20"},
+           {"X-Tenant", "forged"},
+           {"X-Expect-Instance", "forged"},
+           {"Last-Event-Id", "12"},
+           {"Authorization", "Bearer secret"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"X-Hop", "1"},
+           {"Keep-Alive", "5"},
+           {"Transfer-Encoding", "chunked"},
+           {"X-Empty", ""},
+           {"X-Own", "kept"}})
+    request.headers.add(name, value);
+  return request;
+}
+
+net::response_head head_of(int status,
+                           std::initializer_list<std::pair<const char*, const char*>> headers) {
+  net::response_head head;
+  head.status = status;
+  for (const auto& [name, value] : headers)
+    head.headers.add(name, value);
+  return head;
+}
+
+struct head_case {
+  const char* name;
+  net::response_head head;
+  bool genuine;
+  bool not_run;
+  bool wrong_instance;
+};
+
+std::ostream& operator<<(std::ostream& out, const head_case& each) {
+  return out << each.name;
+}
+
+const std::vector<head_case> head_cases = {
+    {"whole", head_of(200, {{"X-Request-Id", "id1"}, {"X-Response-Seal", "s"}}), true, false,
+     false},
+    {"another's", head_of(200, {{"X-Request-Id", "id2"}, {"X-Response-Seal", "s"}}), false, false,
+     false},
+    {"without an id", head_of(200, {{"X-Response-Seal", "s"}}), false, false, false},
+    {"without a seal", head_of(200, {{"X-Request-Id", "id1"}}), false, false, false},
+    {"encoded",
+     head_of(200,
+             {{"X-Request-Id", "id1"}, {"X-Response-Seal", "s"}, {"Content-Encoding", "gzip"}}),
+     false, false, false},
+    {"failed", head_of(500, {{"X-Request-Id", "id1"}, {"X-Response-Seal", "s"}}), true, false,
+     false},
+    {"refused", head_of(503, {{"X-Not-Run", "1"}}), true, true, false},
+    {"full without a promise", head_of(503, {{"X-Request-Id", "id1"}}), true, false, false},
+    {"another instance", head_of(421, {{"X-Instance-Id", "i2"}}), true, false, true},
+    {"no id was sent", head_of(400, {{"X-Request-Id", "id1"}, {"X-Not-Run", "1"}}), true, false,
+     false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_goes_on_as_it_came_but_for_what_is_set_here) {
+  const gateway::caller_request request = protocol.read(sent_request());
+  BOOST_TEST(request.host == "h.example");
+  BOOST_TEST(request.id == "id1");
+  BOOST_TEST(request.model == "m");
+  BOOST_TEST(request.key.value_or("") == "secret");
+  BOOST_TEST((request.patience == 800ms));
+  BOOST_TEST(request.resume_after.value_or(0) == 12);
+  gateway::sending details;
+  details.target_id = "i-1";
+  details.address = "10.0.0.1:1";
+  details.time_left = 640ms;
+  details.organisation = "org";
+  details.resume_after = 15;
+  const net::client_request sent = protocol.forward(request, details);
+  BOOST_TEST(sent.method == "PUT");
+  BOOST_TEST(sent.target == "/a//b/../c?x=%20&y");
+  BOOST_TEST(sent.body == "bytes");
+  std::string headers;
+  for (const net::header& each : sent.headers)
+    headers += each.name + "=" + each.value + ";";
+  BOOST_TEST(headers == "Host=h.example;X-Request-Id=id1;X-Model=m;X-Token-Counts=10,20;X-Empty=;"
+                        "X-Own=kept;X-Deadline-Ms=640;X-Expect-Instance=i-1;X-Tenant=org;"
+                        "Last-Event-Id=15;");
+}
+
+BOOST_AUTO_TEST_CASE(forged_organisation_is_dropped_without_keys) {
+  const gateway::caller_request request = protocol.read(sent_request());
+  const net::client_request sent = protocol.forward(request, {});
+  BOOST_TEST(!sent.headers.find("X-Tenant"));
+  BOOST_TEST(!sent.headers.find("Authorization"));
+  BOOST_TEST(!sent.headers.find("Last-Event-Id"));
+}
+
+BOOST_DATA_TEST_CASE(heads_of_answers_are_judged, data::make(head_cases), each) {
+  gateway::caller_request request;
+  request.id = "id1";
+  const gateway::target_answer answer = protocol.read_answer(request, each.head);
+  BOOST_TEST(answer.genuine == each.genuine);
+  BOOST_TEST(answer.not_run == each.not_run);
+  BOOST_TEST(answer.wrong_instance == each.wrong_instance);
+}
+
+BOOST_AUTO_TEST_CASE(retry_after_is_given_in_fractions_of_a_second) {
+  const net::header_list headers = protocol.own_answer_headers({}, 250ms);
+  BOOST_TEST(headers.find("Retry-After").value_or("") == "0.250");
+  BOOST_TEST(!protocol.own_answer_headers({}, std::nullopt).find("Retry-After"));
+}
--- /dev/null
+++ b/unittests/platform/row_decoder_test.cpp
@@ -0,0 +1,149 @@
+#include "base64.h"
+#include "platform_row_decoder.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using nlohmann::json;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+json whole_entry() {
+  return json::parse(R"({"backend":"engines","address":"10.0.0.9:80","zone":"east","version":"v1",
+    "batchSlots":17,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700000000123,
+    "domain":"f3","staged":["m1"],"models":[{"name":"m0","version":1,"adapters":[]}],
+    "group":{"name":"g7","epoch":12,"rank":1,"state":"ready"}})");
+}
+
+json whole_config() {
+  return json::parse(R"({"version":7,
+    "routes":[
+      {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"stream","timeoutMs":8000,
+       "goalMs":400,"priority":1,"attempts":2,"public":false,"resumeStreams":true,
+       "gapTargetMs":300,"split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}]},
+      {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"idempotent","timeoutMs":1000,
+       "backend":"s2"}],
+    "services":[
+      {"name":"s1","healthPath":"/h","engine":{"batchSlots":17,"step_ms":7.8,"loadsPerS":5.0,
+       "loads_at_once":7,"models":[{"name":"m0","size":4,"share":0.5,"pace":1.0,"loadS":16.0,
+       "warmS":1.6}],"usual":{"prompt":979,"answer":154}}},
+      {"name":"s2","healthPath":"/h"}],
+    "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000},
+    "tenants":[{"name":"org","apiKeys":["k1","k2"],"priority":3}]})");
+}
+
+/// An edit that leaves an entry without a target to use.
+struct spoiled_entry {
+  const char* field;
+  const char* value;
+};
+
+std::ostream& operator<<(std::ostream& out, const spoiled_entry& each) {
+  return out << each.field << "=" << each.value;
+}
+
+const spoiled_entry spoiled_entries[] = {
+    {"backend", "null"},
+    {"backend", "7"},
+    {"address", "[]"},
+    {"zone", "null"},
+    {"state", "\"up\""},
+    {"state", "1"},
+    {"batchSlots", "\"\""},
+    {"batchSlots", "null"},
+    {"group", "{\"name\":\"g\"}"},
+    {"group", "{\"name\":\"g\",\"epoch\":\"x\"}"},
+    {"models", "[{}]"},
+    {"models", "[7]"},
+    {"staged", "[1]"},
+    {"born", "\"soon\""},
+};
+
+const platform::platform_row_decoder decoder;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(entry_is_read_whole) {
+  const auto entry = decoder.read_target("i1", whole_entry().dump());
+  BOOST_REQUIRE(entry);
+  BOOST_TEST(entry->id == "i1");
+  BOOST_TEST(entry->service == "engines");
+  BOOST_TEST(entry->address == "10.0.0.9:80");
+  BOOST_TEST(entry->data_centre == "east");
+  BOOST_TEST(entry->slots == 17);
+  BOOST_TEST(!entry->draining);
+  BOOST_TEST(entry->started_at_ms == 1700000000123);
+  BOOST_TEST((entry->warm_up_left == 250ms));
+  BOOST_TEST(entry->fabric_domain == "f3");
+  BOOST_TEST(entry->model == "m0");
+  BOOST_TEST(entry->staged == std::vector<std::string>{"m1"}, boost::test_tools::per_element());
+  BOOST_REQUIRE(entry->membership);
+  BOOST_TEST(entry->membership->group == "g7");
+  BOOST_TEST(entry->membership->epoch == 12);
+  BOOST_TEST(entry->membership->rank == 1);
+  BOOST_TEST((entry->membership->state == gateway::membership_state::ready));
+}
+
+BOOST_DATA_TEST_CASE(spoiled_entry_names_no_target, data::make(spoiled_entries), each) {
+  json entry = whole_entry();
+  entry[each.field] = json::parse(each.value);
+  BOOST_TEST(!decoder.read_target("i1", entry.dump()));
+}
+
+BOOST_AUTO_TEST_CASE(missing_fields_name_no_target) {
+  for (const char* field : {"backend", "address", "zone", "batchSlots", "state"}) {
+    json entry = whole_entry();
+    entry.erase(field);
+    BOOST_TEST(!decoder.read_target("i1", entry.dump()), field);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(any_bytes_are_survived) {
+  BOOST_TEST(rc::check("no text makes the decoder fail", [](const std::string& text) {
+    decoder.read_target("i1", text);
+    decoder.read_config(text);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(config_is_read_whole) {
+  const auto config = decoder.read_config(whole_config().dump());
+  BOOST_REQUIRE(config);
+  BOOST_TEST(config->version == 7);
+  const auto stream = config->find_route("a.example", "/x/1");
+  BOOST_REQUIRE(stream);
+  BOOST_TEST((stream->kind == gateway::request_kind::stream));
+  BOOST_TEST(stream->repeatable());
+  BOOST_TEST((stream->timeout == 8s));
+  BOOST_TEST((stream->objective == 400ms));
+  BOOST_TEST((stream->pause_objective == 300ms));
+  BOOST_TEST(stream->attempts == 2);
+  BOOST_TEST(stream->services.size() == 2);
+  BOOST_TEST(config->find_route("a.example", "/y/1")->services[0].service == "s2");
+  BOOST_TEST(config->services.at("s1").engine->models[0].size == 4);
+  BOOST_TEST((config->services.at("s1").engine->models[0].warm_time == 1600ms));
+  BOOST_TEST(!config->services.at("s2").engine);
+  BOOST_TEST(config->limits.body_bytes == 2000);
+  BOOST_TEST(config->keys.at("k2").organisation == "org");
+  BOOST_TEST(config->keys.at("k2").priority.value_or(0) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_fields_of_newer_versions_are_ignored) {
+  json config = whole_config();
+  config["later"] = {{"a", 1}};
+  config["routes"][0]["later"] = "x";
+  BOOST_TEST(decoder.read_config(config.dump()));
+}
+
+BOOST_AUTO_TEST_CASE(base64_round_trips) {
+  BOOST_TEST(rc::check("decoding gives back the bytes", [](const std::string& bytes) {
+    RC_ASSERT(platform::from_base64(platform::to_base64(bytes)) == bytes);
+  }));
+  BOOST_TEST(!platform::from_base64("a"));
+  BOOST_TEST(!platform::from_base64("????"));
+}
--- /dev/null
+++ b/unittests/platform/settings_test.cpp
@@ -0,0 +1,86 @@
+#include "platform_settings.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const char* const whole = R"(nodeName: "edge-1"
+zone: "east"
+ip: "10.1.0.40"
+listen:
+  http: "10.1.0.40:1"
+  readiness: "10.1.0.40:2"
+  control: "10.1.0.40:3"
+  directory: "10.1.0.40:4"
+seeds:
+  - "10.1.0.40:3"
+dataDir: null
+later: 7
+policyParams:
+  graceS: 8
+  retryRatio: 0.25
+  retryWindowS: 10
+  retrySlack: 50
+  ttl_max_s: 1
+provider:
+  address: "10.200.1.7:5"
+)";
+
+struct fault {
+  const char* line;
+  const char* instead;
+  /// What the error names.
+  const char* named;
+};
+
+std::ostream& operator<<(std::ostream& out, const fault& each) {
+  return out << each.named;
+}
+
+const fault faults[] = {
+    {"nodeName: \"edge-1\"\n", "", "nodeName"},
+    {"  http: \"10.1.0.40:1\"\n", "", "listen.http"},
+    {"  control: \"10.1.0.40:3\"\n", "  control: []\n", "listen.control"},
+    {"  address: \"10.200.1.7:5\"\n", "  other: 1\n", "provider.address"},
+    {"  retryRatio: 0.25\n", "  retryRatio: many\n", "policyParams.retryRatio"},
+    {"seeds:\n  - \"10.1.0.40:3\"\n", "seeds: {a: 1}\n", "seeds"},
+    {"zone: \"east\"\n", "zone: [\n", "YAML"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(settings_are_read_whole) {
+  const platform::platform_settings settings = platform::read_settings(whole);
+  BOOST_TEST(settings.node.id == "edge-1");
+  BOOST_TEST(settings.node.data_centre == "east");
+  BOOST_TEST(settings.node.public_address == "10.1.0.40:1");
+  BOOST_TEST(settings.node.peer_address == "10.1.0.40:3");
+  BOOST_TEST(settings.node.seeds.size() == 1);
+  BOOST_TEST(settings.node.retries.ratio == 0.25);
+  BOOST_TEST((settings.node.retries.window == 10s));
+  BOOST_TEST((settings.node.termination_grace == 8s));
+  BOOST_TEST((settings.node.entries_valid_for == 1s));
+  BOOST_TEST(settings.store_address == "10.200.1.7:5");
+}
+
+BOOST_DATA_TEST_CASE(faulty_settings_are_refused_by_field, data::make(faults), each) {
+  std::string text = whole;
+  const std::size_t at = text.find(each.line);
+  BOOST_REQUIRE(at != std::string::npos);
+  text.replace(at, std::string(each.line).size(), each.instead);
+  try {
+    platform::read_settings(text);
+    BOOST_ERROR("the settings were taken");
+  } catch (const platform::settings_error& error) {
+    const std::string line = error.what();
+    BOOST_TEST(line.find(each.named) != std::string::npos, line);
+    BOOST_TEST(line.find("expected") != std::string::npos, line);
+    BOOST_TEST(line.find('\n') == std::string::npos, line);
+  }
+}
