--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -57,6 +57,7 @@
   std::string metrics();
 
 private:
+  bool is_leaving() const { return phase_ != gateway::leave_phase::none; }
   gateway::node_status status();
   gateway::slot_demand demand_of_all() const;
   std::vector<std::string> stalled_anywhere() const;
@@ -73,7 +74,7 @@
   edge_settings settings_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
-  bool leaving_ = false;
+  gateway::leave_phase phase_ = gateway::leave_phase::none;
   bool fetching_config_ = false;
   /// When the first request of any node was seen.
   std::optional<support::clock::time_point> traffic_since_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -22,8 +22,9 @@
   gateway::retry_limits retries;
   /// Time from the signal to end until the process is killed.
   std::chrono::milliseconds termination_grace{8000};
-  /// How long callers keep an answer of the entry directory.
-  std::chrono::milliseconds entries_valid_for{1500};
+  /// How long callers keep an answer of the entry directory; some keep it three
+  /// times as long, and a leaving node has to wait for them.
+  std::chrono::milliseconds entries_valid_for{800};
   /// Addresses that the entry directory hands out at least, while there are as many.
   std::size_t least_entries = 2;
 };
--- /dev/null
+++ b/include/camphorlug/gateway/leave_phase.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace camphorlug::gateway {
+
+/// How far a node has come on its way out.
+enum class leave_phase {
+  /// It stays.
+  none,
+  /// Callers are moving away; it still takes what they send.
+  leaving,
+  /// What begins now and takes long would be cut by the process's end.
+  closing,
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "camphorlug/gateway/gateway_environment.h"
+#include "camphorlug/gateway/leave_phase.h"
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/net/server_request.h"
 
+#include <chrono>
 #include <functional>
 
 namespace camphorlug::gateway {
@@ -11,9 +13,8 @@
 /// Finds the route of each request, checks its key and sends it on its way.
 class request_gateway {
 public:
-  /// `leaving` tells whether this node is about to end.
-  request_gateway(gateway_environment environment, std::function<bool()> leaving)
-      : env_(environment), leaving_(std::move(leaving)) {}
+  request_gateway(gateway_environment environment, std::function<leave_phase()> phase)
+      : env_(environment), phase_(std::move(phase)) {}
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
@@ -22,10 +23,10 @@
 
 private:
   void reject(const caller_request& request, net::response_writer& writer, int status,
-              std::string_view reason);
+              std::string_view reason, std::chrono::milliseconds retry_after = {});
 
   gateway_environment env_;
-  std::function<bool()> leaving_;
+  std::function<leave_phase()> phase_;
   std::uint64_t handled_ = 0;
 };
 
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -29,6 +29,8 @@
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 /// Some callers keep an answer of the entry directory for this many times its life.
 static constexpr int overlong_use = 3;
+/// Time until all peers know that this node leaves.
+static constexpr std::chrono::milliseconds announcement_time{300};
 
 /// Later starts have larger incarnations if calendars are roughly right.
 static std::uint64_t make_incarnation(support::clock& time) {
@@ -46,7 +48,7 @@
       stalls_(context_.time), demand_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, line_, suspicions_, retries_, stalls_, demand_, metrics_},
-                [this] { return leaving_; }),
+                [this] { return phase_; }),
       peers_(context_.executor, context_.time, context_.client, loads_, suspicions_,
              [this] { return status(); }),
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
@@ -188,7 +190,7 @@
 }
 
 bool edge_node::ready() const {
-  return !leaving_ && config_.current() && registry_.was_read();
+  return !is_leaving() && config_.current() && registry_.was_read();
 }
 
 gateway::node_status edge_node::status() {
@@ -200,7 +202,7 @@
   status.incarnation = incarnation_;
   status.sequence = ++sequence_;
   status.ready = ready();
-  status.leaving = leaving_;
+  status.leaving = is_leaving();
   status.config_version = config_.current() ? config_.current()->version : 0;
   status.leads = keeper_.leads();
   status.has_served = requests_.handled() > 0;
@@ -235,7 +237,7 @@
   self.data_centre = settings_.data_centre;
   self.public_address = settings_.public_address;
   self.ready = ready();
-  self.leaving = leaving_;
+  self.leaving = is_leaving();
   nodes.push_back(std::move(self));
   return gateway::choose_entries(nodes, data_centre, settings_.least_entries);
 }
@@ -265,12 +267,13 @@
 }
 
 support::task<> edge_node::leave() {
-  leaving_ = true;
+  phase_ = gateway::leave_phase::leaving;
   support::log_event(support::log_level::info, "leaving");
   peers_.announce();
   support::spawn(context_.executor, "step_down", keeper_.step_down());
-  const auto away = settings_.entries_valid_for * overlong_use;
-  co_await context_.time.sleep_for(std::min(away, settings_.termination_grace * 6 / 10));
+  const auto away = settings_.entries_valid_for * overlong_use + announcement_time;
+  co_await context_.time.sleep_for(std::min(away, settings_.termination_grace / 2));
+  phase_ = gateway::leave_phase::closing;
 }
 
 std::string edge_node::metrics() {
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -8,13 +8,16 @@
 /// A node without any configuration has one as soon as it reaches the store.
 static constexpr std::chrono::milliseconds no_config_retry_after{500};
 
+/// Another node takes the request at once.
+static constexpr std::chrono::milliseconds elsewhere_retry_after{50};
+
 void request_gateway::reject(const caller_request& request, net::response_writer& writer,
-                             int status, std::string_view reason) {
-  std::optional<std::chrono::milliseconds> retry_after;
-  if (status == 503)
-    retry_after = no_config_retry_after;
-  net::header_list headers = env_.protocol.own_answer_headers(request, retry_after);
-  if (leaving_())
+                             int status, std::string_view reason,
+                             std::chrono::milliseconds retry_after) {
+  const bool may_return = retry_after > std::chrono::milliseconds(0);
+  net::header_list headers = env_.protocol.own_answer_headers(
+      request, may_return ? std::optional(retry_after) : std::nullopt);
+  if (phase_() != leave_phase::none)
     headers.add("Connection", "close");
   writer.send(status, std::move(headers), std::string(reason) + "\n");
   const auto& config = env_.config.current();
@@ -35,7 +38,7 @@
   // Kept alive here: a newer version may come into force meanwhile.
   const std::shared_ptr<const routing_config> config = env_.config.current();
   if (!config) {
-    reject(request, writer, 503, "no configuration is known yet");
+    reject(request, writer, 503, "no configuration is known yet", no_config_retry_after);
     co_return;
   }
   if (request.header_bytes > config->limits.header_bytes) {
@@ -62,8 +65,12 @@
     organisation = known->second.organisation;
     priority = known->second.priority.value_or(priority);
   }
+  if (phase_() == leave_phase::closing && chosen->kind == request_kind::stream) {
+    reject(request, writer, 503, "this node ends; connect to another one", elsewhere_retry_after);
+    co_return;
+  }
   forwarded_call call(env_, writer, std::move(request), chosen, std::move(organisation), priority,
-                      leaving_());
+                      phase_() != leave_phase::none);
   co_await call.run();
 }
 
--- a/unittests/fakes/gateway_world.cpp
+++ b/unittests/fakes/gateway_world.cpp
@@ -24,7 +24,7 @@
 gateway_world::gateway_world()
     : gateway({clock, random, client, protocol, config, registry, line, suspicions, retries, stalls,
                demand, metrics},
-              [this] { return leaving; }) {
+              [this] { return phase; }) {
   auto first = std::make_shared<gateway::routing_config>();
   first->version = 1;
   first->has_organisations = true;
--- a/unittests/fakes/gateway_world.h
+++ b/unittests/fakes/gateway_world.h
@@ -48,7 +48,7 @@
   gateway::stall_watch stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
-  bool leaving = false;
+  gateway::leave_phase phase = gateway::leave_phase::none;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
 
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -211,9 +211,22 @@
   BOOST_TEST(world.client.received.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(closing_node_begins_no_stream_that_it_would_cut) {
+  gateway_world world;
+  world.phase = gateway::leave_phase::closing;
+  world.add_target("one");
+  world.answer("one", whole_answer());
+  const auto stream = world.call("/stream/x");
+  BOOST_TEST(stream->status == 503);
+  BOOST_TEST(stream->headers.find("Retry-After-Ms").has_value());
+  BOOST_TEST(stream->headers.find("Connection").value_or("") == "close");
+  BOOST_TEST(world.client.received.empty());
+  BOOST_TEST(world.call("/plain/x")->status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_node_closes_connections_with_its_answers) {
   gateway_world world;
-  world.leaving = true;
+  world.phase = gateway::leave_phase::leaving;
   world.add_target("one");
   world.answer("one", whole_answer());
   const auto writer = world.call("/plain/x");
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -27,7 +27,7 @@
   retryRatio: 0.25
   retryWindowS: 10
   retrySlack: 50
-  ttl_max_s: 1
+  ttl_max_s: 0.5
 provider:
   address: "10.200.1.7:5"
 )";
@@ -65,7 +65,7 @@
   BOOST_TEST(settings.node.retries.ratio == 0.25);
   BOOST_TEST((settings.node.retries.window == 10s));
   BOOST_TEST((settings.node.termination_grace == 8s));
-  BOOST_TEST((settings.node.entries_valid_for == 1s));
+  BOOST_TEST((settings.node.entries_valid_for == 500ms));
   BOOST_TEST(settings.store_address == "10.200.1.7:5");
 }
 
