--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -60,9 +60,10 @@
       planner->begin_term(fence, fence == 1);
     }
     question(name, *planner);
-    for (replica_order& order : planner->plan(view_of(service)))
-      support::spawn(context_.executor, "order " + order.target,
-                     send(name, std::move(order), fence));
+    for (replica_order& order : planner->plan(view_of(service))) {
+      const std::string task_name = "order " + order.target;
+      support::spawn(context_.executor, task_name, send(name, std::move(order), fence));
+    }
   }
 }
 
