--- a/unittests/replicas/planner_test.cpp
+++ b/unittests/replicas/planner_test.cpp
@@ -233,6 +233,28 @@
   BOOST_TEST(world.pool.broken().empty());
 }
 
+BOOST_AUTO_TEST_CASE(moment_of_many_losses_takes_no_group_from_another_model) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.needed = {{"large", 45}, {"small", 120}};
+  world.run_for(20s);
+  const std::size_t large = world.serving("large");
+  // Most small groups fall silent for a moment, as when a switch drops packets.
+  std::vector<std::string> silent;
+  for (const auto& [id, runner] : world.pool.runners()) {
+    if (runner.membership && runner.memory_model == "small" && silent.size() < 24)
+      silent.push_back(id);
+  }
+  for (const std::string& id : silent)
+    world.planner.note_answer(id, false);
+  world.run_for(1s);
+  for (const std::string& id : silent)
+    world.planner.note_answer(id, true);
+  world.run_for(5s);
+  BOOST_TEST(world.serving("large") == large);
+}
+
 BOOST_AUTO_TEST_CASE(loads_stay_below_their_rate) {
   planner_world world;
   world.run_for(8s);
