--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -5,6 +5,7 @@
 #include "camphorlug/replicas/formation.h"
 #include "camphorlug/replicas/load_limiter.h"
 #include "camphorlug/replicas/order_result.h"
+#include "camphorlug/replicas/planning_view.h"
 #include "camphorlug/replicas/replica_order.h"
 #include "camphorlug/support/clock.h"
 
@@ -17,16 +18,6 @@
 
 namespace camphorlug::replicas {
 
-/// What a plan is made from.
-struct planning_view {
-  const gateway::engine_profile& engine;
-  const std::map<std::string, gateway::registered_target>& targets;
-  /// Loads are free and quick until then.
-  bool traffic_has_begun = false;
-  /// Slots that the requests for each model need; empty until that is known.
-  std::map<std::string, double> slots_needed;
-};
-
 /// Decides which instances of one service form which groups. It keeps what it
 /// ordered during one holding of the lease; what existed before, it learns from
 /// what the instances say of themselves. Nothing here waits or sends.
