--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/row_decoder.h"
+#include "camphorlug/edge/table_names.h"
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/peer_circle.h"
 #include "camphorlug/gateway/request_gateway.h"
--- a/include/camphorlug/edge/row_decoder.h
+++ b/include/camphorlug/edge/row_decoder.h
@@ -26,13 +26,4 @@
                                                            const std::string& text) const = 0;
 };
 
-/// Where the rows lie that an edge node reads.
-struct table_names {
-  std::string config_table;
-  std::string config_key;
-  std::string target_table;
-  /// The product's own rows.
-  std::string own_table;
-};
-
 } // namespace camphorlug::edge
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -10,7 +12,6 @@
 struct gateway_gauges {
   std::size_t waiting_requests = 0;
   std::size_t known_targets = 0;
-  std::size_t serving_groups = 0;
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
   bool leads = false;
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -68,7 +68,6 @@
   };
   set("waiting_requests", static_cast<double>(gauges.waiting_requests));
   set("known_targets", static_cast<double>(gauges.known_targets));
-  set("serving_groups", static_cast<double>(gauges.serving_groups));
   set("live_peers", static_cast<double>(gauges.live_peers));
   set("config_version", static_cast<double>(gauges.config_version));
   set("leads", gauges.leads ? 1 : 0);
