--- /dev/null
+++ b/unittests/platform/store_client_test.cpp
@@ -0,0 +1,269 @@
+#include "base64.h"
+#include "platform_order_client.h"
+#include "store_client.h"
+
+#include "camphorlug/support/virtual_clock.h"
+#include "camphorlug/table/store_error.h"
+
+#include "fakes/scripted_client.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+using fakes::script_end;
+using nlohmann::json;
+using replicas::order_kind;
+using replicas::order_result;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr const char* store_address = "10.0.0.1:1";
+
+struct wire_world {
+  ~wire_world() { clock.shut_down(); }
+
+  void answer(int status, const json& body, script_end end = script_end::whole) {
+    fakes::scripted_answer script;
+    script.status = status;
+    script.pieces = {body.dump()};
+    script.end = end;
+    client.answers[store_address].push_back(script);
+  }
+
+  /// Runs a call to its end; the error's text, or nothing.
+  template<class Call>
+  std::string run(Call call) {
+    std::string error;
+    bool done = false;
+    auto work = [&]() -> support::task<> {
+      try {
+        co_await call();
+      } catch (const table::store_error& failure) {
+        error = failure.may_have_committed() ? "may have committed" : "not committed";
+      }
+      done = true;
+    };
+    support::spawn(context.get_executor(), "call", work());
+    while (!done)
+      clock.run_for(50ms);
+    return error;
+  }
+
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  fakes::scripted_client client{clock};
+  platform::store_client store{client, store_address};
+  platform::platform_order_client orders{client};
+};
+
+json row(const char* key, std::uint64_t version, const char* value) {
+  return {{"table", "t"},
+          {"part", ""},
+          {"key", key},
+          {"ver", version},
+          {"value", platform::to_base64(value)}};
+}
+
+table::transaction some_change() {
+  table::transaction change;
+  change.checks.push_back({"a", 7});
+  change.writes.push_back({"a", "text"});
+  change.writes.push_back({"b", std::nullopt});
+  return change;
+}
+
+struct commit_case {
+  const char* name;
+  int status;
+  script_end end;
+  /// Empty when the store's answer is a result.
+  const char* error;
+};
+
+std::ostream& operator<<(std::ostream& out, const commit_case& each) {
+  return out << each.name;
+}
+
+const commit_case commit_cases[] = {
+    {"done", 200, script_end::whole, ""},
+    {"condition failed", 412, script_end::whole, ""},
+    {"busy", 429, script_end::whole, "not committed"},
+    {"unavailable", 503, script_end::whole, "not committed"},
+    {"answer lost", 200, script_end::reset, "may have committed"},
+    {"answer stalled", 200, script_end::silence, "may have committed"},
+};
+
+struct order_case {
+  int status;
+  order_result expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const order_case& each) {
+  return out << each.status;
+}
+
+const order_case order_cases[] = {
+    {202, order_result::begun},    {200, order_result::done},
+    {409, order_result::misfit},   {400, order_result::misfit},
+    {412, order_result::outdated}, {421, order_result::wrong_instance},
+    {503, order_result::unknown},
+};
+
+replicas::replica_order some_order(order_kind kind) {
+  replicas::replica_order order;
+  order.kind = kind;
+  order.target = "i1";
+  order.address = store_address;
+  order.group = "g7";
+  order.epoch = 7;
+  order.model = "m0";
+  order.members = {"i1", "i2"};
+  order.fence = 9;
+  return order;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(table_is_read_page_by_page, wire_world) {
+  answer(200, {{"rows", {row("a", 3, "one"), row("b", 4, "two")}}, {"hasMore", true}, {"ver", 9}});
+  answer(200, {{"rows", {row("c", 5, "three")}}, {"hasMore", false}, {"ver", 12}});
+  table::feed_batch batch;
+  BOOST_TEST(run([&]() -> support::task<> { batch = co_await store.read_all("t"); }).empty());
+  BOOST_REQUIRE(batch.rows.size() == 3);
+  BOOST_TEST(batch.rows[2].value == "three");
+  // The later page may lack what changed in the first one meanwhile.
+  BOOST_TEST(batch.version == 9);
+  BOOST_TEST(client.received[0].target == "/api/rows-get?table=t&part=");
+  BOOST_TEST(client.received[1].target == "/api/rows-get?table=t&part=&from=b%00");
+}
+
+BOOST_FIXTURE_TEST_CASE(changes_and_lost_history_are_told_apart, wire_world) {
+  json dropped = row("b", 11, "");
+  dropped["deleted"] = true;
+  dropped.erase("value");
+  answer(200, {{"rows", {row("a", 10, "new"), dropped}}, {"ver", 11}});
+  answer(410, {{"error", "gone"}});
+  table::feed_batch changed;
+  table::feed_batch gone;
+  BOOST_TEST(run([&]() -> support::task<> {
+               changed = co_await store.changes("t", 9, 500ms);
+               gone = co_await store.changes("t", 11, 500ms);
+             }).empty());
+  BOOST_TEST(changed.rows[1].deleted);
+  BOOST_TEST(!changed.history_gone);
+  BOOST_TEST(gone.history_gone);
+  BOOST_TEST(client.received[0].target == "/api/rows-feed?table=t&sinceRev=9&waitMs=500");
+}
+
+BOOST_FIXTURE_TEST_CASE(unreadable_answer_of_the_store_is_an_error, wire_world) {
+  answer(200, {{"rows", 7}});
+  BOOST_TEST(run([&]() -> support::task<> { co_await store.read_all("t"); }) == "not committed");
+}
+
+BOOST_FIXTURE_TEST_CASE(transaction_says_its_checks_and_writes, wire_world) {
+  answer(200, {{"ver", 12}, {"nowMs", 1}});
+  table::commit_result result;
+  run([&]() -> support::task<> { result = co_await store.commit(some_change()); });
+  BOOST_TEST(result.committed);
+  BOOST_TEST(result.version == 12);
+  const json body = json::parse(client.received[0].body);
+  const json expected = json::parse(R"({
+    "expectRev":[{"table":"camphorlug","part":"","key":"a","ver":7}],
+    "upserts":[{"table":"camphorlug","part":"","key":"a","value":"dGV4dA=="}],
+    "remove":[{"table":"camphorlug","part":"","key":"b"}]})");
+  BOOST_TEST(body == expected);
+}
+
+BOOST_DATA_TEST_CASE(lost_answer_of_a_transaction_leaves_its_outcome_open, data::make(commit_cases),
+                     each) {
+  wire_world world;
+  fakes::scripted_answer script;
+  script.status = each.status;
+  script.end = each.end;
+  if (each.end == script_end::whole)
+    script.pieces = {each.status == 412 ? json{{"rows", {row("a", 8, "x")}}, {"ver", 8}}.dump()
+                                        : json{{"ver", 12}}.dump()};
+  world.client.answers[store_address].push_back(script);
+  table::commit_result result;
+  const std::string error =
+      world.run([&]() -> support::task<> { result = co_await world.store.commit(some_change()); });
+  BOOST_TEST(error == each.error);
+  BOOST_TEST(result.committed == (each.status == 200 && error.empty()));
+  if (each.status == 412)
+    BOOST_TEST(result.current.at(0).version == 8);
+}
+
+BOOST_DATA_TEST_CASE(order_results_are_read, data::make(order_cases), each) {
+  wire_world world;
+  world.answer(each.status, {});
+  order_result result = order_result::not_sent;
+  world.run([&]() -> support::task<> {
+    auto order = some_order(order_kind::open);
+    result = co_await world.orders.send(std::move(order), {});
+  });
+  BOOST_TEST((result == each.expected));
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_order_may_still_be_carried_out, wire_world) {
+  fakes::scripted_answer refused;
+  refused.refused = true;
+  fakes::scripted_answer silent;
+  silent.end = script_end::silence;
+  client.answers[store_address] = {refused, silent};
+  std::vector<order_result> results;
+  run([&]() -> support::task<> {
+    for (int i = 0; i < 2; ++i) {
+      auto order = some_order(order_kind::leave);
+      const order_result result = co_await orders.send(std::move(order), {});
+      results.push_back(result);
+    }
+  });
+  BOOST_TEST((results == std::vector{order_result::not_sent, order_result::unknown}));
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_carry_what_their_kind_needs, wire_world) {
+  const std::pair<order_kind, const char*> expected[] = {
+      {order_kind::join,
+       R"({"op":"join","fence":9,"group":"g7","epoch":7,"model":"m0","members":["i1","i2"]})"},
+      {order_kind::open, R"({"op":"open","fence":9,"group":"g7","epoch":7})"},
+      {order_kind::close, R"({"op":"close","fence":9,"group":"g7","epoch":7,"mode":"queue"})"},
+      {order_kind::leave, R"({"op":"leave","fence":9,"group":"g7","epoch":7})"},
+      {order_kind::stage, R"({"op":"stage","fence":9,"model":"m0"})"},
+  };
+  for (const auto& [kind, body] : expected) {
+    answer(202, {});
+    run([&, kind = kind]() -> support::task<> {
+      auto order = some_order(kind);
+      co_await orders.send(std::move(order), {});
+    });
+    BOOST_TEST(json::parse(client.received.back().body) == json::parse(body));
+    BOOST_TEST(client.received.back().headers.find("X-Expect-Instance").value_or("") == "i1");
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(instance_is_silent_after_two_questions_only, wire_world) {
+  fakes::scripted_answer silent;
+  silent.end = script_end::silence;
+  client.answers[store_address] = {silent};
+  answer(200, {});
+  client.answers[store_address].push_back(silent);
+  client.answers[store_address].push_back(silent);
+  gateway::target_entry entry;
+  entry.id = "i1";
+  entry.address = store_address;
+  std::vector<bool> answered;
+  run([&]() -> support::task<> {
+    for (int i = 0; i < 2; ++i) {
+      const bool answers = co_await orders.answers(entry);
+      answered.push_back(answers);
+    }
+  });
+  BOOST_TEST((answered == std::vector{true, false}));
+  BOOST_TEST(client.received.size() == 4);
+}
