--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -40,7 +40,7 @@
   template<class Call>
   std::string run(Call call) {
     std::string error;
-    bool done = false;
+    done = false;
     auto work = [&]() -> support::task<> {
       try {
         co_await call();
@@ -55,6 +55,7 @@
     return error;
   }
 
+  bool done = false;
   asio::io_context context;
   support::virtual_clock clock{context};
   fakes::scripted_client client{clock};
