--- a/unittests/fakes/recording_writer.cpp
+++ b/unittests/fakes/recording_writer.cpp
@@ -11,6 +11,8 @@
   headers = std::move(fields);
   body = std::move(whole);
   finished = true;
+  // The real writer forgets it too when its request has ended.
+  gone_action_ = nullptr;
 }
 
 void recording_writer::start(int code, net::header_list fields) {
--- a/unittests/fakes/recording_writer.h
+++ b/unittests/fakes/recording_writer.h
@@ -3,7 +3,9 @@
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/support/clock.h"
 
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace camphorlug::fakes {
@@ -14,14 +16,20 @@
   void send(int status, net::header_list headers, std::string body) override;
   void start(int status, net::header_list headers) override;
   support::task<bool> write(std::string piece) override;
-  void finish() override { finished = true; }
-  void abort() override { aborted = true; }
+  void finish() override {
+    finished = true;
+    gone_action_ = nullptr;
+  }
+  void abort() override {
+    aborted = true;
+    gone_action_ = nullptr;
+  }
   void on_gone(std::function<void()> action) override { gone_action_ = std::move(action); }
 
   /// The caller closes its connection.
   void leave() {
-    if (gone_action_)
-      gone_action_();
+    if (const auto action = std::exchange(gone_action_, nullptr))
+      action();
   }
   bool started() const override { return status != 0; }
 
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -203,11 +203,16 @@
   world.answer("one", whole_answer());
   recording_writer first;
   recording_writer second;
+  // Short enough to be worth waiting for: otherwise the second one is refused at once.
+  world.line.learn({"shop", ""}, 50ms);
   world.begin("/plain/x", first);
   world.begin("/plain/x", second);
+  BOOST_REQUIRE(world.line.waiting() == 1);
   second.leave();
   world.clock.run_for(2s);
   BOOST_TEST(first.status == 200);
+  BOOST_TEST(second.status == 0);
+  BOOST_TEST(world.unfinished == 0);
   BOOST_TEST(world.client.received.size() == 1);
 }
 
