--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -43,6 +43,9 @@
 
   void start();
 
+  /// Takes over the seeds and bounds of newer settings. Names and addresses stay.
+  void change_settings(const edge_settings& settings);
+
   support::task<> handle_caller(net::server_request request, net::response_writer& writer);
   support::task<> handle_peer(net::server_request request, net::response_writer& writer);
 
@@ -69,7 +72,11 @@
   void take_config(const std::string& text);
   void take_targets(const table::feed_batch& batch, bool whole);
   void take_own_rows(const table::feed_batch& batch);
-  std::size_t nodes_alive() const { return peers_.alive().size() + 1; }
+  std::size_t nodes_alive() const { return peers_.alive_count() + 1; }
+  /// 0 before the first configuration.
+  std::uint64_t config_version() const {
+    return config_.current() ? config_.current()->version : 0;
+  }
 
   edge_context context_;
   edge_settings settings_;
--- a/include/camphorlug/gateway/engine_profile.h
+++ b/include/camphorlug/gateway/engine_profile.h
@@ -2,7 +2,6 @@
 
 #include "camphorlug/gateway/model_profile.h"
 
-#include <chrono>
 #include <cstddef>
 #include <vector>
 
@@ -12,15 +11,6 @@
 struct engine_profile {
   /// Requests that one group runs at once.
   std::size_t batch_slots = 1;
-  /// Time of a token step without any request.
-  std::chrono::duration<double, std::milli> step{0};
-  /// Added to a step for each request that writes.
-  std::chrono::duration<double, std::milli> step_per_request{0};
-  double prefill_tokens_per_second = 0;
-  /// Mean tokens of an answer.
-  double usual_answer_tokens = 0;
-  /// Mean tokens of a prompt.
-  double usual_prompt_tokens = 0;
   /// Loads from the weight store that may begin in a second.
   double loads_per_second = 1;
   /// Loads at once beyond which each takes longer.
--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -8,6 +8,7 @@
 
 #include <asio/any_io_executor.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -36,7 +37,8 @@
   };
 
   peer_circle(asio::any_io_executor executor, support::clock& time, net::http_client& client,
-              load_board& loads, suspicion_list& suspicions, std::function<node_status()> own);
+              load_board& loads, suspicion_list& suspicions, std::string id, std::string address,
+              std::function<node_status()> own);
 
   /// Learns of a node's peer address, from the store, the settings or a peer.
   void add_address(const std::string& address);
@@ -52,16 +54,21 @@
 
   /// Statuses of the peers that were heard lately.
   std::vector<node_status> alive() const;
+  std::size_t alive_count() const;
+  /// All peers that were ever heard, by id.
+  const std::map<std::string, peer>& known() const { return peers_; }
 
   /// Whether a peer that was heard within `silence` says that it plans the groups.
   bool another_leads(std::chrono::nanoseconds silence) const;
 
-  /// Calls `listener` with a peer's status when it has a newer configuration.
-  void on_newer_config(std::function<void(const node_status&)> listener) {
-    on_newer_config_ = std::move(listener);
+  /// Calls `listener` with each newer status of a peer.
+  void on_status(std::function<void(const node_status&)> listener) {
+    on_status_ = std::move(listener);
   }
 
 private:
+  bool is_alive(const peer& known) const { return time_.now() - known.heard_at < silence; }
+
   /// How the exchanges with one address go.
   struct contact {
     bool busy = false;
@@ -77,8 +84,10 @@
   net::http_client& client_;
   load_board& loads_;
   suspicion_list& suspicions_;
+  std::string id_;
+  std::string address_;
   std::function<node_status()> own_;
-  std::function<void(const node_status&)> on_newer_config_;
+  std::function<void(const node_status&)> on_status_;
   std::map<std::string, contact> contacts_;
   std::map<std::string, peer> peers_;
 };
--- a/include/camphorlug/gateway/service_spec.h
+++ b/include/camphorlug/gateway/service_spec.h
@@ -10,8 +10,6 @@
 /// A service that routes lead to.
 struct service_spec {
   std::string name;
-  /// Path of a target's health check.
-  std::string health_path;
   /// Present when the service runs models on groups of instances.
   std::optional<engine_profile> engine;
 };
--- a/include/camphorlug/net/header_list.h
+++ b/include/camphorlug/net/header_list.h
@@ -13,6 +13,9 @@
   std::string value;
 };
 
+/// Whether two header names are the same: they compare without regard to case.
+bool same_header_name(std::string_view left, std::string_view right);
+
 /// Headers in their order; names compare without regard to case.
 class header_list {
 public:
--- a/include/camphorlug/support/clock.h
+++ b/include/camphorlug/support/clock.h
@@ -4,6 +4,7 @@
 #include "camphorlug/support/timer.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 
 namespace camphorlug::support {
@@ -32,4 +33,9 @@
   task<> sleep_for(std::chrono::nanoseconds delay);
 };
 
+/// Tells a process from earlier ones of the same node: later starts have larger
+/// numbers if calendars are roughly right; if not, peers tell the larger one
+/// that they remember.
+std::uint64_t start_incarnation(const clock& time);
+
 } // namespace camphorlug::support
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -14,12 +14,13 @@
 
 peer_circle::peer_circle(asio::any_io_executor executor, support::clock& time,
                          net::http_client& client, load_board& loads, suspicion_list& suspicions,
-                         std::function<node_status()> own)
+                         std::string id, std::string address, std::function<node_status()> own)
     : executor_(std::move(executor)), time_(time), client_(client), loads_(loads),
-      suspicions_(suspicions), own_(std::move(own)) {}
+      suspicions_(suspicions), id_(std::move(id)), address_(std::move(address)),
+      own_(std::move(own)) {}
 
 void peer_circle::add_address(const std::string& address) {
-  if (address != own_().peer_address)
+  if (address != address_)
     contacts_.try_emplace(address);
 }
 
@@ -80,8 +81,7 @@
 }
 
 void peer_circle::take(node_status status) {
-  const node_status own = own_();
-  if (status.id == own.id)
+  if (status.id == id_)
     return;
   add_address(status.peer_address);
   const auto known = peers_.find(status.id);
@@ -95,8 +95,8 @@
   loads_.take(status.id, status.loads);
   for (const std::string& target : status.suspects)
     suspicions_.take(target);
-  if (status.config_version > own.config_version && on_newer_config_)
-    on_newer_config_(status);
+  if (on_status_)
+    on_status_(status);
   const std::string id = status.id;
   peers_[id] = {std::move(status), time_.now()};
 }
@@ -107,10 +107,15 @@
   });
 }
 
+std::size_t peer_circle::alive_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [this](const auto& entry) { return is_alive(entry.second); }));
+}
+
 std::vector<node_status> peer_circle::alive() const {
   std::vector<node_status> statuses;
   for (const auto& [id, known] : peers_) {
-    if (time_.now() - known.heard_at < silence)
+    if (is_alive(known))
       statuses.push_back(known.status);
   }
   return statuses;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -34,17 +34,10 @@
   groups::group_planner planner;
 };
 
-/// Later starts have larger incarnations if calendars are roughly right; if not,
-/// peers tell the larger one that they remember.
-static std::uint64_t make_incarnation(support::clock& time) {
-  return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
-                                    std::chrono::milliseconds(1));
-}
-
 node::node(node_context context, node_settings settings)
     : context_(context), settings_(std::move(settings)),
-      incarnation_(make_incarnation(context.time)), peer_board_(settings_.id), documents_(rows_),
-      editor_(context.store, rows_, context.time),
+      incarnation_(support::start_incarnation(context.time)), peer_board_(settings_.id),
+      documents_(rows_), editor_(context.store, rows_, context.time),
       live_groups_(context.time, rows_, documents_, directory_, sightings_),
       isolation_(context.time, peer_board_),
       reader_(context.time, context.store, rows_, isolation_, [this] { return is_reader(); }),
--- a/lib/replicas/replica_keeper.cpp
+++ b/lib/replicas/replica_keeper.cpp
@@ -56,9 +56,8 @@
     const bool created = !planner;
     if (created)
       planner = std::make_unique<replica_planner>(context_.time, name);
-    if (new_term || created) {
+    if (new_term || created)
       planner->begin_term(fence, fence == 1);
-    }
     question(name, *planner);
     for (replica_order& order : planner->plan(view_of(service))) {
       const std::string task_name = "order " + order.target;
--- a/lib/support/clock.cpp
+++ b/lib/support/clock.cpp
@@ -7,4 +7,9 @@
   co_await pause->wait_for(delay);
 }
 
+std::uint64_t start_incarnation(const clock& time) {
+  return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
+                                    std::chrono::milliseconds(1));
+}
+
 } // namespace camphorlug::support
