Bound the log by a rate for each kind of line

Cause: the volume was bounded by a buffer's size only, so a burst wrote a line for each request whatever their number. Usual answers and failures are different kinds.

--- a/include/camphorlug/support/log.h
+++ b/include/camphorlug/support/log.h
@@ -19,10 +19,11 @@
 /// Lines below `lowest` are dropped.
 void start_json_log(std::string_view node, log_level lowest);
 
-/// Writes out the lines that are kept in memory until there are enough of them.
+/// Writes out the lines that are kept in memory until there are enough of them, and
+/// how many lines of each kind were left out (see log_throttle).
 void flush_log();
 
-/// Writes one line for `event`.
+/// Writes one line for `event`, or counts it as left out when its kind is too frequent.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/support/log.h"
 
+#include "camphorlug/support/log_throttle.h"
+
 #include <cstdio>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -8,6 +10,10 @@
 
 static std::string log_node;
 static bool log_started = false;
+static log_throttle& throttle() {
+  static log_throttle instance{log_rate{}};
+  return instance;
+}
 
 namespace {
 
@@ -50,7 +56,12 @@
 /// Lines are kept up to this size, so that a busy node writes seldom.
 static constexpr std::size_t log_buffer_bytes = 32 * 1024;
 
+static void write_line(log_level level, std::string_view event, std::uint64_t omitted,
+                       std::initializer_list<log_field> fields);
+
 void flush_log() {
+  for (const auto& [kind, count] : throttle().take_unreported(std::chrono::steady_clock::now()))
+    write_line(log_level::warning, "lines_omitted", count, {{"kind", kind}});
   std::fflush(stdout);
 }
 
@@ -81,10 +92,8 @@
   return text;
 }
 
-void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
-  // Embedders that did not start the log get no lines.
-  if (!log_started || severity(level) < FLAGS_minloglevel)
-    return;
+static void write_line(log_level level, std::string_view event, std::uint64_t omitted,
+                       std::initializer_list<log_field> fields) {
   nlohmann::ordered_json line;
   line["time"] = timestamp();
   line["severity"] = severity_name(level);
@@ -92,8 +101,20 @@
   line["event"] = event;
   for (const log_field& field : fields)
     line[std::string(field.name)] = field.value;
+  if (omitted > 0)
+    line["omitted"] = omitted;
   const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   google::LogMessage("", 0, severity(level)).stream() << text;
 }
 
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
+  // Embedders that did not start the log get no lines.
+  if (!log_started || severity(level) < FLAGS_minloglevel)
+    return;
+  // Failures and unusual decisions are a kind of their own, beside the usual lines.
+  const std::string kind = std::string(event) + "/" + severity_name(level);
+  if (const auto omitted = throttle().admit(kind, std::chrono::steady_clock::now()))
+    write_line(level, event, *omitted, fields);
+}
+
 } // namespace camphorlug::support
--- /dev/null
+++ b/lib/support/watched_file.cpp
@@ -0,0 +1,42 @@
+#include "camphorlug/support/watched_file.h"
+
+#include "camphorlug/support/log.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace camphorlug::support {
+
+std::optional<std::string> read_text_file(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf()))
+    return std::nullopt;
+  return text.str();
+}
+
+watched_file::watched_file(clock& time, std::string path, std::string text, action on_change)
+    : time_(time), path_(std::move(path)), text_(std::move(text)),
+      on_change_(std::move(on_change)) {}
+
+task<> watched_file::follow(std::chrono::milliseconds interval) {
+  for (;;) {
+    co_await time_.sleep_for(interval);
+    check();
+  }
+}
+
+bool watched_file::check() {
+  std::optional<std::string> text = read_text_file(path_);
+  if (readable_ && !text)
+    log_event(log_level::warning, "file_unreadable",
+              {{"path", path_}, {"outcome", "what was read before stays in force"}});
+  readable_ = text.has_value();
+  if (!text || *text == text_)
+    return false;
+  text_ = std::move(*text);
+  on_change_(text_);
+  return true;
+}
+
+} // namespace camphorlug::support
