Watch the caller of a second request beyond the first one's answer

Cause: the actions for a closed connection were dropped by connection, so the end of one request took along the action of the next one that had been read already; if its caller left, the target went on. The new test failed before.

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -3,13 +3,13 @@
 #include "camphorlug/net/problem.h"
 #include "camphorlug/support/log.h"
 
+#include <algorithm>
 #include <asio/async_result.hpp>
 #include <asio/post.hpp>
 #include <asio/use_awaitable.hpp>
 #include <map>
 #include <netinet/tcp.h>
 #include <restinio/all.hpp>
-#include <strings.h>
 #include <vector>
 
 namespace camphorlug::net {
@@ -26,14 +26,24 @@
 
 namespace {
 
-/// Actions to take when connections end, by connection.
+/// Actions to take when connections end, by connection. A connection has one for
+/// each request on it that waits for its answer.
 class gone_actions {
 public:
-  void add(restinio::connection_id_t connection, std::function<void()> action) {
-    actions_.emplace(connection, std::move(action));
+  using ticket = std::uint64_t;
+
+  ticket add(restinio::connection_id_t connection, std::function<void()> action) {
+    actions_.emplace(connection, pending{++last_ticket_, std::move(action)});
+    return last_ticket_;
   }
 
-  void drop(restinio::connection_id_t connection) { actions_.erase(connection); }
+  void drop(restinio::connection_id_t connection, ticket added) {
+    const auto [begin, end] = actions_.equal_range(connection);
+    const auto found = std::find_if(
+        begin, end, [added](const auto& entry) { return entry.second.added == added; });
+    if (found != end)
+      actions_.erase(found);
+  }
 
   /// RESTinio calls this for each change of a connection's state.
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
@@ -42,14 +52,20 @@
     const auto [begin, end] = actions_.equal_range(notice.connection_id());
     std::vector<std::function<void()>> due;
     for (auto entry = begin; entry != end; ++entry)
-      due.push_back(std::move(entry->second));
+      due.push_back(std::move(entry->second.action));
     actions_.erase(begin, end);
     for (const auto& action : due)
       action();
   }
 
 private:
-  std::multimap<restinio::connection_id_t, std::function<void()>> actions_;
+  struct pending {
+    ticket added = 0;
+    std::function<void()> action;
+  };
+
+  std::multimap<restinio::connection_id_t, pending> actions_;
+  ticket last_ticket_ = 0;
 };
 
 struct server_traits : restinio::default_single_thread_traits_t {
@@ -64,7 +80,7 @@
 template<class Builder>
 void add_headers(Builder& builder, const header_list& headers) {
   for (const header& entry : headers) {
-    if (strcasecmp(entry.name.c_str(), "Connection") == 0)
+    if (same_header_name(entry.name, "Connection"))
       builder.connection_close();
     else
       builder.append_header(entry.name, entry.value);
@@ -77,8 +93,8 @@
       : request_(std::move(request)), gone_(std::move(gone)) {}
 
   ~restinio_writer() override {
-    if (watches_)
-      gone_->drop(request_->connection_id());
+    if (watch_)
+      gone_->drop(request_->connection_id(), *watch_);
   }
 
   void send(int status, header_list headers, std::string body) override {
@@ -134,8 +150,7 @@
   }
 
   void on_gone(std::function<void()> action) override {
-    watches_ = true;
-    gone_->add(request_->connection_id(), std::move(action));
+    watch_ = gone_->add(request_->connection_id(), std::move(action));
   }
 
   bool started() const override { return started_; }
@@ -156,7 +171,7 @@
   std::optional<chunked_builder> chunks_;
   /// Kept while the answer is written, since the builder takes it from the request.
   restinio::impl::connection_handle_t connection_;
-  bool watches_ = false;
+  std::optional<gone_actions::ticket> watch_;
   bool started_ = false;
 };
 
--- a/unittests/net/server_test.cpp
+++ b/unittests/net/server_test.cpp
@@ -127,3 +127,36 @@
   BOOST_TEST(connections[0] == connections[1]);
   BOOST_TEST(connections[1] != connections[2]);
 }
+
+BOOST_AUTO_TEST_CASE(caller_of_a_second_request_is_watched_beyond_the_first_ones_answer) {
+  server_world world;
+  bool gone = false;
+  support::notification first(world.clock);
+  support::notification second(world.clock);
+  net::http_server server(
+      world.context, address,
+      [&](net::server_request request, net::response_writer& writer) -> support::task<> {
+        if (request.path == "/first") {
+          writer.on_gone([] {});
+          co_await first.wait_for(5s);
+          writer.send(200, {}, "x");
+          co_return;
+        }
+        writer.on_gone([&] {
+          gone = true;
+          second.notify();
+        });
+        co_await second.wait_for(5s);
+      });
+  asio::ip::tcp::socket caller(world.context);
+  caller.connect({asio::ip::make_address("127.0.0.1"), 28998});
+  const std::string requests = "GET /first HTTP/1.1\r\nHost: x\r\n\r\n"
+                               "GET /second HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(caller, asio::buffer(requests));
+  BOOST_REQUIRE(world.run_until([&] { return server.in_progress() == 2; }));
+  first.notify();
+  BOOST_REQUIRE(world.run_until([&] { return server.in_progress() == 1; }));
+  caller.close();
+  BOOST_TEST(world.run_until([&] { return gone; }));
+  world.run_until([&] { return server.in_progress() == 0; });
+}
