Choose targets at the same cost at any size

Cause: each choice built all candidates anew and asked each peer's counts for each of them: at 1,600 groups and 320 peers half a million look-ups for a request, and each heartbeat row counted as a change.

A service with an engine but no models is served like a plain one; an entry that goes missing in the grace is told to those who listen at once.

--- a/include/camphorlug/gateway/config_in_force.h
+++ b/include/camphorlug/gateway/config_in_force.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/routing_config.h"
+#include "camphorlug/support/clock.h"
 
 #include <memory>
 
@@ -9,13 +10,20 @@
 /// The newest configuration that this process knows. It only goes forward.
 class config_in_force {
 public:
+  explicit config_in_force(const support::clock& time) : time_(time) {}
+
   /// Takes `candidate` if it is newer; returns whether it was.
   bool take(std::shared_ptr<const routing_config> candidate);
 
   /// Null until the first one is known.
   const std::shared_ptr<const routing_config>& current() const { return current_; }
 
+  /// When the current one was taken; only after the first one.
+  support::clock::time_point taken_at() const { return taken_at_; }
+
 private:
+  const support::clock& time_;
+  support::clock::time_point taken_at_;
   std::shared_ptr<const routing_config> current_;
 };
 
--- a/include/camphorlug/gateway/forwarded_call.h
+++ b/include/camphorlug/gateway/forwarded_call.h
@@ -55,7 +55,7 @@
   std::chrono::nanoseconds left() const { return deadline_ - env_.time.now(); }
   std::chrono::nanoseconds first_event_limit() const;
   std::chrono::nanoseconds pause_limit() const;
-  target_pool pool() const { return {service_, request_.model}; }
+  const target_pool& pool() const { return pool_; }
 
   gateway_environment& env_;
   net::response_writer& writer_;
@@ -65,6 +65,7 @@
   int priority_;
   bool closes_connection_;
   std::string service_;
+  target_pool pool_;
   support::clock::time_point arrived_at_;
   support::clock::time_point deadline_;
   std::optional<support::clock::time_point> first_byte_at_;
@@ -73,7 +74,6 @@
   net::http_exchange* current_ = nullptr;
   stall_watch::stream* watched_ = nullptr;
   std::set<std::string> tried_;
-  std::string last_target_;
   std::size_t sendings_ = 0;
   bool may_have_run_ = false;
   std::optional<std::uint64_t> last_event_;
--- a/include/camphorlug/gateway/group_directory.h
+++ b/include/camphorlug/gateway/group_directory.h
@@ -21,8 +21,8 @@
   /// The groups of a service that serve `model`.
   const std::vector<serving_group>& serving(const std::string& service, const std::string& model);
 
-  /// The group that `head` leads, or null when it may get no requests.
-  const serving_group* led_by(const std::string& head);
+  /// Grows whenever an entry or the configuration has changed.
+  std::uint64_t revision();
 
 private:
   void refresh();
@@ -31,6 +31,7 @@
   const config_in_force& config_;
   std::uint64_t seen_revision_ = 0;
   std::uint64_t seen_config_ = 0;
+  std::uint64_t revision_ = 0;
   std::map<std::pair<std::string, std::string>, std::vector<serving_group>> by_model_;
 };
 
--- a/include/camphorlug/gateway/group_membership.h
+++ b/include/camphorlug/gateway/group_membership.h
@@ -27,6 +27,8 @@
   /// 0 is the head, which takes the requests.
   std::size_t rank = 0;
   membership_state state = membership_state::joining;
+
+  bool operator==(const group_membership&) const = default;
 };
 
 const char* to_string(membership_state state);
--- a/include/camphorlug/gateway/load_board.h
+++ b/include/camphorlug/gateway/load_board.h
@@ -3,8 +3,10 @@
 #include "camphorlug/support/clock.h"
 
 #include <cstddef>
+#include <list>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace camphorlug::gateway {
 
@@ -12,7 +14,8 @@
 using target_loads = std::map<std::string, std::size_t>;
 
 /// Requests that this node and its peers have in flight. Without the peers'
-/// counts, each node would fill a target's slots by itself.
+/// counts, each node would fill a target's slots by itself. The sums are kept
+/// up to date, so that a choice among many targets does not ask each peer's.
 class load_board {
 public:
   /// A peer's counts are left out when they are older than this.
@@ -20,27 +23,37 @@
 
   explicit load_board(support::clock& time) : time_(time) {}
 
-  void add(const std::string& target) { ++own_[target]; }
+  void add(const std::string& target);
   void remove(const std::string& target);
 
   /// Takes a peer's newest counts.
   void take(const std::string& peer, target_loads loads);
 
   /// In flight at `target`, over all nodes as far as known.
-  std::size_t in_flight(const std::string& target) const;
+  std::size_t in_flight(const std::string& target);
   /// The same from this node alone.
   std::size_t own(const std::string& target) const;
   const target_loads& own_loads() const { return own_; }
 
 private:
   struct peer_loads {
+    std::string peer;
     target_loads loads;
     support::clock::time_point taken_at;
   };
+  using place = std::list<peer_loads>::iterator;
+
+  void forget(place entry);
+  void forget_stale();
+  void subtract(const std::string& target, std::size_t count);
 
   support::clock& time_;
   target_loads own_;
-  std::map<std::string, peer_loads> peers_;
+  /// Own counts and those of all peers below.
+  std::unordered_map<std::string, std::size_t> sums_;
+  /// The one that was heard longest ago first.
+  std::list<peer_loads> by_age_;
+  std::unordered_map<std::string, place> peers_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/retry_allowance.h
+++ b/include/camphorlug/gateway/retry_allowance.h
@@ -29,8 +29,20 @@
   retry_allowance(support::clock& time, retry_limits limits, std::function<std::size_t()> nodes)
       : time_(time), limits_(limits), nodes_(std::move(nodes)) {}
 
+  /// What was counted so far counts against the new bounds.
+  void change_limits(retry_limits limits) { limits_ = limits; }
+
   void count_request(const std::string& service);
 
+  /// What one service's requests and retries of the window come to.
+  struct budget {
+    std::size_t requests = 0;
+    std::size_t retries = 0;
+    /// Retries that this node may make in the window.
+    double bound = 0;
+  };
+  std::map<std::string, budget> budgets() const;
+
   /// Takes one retry if there is one left.
   bool take(const std::string& service);
 
@@ -41,6 +53,7 @@
   };
 
   void forget_old(history& past) const;
+  double bound_of(const history& past) const;
 
   support::clock& time_;
   retry_limits limits_;
--- a/include/camphorlug/gateway/routing_config.h
+++ b/include/camphorlug/gateway/routing_config.h
@@ -33,6 +33,9 @@
   bool has_organisations = false;
   request_limits limits;
 
+  /// Whether a service's requests go to groups of instances rather than to any instance.
+  bool serves_in_groups(const std::string& service) const;
+
   void add_route(route added);
   const std::vector<std::shared_ptr<const route>>& routes() const { return routes_; }
 
--- a/include/camphorlug/gateway/target_entry.h
+++ b/include/camphorlug/gateway/target_entry.h
@@ -33,6 +33,8 @@
   /// The model that it holds in memory; empty when there is none.
   std::string model;
   std::optional<group_membership> membership;
+
+  bool operator==(const target_entry&) const = default;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -17,6 +17,7 @@
   target_entry entry;
   /// Commit number of the row that the entry was read from.
   std::uint64_t version = 0;
+  support::clock::time_point read_at;
   /// When its row was first seen to be missing after the store had been away.
   std::optional<support::clock::time_point> missing_since;
   /// The model that it held last in this life: it stays in its memory after it
@@ -52,8 +53,10 @@
   /// The entry of `id`, or null.
   const target_entry* find(const std::string& id) const;
 
-  /// Grows with each change of any entry.
+  /// Grows with each change of what any entry says.
   std::uint64_t revision() const { return revision_; }
+  /// The newest commit number of any row that was read.
+  std::uint64_t newest_version() const { return newest_version_; }
   /// False until the registry was read once.
   bool was_read() const { return was_read_; }
 
@@ -61,6 +64,7 @@
 
 private:
   bool in_grace() const;
+  void confirm(registered_target& target, std::uint64_t version);
   void erase(const std::string& id);
   void changed();
 
@@ -70,6 +74,7 @@
   std::map<std::string, std::uint64_t> removed_;
   std::optional<support::clock::time_point> returned_at_;
   std::uint64_t revision_ = 0;
+  std::uint64_t newest_version_ = 0;
   bool was_read_ = false;
   std::vector<std::function<void()>> listeners_;
 };
--- a/include/camphorlug/gateway/waiting_line.h
+++ b/include/camphorlug/gateway/waiting_line.h
@@ -44,6 +44,8 @@
   /// Learns how long a slot of the pool was held.
   void learn(const target_pool& pool, std::chrono::nanoseconds held);
 
+  /// Slots of all targets of the pool that may get requests.
+  std::size_t slots(const target_pool& pool) { return chooser_.slots(pool); }
   std::size_t waiting() const;
 
 private:
--- a/lib/gateway/config_in_force.cpp
+++ b/lib/gateway/config_in_force.cpp
@@ -12,6 +12,7 @@
                       {"before", std::to_string(current_ ? current_->version : 0)},
                       {"routes", std::to_string(candidate->routes().size())}});
   current_ = std::move(candidate);
+  taken_at_ = time_.now();
   return true;
 }
 
--- a/lib/gateway/forwarded_call.cpp
+++ b/lib/gateway/forwarded_call.cpp
@@ -28,6 +28,10 @@
 /// Callers take a Retry-After of up to a third of the time they have left.
 static constexpr double longest_retry_after_part = 0.3;
 
+static nanoseconds scaled(nanoseconds span, double factor) {
+  return std::chrono::duration_cast<nanoseconds>(span * factor);
+}
+
 forwarded_call::forwarded_call(gateway_environment& environment, net::response_writer& writer,
                                caller_request request, std::shared_ptr<const route> chosen,
                                std::string organisation, int priority, bool closes_connection)
@@ -47,18 +51,18 @@
     if (drawn < 0)
       break;
   }
+  const bool in_groups = env_.config.current()->serves_in_groups(service_);
+  pool_ = {service_, in_groups ? request_.model : ""};
 }
 
 nanoseconds forwarded_call::first_event_limit() const {
-  const auto limit = std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double, std::milli>(route_->objective) * first_event_objectives);
-  return std::max<nanoseconds>(limit, least_first_event_limit);
+  return std::max<nanoseconds>(scaled(route_->objective, first_event_objectives),
+                               least_first_event_limit);
 }
 
 nanoseconds forwarded_call::pause_limit() const {
-  const auto limit = std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double, std::milli>(route_->pause_objective) * pause_objectives);
-  return std::max<nanoseconds>(limit, least_pause_limit);
+  return std::max<nanoseconds>(scaled(route_->pause_objective, pause_objectives),
+                               least_pause_limit);
 }
 
 support::task<> forwarded_call::run() {
@@ -84,10 +88,10 @@
     const auto began_at = env_.time.now();
     last = co_await send_to(slot->target());
     env_.line.learn(pool(), env_.time.now() - began_at);
-    if (last == sending_end::answered)
+    if (last == sending_end::answered) {
       env_.demand.count_hold(pool(), env_.time.now() - began_at);
-    if (last == sending_end::answered)
       co_return;
+    }
     if (gone_ || !may_send_again(last))
       break;
   }
@@ -101,8 +105,7 @@
   // A stream in its middle waits as long as its caller tolerates a pause.
   if (events_ > 0)
     return std::min(deadline_, env_.time.now() + pause_limit());
-  const auto wait = std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double, std::milli>(route_->objective) * wait_part_of_objective);
+  const auto wait = scaled(route_->objective, wait_part_of_objective);
   return std::min(deadline_ - least_useful_time, env_.time.now() + wait);
 }
 
@@ -134,7 +137,6 @@
 support::task<forwarded_call::sending_end> forwarded_call::send_to(const chosen_target& target) {
   ++sendings_;
   tried_.insert(target.id);
-  last_target_ = target.id;
   trail_ += " " + target.id;
   sending details;
   details.target_id = target.id;
@@ -161,7 +163,7 @@
   try {
     nanoseconds limit = left();
     if (route_->repeatable() && sendings_ < route_->attempts) {
-      const auto part = std::chrono::duration_cast<nanoseconds>(limit * first_sending_part);
+      const auto part = scaled(limit, first_sending_part);
       limit = stream ? std::min(limit, first_event_limit()) : part;
     }
     const net::response_head head = co_await exchange->head(limit);
@@ -296,11 +298,13 @@
 }
 
 void forwarded_call::refuse(std::string reason, nanoseconds expected_wait) {
-  const auto longest = std::chrono::duration_cast<nanoseconds>(left() * longest_retry_after_part);
+  const auto longest = scaled(left(), longest_retry_after_part);
   const auto wait = std::clamp<nanoseconds>(expected_wait, least_retry_after,
                                             std::max<nanoseconds>(longest, least_retry_after));
   send_own(503, reason, std::chrono::duration_cast<milliseconds>(wait));
-  finish("refused", reason + ", retry after " + std::to_string(wait / milliseconds(1)) + " ms");
+  finish("refused", reason + " (" + std::to_string(env_.line.slots(pool())) + " slots, " +
+                        std::to_string(env_.line.waiting()) + " requests wait), retry after " +
+                        std::to_string(wait / milliseconds(1)) + " ms");
 }
 
 void forwarded_call::send_kept_failure() {
@@ -340,6 +344,7 @@
                       {"detail", detail},
                       {"targets", trail_},
                       {"config", std::to_string(env_.config.current()->version)},
+                      {"entries", std::to_string(env_.registry.newest_version())},
                       {"first_ms", std::to_string(first_byte / milliseconds(1))},
                       {"total_ms", std::to_string((now - arrived_at_) / milliseconds(1))}});
 }
--- a/lib/gateway/group_directory.cpp
+++ b/lib/gateway/group_directory.cpp
@@ -35,6 +35,7 @@
     return;
   seen_revision_ = registry_.revision();
   seen_config_ = version;
+  ++revision_;
   by_model_.clear();
   if (!config_.current())
     return;
@@ -63,19 +64,15 @@
 
 const std::vector<serving_group>& group_directory::serving(const std::string& service,
                                                            const std::string& model) {
+  static const std::vector<serving_group> none;
   refresh();
-  return by_model_[{service, model}];
+  const auto found = by_model_.find({service, model});
+  return found == by_model_.end() ? none : found->second;
 }
 
-const serving_group* group_directory::led_by(const std::string& head) {
+std::uint64_t group_directory::revision() {
   refresh();
-  for (const auto& [key, groups] : by_model_) {
-    for (const serving_group& each : groups) {
-      if (each.members.front() == head)
-        return &each;
-    }
-  }
-  return nullptr;
+  return revision_;
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/load_board.cpp
+++ b/lib/gateway/load_board.cpp
@@ -2,32 +2,58 @@
 
 namespace camphorlug::gateway {
 
-static std::size_t count_of(const target_loads& loads, const std::string& target) {
-  const auto found = loads.find(target);
-  return found == loads.end() ? 0 : found->second;
+void load_board::add(const std::string& target) {
+  ++own_[target];
+  ++sums_[target];
+}
+
+void load_board::subtract(const std::string& target, std::size_t count) {
+  const auto found = sums_.find(target);
+  if (found != sums_.end() && (found->second -= count) == 0)
+    sums_.erase(found);
 }
 
 void load_board::remove(const std::string& target) {
   const auto found = own_.find(target);
-  if (found != own_.end() && --found->second == 0)
+  if (found == own_.end())
+    return;
+  if (--found->second == 0)
     own_.erase(found);
+  subtract(target, 1);
+}
+
+void load_board::forget(place entry) {
+  for (const auto& [target, count] : entry->loads)
+    subtract(target, count);
+  peers_.erase(entry->peer);
+  by_age_.erase(entry);
+}
+
+void load_board::forget_stale() {
+  while (!by_age_.empty() && time_.now() - by_age_.front().taken_at >= freshness)
+    forget(by_age_.begin());
 }
 
 void load_board::take(const std::string& peer, target_loads loads) {
-  peers_[peer] = {std::move(loads), time_.now()};
+  if (const auto known = peers_.find(peer); known != peers_.end())
+    forget(known->second);
+  // A count of nothing would never be taken out of the sums.
+  std::erase_if(loads, [](const auto& each) { return each.second == 0; });
+  for (const auto& [target, count] : loads)
+    sums_[target] += count;
+  by_age_.push_back({peer, std::move(loads), time_.now()});
+  peers_[peer] = std::prev(by_age_.end());
 }
 
-std::size_t load_board::own(const std::string& target) const {
-  return count_of(own_, target);
+std::size_t load_board::in_flight(const std::string& target) {
+  forget_stale();
+  const auto found = sums_.find(target);
+  return found == sums_.end() ? 0 : found->second;
 }
 
-std::size_t load_board::in_flight(const std::string& target) const {
-  std::size_t sum = own(target);
-  for (const auto& [peer, counts] : peers_) {
-    if (time_.now() - counts.taken_at < freshness)
-      sum += count_of(counts.loads, target);
-  }
-  return sum;
+std::size_t load_board::own(const std::string& target) const {
+  const auto found = own_.find(target);
+  return found == own_.end() ? 0 : found->second;
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/retry_allowance.cpp
+++ b/lib/gateway/retry_allowance.cpp
@@ -22,16 +22,30 @@
   forget_old(past);
 }
 
-bool retry_allowance::take(const std::string& service) {
-  history& past = services_[service];
-  forget_old(past);
+double retry_allowance::bound_of(const history& past) const {
   const auto nodes = static_cast<double>(std::max<std::size_t>(nodes_(), 1));
   const double bound =
       limits_.ratio * static_cast<double>(past.requests.size()) + limits_.slack / nodes;
-  if (static_cast<double>(past.retries.size()) + 1 > bound * used_part)
+  return bound * used_part;
+}
+
+bool retry_allowance::take(const std::string& service) {
+  history& past = services_[service];
+  forget_old(past);
+  if (static_cast<double>(past.retries.size()) + 1 > bound_of(past))
     return false;
   past.retries.push_back(time_.now());
   return true;
 }
 
+std::map<std::string, retry_allowance::budget> retry_allowance::budgets() const {
+  std::map<std::string, budget> all;
+  for (const auto& [service, kept] : services_) {
+    history past = kept;
+    forget_old(past);
+    all[service] = {past.requests.size(), past.retries.size(), bound_of(past)};
+  }
+  return all;
+}
+
 } // namespace camphorlug::gateway
--- a/lib/gateway/routing_config.cpp
+++ b/lib/gateway/routing_config.cpp
@@ -21,6 +21,11 @@
   return name;
 }
 
+bool routing_config::serves_in_groups(const std::string& service) const {
+  const auto found = services.find(service);
+  return found != services.end() && found->second.engine && !found->second.engine->models.empty();
+}
+
 void routing_config::add_route(route added) {
   auto kept = std::make_shared<const route>(std::move(added));
   by_place_[normalised(kept->host) + '\n' + kept->path_prefix] = kept;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -27,6 +27,7 @@
 
 void target_registry::update(const std::string& id, std::uint64_t version,
                              std::optional<target_entry> entry) {
+  newest_version_ = std::max(newest_version_, version);
   const auto removed = removed_.find(id);
   if (removed != removed_.end() && version <= removed->second)
     return;
@@ -39,8 +40,8 @@
     erase(id);
     return;
   }
-  if (held != targets_.end() && version == held->second.version) {
-    held->second.missing_since.reset();
+  if (held != targets_.end() && (version == held->second.version || *entry == held->second.entry)) {
+    confirm(held->second, version);
     return;
   }
   if (held == targets_.end())
@@ -53,15 +54,25 @@
   if (memory_model.empty() && held != targets_.end() &&
       held->second.entry.started_at_ms == entry->started_at_ms)
     memory_model = held->second.memory_model;
-  targets_[id] = {std::move(*entry), version, std::nullopt, std::move(memory_model)};
+  targets_[id] = {std::move(*entry), version, time_.now(), std::nullopt, std::move(memory_model)};
   changed();
 }
 
+/// Most rows are written again and again with the same content; nothing is
+/// worked out anew for those.
+void target_registry::confirm(registered_target& target, std::uint64_t version) {
+  target.version = version;
+  target.read_at = time_.now();
+  if (std::exchange(target.missing_since, std::nullopt))
+    changed();
+}
+
 bool target_registry::in_grace() const {
   return returned_at_ && time_.now() - *returned_at_ < lapse_grace;
 }
 
 void target_registry::remove(const std::string& id, std::uint64_t version) {
+  newest_version_ = std::max(newest_version_, version);
   std::uint64_t& removed = removed_[id];
   removed = std::max(removed, version);
   const auto held = targets_.find(id);
@@ -69,6 +80,7 @@
     return;
   if (in_grace() && !held->second.entry.draining) {
     held->second.missing_since = time_.now();
+    changed();
     return;
   }
   log_target("target_removed", id, version);
--- a/lib/gateway/waiting_line.cpp
+++ b/lib/gateway/waiting_line.cpp
@@ -74,8 +74,7 @@
   std::size_t ahead = 0;
   for (auto each = line.begin(); each != line.end() && each->first < rank; ++each)
     ++ahead;
-  const std::size_t busy = chooser_.in_flight(pool);
-  if (ahead == 0 && busy < slots)
+  if (ahead == 0 && chooser_.has_room(pool))
     return std::chrono::nanoseconds(0);
   const auto known = usual_hold_.find(pool);
   const auto hold = known == usual_hold_.end() ? first_hold_estimate : known->second;
--- a/unittests/fakes/gateway_world.h
+++ b/unittests/fakes/gateway_world.h
@@ -37,7 +37,7 @@
   support::random_source random{1};
   scripted_client client{clock};
   plain_protocol protocol;
-  gateway::config_in_force config;
+  gateway::config_in_force config{clock};
   gateway::target_registry registry{clock};
   gateway::group_directory groups{registry, config};
   gateway::load_board loads{clock};
--- /dev/null
+++ b/unittests/gateway/load_board_test.cpp
@@ -0,0 +1,77 @@
+#include "camphorlug/gateway/load_board.h"
+#include "camphorlug/support/virtual_clock.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct board_world {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  gateway::load_board board{clock};
+};
+
+/// The same without any sums kept: what each peer said last, and when.
+struct plain_board {
+  std::map<std::string, std::pair<gateway::target_loads, support::clock::time_point>> peers;
+  gateway::target_loads own;
+
+  std::size_t in_flight(const std::string& target, support::clock::time_point now) {
+    std::size_t sum = own[target];
+    for (auto& [peer, known] : peers) {
+      if (now - known.second < gateway::load_board::freshness)
+        sum += known.first[target];
+    }
+    return sum;
+  }
+};
+
+void act(board_world& world, plain_board& plain) {
+  const std::string target = "t" + std::to_string(*rc::gen::inRange(0, 3));
+  const std::string peer = "p" + std::to_string(*rc::gen::inRange(0, 4));
+  switch (*rc::gen::inRange(0, 4)) {
+  case 0:
+    world.board.add(target);
+    ++plain.own[target];
+    break;
+  case 1:
+    world.board.remove(target);
+    plain.own[target] -= plain.own[target] > 0 ? 1 : 0;
+    break;
+  case 2: {
+    gateway::target_loads loads{{target, *rc::gen::inRange<std::size_t>(0, 9)}, {"t0", 1}};
+    plain.peers[peer] = {loads, world.clock.now()};
+    world.board.take(peer, loads);
+    break;
+  }
+  default:
+    world.clock.run_for(std::chrono::milliseconds(*rc::gen::inRange(0, 1500)));
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sums_are_those_of_the_single_counts) {
+  BOOST_TEST(rc::check("in flight is own plus all fresh peers", [] {
+    board_world world;
+    plain_board plain;
+    for (int i = 0; i < 100; ++i) {
+      act(world, plain);
+      for (const char* target : {"t0", "t1", "t2"})
+        RC_ASSERT(world.board.in_flight(target) == plain.in_flight(target, world.clock.now()));
+    }
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(peer_that_falls_silent_is_left_out, board_world) {
+  board.add("a");
+  board.take("peer", {{"a", 3}});
+  BOOST_TEST(board.in_flight("a") == 4);
+  clock.run_for(gateway::load_board::freshness);
+  BOOST_TEST(board.in_flight("a") == 1);
+}
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -93,3 +93,30 @@
   BOOST_TEST(registry.find("back"));
   BOOST_TEST(!registry.find("gone"));
 }
+
+BOOST_FIXTURE_TEST_CASE(row_that_is_written_again_unchanged_changes_nothing, registry_world) {
+  update("a", 1);
+  const auto revision = registry.revision();
+  clock.run_for(5s);
+  update("a", 2);
+  BOOST_TEST(registry.revision() == revision);
+  BOOST_TEST(registry.all().at("a").version == 2);
+  BOOST_TEST((registry.all().at("a").read_at == clock.now()));
+  // Its older deletion is no longer believed.
+  registry.remove("a", 1);
+  BOOST_TEST(registry.find("a"));
+  update("a", 3, true);
+  BOOST_TEST(registry.revision() > revision);
+}
+
+BOOST_FIXTURE_TEST_CASE(missing_entry_is_told_to_those_who_listen, registry_world) {
+  int changes = 0;
+  update("a", 1);
+  registry.add_listener([&] { ++changes; });
+  registry.store_returned();
+  registry.remove("a", 5);
+  BOOST_TEST(changes == 1);
+  update("a", 6);
+  BOOST_TEST(changes == 2);
+  BOOST_TEST(!registry.all().at("a").missing_since.has_value());
+}
