Plan without work that grows with the square of the instances

Cause: whether an instance is in a formation, how many there are in its domain and how many load was counted anew inside loops over all instances. It is counted once for each plan; instances, their memory and their entries are found together.

The random histories of the planner pass as before.

--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace camphorlug::replicas {
@@ -52,8 +53,10 @@
     bool loads = false;
     std::string model;
   };
-  /// What is known of an instance beyond its entry.
-  struct instance_memory {
+  /// An instance with what is known of it beyond its entry.
+  struct known_instance {
+    /// Its entry in the present view; null outside of a plan.
+    const gateway::registered_target* target = nullptr;
     std::int64_t started_at_ms = 0;
     /// The newest order of each kind.
     std::map<order_kind, pending_order> pending;
@@ -61,48 +64,83 @@
     std::set<std::uint64_t> left;
     std::string last_model;
     bool silent = false;
+    /// A formation has it.
+    bool assigned = false;
+
+    const gateway::target_entry& entry() const { return target->entry; }
+    /// Whether it may be chosen for a group or for weights.
+    bool is_usable() const;
+    /// Whether it is in no group, as far as it confirmed that.
+    bool has_left() const;
+    /// What a join of a group of `model` costs it.
+    int join_cost(const std::string& model) const;
+  };
+
+  /// The members that the free instances of a fabric domain give a group of some
+  /// model; none when it should not form there.
+  struct domain_offer {
+    std::vector<const known_instance*> members;
+    int cost = 0;
+    std::size_t free = 0;
+  };
+  /// Entries that no group has, by fabric domain.
+  struct free_instances {
+    std::map<std::string, std::vector<const known_instance*>> by_domain;
+    /// By model and domain, worked out once for each change of a domain.
+    std::map<std::string, std::map<std::string, domain_offer>> offers;
+
+    void take(const std::string& domain, const std::vector<const known_instance*>& members);
+  };
+  /// What the whole of the instances comes to; counted once for each plan.
+  struct pool_counts {
+    std::size_t usable = 0;
+    std::size_t loading = 0;
+    std::map<std::string, std::size_t> by_domain;
   };
 
   void refresh_memory(const planning_view& view);
+  void count_pool();
+  void add_formation(formation group);
+  void release_members(formation& group);
+  void note_assigned(const formation& group, bool assigned);
   void adopt(const planning_view& view);
-  void observe(formation& group, const planning_view& view);
+  void observe(formation& group);
   void advance(formation& group, const planning_view& view, std::vector<replica_order>& orders);
   void advance_forming(formation& group, const planning_view& view,
                        std::vector<replica_order>& orders);
-  void dissolve(formation& group, const planning_view& view, std::vector<replica_order>& orders);
-  void release_strays(const planning_view& view, std::vector<replica_order>& orders);
+  void dissolve(formation& group, std::vector<replica_order>& orders);
+  void release_strays(std::vector<replica_order>& orders);
   void form_missing(const planning_view& view, std::vector<replica_order>& orders);
-  void give_up_group(const planning_view& view, const gateway::model_profile& richest,
-                     const gateway::model_profile& neediest);
+  void give_up_group(const gateway::model_profile& richest, const gateway::model_profile& neediest);
   bool form_one(const planning_view& view, const gateway::model_profile& model,
-                std::vector<replica_order>& orders);
+                free_instances& free, std::vector<replica_order>& orders);
+  domain_offer make_offer(std::vector<const known_instance*> free,
+                          const gateway::model_profile& model) const;
+  const domain_offer* best_offer(free_instances& free, const gateway::model_profile& model) const;
   formation make_formation(const gateway::model_profile& model,
-                           const std::vector<const gateway::target_entry*>& members);
-  void order_joins(const formation& group, const std::vector<const gateway::target_entry*>& members,
+                           const std::vector<const known_instance*>& members);
+  void order_joins(const formation& group, const std::vector<const known_instance*>& members,
                    const std::string& reason, std::vector<replica_order>& orders);
   void warm_spares(const planning_view& view, std::vector<replica_order>& orders);
   void stage_models(const planning_view& view, std::vector<replica_order>& orders);
 
-  std::map<std::string, std::vector<const gateway::target_entry*>>
-  free_by_domain(const planning_view& view);
+  free_instances free_by_domain() const;
   std::size_t wanted_groups(const planning_view& view, const gateway::model_profile& model) const;
-  std::size_t live_groups(const std::string& model) const;
-  std::size_t reserve_of(const std::string& domain, const planning_view& view) const;
-  const gateway::model_profile* second_model(const gateway::target_entry& entry,
+  std::map<std::string, std::size_t> live_groups() const;
+  std::size_t reserve_of(const std::string& domain) const;
+  const gateway::model_profile* second_model(const known_instance& instance,
                                              const planning_view& view) const;
   std::size_t loads_in_progress() const;
   bool loads(const pending_order& pending) const;
-  bool is_loading(const gateway::target_entry& entry) const;
+  bool is_loading(const known_instance& instance) const;
   double planned_instances(const planning_view& view) const;
   double planned_fill(const planning_view& view) const;
-  int join_cost(const gateway::target_entry& entry, const std::string& model) const;
-  bool is_assigned(const std::string& id) const;
   bool may_order(const std::string& id, order_kind kind, std::uint64_t epoch);
   bool is_silent(const std::string& id) const;
   bool may_load(const planning_view& view);
   void order(std::vector<replica_order>& orders, replica_order wanted);
   void enter(formation& group, formation_phase phase, const std::string& reason);
-  bool has_left(const gateway::target_entry& entry) const;
+  const gateway::registered_target* target_of(const std::string& id) const;
 
   support::clock& time_;
   std::string service_;
@@ -115,7 +153,10 @@
   bool adopted_ = false;
   std::size_t most_instances_ = 0;
   std::vector<formation> formations_;
-  std::map<std::string, instance_memory> memory_;
+  pool_counts counts_;
+  std::unordered_map<std::string, known_instance> memory_;
+  /// Those of the present view, by id.
+  std::vector<known_instance*> present_;
 };
 
 } // namespace camphorlug::replicas
--- a/lib/replicas/planning_limits.h
+++ b/lib/replicas/planning_limits.h
@@ -49,12 +49,6 @@
 inline constexpr int cost_load = 10;
 inline constexpr int cost_load_over_staged = 11;
 
-/// The instance of that id, or null.
-inline const gateway::registered_target* find(const planning_view& view, const std::string& id) {
-  const auto found = view.targets.find(id);
-  return found == view.targets.end() ? nullptr : &found->second;
-}
-
 /// Whether an entry names this very group and epoch.
 inline bool is_in(const gateway::target_entry& entry, const formation& group) {
   return entry.membership && entry.membership->group == group.group &&
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -26,13 +26,14 @@
 std::vector<replica_order> replica_planner::plan(const planning_view& view) {
   std::vector<replica_order> orders;
   refresh_memory(view);
+  count_pool();
   adopt(view);
   for (formation& group : formations_) {
-    observe(group, view);
+    observe(group);
     advance(group, view, orders);
   }
   std::erase_if(formations_, [](const formation& group) { return group.members.empty(); });
-  release_strays(view, orders);
+  release_strays(orders);
   form_missing(view, orders);
   warm_spares(view, orders);
   stage_models(view, orders);
@@ -65,7 +66,7 @@
     group.phase = head->membership->state == membership_state::open ? formation_phase::serving
                                                                     : formation_phase::forming;
     group.phase_since = time_.now();
-    formations_.push_back(std::move(group));
+    add_formation(std::move(group));
   }
 }
 
@@ -83,11 +84,11 @@
 }
 
 /// Notes what the members say and moves the group to the phase that follows from it.
-void replica_planner::observe(formation& group, const planning_view& view) {
+void replica_planner::observe(formation& group) {
   if (group.phase == formation_phase::dissolving)
     return;
   for (formation_member& member : group.members) {
-    const registered_target* target = find(view, member.id);
+    const registered_target* target = target_of(member.id);
     if (!target || target->missing_since) {
       enter(group, formation_phase::dissolving, member.id + " is gone");
       return;
@@ -124,7 +125,7 @@
 void replica_planner::advance(formation& group, const planning_view& view,
                               std::vector<replica_order>& orders) {
   const auto in_phase = time_.now() - group.phase_since;
-  const registered_target* head = find(view, group.members.front().id);
+  const registered_target* head = target_of(group.members.front().id);
   const bool head_in = head && is_in(head->entry, group);
   const auto to_head = [&](order_kind kind, const std::string& reason) {
     order(orders, {kind,
@@ -161,7 +162,7 @@
       to_head(order_kind::close, "a member is draining");
     return;
   case formation_phase::dissolving:
-    dissolve(group, view, orders);
+    dissolve(group, orders);
     return;
   }
 }
@@ -179,7 +180,7 @@
   bool all_ready = true;
   for (const formation_member& member : group.members) {
     all_ready = all_ready && member.was_ready;
-    const target_entry& entry = find(view, member.id)->entry;
+    const target_entry& entry = target_of(member.id)->entry;
     if (is_in(entry, group))
       continue;
     order(orders, {order_kind::join, entry.id, entry.address, group.group, group.epoch, group.model,
@@ -191,11 +192,10 @@
     enter(group, formation_phase::opening, "all members are ready");
 }
 
-void replica_planner::dissolve(formation& group, const planning_view& view,
-                               std::vector<replica_order>& orders) {
+void replica_planner::dissolve(formation& group, std::vector<replica_order>& orders) {
   bool all_left = true;
   for (const formation_member& member : group.members) {
-    const registered_target* target = find(view, member.id);
+    const registered_target* target = target_of(member.id);
     if (!target || target->entry.started_at_ms != member.started_at_ms)
       continue;
     const auto known = memory_.find(member.id);
@@ -217,17 +217,33 @@
   }
   // Whoever has not confirmed stays a stray, which is told to leave until it does.
   if (all_left || time_.now() - group.phase_since > longest_dissolving)
-    group.members.clear();
+    release_members(group);
 }
 
-void replica_planner::release_strays(const planning_view& view,
-                                     std::vector<replica_order>& orders) {
-  for (const auto& [id, target] : view.targets) {
-    const target_entry& entry = target.entry;
-    if (entry.service != service_ || is_assigned(id) || has_left(entry) || is_silent(id))
+void replica_planner::note_assigned(const formation& group, bool assigned) {
+  for (const formation_member& member : group.members) {
+    if (const auto known = memory_.find(member.id); known != memory_.end())
+      known->second.assigned = assigned;
+  }
+}
+
+void replica_planner::add_formation(formation group) {
+  note_assigned(group, true);
+  formations_.push_back(std::move(group));
+}
+
+void replica_planner::release_members(formation& group) {
+  note_assigned(group, false);
+  group.members.clear();
+}
+
+void replica_planner::release_strays(std::vector<replica_order>& orders) {
+  for (const known_instance* instance : present_) {
+    const target_entry& entry = instance->entry();
+    if (instance->assigned || instance->silent || instance->has_left())
       continue;
     order(orders, {order_kind::leave,
-                   id,
+                   entry.id,
                    entry.address,
                    entry.membership->group,
                    entry.membership->epoch,
--- a/lib/replicas/replica_planner_forming.cpp
+++ b/lib/replicas/replica_planner_forming.cpp
@@ -2,7 +2,6 @@
 #include "planning_limits.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace camphorlug::replicas {
 
@@ -10,105 +9,114 @@
 using gateway::model_profile;
 using gateway::target_entry;
 
-std::map<std::string, std::vector<const target_entry*>>
-replica_planner::free_by_domain(const planning_view& view) {
-  std::map<std::string, std::vector<const target_entry*>> free;
-  for (const auto& [id, target] : view.targets) {
-    const target_entry& entry = target.entry;
-    const bool usable =
-        entry.service == service_ && !entry.draining && !target.missing_since && !is_silent(id);
-    if (usable && !is_assigned(id) && has_left(entry))
-      free[entry.fabric_domain].push_back(&entry);
+replica_planner::free_instances replica_planner::free_by_domain() const {
+  free_instances free;
+  for (const known_instance* instance : present_) {
+    if (!instance->assigned && instance->is_usable() && instance->has_left())
+      free.by_domain[instance->entry().fabric_domain].push_back(instance);
   }
   return free;
 }
 
-int replica_planner::join_cost(const target_entry& entry, const std::string& model) const {
-  const auto known = memory_.find(entry.id);
-  if (known != memory_.end() && known->second.last_model == model)
-    return cost_in_memory;
-  const bool staged =
-      std::find(entry.staged.begin(), entry.staged.end(), model) != entry.staged.end();
-  if (staged)
-    return cost_staged;
-  return entry.staged.empty() ? cost_load : cost_load_over_staged;
-}
-
-std::size_t replica_planner::reserve_of(const std::string& domain,
-                                        const planning_view& view) const {
-  const auto size = std::count_if(view.targets.begin(), view.targets.end(), [&](const auto& each) {
-    return each.second.entry.service == service_ && each.second.entry.fabric_domain == domain;
-  });
+std::size_t replica_planner::reserve_of(const std::string& domain) const {
   // A small domain would otherwise hold no group at all.
-  return std::min(domain_reserve, static_cast<std::size_t>(size) / 5);
+  return std::min(domain_reserve, counts_.by_domain.at(domain) / 5);
 }
 
 bool replica_planner::may_load(const planning_view& view) {
   if (!view.traffic_has_begun)
     return true;
-  return loads_in_progress() < view.engine.concurrent_loads &&
+  return counts_.loading < view.engine.concurrent_loads &&
          loads_.take(view.engine.loads_per_second);
 }
 
-bool replica_planner::form_one(const planning_view& view, const model_profile& model,
-                               std::vector<replica_order>& orders) {
-  std::vector<const target_entry*> best;
-  int best_cost = 0;
-  std::size_t best_free = 0;
-  for (auto& [domain, free] : free_by_domain(view)) {
-    if (free.size() < model.size)
-      continue;
-    std::stable_sort(free.begin(), free.end(), [&](const auto* left, const auto* right) {
-      return join_cost(*left, model.name) < join_cost(*right, model.name);
-    });
-    int cost = 0;
-    for (std::size_t i = 0; i < model.size; ++i)
-      cost += join_cost(*free[i], model.name);
-    const bool keeps_weights = join_cost(*free.front(), model.name) < cost_load;
-    if (!keeps_weights && free.size() < model.size + reserve_of(domain, view))
-      continue;
-    if (!best.empty() && std::tie(cost, best_free) >= std::make_tuple(best_cost, free.size()))
-      continue;
-    best.assign(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(model.size));
-    best_cost = cost;
-    best_free = free.size();
+void replica_planner::free_instances::take(const std::string& domain,
+                                           const std::vector<const known_instance*>& members) {
+  std::erase_if(by_domain[domain], [&](const known_instance* instance) {
+    return std::find(members.begin(), members.end(), instance) != members.end();
+  });
+  for (auto& [model, known] : offers)
+    known.erase(domain);
+}
+
+replica_planner::domain_offer replica_planner::make_offer(std::vector<const known_instance*> free,
+                                                          const model_profile& model) const {
+  domain_offer offer;
+  offer.free = free.size();
+  if (free.size() < model.size)
+    return offer;
+  std::stable_sort(free.begin(), free.end(), [&](const auto* left, const auto* right) {
+    return left->join_cost(model.name) < right->join_cost(model.name);
+  });
+  const bool keeps_weights = free.front()->join_cost(model.name) < cost_load;
+  if (!keeps_weights && free.size() < model.size + reserve_of(free.front()->entry().fabric_domain))
+    return offer;
+  offer.members.assign(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(model.size));
+  for (const known_instance* instance : offer.members)
+    offer.cost += instance->join_cost(model.name);
+  return offer;
+}
+
+/// The cheapest one; where several are, the one that leaves most instances free.
+const replica_planner::domain_offer* replica_planner::best_offer(free_instances& free,
+                                                                 const model_profile& model) const {
+  const domain_offer* best = nullptr;
+  auto& known = free.offers[model.name];
+  for (const auto& [domain, entries] : free.by_domain) {
+    auto place = known.find(domain);
+    if (place == known.end())
+      place = known.emplace(domain, make_offer(entries, model)).first;
+    const domain_offer& offer = place->second;
+    const bool better =
+        !best || offer.cost < best->cost || (offer.cost == best->cost && offer.free > best->free);
+    if (!offer.members.empty() && better)
+      best = &offer;
   }
-  if (best.empty())
+  return best;
+}
+
+bool replica_planner::form_one(const planning_view& view, const model_profile& model,
+                               free_instances& free, std::vector<replica_order>& orders) {
+  const domain_offer* offer = best_offer(free, model);
+  if (!offer)
     return false;
-  for (const target_entry* entry : best) {
-    if (join_cost(*entry, model.name) >= cost_load && !may_load(view))
+  for (const known_instance* instance : offer->members) {
+    if (instance->join_cost(model.name) >= cost_load && !may_load(view))
       return false;
   }
-  formation group = make_formation(model, best);
-  order_joins(group, best, "the group forms", orders);
-  formations_.push_back(std::move(group));
+  const std::vector<const known_instance*> members = offer->members;
+  formation group = make_formation(model, members);
+  order_joins(group, members, "the group forms", orders);
+  free.take(group.fabric_domain, members);
+  add_formation(std::move(group));
   return true;
 }
 
 formation replica_planner::make_formation(const model_profile& model,
-                                          const std::vector<const target_entry*>& members) {
+                                          const std::vector<const known_instance*>& members) {
   formation group;
   group.epoch = next_epoch_++;
   group.group = "g" + std::to_string(group.epoch);
   group.model = model.name;
-  group.fabric_domain = members.front()->fabric_domain;
+  group.fabric_domain = members.front()->entry().fabric_domain;
   group.phase_since = time_.now();
-  for (const target_entry* entry : members)
-    group.members.push_back({entry->id, entry->started_at_ms, false});
+  for (const known_instance* instance : members)
+    group.members.push_back({instance->entry().id, instance->started_at_ms, false});
   return group;
 }
 
 void replica_planner::order_joins(const formation& group,
-                                  const std::vector<const target_entry*>& members,
+                                  const std::vector<const known_instance*>& members,
                                   const std::string& reason, std::vector<replica_order>& orders) {
   std::vector<std::string> ids;
   for (const formation_member& member : group.members)
     ids.push_back(member.id);
-  for (const target_entry* entry : members) {
-    const bool loads = join_cost(*entry, group.model) >= cost_load;
-    memory_[entry->id].last_model = group.model;
-    order(orders, {order_kind::join, entry->id, entry->address, group.group, group.epoch,
-                   group.model, ids, loads, reason});
+  for (const known_instance* instance : members) {
+    const target_entry& entry = instance->entry();
+    const bool loads = instance->join_cost(group.model) >= cost_load;
+    memory_[entry.id].last_model = group.model;
+    order(orders, {order_kind::join, entry.id, entry.address, group.group, group.epoch, group.model,
+                   ids, loads, reason});
   }
 }
 
@@ -116,10 +124,16 @@
   std::vector<const model_profile*> models;
   for (const model_profile& model : view.engine.models)
     models.push_back(&model);
+  if (models.empty())
+    return;
+  std::map<std::string, std::size_t> live = live_groups();
+  std::map<std::string, double> wanted;
+  for (const model_profile* model : models)
+    wanted[model->name] = static_cast<double>(wanted_groups(view, *model));
   const auto supply = [&](const model_profile* model) {
-    return static_cast<double>(live_groups(model->name)) /
-           static_cast<double>(wanted_groups(view, *model));
+    return static_cast<double>(live[model->name]) / wanted[model->name];
   };
+  free_instances free = free_by_domain();
   for (;;) {
     std::stable_sort(models.begin(), models.end(), [&](const auto* left, const auto* right) {
       return supply(left) < supply(right);
@@ -127,35 +141,38 @@
     const double enough = supply(models.front()) < 1 ? supply_before_neediest : 1;
     const bool formed = std::any_of(models.begin(), models.end(), [&](const model_profile* model) {
       const double limit = model == models.front() ? 1 : enough;
-      return supply(model) < limit && form_one(view, *model, orders);
+      if (supply(model) >= limit || !form_one(view, *model, free, orders))
+        return false;
+      ++live[model->name];
+      return true;
     });
     if (!formed)
       break;
   }
   const model_profile* neediest = models.front();
   const model_profile* richest = models.back();
-  const double left = supply(richest) - 1.0 / static_cast<double>(wanted_groups(view, *richest));
+  const double left = supply(richest) - 1.0 / wanted[richest->name];
   if (view.traffic_has_begun && supply(neediest) < 1 && left > supply(neediest) &&
       supply(richest) - supply(neediest) > supply_gap)
-    give_up_group(view, *richest, *neediest);
+    give_up_group(*richest, *neediest);
 }
 
 /// Ends a group of `richest` in the domain where the fewest have to end for a
 /// group of `neediest` that forms without loading.
-void replica_planner::give_up_group(const planning_view& view, const model_profile& richest,
-                                    const model_profile& neediest) {
+void replica_planner::give_up_group(const model_profile& richest, const model_profile& neediest) {
   const bool one_ends =
       std::any_of(formations_.begin(), formations_.end(),
                   [](const formation& group) { return group.phase == formation_phase::closing; });
   if (one_ends || time_.now() - gave_up_at_ < give_up_interval)
     return;
-  const auto joins_quickly = [&](const target_entry& entry) {
-    return join_cost(entry, neediest.name) < cost_load;
+  const auto joins_quickly = [&](const known_instance& instance) {
+    return instance.join_cost(neediest.name) < cost_load;
   };
   std::map<std::string, std::size_t> free;
-  for (const auto& [domain, entries] : free_by_domain(view)) {
-    for (const target_entry* entry : entries)
-      free[domain] += joins_quickly(*entry) ? 1 : 0;
+  const free_instances all_free = free_by_domain();
+  for (const auto& [domain, instances] : all_free.by_domain) {
+    for (const known_instance* instance : instances)
+      free[domain] += joins_quickly(*instance) ? 1 : 0;
   }
   std::map<std::string, std::size_t> reachable = free;
   std::map<std::string, formation*> candidates;
@@ -164,7 +181,7 @@
       continue;
     std::size_t quick = 0;
     for (const formation_member& member : group.members)
-      quick += joins_quickly(find(view, member.id)->entry) ? 1 : 0;
+      quick += joins_quickly(memory_.at(member.id)) ? 1 : 0;
     reachable[group.fabric_domain] += quick;
     if (quick > 0)
       candidates[group.fabric_domain] = &group;
--- a/lib/replicas/replica_planner_memory.cpp
+++ b/lib/replicas/replica_planner_memory.cpp
@@ -11,39 +11,73 @@
 using gateway::target_entry;
 
 void replica_planner::refresh_memory(const planning_view& view) {
-  std::size_t instances = 0;
+  for (auto& [id, instance] : memory_)
+    instance.target = nullptr;
+  present_.clear();
+  bool has_new = false;
   for (const auto& [id, target] : view.targets) {
     if (target.entry.service != service_)
       continue;
-    ++instances;
-    instance_memory& known = memory_[id];
-    if (known.started_at_ms != target.entry.started_at_ms)
-      known = {target.entry.started_at_ms, {}, {}, "", false};
+    const auto [place, is_new] = memory_.try_emplace(id);
+    known_instance& known = place->second;
+    has_new = has_new || is_new;
+    if (known.started_at_ms != target.entry.started_at_ms) {
+      const bool assigned = known.assigned;
+      known = {};
+      known.started_at_ms = target.entry.started_at_ms;
+      known.assigned = assigned;
+    }
+    known.target = &target;
+    present_.push_back(&known);
     if (!target.memory_model.empty())
       known.last_model = target.memory_model;
     for (auto& [kind, pending] : known.pending) {
+      if (!pending.loads)
+        continue;
       const auto& staged = target.entry.staged;
       // Noted for good: a later stage of another model replaces this one.
       if (std::find(staged.begin(), staged.end(), pending.model) != staged.end())
         pending.loads = false;
     }
   }
-  most_instances_ = std::max(most_instances_, instances);
-  std::erase_if(memory_, [&](const auto& entry) { return !view.targets.contains(entry.first); });
+  most_instances_ = std::max(most_instances_, present_.size());
+  std::erase_if(memory_, [](const auto& each) { return !each.second.target; });
+  if (!has_new)
+    return;
+  // One that was away for a moment may still be in a formation that ends.
+  for (const formation& group : formations_)
+    note_assigned(group, true);
 }
 
-bool replica_planner::has_left(const target_entry& entry) const {
-  if (!entry.membership)
-    return true;
-  const auto known = memory_.find(entry.id);
-  return known != memory_.end() && known->second.left.contains(entry.membership->epoch);
+void replica_planner::count_pool() {
+  counts_ = {};
+  for (const known_instance* instance : present_) {
+    ++counts_.by_domain[instance->entry().fabric_domain];
+    counts_.usable += !instance->entry().draining && !instance->silent ? 1 : 0;
+  }
+  counts_.loading = loads_in_progress();
+}
+
+const gateway::registered_target* replica_planner::target_of(const std::string& id) const {
+  const auto known = memory_.find(id);
+  return known == memory_.end() ? nullptr : known->second.target;
+}
+
+bool replica_planner::known_instance::has_left() const {
+  return !entry().membership || left.contains(entry().membership->epoch);
+}
+
+bool replica_planner::known_instance::is_usable() const {
+  return !entry().draining && !target->missing_since && !silent;
 }
 
-bool replica_planner::is_assigned(const std::string& id) const {
-  return std::any_of(formations_.begin(), formations_.end(), [&](const formation& group) {
-    return std::any_of(group.members.begin(), group.members.end(),
-                       [&](const formation_member& member) { return member.id == id; });
-  });
+int replica_planner::known_instance::join_cost(const std::string& model) const {
+  if (last_model == model)
+    return cost_in_memory;
+  const auto& staged = entry().staged;
+  if (std::find(staged.begin(), staged.end(), model) != staged.end())
+    return cost_staged;
+  return staged.empty() ? cost_load : cost_load_over_staged;
 }
 
 bool replica_planner::is_silent(const std::string& id) const {
@@ -82,10 +116,8 @@
   return count;
 }
 
-bool replica_planner::is_loading(const target_entry& entry) const {
-  const auto known = memory_.find(entry.id);
-  return known != memory_.end() &&
-         std::any_of(known->second.pending.begin(), known->second.pending.end(),
+bool replica_planner::is_loading(const known_instance& instance) const {
+  return std::any_of(instance.pending.begin(), instance.pending.end(),
                      [&](const auto& each) { return loads(each.second); });
 }
 
@@ -102,6 +134,7 @@
     return;
   memory_[wanted.target].pending[wanted.kind] = {wanted.epoch, time_.now(), wanted.loads,
                                                  wanted.model};
+  counts_.loading += wanted.loads ? 1 : 0;
   wanted.fence = next_fence_++;
   orders.push_back(std::move(wanted));
 }
@@ -110,7 +143,7 @@
   const auto found = memory_.find(order.target);
   if (found == memory_.end())
     return;
-  instance_memory& known = found->second;
+  known_instance& known = found->second;
   const bool accepted = result == order_result::begun || result == order_result::done;
   const auto pending = known.pending.find(order.kind);
   if (pending != known.pending.end() && pending->second.epoch == order.epoch && !accepted)
--- a/lib/replicas/replica_planner_sizes.cpp
+++ b/lib/replicas/replica_planner_sizes.cpp
@@ -11,11 +11,8 @@
 
 /// Instances that stay in groups: the others repair them.
 double replica_planner::planned_instances(const planning_view& view) const {
-  std::size_t usable = 0;
-  for (const auto& [id, target] : view.targets)
-    usable += target.entry.service == service_ && !target.entry.draining && !is_silent(id) ? 1 : 0;
   // Before traffic the instances appear one by one; most of them are to come.
-  const std::size_t counted = view.traffic_has_begun ? usable : most_instances_;
+  const std::size_t counted = view.traffic_has_begun ? counts_.usable : most_instances_;
   return static_cast<double>(counted) * (1 - spare_part);
 }
 
@@ -44,13 +41,14 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(groups + 0.5));
 }
 
-std::size_t replica_planner::live_groups(const std::string& model) const {
-  return static_cast<std::size_t>(
-      std::count_if(formations_.begin(), formations_.end(), [&](const formation& group) {
-        // One that ends counts until its members are free: they still hold the
-        // weights, so it is best formed again from them.
-        return group.model == model && !group.only_warms;
-      }));
+std::map<std::string, std::size_t> replica_planner::live_groups() const {
+  std::map<std::string, std::size_t> groups;
+  for (const formation& group : formations_) {
+    // One that ends counts until its members are free: they still hold the
+    // weights, so it is best formed again from them.
+    groups[group.model] += group.only_warms ? 0 : 1;
+  }
+  return groups;
 }
 
 } // namespace camphorlug::replicas
--- a/lib/replicas/replica_planner_staging.cpp
+++ b/lib/replicas/replica_planner_staging.cpp
@@ -12,11 +12,11 @@
 
 /// The model that an instance should have on its host beside the one in its
 /// memory, so that it can join a group of either within moments.
-const model_profile* replica_planner::second_model(const target_entry& entry,
+const model_profile* replica_planner::second_model(const known_instance& instance,
                                                    const planning_view& view) const {
   const model_profile* best = nullptr;
   for (const model_profile& model : view.engine.models) {
-    const int cost = join_cost(entry, model.name);
+    const int cost = instance.join_cost(model.name);
     if (cost == cost_in_memory)
       continue;
     if (cost == cost_staged)
@@ -29,19 +29,19 @@
 
 void replica_planner::stage_models(const planning_view& view, std::vector<replica_order>& orders) {
   for (const bool spares : {true, false}) {
-    for (const auto& [id, target] : view.targets) {
-      const target_entry& entry = target.entry;
-      const bool usable =
-          entry.service == service_ && !entry.draining && !target.missing_since && !is_silent(id);
-      const bool settled = !entry.membership || has_left(entry) ||
-                           entry.membership->state != membership_state::joining;
-      if (!usable || !settled || is_assigned(id) == spares || is_loading(entry))
+    for (const known_instance* instance : present_) {
+      const target_entry& entry = instance->entry();
+      const bool settled = !entry.membership ||
+                           entry.membership->state != membership_state::joining ||
+                           instance->has_left();
+      if (instance->assigned == spares || !instance->is_usable() || !settled ||
+          is_loading(*instance))
         continue;
-      const model_profile* model = second_model(entry, view);
-      if (!model || !may_order(id, order_kind::stage, 0) || !may_load(view))
+      const model_profile* model = second_model(*instance, view);
+      if (!model || !may_order(entry.id, order_kind::stage, 0) || !may_load(view))
         continue;
       order(orders, {order_kind::stage,
-                     id,
+                     entry.id,
                      entry.address,
                      "",
                      0,
@@ -56,21 +56,22 @@
 /// Before traffic, when loads are free, spares load a model as the only member
 /// of a group that never opens. It stays in their memory after they leave.
 void replica_planner::warm_spares(const planning_view& view, std::vector<replica_order>& orders) {
-  if (view.traffic_has_begun || !first_term_)
+  if (view.traffic_has_begun || !first_term_ || view.engine.models.empty())
     return;
-  for (const auto& [domain, free] : free_by_domain(view)) {
-    if (free.size() > reserve_of(domain, view) + 1)
+  const free_instances all_free = free_by_domain();
+  for (const auto& [domain, free] : all_free.by_domain) {
+    if (free.size() > reserve_of(domain) + 1)
       continue;
-    for (const target_entry* entry : free) {
-      if (!memory_[entry->id].last_model.empty())
+    for (const known_instance* instance : free) {
+      if (!instance->last_model.empty())
         continue;
       const auto largest = std::max_element(
           view.engine.models.begin(), view.engine.models.end(),
           [](const auto& left, const auto& right) { return left.size < right.size; });
-      formation group = make_formation(*largest, {entry});
+      formation group = make_formation(*largest, {instance});
       group.only_warms = true;
-      order_joins(group, {entry}, "a spare loads a model", orders);
-      formations_.push_back(std::move(group));
+      order_joins(group, {instance}, "a spare loads a model", orders);
+      add_formation(std::move(group));
     }
   }
 }
