Read changed settings again; show a gateway's beliefs; explain a request

- Settings are read again at SIGHUP and every 2 s, taken whole or refused whole with the field's name; name, data centre and addresses need a start.
- GET /camphorlug/v1/state on the peers' port: configuration, routes, groups, targets with their rows' age, peers, lease, retries; camphorlugctl edge shows it.
- camphorlugctl explain ID tells a request's story from log lines; the request's line has the version of entries that decided it and the slots and line length of a refusal.

--- /dev/null
+++ b/include/camphorlug/edge/state_report.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "camphorlug/gateway/config_in_force.h"
+#include "camphorlug/gateway/group_directory.h"
+#include "camphorlug/gateway/load_board.h"
+#include "camphorlug/gateway/node_status.h"
+#include "camphorlug/gateway/peer_circle.h"
+#include "camphorlug/gateway/retry_allowance.h"
+#include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/gateway/target_registry.h"
+#include "camphorlug/groups/lease.h"
+#include "camphorlug/support/clock.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace camphorlug::edge {
+
+/// Path at which a node tells operators what it believes.
+inline constexpr const char* state_path = "/camphorlug/v1/state";
+
+/// The beliefs of one node that operators ask for.
+struct reported_state {
+  const support::clock& time;
+  /// What the node tells its peers of itself.
+  const gateway::node_status& self;
+  const gateway::config_in_force& config;
+  const gateway::target_registry& registry;
+  gateway::group_directory& groups;
+  gateway::load_board& loads;
+  const gateway::suspicion_list& suspicions;
+  const gateway::retry_allowance& retries;
+  const gateway::peer_circle& peers;
+  const groups::lease& holding;
+  std::size_t waiting_requests = 0;
+  /// When the store last answered about targets; nothing if it never did.
+  std::optional<support::clock::time_point> store_answered_at;
+};
+
+/// What is in force at a node and how old each belief is, in milliseconds.
+nlohmann::ordered_json make_report(const reported_state& state);
+
+} // namespace camphorlug::edge
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace camphorlug::table {
@@ -25,10 +26,15 @@
   support::task<> follow();
   /// Reads the whole table now and then until the clock is shut down.
   support::task<> reread();
+  /// Reads it at once and then now and then, for a table that is not followed.
+  support::task<> poll();
 
   /// Whether the last call to the store had an answer.
   bool in_contact() const { return failures_ == 0; }
 
+  /// When the store last answered; nothing if it never did.
+  std::optional<support::clock::time_point> answered_at() const { return answered_at_; }
+
   /// Calls `action` when the store answers again after it did not.
   void on_regained(std::function<void()> action) { on_regained_ = std::move(action); }
 
@@ -45,6 +51,7 @@
   listener on_batch_;
   std::function<void()> on_regained_;
   std::uint64_t version_ = 0;
+  std::optional<support::clock::time_point> answered_at_;
   bool must_read_ = true;
   int failures_ = 0;
 };
--- /dev/null
+++ b/lib/diagnosis/sending_trail.cpp
@@ -0,0 +1,43 @@
+#include "camphorlug/diagnosis/sending_trail.h"
+
+#include <cstddef>
+
+namespace camphorlug::diagnosis {
+
+/// Noted in a trail when another sending was not allowed; no target has this name.
+static constexpr const char* retries_used_up = "no-retries-left";
+
+/// The end of the reason that opens at `start`; reasons may contain parentheses.
+static std::size_t end_of_reason(const std::string& text, std::size_t start) {
+  int depth = 0;
+  for (std::size_t i = start; i < text.size(); ++i) {
+    depth += text[i] == '(' ? 1 : text[i] == ')' ? -1 : 0;
+    if (depth == 0)
+      return i;
+  }
+  return text.size();
+}
+
+std::vector<trail_step> read_trail(const std::string& text) {
+  std::vector<trail_step> steps;
+  std::size_t at = 0;
+  while ((at = text.find_first_not_of(' ', at)) != std::string::npos) {
+    if (text[at] == '(') {
+      const std::size_t end = end_of_reason(text, at);
+      if (!steps.empty())
+        steps.back().troubles.push_back(text.substr(at + 1, end - at - 1));
+      at = end + 1;
+      continue;
+    }
+    const std::size_t end = std::min(text.find(' ', at), text.size());
+    const std::string word = text.substr(at, end - at);
+    if (word == retries_used_up && !steps.empty())
+      steps.back().troubles.emplace_back("the retries of all nodes were used up");
+    else
+      steps.push_back({word, {}});
+    at = end;
+  }
+  return steps;
+}
+
+} // namespace camphorlug::diagnosis
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/edge/edge_node.h"
 
+#include "camphorlug/edge/state_report.h"
 #include "camphorlug/gateway/entry_choice.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
@@ -32,16 +33,11 @@
 /// Time until all peers know that this node leaves.
 static constexpr std::chrono::milliseconds announcement_time{300};
 
-/// Later starts have larger incarnations if calendars are roughly right.
-static std::uint64_t make_incarnation(support::clock& time) {
-  return static_cast<std::uint64_t>(time.wall_time().time_since_epoch() /
-                                    std::chrono::milliseconds(1));
-}
-
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
-      incarnation_(make_incarnation(context_.time)), registry_(context_.time),
-      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
+      incarnation_(support::start_incarnation(context_.time)), config_(context_.time),
+      registry_(context_.time), groups_(registry_, config_), loads_(context_.time),
+      suspicions_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
       line_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return nodes_alive(); }),
@@ -49,8 +45,8 @@
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, line_, suspicions_, retries_, stalls_, demand_, metrics_},
                 [this] { return phase_; }),
-      peers_(context_.executor, context_.time, context_.client, loads_, suspicions_,
-             [this] { return status(); }),
+      peers_(context_.executor, context_.time, context_.client, loads_, suspicions_, settings_.id,
+             settings_.peer_address, [this] { return status(); }),
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
              lease_timing),
       keeper_({context_.executor, context_.time, config_, registry_, lease_, context_.orders,
@@ -74,8 +70,8 @@
                     [this](const table::feed_batch& batch, bool) { take_own_rows(batch); }) {
   registry_.add_listener([this] { line_.pump(); });
   target_follower_.on_regained([this] { registry_.store_returned(); });
-  peers_.on_newer_config([this](const gateway::node_status& peer) {
-    if (!std::exchange(fetching_config_, true))
+  peers_.on_status([this](const gateway::node_status& peer) {
+    if (peer.config_version > config_version() && !std::exchange(fetching_config_, true))
       support::spawn(context_.executor, "fetch_config", fetch_config(peer.peer_address));
   });
 }
@@ -90,7 +86,7 @@
   support::spawn(executor, "reread_config", config_follower_.reread());
   support::spawn(executor, "follow_targets", target_follower_.follow());
   support::spawn(executor, "reread_targets", target_follower_.reread());
-  support::spawn(executor, "reread_own_rows", own_follower_.reread());
+  support::spawn(executor, "poll_own_rows", own_follower_.poll());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", peers_.run());
   support::spawn(executor, "lease", keeper_.keep_lease());
@@ -98,6 +94,17 @@
   support::spawn(executor, "housekeeping", keep_house());
 }
 
+void edge_node::change_settings(const edge_settings& settings) {
+  for (const std::string& seed : settings.seeds)
+    peers_.add_address(seed);
+  settings_.seeds = settings.seeds;
+  settings_.retries = settings.retries;
+  retries_.change_limits(settings.retries);
+  settings_.termination_grace = settings.termination_grace;
+  settings_.entries_valid_for = settings.entries_valid_for;
+  settings_.least_entries = settings.least_entries;
+}
+
 void edge_node::take_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
   if (config && config_.take(std::move(config)))
@@ -203,7 +210,7 @@
   status.sequence = ++sequence_;
   status.ready = ready();
   status.leaving = is_leaving();
-  status.config_version = config_.current() ? config_.current()->version : 0;
+  status.config_version = config_version();
   status.leads = keeper_.leads();
   status.has_served = requests_.handled() > 0;
   status.loads = loads_.own_loads();
@@ -255,6 +262,15 @@
       net::send_json(writer, 200, config_text_);
     co_return;
   }
+  if (request.path == state_path) {
+    const gateway::node_status self = status();
+    const reported_state state{
+        context_.time, self,   config_,         registry_,
+        groups_,       loads_, suspicions_,     retries_,
+        peers_,        lease_, line_.waiting(), target_follower_.answered_at()};
+    net::send_json(writer, 200, make_report(state).dump());
+    co_return;
+  }
   if (request.path != gateway::status_path) {
     net::send_problem(writer, {404, "unknown-path", "peers use the paths of peer_circle.h"});
     co_return;
@@ -280,8 +296,8 @@
   gateway::gateway_gauges gauges;
   gauges.waiting_requests = line_.waiting();
   gauges.known_targets = registry_.all().size();
-  gauges.live_peers = peers_.alive().size();
-  gauges.config_version = config_.current() ? config_.current()->version : 0;
+  gauges.live_peers = peers_.alive_count();
+  gauges.config_version = config_version();
   gauges.leads = keeper_.leads();
   return metrics_.serialize(gauges);
 }
--- /dev/null
+++ b/lib/edge/state_report.cpp
@@ -0,0 +1,125 @@
+#include "camphorlug/edge/state_report.h"
+
+namespace camphorlug::edge {
+
+using nlohmann::ordered_json;
+
+static std::int64_t age_ms(const support::clock& time, support::clock::time_point since) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time.now() - since).count();
+}
+
+static ordered_json report_routes(const gateway::routing_config& config) {
+  ordered_json routes = ordered_json::array();
+  for (const auto& route : config.routes()) {
+    ordered_json services = ordered_json::object();
+    for (const gateway::weighted_service& each : route->services)
+      services[each.service] = each.weight;
+    routes.push_back({{"route", route->name},
+                      {"host", route->host},
+                      {"path_prefix", route->path_prefix},
+                      {"repeatable", route->repeatable()},
+                      {"attempts", route->attempts},
+                      {"timeout_ms", route->timeout.count()},
+                      {"services", std::move(services)}});
+  }
+  return routes;
+}
+
+static ordered_json report_config(const reported_state& state) {
+  const auto& config = state.config.current();
+  if (!config)
+    return nullptr;
+  return {{"version", config->version},
+          {"age_ms", age_ms(state.time, state.config.taken_at())},
+          {"routes", report_routes(*config)}};
+}
+
+static ordered_json report_groups(const reported_state& state) {
+  ordered_json groups = ordered_json::array();
+  if (!state.config.current())
+    return groups;
+  for (const auto& [name, service] : state.config.current()->services) {
+    if (!service.engine)
+      continue;
+    for (const gateway::model_profile& model : service.engine->models) {
+      for (const gateway::serving_group& group : state.groups.serving(name, model.name))
+        groups.push_back({{"group", group.group},
+                          {"epoch", group.epoch},
+                          {"service", name},
+                          {"model", group.model},
+                          {"members", group.members},
+                          {"in_flight", state.loads.in_flight(group.members.front())}});
+    }
+  }
+  return groups;
+}
+
+static ordered_json report_target(const reported_state& state,
+                                  const gateway::registered_target& target) {
+  const gateway::target_entry& entry = target.entry;
+  ordered_json report{{"target", entry.id},
+                      {"service", entry.service},
+                      {"data_centre", entry.data_centre},
+                      {"row_version", target.version},
+                      {"row_age_ms", age_ms(state.time, target.read_at)},
+                      {"draining", entry.draining},
+                      {"missing", target.missing_since.has_value()},
+                      {"suspected", state.suspicions.suspected(entry.id)},
+                      {"in_flight", state.loads.in_flight(entry.id)},
+                      {"model", target.memory_model}};
+  if (entry.membership)
+    report["membership"] = {{"group", entry.membership->group},
+                            {"epoch", entry.membership->epoch},
+                            {"rank", entry.membership->rank},
+                            {"state", to_string(entry.membership->state)}};
+  return report;
+}
+
+static ordered_json report_peers(const reported_state& state) {
+  ordered_json peers = ordered_json::array();
+  for (const auto& [id, peer] : state.peers.known())
+    peers.push_back({{"node", id},
+                     {"data_centre", peer.status.data_centre},
+                     {"heard_ms_ago", age_ms(state.time, peer.heard_at)},
+                     {"ready", peer.status.ready},
+                     {"leaving", peer.status.leaving},
+                     {"leads", peer.status.leads},
+                     {"config", peer.status.config_version}});
+  return peers;
+}
+
+static ordered_json report_retries(const reported_state& state) {
+  ordered_json budgets = ordered_json::array();
+  for (const auto& [service, budget] : state.retries.budgets())
+    budgets.push_back({{"service", service},
+                       {"requests", budget.requests},
+                       {"retries", budget.retries},
+                       {"bound", budget.bound}});
+  return budgets;
+}
+
+ordered_json make_report(const reported_state& state) {
+  ordered_json targets = ordered_json::array();
+  for (const auto& [id, target] : state.registry.all())
+    targets.push_back(report_target(state, target));
+  ordered_json report{{"node", state.self.id},
+                      {"data_centre", state.self.data_centre},
+                      {"ready", state.self.ready},
+                      {"leaving", state.self.leaving},
+                      {"waiting_requests", state.waiting_requests},
+                      {"store_answered_ms_ago", nullptr},
+                      {"lease",
+                       {{"held_here", state.holding.held()},
+                        {"number", state.holding.number()},
+                        {"last_holder", state.holding.last_holder()}}},
+                      {"config", report_config(state)},
+                      {"groups", report_groups(state)},
+                      {"targets", std::move(targets)},
+                      {"peers", report_peers(state)},
+                      {"retries", report_retries(state)}};
+  if (state.store_answered_at)
+    report["store_answered_ms_ago"] = age_ms(state.time, *state.store_answered_at);
+  return report;
+}
+
+} // namespace camphorlug::edge
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -30,6 +30,7 @@
       on_regained_();
   }
   failures_ = 0;
+  answered_at_ = time_.now();
 }
 
 void table_follower::failed(const std::string& reason) {
@@ -90,8 +91,6 @@
 }
 
 support::task<> table_follower::reread() {
-  // A table that is not followed is read for the first time here.
-  co_await read_whole();
   for (;;) {
     co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
         reread_interval_ * (0.75 + 0.5 * random_.unit())));
@@ -99,4 +98,9 @@
   }
 }
 
+support::task<> table_follower::poll() {
+  co_await read_whole();
+  co_await reread();
+}
+
 } // namespace camphorlug::table
--- /dev/null
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -0,0 +1,145 @@
+#include "edge_commands.h"
+
+#include "camphorlug/net/transport_error.h"
+
+#include "exit_code.h"
+#include "screen.h"
+
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::ctl {
+
+using nlohmann::ordered_json;
+
+/// Where an edge node reports its state; see lib/edge.
+static constexpr const char* state_target = "/camphorlug/v1/state";
+static constexpr std::chrono::seconds state_timeout{10};
+
+static std::string when(const ordered_json& flag, const char* word) {
+  return flag.get<bool>() ? std::string(" ") + word : "";
+}
+
+static std::string text(const ordered_json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+static void print_route(const ordered_json& route) {
+  print_folded(text(route["route"]) + " " + text(route["host"]) + text(route["path_prefix"]) +
+               " to " + route["services"].dump() + " limit " + text(route["timeout_ms"]) + " ms" +
+               when(route["repeatable"], "repeatable"));
+}
+
+static void print_group(const ordered_json& group) {
+  std::string members;
+  for (const ordered_json& member : group["members"])
+    members += " " + text(member);
+  print_folded(text(group["group"]) + "/" + text(group["epoch"]) + " " + text(group["model"]) +
+               " " + text(group["in_flight"]) + " in flight:" + members);
+}
+
+static void print_target(const ordered_json& target) {
+  std::string place;
+  if (target.contains("membership"))
+    place = " " + text(target["membership"]["state"]) + " in " +
+            text(target["membership"]["group"]) + " rank " + text(target["membership"]["rank"]);
+  print_folded(text(target["target"]) + " " + text(target["service"]) + place + ", row " +
+               text(target["row_version"]) + " read " + text(target["row_age_ms"]) + " ms ago" +
+               when(target["draining"], "DRAINING") + when(target["missing"], "MISSING") +
+               when(target["suspected"], "SUSPECTED"));
+}
+
+static void print_peer(const ordered_json& peer) {
+  print_folded(text(peer["node"]) + " in " + text(peer["data_centre"]) + " heard " +
+               text(peer["heard_ms_ago"]) + " ms ago, configuration " + text(peer["config"]) +
+               when(peer["leads"], "plans groups") + when(peer["leaving"], "LEAVING"));
+}
+
+static void print_budget(const ordered_json& budget) {
+  print_folded(text(budget["service"]) + ": " + text(budget["retries"]) + " retries of " +
+               text(budget["bound"]) + " for " + text(budget["requests"]) + " requests");
+}
+
+static void print_overview(const ordered_json& state) {
+  print_folded(text(state["node"]) + " in " + text(state["data_centre"]) +
+               (state["ready"].get<bool>() ? " serves" : " does not serve") +
+               when(state["leaving"], "leaving"));
+  if (state["config"].is_null())
+    print_folded("no configuration is known");
+  else
+    print_folded("configuration " + text(state["config"]["version"]) + " taken " +
+                 text(state["config"]["age_ms"]) + " ms ago, " +
+                 std::to_string(state["config"]["routes"].size()) + " routes");
+  print_folded(state["store_answered_ms_ago"].is_null()
+                   ? "the store never answered"
+                   : "store answered " + text(state["store_answered_ms_ago"]) + " ms ago");
+  print_folded(state["lease"]["held_here"].get<bool>()
+                   ? "plans groups under number " + text(state["lease"]["number"])
+                   : "groups planned by " + text(state["lease"]["last_holder"]));
+  print_folded(std::to_string(state["groups"].size()) + " groups serve, " +
+               std::to_string(state["targets"].size()) + " targets, " +
+               std::to_string(state["peers"].size()) + " peers, " +
+               text(state["waiting_requests"]) + " requests wait");
+}
+
+using line_printer = void (*)(const ordered_json&);
+
+static const std::map<std::string, line_printer>& parts() {
+  static const std::map<std::string, line_printer> printers{{"routes", print_route},
+                                                            {"groups", print_group},
+                                                            {"targets", print_target},
+                                                            {"peers", print_peer},
+                                                            {"retries", print_budget}};
+  return printers;
+}
+
+static int print_part(const ordered_json& state, const std::string& part, output_options output) {
+  const auto printer = parts().find(part);
+  if (printer == parts().end()) {
+    print_folded("There is no part " + part + "; see: camphorlugctl --help");
+    return exit_usage;
+  }
+  const ordered_json entries = part == "routes" && state["config"].is_object()
+                                   ? state["config"]["routes"]
+                                   : state.value(part, ordered_json::array());
+  if (output.json) {
+    std::cout << entries.dump() << "\n";
+    return exit_ok;
+  }
+  for (const ordered_json& entry : entries)
+    printer->second(entry);
+  return exit_ok;
+}
+
+support::task<int> show_edge(net::http_client& client, std::string address, std::string part,
+                             output_options output) {
+  net::client_request request;
+  request.address = std::move(address);
+  request.target = state_target;
+  ordered_json state;
+  try {
+    const net::client_response response = co_await client.fetch(std::move(request), state_timeout);
+    if (response.status != 200) {
+      print_folded("Refused (" + std::to_string(response.status) +
+                   "): is --node an edge node's port for peers?");
+      co_return exit_refused;
+    }
+    state = ordered_json::parse(response.body);
+  } catch (const net::transport_error& error) {
+    print_folded(std::string("No answer from the node: ") + error.what());
+    co_return exit_unreachable;
+  } catch (const nlohmann::json::exception& error) {
+    print_folded(std::string("The answer is no state of an edge node: ") + error.what());
+    co_return exit_refused;
+  }
+  if (!part.empty())
+    co_return print_part(state, part, output);
+  if (output.json)
+    std::cout << state.dump() << "\n";
+  else
+    print_overview(state);
+  co_return exit_ok;
+}
+
+} // namespace camphorlug::ctl
--- /dev/null
+++ b/tools/camphorlugctl/explain_command.cpp
@@ -0,0 +1,28 @@
+#include "explain_command.h"
+
+#include "camphorlug/diagnosis/request_story.h"
+
+#include "exit_code.h"
+#include "screen.h"
+
+#include <iostream>
+
+namespace camphorlug::ctl {
+
+int explain_request(std::istream& logs, const std::string& request, output_options output) {
+  diagnosis::request_story story(request);
+  std::string line;
+  while (std::getline(logs, line))
+    story.add(line);
+  if (output.json) {
+    std::cout << story.lines().dump() << "\n";
+  } else {
+    for (const std::string& sentence : story.sentences())
+      print_folded(sentence);
+    if (story.unreadable() > 0)
+      print_folded(std::to_string(story.unreadable()) + " lines were no log lines.");
+  }
+  return story.found() ? exit_ok : exit_refused;
+}
+
+} // namespace camphorlug::ctl
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -2,7 +2,9 @@
 #include "camphorlug/support/asio_clock.h"
 #include "camphorlug/support/random_source.h"
 
+#include "edge_commands.h"
 #include "exit_code.h"
+#include "explain_command.h"
 #include "request_command.h"
 #include "screen.h"
 #include "service_commands.h"
@@ -35,6 +37,10 @@
  why GROUP         one group, and why
  entries           addresses for callers
  request PATH      send a request
+ edge              an edge node's beliefs
+ edge routes|groups|targets|peers|retries
+ explain ID        a request's story, from
+                   log lines on stdin
  service list
  service show S
  service edit S    fetch S into S.toml
@@ -103,6 +109,12 @@
     co_return co_await show_groups(operators, output);
   if (verb == "why" && has_argument)
     co_return co_await explain_group(operators, words[1], output);
+  if (verb == "explain" && has_argument)
+    co_return explain_request(std::cin, words[1], output);
+  if (verb == "edge" && words.size() <= 2) {
+    const std::string part = has_argument ? words[1] : "";
+    co_return co_await show_edge(client, FLAGS_node, part, output);
+  }
   if (verb == "entries")
     co_return co_await show_entries(client, FLAGS_entry);
   if (verb == "request" && has_argument) {
--- /dev/null
+++ b/unittests/diagnosis/request_story_test.cpp
@@ -0,0 +1,117 @@
+#include "camphorlug/diagnosis/log_time.h"
+#include "camphorlug/diagnosis/request_story.h"
+#include "camphorlug/diagnosis/sending_trail.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+// Lines as the gateway writes them.
+const char* const cut_stream =
+    R"({"time":"2026-12-04T01:02:05.445Z","severity":"warning","node":"edge-1","event":"request",)"
+    R"("request":"102afa","route":"chat","outcome":"cut","detail":"11 events",)"
+    R"("targets":" i-aa (stalled) (Operation was aborted (by us)) i-bb (Timeout) no-retries-left",)"
+    R"("config":"33","first_ms":"174","total_ms":"1445"})";
+const char* const suspicion =
+    R"({"time":"2026-12-04T01:02:04.300Z","severity":"warning","node":"edge-2",)"
+    R"("event":"target_suspected","target":"i-aa","reason":"it stands still","for_ms":"800"})";
+const char* const group_end =
+    R"({"time":"2026-12-04T01:02:04.900Z","severity":"info","node":"edge-2",)"
+    R"("event":"group_phase","group":"g7","epoch":"7","phase":"dissolving","reason":"i-cc is gone"})";
+const char* const order_to_head =
+    R"({"time":"2026-12-04T00:02:04.900Z","severity":"info","node":"edge-2",)"
+    R"("event":"order","target":"i-aa","kind":"join","group":"g7"})";
+const char* const store_lost_here =
+    R"({"time":"2026-12-04T01:02:04.000Z","severity":"warning","node":"edge-1",)"
+    R"("event":"store_lost","table":"t"})";
+
+struct unrelated {
+  const char* what;
+  std::string line;
+};
+
+std::ostream& operator<<(std::ostream& out, const unrelated& each) {
+  return out << each.what;
+}
+
+std::string replaced(std::string text, const std::string& old_part, const std::string& new_part) {
+  return text.replace(text.find(old_part), old_part.size(), new_part);
+}
+
+const unrelated unrelated_lines[] = {
+    {"another request", replaced(cut_stream, "102afa", "999999")},
+    {"another target", replaced(suspicion, "i-aa", "i-zz")},
+    {"long before", replaced(suspicion, "01:02:04", "01:01:04")},
+    {"long after", replaced(suspicion, "01:02:04", "01:03:04")},
+    {"another node's store", replaced(store_lost_here, "edge-1", "edge-2")},
+    {"another group", replaced(group_end, "g7", "g8")},
+};
+
+bool tells(const diagnosis::request_story& story, const std::string& part) {
+  const auto sentences = story.sentences();
+  return std::any_of(sentences.begin(), sentences.end(), [&](const std::string& sentence) {
+    return sentence.find(part) != std::string::npos;
+  });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(story_goes_from_the_id_to_the_cause) {
+  diagnosis::request_story story("102afa");
+  for (const char* line : {group_end, suspicion, cut_stream, order_to_head, store_lost_here})
+    story.add(line);
+  BOOST_TEST(story.found());
+  for (const char* part :
+       {"cut on route chat, 11 events", "node edge-1", "connection was reset",
+        "Sending 1 went to i-aa; stalled; Operation was aborted (by us).",
+        "Sending 2 went to i-bb; Timeout; the retries of all nodes were used up.",
+        "target_suspected target=i-aa reason=it stands still", "reason=i-cc is gone", "store_lost",
+        "1445 ms", "configuration 33"})
+    BOOST_TEST(tells(story, part), part);
+  BOOST_TEST(story.lines().size() == 4);
+  BOOST_TEST(story.lines().front()["event"] == "store_lost");
+}
+
+BOOST_DATA_TEST_CASE(what_does_not_bear_on_the_request_is_left_out, data::make(unrelated_lines),
+                     each) {
+  diagnosis::request_story story("102afa");
+  for (const char* line : {cut_stream, order_to_head})
+    story.add(line);
+  story.add(each.line);
+  BOOST_TEST(story.lines().size() == 1);
+}
+
+BOOST_DATA_TEST_CASE(text_that_is_no_log_line_is_counted,
+                     data::make({"", "{", "[1]", "{\"event\":\"x\"}", "plain text",
+                                 "{\"event\":\"x\",\"time\":\"today\"}"}),
+                     line) {
+  diagnosis::request_story story("102afa");
+  story.add(line);
+  BOOST_TEST(story.unreadable() == 1);
+  BOOST_TEST(!story.found());
+  BOOST_TEST(tells(story, "No line is about request 102afa"));
+}
+
+BOOST_AUTO_TEST_CASE(trail_without_trouble_is_read) {
+  BOOST_TEST(diagnosis::read_trail("").empty());
+  const auto steps = diagnosis::read_trail(" a b (x");
+  BOOST_REQUIRE(steps.size() == 2);
+  BOOST_TEST(steps[0].troubles.empty());
+  BOOST_TEST(steps[1].troubles == std::vector<std::string>{"x"});
+}
+
+BOOST_AUTO_TEST_CASE(times_of_lines_are_read) {
+  const auto first = diagnosis::read_time("2026-12-04T23:59:59.900Z");
+  const auto second = diagnosis::read_time("2026-12-05T00:00:00.100Z");
+  BOOST_REQUIRE((first && second));
+  BOOST_TEST((*second - *first == 200ms));
+  BOOST_TEST(!diagnosis::read_time("2026-13-04T23:59:59.900Z").has_value());
+}
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -53,6 +53,31 @@
     {"zone: \"east\"\n", "zone: [\n", "YAML"},
 };
 
+std::string with_change(const fault& change) {
+  std::string text = whole;
+  const std::size_t at = text.find(change.line);
+  BOOST_REQUIRE(at != std::string::npos);
+  return text.replace(at, std::string(change.line).size(), change.instead);
+}
+
+const fault fixed_fields[] = {
+    {"nodeName: \"edge-1\"", "nodeName: \"edge-2\"", "nodeName"},
+    {"zone: \"east\"", "zone: \"west\"", "zone"},
+    {"ip: \"10.1.0.40\"", "ip: \"10.1.0.41\"", "ip"},
+    {"http: \"10.1.0.40:1\"", "http: \"10.1.0.40:9\"", "listen.http"},
+    {"readiness: \"10.1.0.40:2\"", "readiness: \"10.1.0.40:9\"", "listen.readiness"},
+    {"control: \"10.1.0.40:3\"", "control: \"10.1.0.40:9\"", "listen.control"},
+    {"directory: \"10.1.0.40:4\"", "directory: \"10.1.0.40:9\"", "listen.directory"},
+};
+
+const fault changeable_fields[] = {
+    {"  - \"10.1.0.40:3\"", "  - \"10.1.0.50:3\"", "seeds"},
+    {"graceS: 8", "graceS: 4", "policyParams.graceS"},
+    {"retrySlack: 50", "retrySlack: 20", "policyParams.retrySlack"},
+    {"address: \"10.200.1.7:5\"", "address: \"10.200.1.8:5\"", "provider.address"},
+    {"later: 7", "later: 8", "later"},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(settings_are_read_whole) {
@@ -70,10 +95,7 @@
 }
 
 BOOST_DATA_TEST_CASE(faulty_settings_are_refused_by_field, data::make(faults), each) {
-  std::string text = whole;
-  const std::size_t at = text.find(each.line);
-  BOOST_REQUIRE(at != std::string::npos);
-  text.replace(at, std::string(each.line).size(), each.instead);
+  const std::string text = with_change(each);
   try {
     platform::read_settings(text);
     BOOST_ERROR("the settings were taken");
@@ -84,3 +106,22 @@
     BOOST_TEST(line.find('\n') == std::string::npos, line);
   }
 }
+
+BOOST_DATA_TEST_CASE(running_process_refuses_another_identity, data::make(fixed_fields), each) {
+  const auto before = platform::read_settings(whole);
+  const auto after = platform::read_settings(with_change(each));
+  try {
+    platform::require_changeable(before, after);
+    BOOST_ERROR("the change was taken");
+  } catch (const platform::settings_error& error) {
+    const std::string line = error.what();
+    BOOST_TEST(line.find(std::string(each.named) + ": expected") != std::string::npos, line);
+    BOOST_TEST(line.find("starts again") != std::string::npos, line);
+  }
+}
+
+BOOST_DATA_TEST_CASE(running_process_takes_other_bounds, data::make(changeable_fields), each) {
+  const auto before = platform::read_settings(whole);
+  const auto after = platform::read_settings(with_change(each));
+  BOOST_CHECK_NO_THROW(platform::require_changeable(before, after));
+}
