Hand entries on between nodes while the store does not answer one of them

Configurations were handed on by peers already; entries are now too: a node keeps the rows that it read, tells the newest one's number in its status, and a node that the store has not answered for 600 ms asks the peer that is ahead for what changed.

test-edge/node_cut_from_the_store_hears_of_targets_from_its_peers failed before; test-table/follower_of_a_mirror_holds_the_table (random).

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -8,6 +8,7 @@
 #include "camphorlug/gateway/request_gateway.h"
 #include "camphorlug/groups/table_lease.h"
 #include "camphorlug/replicas/replica_keeper.h"
+#include "camphorlug/table/row_mirror.h"
 #include "camphorlug/table/table_follower.h"
 #include "camphorlug/table/table_store.h"
 
@@ -69,6 +70,8 @@
   support::task<> register_self();
   support::task<> keep_house();
   support::task<> fetch_config(std::string peer_address);
+  void follow_peers_entries();
+  support::task<> fetch_entries(std::string peer_address);
   void take_config(const std::string& text);
   void take_targets(const table::feed_batch& batch, bool whole);
   void take_own_rows(const table::feed_batch& batch);
@@ -84,12 +87,17 @@
   std::uint64_t sequence_ = 0;
   gateway::leave_phase phase_ = gateway::leave_phase::none;
   bool fetching_config_ = false;
+  bool fetching_entries_ = false;
+  /// Since when peers have newer entries while the store does not answer.
+  std::optional<support::clock::time_point> behind_peers_since_;
   /// When the first request of any node was seen.
   std::optional<support::clock::time_point> traffic_since_;
   std::string config_text_;
 
   gateway::config_in_force config_;
   gateway::target_registry registry_;
+  /// The entries as they were read, for peers that do not reach the store.
+  table::row_mirror entries_;
   gateway::group_directory groups_;
   gateway::load_board loads_;
   gateway::suspicion_list suspicions_;
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -24,6 +24,8 @@
   bool ready = false;
   bool leaving = false;
   std::uint64_t config_version = 0;
+  /// Commit number of the newest of the targets' entries that it has read.
+  std::uint64_t entries_version = 0;
   /// It plans the groups.
   bool leads = false;
   /// Whether it has handled any request.
--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -21,6 +21,10 @@
 /// Path at which a node hands out the configuration text that it has in force.
 inline constexpr const char* config_path = "/camphorlug/v1/config";
 
+/// Path at which a node hands out the targets' entries that changed after the
+/// commit number `since`.
+inline constexpr const char* entries_path = "/camphorlug/v1/entries";
+
 /// The other nodes: every few moments each sends its status to each and gets
 /// theirs in the answer, so that all know who lives, who leaves and what is in
 /// flight where. Without the store this alone goes on.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -8,6 +8,7 @@
 #include "camphorlug/table/store_error.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::edge {
@@ -28,6 +29,12 @@
 static constexpr std::chrono::milliseconds housekeeping_interval{50};
 static constexpr std::chrono::milliseconds registration_retry{500};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
+/// Entries are asked of a peer that is ahead when the store was silent for this
+/// long; where instances report all the time it answers several times a second.
+static constexpr std::chrono::milliseconds entries_silence{600};
+/// In quiet times the store's answer and a peer's status race with each other.
+static constexpr std::chrono::milliseconds entries_patience{200};
+static constexpr std::chrono::milliseconds entries_fetch_timeout{500};
 /// Some callers keep an answer of the entry directory for this many times its life.
 static constexpr int overlong_use = 3;
 /// Time until all peers know that this node leaves.
@@ -112,6 +119,7 @@
 }
 
 void edge_node::take_targets(const table::feed_batch& batch, bool whole) {
+  entries_.take(batch, whole);
   std::set<std::string> present;
   for (const table::feed_row& row : batch.rows) {
     if (row.deleted) {
@@ -173,10 +181,62 @@
   fetching_config_ = false;
 }
 
+/// While the store does not answer this node, a peer that it answers hands on
+/// what changes: groups move on, and a node that missed it would send its
+/// requests to heads that serve no more.
+void edge_node::follow_peers_entries() {
+  const auto answered_at = target_follower_.answered_at();
+  const bool hears_store = answered_at && context_.time.now() - *answered_at < entries_silence;
+  if (fetching_entries_)
+    return;
+  const std::vector<gateway::node_status> peers = peers_.alive();
+  const auto newest =
+      std::max_element(peers.begin(), peers.end(), [](const auto& left, const auto& right) {
+        return left.entries_version < right.entries_version;
+      });
+  if (hears_store || newest == peers.end() || newest->entries_version <= entries_.newest_row()) {
+    behind_peers_since_.reset();
+    return;
+  }
+  if (!behind_peers_since_)
+    behind_peers_since_ = context_.time.now();
+  if (context_.time.now() - *behind_peers_since_ < entries_patience)
+    return;
+  behind_peers_since_.reset();
+  fetching_entries_ = true;
+  support::spawn(context_.executor, "fetch_entries", fetch_entries(newest->peer_address));
+}
+
+support::task<> edge_node::fetch_entries(std::string peer_address) {
+  net::client_request request;
+  request.address = peer_address;
+  request.target =
+      std::string(gateway::entries_path) + "?since=" + std::to_string(entries_.version());
+  request.connection = net::connection_use::pooled;
+  std::string failure;
+  try {
+    const net::client_response response =
+        co_await context_.client.fetch(std::move(request), entries_fetch_timeout);
+    if (response.status == 200) {
+      const table::feed_batch batch = table::batch_from_json(response.body);
+      take_targets(batch, batch.history_gone);
+    }
+  } catch (const net::transport_error& error) {
+    failure = error.what();
+  } catch (const nlohmann::json::exception& error) {
+    failure = error.what();
+  }
+  if (!failure.empty())
+    support::log_event(support::log_level::warning, "entries_fetch_failed",
+                       {{"peer", peer_address}, {"error", failure}});
+  fetching_entries_ = false;
+}
+
 support::task<> edge_node::keep_house() {
   for (;;) {
     registry_.expire();
     note_traffic();
+    follow_peers_entries();
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     line_.pump();
@@ -211,6 +271,7 @@
   status.ready = ready();
   status.leaving = is_leaving();
   status.config_version = config_version();
+  status.entries_version = entries_.newest_row();
   status.leads = keeper_.leads();
   status.has_served = requests_.handled() > 0;
   status.loads = loads_.own_loads();
@@ -254,6 +315,14 @@
   return requests_.handle(std::move(request), writer);
 }
 
+/// 0, for everything, where the peer's request does not say.
+static std::uint64_t since_of(const net::server_request& request) {
+  const std::string text = request.query_value("since").value_or("0");
+  std::uint64_t since = 0;
+  std::from_chars(text.data(), text.data() + text.size(), since);
+  return since;
+}
+
 support::task<> edge_node::handle_peer(net::server_request request, net::response_writer& writer) {
   if (request.path == gateway::config_path) {
     if (config_text_.empty())
@@ -262,6 +331,10 @@
       net::send_json(writer, 200, config_text_);
     co_return;
   }
+  if (request.path == gateway::entries_path) {
+    net::send_json(writer, 200, table::to_json(entries_.changes(since_of(request))));
+    co_return;
+  }
   if (request.path == state_path) {
     const gateway::node_status self = status();
     const reported_state state{
--- a/lib/gateway/node_status.cpp
+++ b/lib/gateway/node_status.cpp
@@ -30,6 +30,7 @@
                         {"ready", ready},
                         {"leave", leaving},
                         {"cfg", config_version},
+                        {"ent", entries_version},
                         {"lead", leads},
                         {"srv", has_served},
                         {"load", loads},
@@ -51,6 +52,7 @@
   value.at("ready").get_to(status.ready);
   value.at("leave").get_to(status.leaving);
   value.at("cfg").get_to(status.config_version);
+  value.at("ent").get_to(status.entries_version);
   value.at("lead").get_to(status.leads);
   value.at("srv").get_to(status.has_served);
   value.at("load").get_to(status.loads);
--- /dev/null
+++ b/lib/table/row_mirror.cpp
@@ -0,0 +1,81 @@
+#include "camphorlug/table/row_mirror.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace camphorlug::table {
+
+void row_mirror::take(const feed_batch& batch, bool whole) {
+  for (const feed_row& row : batch.rows)
+    take(row);
+  if (whole) {
+    std::set<std::string> present;
+    for (const feed_row& row : batch.rows)
+      present.insert(row.key);
+    std::vector<std::string> gone;
+    for (const auto& [key, row] : rows_) {
+      if (!row.deleted && row.version <= batch.version && !present.contains(key))
+        gone.push_back(key);
+    }
+    for (const std::string& key : gone)
+      take(feed_row{key, "", batch.version, true});
+  }
+  version_ = std::max(version_, batch.version);
+}
+
+void row_mirror::take(const feed_row& row) {
+  const auto known = rows_.find(row.key);
+  if (known != rows_.end() && row.version < known->second.version)
+    return;
+  const bool was_deleted = known != rows_.end() && known->second.deleted;
+  rows_[row.key] = row;
+  newest_row_ = std::max(newest_row_, row.version);
+  if (row.deleted && !was_deleted)
+    remember_deletion(row.version, row.key);
+}
+
+void row_mirror::remember_deletion(std::uint64_t version, const std::string& key) {
+  deletions_.emplace_back(version, key);
+  if (deletions_.size() <= kept_deletions)
+    return;
+  const auto [oldest, oldest_key] = deletions_.front();
+  deletions_.pop_front();
+  forgotten_ = std::max(forgotten_, oldest);
+  const auto known = rows_.find(oldest_key);
+  // The key may have been written again since.
+  if (known != rows_.end() && known->second.deleted && known->second.version <= oldest)
+    rows_.erase(known);
+}
+
+feed_batch row_mirror::changes(std::uint64_t since) const {
+  feed_batch batch;
+  batch.version = version_;
+  batch.history_gone = since < forgotten_;
+  for (const auto& [key, row] : rows_) {
+    const bool wanted = batch.history_gone ? !row.deleted : row.version > since;
+    if (wanted)
+      batch.rows.push_back(row);
+  }
+  return batch;
+}
+
+std::string to_json(const feed_batch& batch) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const feed_row& row : batch.rows)
+    rows.push_back({row.key, row.version, row.deleted, row.value});
+  return nlohmann::json{{"version", batch.version}, {"whole", batch.history_gone}, {"rows", rows}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+feed_batch batch_from_json(const std::string& text) {
+  const auto value = nlohmann::json::parse(text);
+  feed_batch batch;
+  value.at("version").get_to(batch.version);
+  value.at("whole").get_to(batch.history_gone);
+  for (const auto& row : value.at("rows"))
+    batch.rows.push_back({row.at(0), row.at(3), row.at(1), row.at(2)});
+  return batch;
+}
+
+} // namespace camphorlug::table
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -139,6 +139,34 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(node_cut_from_the_store_hears_of_targets_from_its_peers, small_edge) {
+  cut_store(3, true);
+  run_for(2s);
+  add_target("t2");
+  tables.remove("targets", "t1");
+  run_for(1s);
+  const auto targets_of = [this](std::size_t index) {
+    std::set<std::string> ids;
+    const auto report = state(index);
+    for (const auto& target : report["targets"])
+      ids.insert(target["target"].get<std::string>());
+    return ids;
+  };
+  BOOST_TEST(targets_of(3) == std::set<std::string>{"t2"}, boost::test_tools::per_element());
+  // Back at the store it believes nothing older.
+  cut_store(3, false);
+  run_for(5s);
+  BOOST_TEST(targets_of(3) == std::set<std::string>{"t2"}, boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(peers_are_not_asked_for_targets_while_the_store_answers, small_edge) {
+  for (int i = 0; i < 20; ++i) {
+    add_target("t" + std::to_string(i));
+    run_for(200ms);
+  }
+  BOOST_TEST(network.requests["/camphorlug/v1/entries"] == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(store_away_stops_no_request, small_edge) {
   for (std::size_t i = 0; i < 4; ++i)
     cut_store(i, true);
--- a/unittests/fakes/edge_world.cpp
+++ b/unittests/fakes/edge_world.cpp
@@ -75,7 +75,11 @@
       throw transport_error(request_progress::may_have_been_read, false, "reset");
     net::server_request request;
     request.method = request_.method;
-    request.path = request_.target;
+    const std::size_t question = request_.target.find('?');
+    request.path = request_.target.substr(0, question);
+    if (question != std::string::npos)
+      request.query = request_.target.substr(question + 1);
+    ++network_.requests[request.path];
     request.body = request_.body;
     co_await network_.nodes.at(request_.address)(std::move(request), answer_);
     co_await time_.sleep_for(network_delay);
--- a/unittests/fakes/edge_world.h
+++ b/unittests/fakes/edge_world.h
@@ -44,6 +44,8 @@
       nodes;
   /// Addresses that neither reach others nor are reached.
   std::set<std::string> cut;
+  /// Requests between nodes by path, without the query part.
+  std::map<std::string, std::size_t> requests;
 };
 
 /// One node's way to its peers; other addresses are scripted targets.
--- /dev/null
+++ b/unittests/table/row_mirror_test.cpp
@@ -0,0 +1,94 @@
+#include "camphorlug/table/row_mirror.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace camphorlug;
+
+namespace {
+
+/// What a node holds that takes batches: values by key.
+struct follower {
+  std::map<std::string, table::feed_row> rows;
+  std::uint64_t version = 0;
+
+  void take(const table::feed_batch& batch) {
+    if (batch.history_gone)
+      rows.clear();
+    for (const table::feed_row& row : batch.rows) {
+      if (row.deleted)
+        rows.erase(row.key);
+      else
+        rows[row.key] = row;
+    }
+    version = batch.version;
+  }
+};
+
+table::feed_batch one_row(const std::string& key, std::uint64_t version, bool deleted = false) {
+  return {{{key, "v" + std::to_string(version), version, deleted}}, version, false};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(follower_of_a_mirror_holds_the_table) {
+  BOOST_TEST(rc::check("a follower that asks now and then has the same rows", [] {
+    table::row_mirror mirror;
+    follower reader;
+    std::map<std::string, std::uint64_t> truth;
+    for (std::uint64_t version = 1; version < 200; ++version) {
+      const std::string key = "k" + std::to_string(*rc::gen::inRange(0, 8));
+      const bool deletes = *rc::gen::inRange(0, 3) == 0;
+      mirror.take(one_row(key, version, deletes), false);
+      if (deletes)
+        truth.erase(key);
+      else
+        truth[key] = version;
+      if (*rc::gen::inRange(0, 10) != 0)
+        continue;
+      reader.take(table::batch_from_json(to_json(mirror.changes(reader.version))));
+      RC_ASSERT(reader.rows.size() == truth.size());
+      for (const auto& [held, newest] : truth)
+        RC_ASSERT(reader.rows.at(held).version == newest);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(complete_reading_deletes_what_it_lacks) {
+  table::row_mirror mirror;
+  mirror.take(one_row("a", 1), false);
+  mirror.take(one_row("b", 2), false);
+  mirror.take(one_row("newer", 9), false);
+  mirror.take({{{"a", "v1", 1, false}}, 5, false}, true);
+  const auto changes = mirror.changes(2);
+  std::map<std::string, bool> deleted;
+  for (const auto& row : changes.rows)
+    deleted[row.key] = row.deleted;
+  BOOST_TEST(deleted.size() == 2);
+  BOOST_TEST(deleted.at("b"));
+  BOOST_TEST(!deleted.at("newer"));
+}
+
+BOOST_AUTO_TEST_CASE(older_rows_change_nothing) {
+  table::row_mirror mirror;
+  mirror.take(one_row("a", 5, true), false);
+  mirror.take(one_row("a", 4), false);
+  BOOST_TEST(mirror.changes(0).rows.front().deleted);
+  BOOST_TEST(mirror.version() == 5);
+}
+
+BOOST_AUTO_TEST_CASE(whole_table_goes_to_those_who_lack_forgotten_deletions) {
+  table::row_mirror mirror;
+  mirror.take(one_row("stays", 1), false);
+  std::uint64_t version = 1;
+  for (std::size_t i = 0; i < table::row_mirror::kept_deletions + 5; ++i)
+    mirror.take(one_row("k" + std::to_string(i), ++version, true), false);
+  const auto late = mirror.changes(2);
+  BOOST_TEST(late.history_gone);
+  BOOST_TEST(late.rows.size() == 1);
+  BOOST_TEST(late.rows.front().key == "stays");
+  BOOST_TEST(!mirror.changes(version - 3).history_gone);
+  BOOST_TEST(mirror.changes(version - 3).rows.size() == 3);
+}
