Keep a late sending where it is unless another target is better

A late sending now moves only if a retry is left, another sound target has room and its own target writes to none of its streams; a target that writes to others is slow, not lost, and is not suspected.

The scripted client of the tests lets a waiter wait on for the rest only.

--- a/include/camphorlug/gateway/forwarded_call.h
+++ b/include/camphorlug/gateway/forwarded_call.h
@@ -3,6 +3,7 @@
 #include "camphorlug/gateway/event_splitter.h"
 #include "camphorlug/gateway/gateway_environment.h"
 #include "camphorlug/net/response_writer.h"
+#include "camphorlug/net/transport_error.h"
 
 #include <memory>
 #include <optional>
@@ -38,6 +39,12 @@
                                          const chosen_target& target);
   support::task<sending_end> relay_stream(net::http_exchange& exchange, target_answer answer,
                                           const chosen_target& target);
+  support::task<net::response_head> await_head(net::http_exchange& exchange, std::string target_id,
+                                               std::chrono::nanoseconds limit);
+  support::task<std::optional<std::string>>
+  await_piece(net::http_exchange& exchange, std::string target_id, std::chrono::nanoseconds limit);
+  bool stays_when_late(const std::string& target_id, const net::transport_error& error,
+                       support::clock::time_point asked_at, std::chrono::nanoseconds limit);
   support::task<bool> pass_on(const target_answer& answer, raw_event event);
   std::optional<sending_end> judge_head(const target_answer& answer, const chosen_target& target);
 
--- a/include/camphorlug/gateway/retry_allowance.h
+++ b/include/camphorlug/gateway/retry_allowance.h
@@ -43,6 +43,9 @@
   };
   std::map<std::string, budget> budgets() const;
 
+  /// Whether there is a retry left.
+  bool has(const std::string& service);
+
   /// Takes one retry if there is one left.
   bool take(const std::string& service);
 
--- a/include/camphorlug/gateway/stall_watch.h
+++ b/include/camphorlug/gateway/stall_watch.h
@@ -47,6 +47,9 @@
   /// every 50 ms or so.
   std::vector<std::string> check();
 
+  /// Whether a target has written to any stream within `stall_after`.
+  bool writes(const std::string& target) const;
+
   /// Targets that stalled a moment ago, for the planner of the groups.
   std::vector<std::string> recent() const;
 
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -44,6 +44,8 @@
   std::size_t slots(const target_pool& pool);
   /// Whether a target of the pool has a free slot.
   bool has_room(const target_pool& pool);
+  /// Whether one that is neither avoided nor suspected has a free slot.
+  bool has_sound_room(const target_pool& pool, const std::set<std::string>& avoided);
 
 private:
   struct candidate {
--- a/include/camphorlug/gateway/waiting_line.h
+++ b/include/camphorlug/gateway/waiting_line.h
@@ -44,6 +44,10 @@
   /// Learns how long a slot of the pool was held.
   void learn(const target_pool& pool, std::chrono::nanoseconds held);
 
+  /// Whether a request of the pool would find a sound target other than `avoided`.
+  bool has_room_beside(const target_pool& pool, const std::set<std::string>& avoided) {
+    return chooser_.has_sound_room(pool, avoided);
+  }
   /// Slots of all targets of the pool that may get requests.
   std::size_t slots(const target_pool& pool) { return chooser_.slots(pool); }
   std::size_t waiting() const;
--- a/lib/gateway/forwarded_call.cpp
+++ b/lib/gateway/forwarded_call.cpp
@@ -1,6 +1,5 @@
 #include "camphorlug/gateway/forwarded_call.h"
 
-#include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
@@ -24,6 +23,8 @@
 static constexpr milliseconds least_pause_limit{600};
 /// Part of the time left that one sending of a repeatable plain request may use.
 static constexpr double first_sending_part = 0.4;
+/// How often a late sending that stays where it is looks round again.
+static constexpr milliseconds late_look_round{200};
 static constexpr milliseconds least_retry_after{100};
 /// Callers take a Retry-After of up to a third of the time they have left.
 static constexpr double longest_retry_after_part = 0.3;
@@ -166,7 +167,7 @@
       const auto part = scaled(limit, first_sending_part);
       limit = stream ? std::min(limit, first_event_limit()) : part;
     }
-    const net::response_head head = co_await exchange->head(limit);
+    const net::response_head head = co_await await_head(*exchange, target.id, limit);
     target_answer answer = env_.protocol.read_answer(request_, head);
     const auto judged = judge_head(answer, target);
     if (judged)
@@ -179,9 +180,10 @@
     const bool sent = error.progress() == net::request_progress::may_have_been_read;
     end = sent ? sending_end::unknown : sending_end::not_run;
     trail_ += std::string(" (") + error.what() + ")";
-    if (!gone_ && (!sent || error.timed_out()))
+    const bool only_slow = sent && error.timed_out() && env_.stalls.writes(target.id);
+    if (!gone_ && !only_slow && (!sent || error.timed_out()))
       env_.suspicions.suspect(target.id, error.what());
-    else if (!gone_)
+    else if (!gone_ && !only_slow)
       env_.suspicions.count_failure(target.id, error.what());
   }
   current_ = nullptr;
@@ -210,6 +212,48 @@
   return std::nullopt;
 }
 
+/// A late sending is given up only for a better one. Where the target works on, no
+/// other one has room or no retry is left, its answer still comes sooner than any
+/// other, and in a moment of overload each repeat would add to the load.
+bool forwarded_call::stays_when_late(const std::string& target_id,
+                                     const net::transport_error& error,
+                                     support::clock::time_point asked_at, nanoseconds limit) {
+  const bool waited = error.timed_out() && env_.time.now() - asked_at >= limit;
+  if (!waited || gone_ || left() < least_useful_time)
+    return false;
+  return env_.stalls.writes(target_id) || !env_.retries.has(service_) ||
+         !env_.line.has_room_beside(pool(), tried_);
+}
+
+support::task<net::response_head>
+forwarded_call::await_head(net::http_exchange& exchange, std::string target_id, nanoseconds limit) {
+  for (;;) {
+    const auto asked_at = env_.time.now();
+    try {
+      co_return co_await exchange.head(limit);
+    } catch (const net::transport_error& error) {
+      if (!stays_when_late(target_id, error, asked_at, limit))
+        throw;
+    }
+    limit = std::min<nanoseconds>(left(), late_look_round);
+  }
+}
+
+support::task<std::optional<std::string>> forwarded_call::await_piece(net::http_exchange& exchange,
+                                                                      std::string target_id,
+                                                                      nanoseconds limit) {
+  for (;;) {
+    const auto asked_at = env_.time.now();
+    try {
+      co_return co_await exchange.read(limit);
+    } catch (const net::transport_error& error) {
+      if (!stays_when_late(target_id, error, asked_at, limit))
+        throw;
+    }
+    limit = std::min<nanoseconds>(left(), late_look_round);
+  }
+}
+
 support::task<forwarded_call::sending_end>
 forwarded_call::relay_whole(net::http_exchange& exchange, target_answer answer,
                             const chosen_target& target) {
@@ -254,7 +298,7 @@
     const bool may_move = route_->repeatable();
     const nanoseconds patience = events_ == 0 ? first_event_limit() : pause_limit();
     std::optional<std::string> piece =
-        co_await exchange.read(may_move ? std::min(left(), patience) : left());
+        co_await await_piece(exchange, target.id, may_move ? std::min(left(), patience) : left());
     if (!piece)
       break;
     if (watched_)
--- a/lib/gateway/retry_allowance.cpp
+++ b/lib/gateway/retry_allowance.cpp
@@ -29,12 +29,16 @@
   return bound * used_part;
 }
 
-bool retry_allowance::take(const std::string& service) {
+bool retry_allowance::has(const std::string& service) {
   history& past = services_[service];
   forget_old(past);
-  if (static_cast<double>(past.retries.size()) + 1 > bound_of(past))
+  return static_cast<double>(past.retries.size()) + 1 <= bound_of(past);
+}
+
+bool retry_allowance::take(const std::string& service) {
+  if (!has(service))
     return false;
-  past.retries.push_back(time_.now());
+  services_[service].retries.push_back(time_.now());
   return true;
 }
 
--- a/lib/gateway/stall_watch.cpp
+++ b/lib/gateway/stall_watch.cpp
@@ -49,6 +49,15 @@
   return stalled;
 }
 
+bool stall_watch::writes(const std::string& target) const {
+  const auto found = targets_.find(target);
+  if (found == targets_.end())
+    return false;
+  const bool any = std::any_of(found->second.streams.begin(), found->second.streams.end(),
+                               [](const stream* each) { return each->writing_; });
+  return any && time_.now() - found->second.last_progress < stall_after;
+}
+
 std::vector<std::string> stall_watch::recent() const {
   std::vector<std::string> targets;
   for (const auto& [target, when] : stalled_) {
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -116,4 +116,12 @@
   return false;
 }
 
+bool target_chooser::has_sound_room(const target_pool& pool, const std::set<std::string>& avoided) {
+  const std::vector<candidate>& candidates = view_of(pool).candidates;
+  return std::any_of(candidates.begin(), candidates.end(), [&](const candidate& each) {
+    return !avoided.contains(each.target.id) && !suspicions_.suspected(each.target.id) &&
+           has_room(each);
+  });
+}
+
 } // namespace camphorlug::gateway
--- a/unittests/fakes/scripted_client.cpp
+++ b/unittests/fakes/scripted_client.cpp
@@ -13,7 +13,8 @@
 class scripted_exchange final : public net::http_exchange {
 public:
   scripted_exchange(support::clock& time, scripted_answer answer, std::size_t& broken_off)
-      : time_(time), answer_(std::move(answer)), broken_off_(broken_off), cancelled_(time) {}
+      : time_(time), answer_(std::move(answer)), broken_off_(broken_off), cancelled_(time),
+        pause_(answer_.pause.value_or(answer_.delay)) {}
 
   ~scripted_exchange() override { broken_off_ += ended_ ? 0 : 1; }
 
@@ -25,8 +26,12 @@
     if (answer_.pieces.empty() && answer_.end != script_end::whole)
       co_await fail(timeout);
     co_await pass(std::min<std::chrono::nanoseconds>(answer_.delay, timeout));
-    if (answer_.delay > timeout)
+    if (answer_.delay > timeout) {
+      // Who waits on waits for the rest only.
+      answer_.delay -= std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
       throw transport_error(request_progress::may_have_been_read, true, "late");
+    }
+    answer_.delay = pause_;
     net::response_head head;
     head.status = answer_.status;
     head.headers = answer_.headers;
@@ -68,6 +73,7 @@
   scripted_answer answer_;
   std::size_t& broken_off_;
   support::notification cancelled_;
+  std::chrono::milliseconds pause_;
   std::size_t next_ = 0;
   bool is_cancelled_ = false;
   bool ended_ = false;
--- a/unittests/fakes/scripted_client.h
+++ b/unittests/fakes/scripted_client.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,10 @@
   net::header_list headers;
   std::vector<std::string> pieces;
   script_end end = script_end::whole;
+  /// Time to the head of the answer.
   std::chrono::milliseconds delay{1};
+  /// Time to each piece; by default the same.
+  std::optional<std::chrono::milliseconds> pause;
 };
 
 /// Targets that answer as they are told, in the order of the requests to each address.
--- a/unittests/gateway/stream_test.cpp
+++ b/unittests/gateway/stream_test.cpp
@@ -122,3 +122,76 @@
   BOOST_TEST(writer.finished);
   BOOST_TEST(((world.clock.now() - began) < gateway::stall_watch::stall_after + 150ms));
 }
+
+namespace {
+
+/// A stream whose first event comes long after the objective of 300 ms.
+scripted_answer late_events(int first, int last) {
+  scripted_answer script = events(first, last);
+  script.delay = 2s;
+  script.pause = 1ms;
+  return script;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(late_stream_stays_at_a_target_that_writes_to_others) {
+  gateway_world world;
+  world.add_target("one");
+  scripted_answer steady = events(1, 40);
+  steady.delay = 100ms;
+  world.answer("one", steady);
+  world.answer("one", late_events(1, 3));
+  recording_writer first;
+  recording_writer second;
+  world.begin("/stream/x", first);
+  world.clock.run_for(500ms);
+  world.begin("/stream/x", second);
+  world.add_target("two");
+  world.answer("two", events(1, 3));
+  world.clock.run_for(5s);
+  BOOST_TEST(first.finished);
+  BOOST_TEST(second.status == 200);
+  BOOST_TEST(second.finished);
+  BOOST_TEST(world.client.received.size() == 2);
+  BOOST_TEST(!world.suspicions.suspected("one"));
+}
+
+BOOST_AUTO_TEST_CASE(late_stream_is_not_given_up_for_want_of_retries) {
+  gateway_world world;
+  world.retries.change_limits({0, 10s, 0});
+  world.add_target("one");
+  world.answer("one", late_events(1, 3));
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.add_target("two");
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(world.client.received.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(late_stream_is_not_given_up_when_no_other_target_has_room) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", late_events(1, 3));
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.finished);
+}
+
+BOOST_AUTO_TEST_CASE(late_stream_leaves_a_target_that_shows_no_life) {
+  gateway_world world;
+  world.add_target("one");
+  world.answer("one", late_events(1, 3));
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.add_target("two");
+  world.answer("two", events(1, 3));
+  world.clock.run_for(1500ms);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(world.client.received.size() == 2);
+}
