Bound the exchanges of a node with its peers at any size

Cause: each node sent its status to each other four times a second, so the cost of a node grew with their number: at 88 nodes 350 exchanges a second begun and as many answered. A node now begins 40 a second at most; up to 11 nodes nothing changes, beyond that peers are heard less often, and silence and the life of their counts grow along.

test-edge/exchanges_of_a_node_stay_bounded_at_any_size (6 to 88 nodes in virtual time).

--- a/include/camphorlug/gateway/load_board.h
+++ b/include/camphorlug/gateway/load_board.h
@@ -18,7 +18,7 @@
 /// up to date, so that a choice among many targets does not ask each peer's.
 class load_board {
 public:
-  /// A peer's counts are left out when they are older than this.
+  /// A peer's counts are left out when they are older than this, unless `keep_for` says otherwise.
   static constexpr std::chrono::seconds freshness{2};
 
   explicit load_board(support::clock& time) : time_(time) {}
@@ -26,6 +26,9 @@
   void add(const std::string& target);
   void remove(const std::string& target);
 
+  /// Where peers speak less often, their counts are kept for longer.
+  void keep_for(std::chrono::nanoseconds span) { kept_for_ = span; }
+
   /// Takes a peer's newest counts.
   void take(const std::string& peer, target_loads loads);
 
@@ -48,6 +51,7 @@
   void subtract(const std::string& target, std::size_t count);
 
   support::clock& time_;
+  std::chrono::nanoseconds kept_for_{freshness};
   target_loads own_;
   /// Own counts and those of all peers below.
   std::unordered_map<std::string, std::size_t> sums_;
--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -27,12 +27,19 @@
 
 /// The other nodes: every few moments each sends its status to each and gets
 /// theirs in the answer, so that all know who lives, who leaves and what is in
-/// flight where. Without the store this alone goes on.
+/// flight where. Without the store this alone goes on. With many nodes each is
+/// asked less often, so that the cost of a node stays the same.
 class peer_circle {
 public:
-  static constexpr std::chrono::milliseconds interval{250};
-  /// Without a status for this long a peer counts as not alive.
-  static constexpr std::chrono::milliseconds silence{1500};
+  /// Time between two exchanges with one peer while there are few.
+  static constexpr std::chrono::milliseconds shortest_interval{250};
+  /// Exchanges that a node begins in a second; at some 0.25 ms of processor each,
+  /// begun or answered, 2 % of a core. Up to 11 nodes the shortest interval holds.
+  static constexpr int most_exchanges_per_second = 40;
+  /// Without a status for this long a peer counts as not alive, if that is more
+  /// than `tolerated_intervals`.
+  static constexpr std::chrono::milliseconds least_silence{1500};
+  static constexpr int tolerated_intervals = 3;
 
   /// A peer with when its newest status came.
   struct peer {
@@ -56,6 +63,11 @@
   /// Tells all peers at once, as when this node begins to leave.
   void announce();
 
+  /// Time between two exchanges that this node begins with one peer.
+  std::chrono::milliseconds interval() const;
+  /// Without a status for this long a peer counts as not alive.
+  std::chrono::milliseconds silence() const;
+
   /// Statuses of the peers that were heard lately.
   std::vector<node_status> alive() const;
   std::size_t alive_count() const;
@@ -71,7 +83,7 @@
   }
 
 private:
-  bool is_alive(const peer& known) const { return time_.now() - known.heard_at < silence; }
+  bool is_alive(const peer& known) const { return time_.now() - known.heard_at < silence(); }
 
   /// How the exchanges with one address go.
   struct contact {
--- a/lib/gateway/load_board.cpp
+++ b/lib/gateway/load_board.cpp
@@ -30,7 +30,7 @@
 }
 
 void load_board::forget_stale() {
-  while (!by_age_.empty() && time_.now() - by_age_.front().taken_at >= freshness)
+  while (!by_age_.empty() && time_.now() - by_age_.front().taken_at >= kept_for_)
     forget(by_age_.begin());
 }
 
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -24,15 +24,26 @@
     contacts_.try_emplace(address);
 }
 
+std::chrono::milliseconds peer_circle::interval() const {
+  const auto spread = std::chrono::milliseconds(std::chrono::seconds(1)) * contacts_.size() /
+                      most_exchanges_per_second;
+  return std::max<std::chrono::milliseconds>(shortest_interval, spread);
+}
+
+std::chrono::milliseconds peer_circle::silence() const {
+  return std::max<std::chrono::milliseconds>(least_silence, interval() * tolerated_intervals);
+}
+
 support::task<> peer_circle::run() {
   for (;;) {
+    loads_.keep_for(std::max<std::chrono::milliseconds>(load_board::freshness, silence()));
     for (auto& [address, known] : contacts_) {
       if (!known.busy && time_.now() >= known.next_at) {
         known.busy = true;
         support::spawn(executor_, "exchange " + address, exchange(address));
       }
     }
-    co_await time_.sleep_for(interval / 5);
+    co_await time_.sleep_for(shortest_interval / 5);
   }
 }
 
@@ -71,8 +82,9 @@
   if (known.failures == 2)
     support::log_event(support::log_level::warning, "peer_lost", {{"peer", address}});
   known.busy = false;
-  known.next_at = time_.now() + std::min<std::chrono::milliseconds>(interval * (1 + known.failures),
-                                                                    longest_interval);
+  const auto longest = std::max<std::chrono::milliseconds>(longest_interval, interval());
+  known.next_at =
+      time_.now() + std::min<std::chrono::milliseconds>(interval() * (1 + known.failures), longest);
 }
 
 std::string peer_circle::answer(const std::string& body) {
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -15,7 +15,7 @@
 static constexpr std::size_t largest_scanned_pool = 48;
 /// Targets that are drawn from the own data centre, and as many from all: the
 /// least loaded of so many is nearly as good as that of thousands.
-static constexpr int drawn_targets = 8;
+static constexpr int drawn_targets = 6;
 
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
   std::vector<candidate> found;
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -223,3 +223,34 @@
   BOOST_TEST(report["peers"][0]["heard_ms_ago"] < 1000);
   BOOST_TEST(report["retries"][0]["requests"] == 1);
 }
+
+struct circle {
+  std::size_t nodes;
+  /// Within this time the others notice that a node is gone.
+  std::chrono::milliseconds noticed_within;
+};
+
+std::ostream& operator<<(std::ostream& out, const circle& each) {
+  return out << each.nodes << " nodes";
+}
+
+const circle circles[] = {{6, 2000ms}, {11, 2000ms}, {40, 5000ms}, {88, 10'000ms}};
+
+BOOST_DATA_TEST_CASE(exchanges_of_a_node_stay_bounded_at_any_size, data::make(circles), each) {
+  fakes::edge_world world(each.nodes);
+  world.set_config(1);
+  world.add_target("t1");
+  // Peers hear of each other from the nodes' rows, which are read now and then.
+  world.run_for(10s);
+  for (std::size_t i = 0; i < each.nodes; ++i)
+    BOOST_TEST(world.state(i)["peers"].size() == each.nodes - 1);
+  world.network.requests.clear();
+  world.run_for(4s);
+  const double begun = static_cast<double>(world.network.requests[gateway::status_path]) /
+                       static_cast<double>(each.nodes) / 4;
+  BOOST_TEST(begun <= gateway::peer_circle::most_exchanges_per_second);
+  BOOST_TEST(world.entries(0, "west").size() == each.nodes / 2);
+  world.kill(1);
+  world.run_for(each.noticed_within);
+  BOOST_TEST(world.entries(0, "west").size() == each.nodes / 2 - 1);
+}
