--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -92,6 +92,7 @@
     support::clock::time_point next_at;
   };
 
+  void begin_due_exchanges();
   support::task<> exchange(std::string address);
   void take(node_status status);
 
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -24,6 +24,10 @@
     contacts_.try_emplace(address);
 }
 
+static constexpr std::chrono::milliseconds tick{50};
+static constexpr std::size_t most_exchanges_per_tick =
+    peer_circle::most_exchanges_per_second * tick / std::chrono::seconds(1);
+
 std::chrono::milliseconds peer_circle::interval() const {
   const auto spread = std::chrono::milliseconds(std::chrono::seconds(1)) * contacts_.size() /
                       most_exchanges_per_second;
@@ -34,16 +38,27 @@
   return std::max<std::chrono::milliseconds>(least_silence, interval() * tolerated_intervals);
 }
 
+/// Those that are due longest go first; the others wait, so that many peers
+/// make no bursts.
+void peer_circle::begin_due_exchanges() {
+  std::vector<std::pair<support::clock::time_point, std::string>> due;
+  for (const auto& [address, known] : contacts_) {
+    if (!known.busy && time_.now() >= known.next_at)
+      due.emplace_back(known.next_at, address);
+  }
+  std::sort(due.begin(), due.end());
+  due.resize(std::min<std::size_t>(due.size(), most_exchanges_per_tick));
+  for (const auto& [next_at, address] : due) {
+    contacts_[address].busy = true;
+    support::spawn(executor_, "exchange " + address, exchange(address));
+  }
+}
+
 support::task<> peer_circle::run() {
   for (;;) {
     loads_.keep_for(std::max<std::chrono::milliseconds>(load_board::freshness, silence()));
-    for (auto& [address, known] : contacts_) {
-      if (!known.busy && time_.now() >= known.next_at) {
-        known.busy = true;
-        support::spawn(executor_, "exchange " + address, exchange(address));
-      }
-    }
-    co_await time_.sleep_for(shortest_interval / 5);
+    begin_due_exchanges();
+    co_await time_.sleep_for(tick);
   }
 }
 
