--- a/bench/gateway_benchmarks.cpp
+++ b/bench/gateway_benchmarks.cpp
@@ -51,11 +51,7 @@
 static void plan_groups(benchmark::State& state) {
   asio::io_context context;
   support::virtual_clock clock(context);
-  gateway::engine_profile engine;
-  engine.batch_slots = slots;
-  engine.loads_per_second = 5;
-  engine.concurrent_loads = 7;
-  engine.models = {{"large", 4, 0.5, 1, 16s, 1600ms}, {"small", 2, 0.5, 0.6, 12s, 1100ms}};
+  const gateway::engine_profile engine = fakes::two_model_engine();
   fakes::runner_pool pool_of_instances(clock, engine, 1);
   const auto instances = static_cast<std::size_t>(state.range(0));
   for (std::size_t i = 0; i < instances; ++i)
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -11,6 +11,10 @@
 static constexpr std::chrono::milliseconds exchange_timeout{400};
 /// A peer that does not answer is asked less often, up to this.
 static constexpr std::chrono::milliseconds longest_interval{2000};
+/// How often it is looked for exchanges that are due.
+static constexpr std::chrono::milliseconds tick{50};
+static constexpr std::size_t most_exchanges_per_tick =
+    peer_circle::most_exchanges_per_second * tick / std::chrono::seconds(1);
 
 peer_circle::peer_circle(asio::any_io_executor executor, support::clock& time,
                          net::http_client& client, load_board& loads, suspicion_list& suspicions,
@@ -24,10 +28,6 @@
     contacts_.try_emplace(address);
 }
 
-static constexpr std::chrono::milliseconds tick{50};
-static constexpr std::size_t most_exchanges_per_tick =
-    peer_circle::most_exchanges_per_second * tick / std::chrono::seconds(1);
-
 std::chrono::milliseconds peer_circle::interval() const {
   const auto spread = std::chrono::milliseconds(std::chrono::seconds(1)) * contacts_.size() /
                       most_exchanges_per_second;
--- a/unittests/fakes/runner_pool.cpp
+++ b/unittests/fakes/runner_pool.cpp
@@ -16,6 +16,15 @@
 /// Before traffic loads take this part of their time.
 static constexpr int quick_loads = 10;
 
+gateway::engine_profile two_model_engine() {
+  gateway::engine_profile engine;
+  engine.batch_slots = 17;
+  engine.loads_per_second = 5;
+  engine.concurrent_loads = 7;
+  engine.models = {{"large", 4, 0.5, 1, 16s, 1600ms}, {"small", 2, 0.5, 0.6, 12s, 1100ms}};
+  return engine;
+}
+
 void runner_pool::add(const std::string& id, const std::string& domain) {
   pool_runner runner;
   runner.id = id;
--- a/unittests/fakes/runner_pool.h
+++ b/unittests/fakes/runner_pool.h
@@ -16,6 +16,9 @@
 
 namespace camphorlug::fakes {
 
+/// Engines of two models with the times of the users' installations.
+gateway::engine_profile two_model_engine();
+
 /// One instance of the emulated pool.
 struct pool_runner {
   std::string id;
