Let a group finish when a member leaves without saying so

The planner dissolved its group in the moment that the entry was gone, which cut the streams that the group would have finished: 33.436 s entry removed, 33.488 dissolving, 33.491 the head sheds, 33.495 a stream that had its two attempts is reset.

A serving group whose member's entry is removed is closed for 1.8 s at most and then dissolved. It gets no new requests meanwhile, as before. A dead member shows by its group's stall before its entry lapses, and then the group ends at once.

test-replicas/group_whose_member_leaves_quietly_may_finish failed before (head and member); the 1,000 random histories and the planner's pass.

--- a/include/camphorlug/replicas/formation.h
+++ b/include/camphorlug/replicas/formation.h
@@ -43,6 +43,9 @@
   std::vector<formation_member> members;
   /// It never opens: its member only takes the model into its memory.
   bool only_warms = false;
+  /// A member's entry went while the group served: it may be leaving without
+  /// having said so, and works on for a while.
+  bool left_quietly = false;
   formation_phase phase = formation_phase::forming;
   support::clock::time_point phase_since;
 };
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -106,6 +106,8 @@
   void adopt(const planning_view& view);
   void observe(formation& group);
   void advance(formation& group, const planning_view& view, std::vector<replica_order>& orders);
+  void advance_closing(formation& group, const gateway::registered_target* head,
+                       std::vector<replica_order>& orders);
   void advance_forming(formation& group, const planning_view& view,
                        std::vector<replica_order>& orders);
   void dissolve(formation& group, std::vector<replica_order>& orders);
--- a/lib/replicas/planning_limits.h
+++ b/lib/replicas/planning_limits.h
@@ -19,6 +19,9 @@
 inline constexpr std::chrono::milliseconds longest_load{40'000};
 /// How long a head may finish its requests once a member drains.
 inline constexpr std::chrono::milliseconds longest_closing{9000};
+/// The same when a member's entry is gone: one that leaves quietly works on for
+/// two seconds or more, and one that is dead shows by its group's stall.
+inline constexpr std::chrono::milliseconds longest_quiet_closing{1800};
 /// Members that cannot be reached for this long keep nobody waiting.
 inline constexpr std::chrono::milliseconds longest_dissolving{3000};
 /// Part of the instances that is kept out of groups to repair others.
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -89,6 +89,12 @@
     return;
   for (formation_member& member : group.members) {
     const registered_target* target = target_of(member.id);
+    if (!target && group.phase == formation_phase::serving) {
+      group.left_quietly = true;
+      enter(group, formation_phase::closing, member.id + " has no entry any more");
+    }
+    if (!target && group.left_quietly)
+      continue;
     if (!target || target->missing_since) {
       enter(group, formation_phase::dissolving, member.id + " is gone");
       return;
@@ -155,11 +161,7 @@
       enter(group, formation_phase::opening, "its head is not open");
     return;
   case formation_phase::closing:
-    if (!head_in || head->entry.membership->state == membership_state::ready ||
-        in_phase > longest_closing)
-      enter(group, formation_phase::dissolving, "its head has finished");
-    else if (head->entry.membership->state == membership_state::open)
-      to_head(order_kind::close, "a member is draining");
+    advance_closing(group, head_in ? head : nullptr, orders);
     return;
   case formation_phase::dissolving:
     dissolve(group, orders);
@@ -167,6 +169,26 @@
   }
 }
 
+/// `head` is null when it is not in the group any more, as far as its entry says.
+void replica_planner::advance_closing(formation& group, const registered_target* head,
+                                      std::vector<replica_order>& orders) {
+  const auto limit = group.left_quietly ? longest_quiet_closing : longest_closing;
+  const bool finished =
+      head ? head->entry.membership->state == membership_state::ready : !group.left_quietly;
+  if (finished || time_.now() - group.phase_since > limit)
+    enter(group, formation_phase::dissolving, "its head has finished");
+  else if (head && head->entry.membership->state == membership_state::open)
+    order(orders, {order_kind::close,
+                   head->entry.id,
+                   head->entry.address,
+                   group.group,
+                   group.epoch,
+                   "",
+                   {},
+                   false,
+                   "a member is leaving"});
+}
+
 void replica_planner::advance_forming(formation& group, const planning_view& view,
                                       std::vector<replica_order>& orders) {
   const model_profile* model = view.engine.find(group.model);
--- a/unittests/replicas/planner_test.cpp
+++ b/unittests/replicas/planner_test.cpp
@@ -198,6 +198,43 @@
   BOOST_TEST(world.pool.broken().empty());
 }
 
+/// An instance may leave without saying so: its entry goes, and it works on for two
+/// seconds and more. A group that is dissolved at once cuts the streams that it would finish.
+BOOST_DATA_TEST_CASE(group_whose_member_leaves_quietly_may_finish, data::make({0, 1}), rank) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  auto entries = world.pool.entries();
+  std::string group;
+  for (const auto& [id, target] : world.pool.entries()) {
+    if (group.empty() && target.entry.model == "large" && target.entry.membership &&
+        target.entry.membership->rank == static_cast<std::size_t>(rank)) {
+      group = target.entry.membership->group;
+      entries.erase(id);
+    }
+  }
+  BOOST_REQUIRE(!group.empty());
+  const auto kinds_in_group = [&] {
+    std::vector<replicas::order_kind> kinds;
+    const replicas::planning_view view{world.engine, entries, true, {}};
+    for (const replicas::replica_order& order : world.planner.plan(view)) {
+      if (order.group == group)
+        kinds.push_back(order.kind);
+    }
+    return kinds;
+  };
+  const auto leaves = [](const std::vector<replicas::order_kind>& kinds) {
+    return std::count(kinds.begin(), kinds.end(), replicas::order_kind::leave);
+  };
+  for (int step = 0; step < 15; ++step) {
+    BOOST_TEST(leaves(kinds_in_group()) == 0);
+    world.clock.run_for(100ms);
+  }
+  world.clock.run_for(1s);
+  kinds_in_group();
+  BOOST_TEST(leaves(kinds_in_group()) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(new_planner_takes_over_what_serves) {
   planner_world world;
   world.run_for(8s);
