--- a/unittests/support/watched_file_test.cpp
+++ b/unittests/support/watched_file_test.cpp
@@ -14,7 +14,10 @@
 
 struct file_world {
   file_world() { write("a"); }
-  ~file_world() { std::filesystem::remove(path); }
+  ~file_world() {
+    time.shut_down();
+    std::filesystem::remove(path);
+  }
   file_world(const file_world&) = delete;
   file_world& operator=(const file_world&) = delete;
 
