Read text files in one place; an empty file is a text

Three programs had their own copy of what read_text_file does. It differed in one point: an empty file counted as unreadable there, so an emptied settings file was reported as missing. It is a text like any other now, which the settings refuse with what they expect (test-support/emptied_file_is_another_text).

--- a/lib/support/watched_file.cpp
+++ b/lib/support/watched_file.cpp
@@ -9,9 +9,10 @@
 
 std::optional<std::string> read_text_file(const std::string& path) {
   std::ifstream file(path);
-  std::stringstream text;
-  if (!file || !(text << file.rdbuf()))
+  if (!file)
     return std::nullopt;
+  std::stringstream text;
+  text << file.rdbuf();
   return text.str();
 }
 
--- a/tools/camphorlug-load/main.cpp
+++ b/tools/camphorlug-load/main.cpp
@@ -1,12 +1,11 @@
 #include "camphorlug/net/curl_client.h"
 #include "camphorlug/support/asio_clock.h"
+#include "camphorlug/support/watched_file.h"
 
 #include "load_generator.h"
 
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(plan, "", "path of the plan (TOML)");
 DEFINE_bool(json, false, "print the report as JSON");
@@ -17,12 +16,10 @@
 
 static std::optional<load_plan> read_plan(const std::string& path) {
   support::config_errors errors;
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
+  const std::optional<std::string> text = support::read_text_file(path);
   std::optional<load_plan> plan;
-  if (file)
-    plan = load_plan::parse(text.str(), path, errors);
+  if (text)
+    plan = load_plan::parse(*text, path, errors);
   else
     errors.push_back({path, 0, "--plan", path, "the path of a readable file"});
   for (const support::config_error& error : errors)
--- a/tools/camphorlugctl/service_commands.cpp
+++ b/tools/camphorlugctl/service_commands.cpp
@@ -1,5 +1,7 @@
 #include "service_commands.h"
 
+#include "camphorlug/support/watched_file.h"
+
 #include "exit_code.h"
 #include "screen.h"
 #include "text_diff.h"
@@ -8,7 +10,6 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 namespace camphorlug::ctl {
 
@@ -17,22 +18,13 @@
 /// Times that an edit with an unknown end is asked for again.
 static constexpr int settle_tries = 3;
 
-static std::optional<std::string> read_file(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
-    return std::nullopt;
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 /// The version that `service edit` fetched is kept beside the file.
 static std::string seen_path(const std::string& file) {
   return file + ".seen";
 }
 
 static std::uint64_t read_seen(const std::string& file) {
-  const auto text = read_file(seen_path(file));
+  const auto text = support::read_text_file(seen_path(file));
   return text ? std::stoull(*text) : 0;
 }
 
@@ -118,7 +110,7 @@
 }
 
 support::task<int> service_commands::apply(std::string service, std::string file) {
-  const auto text = read_file(file);
+  const auto text = support::read_text_file(file);
   if (!text)
     co_return missing_file(file);
   const int code = co_await send_edit(service, *text, read_seen(file), file);
@@ -128,7 +120,7 @@
 }
 
 support::task<int> service_commands::check(std::string file) {
-  const auto text = read_file(file);
+  const auto text = support::read_text_file(file);
   if (!text)
     co_return missing_file(file);
   const operator_answer answer = co_await client_.ask("POST", "services/any/check", *text);
@@ -142,7 +134,7 @@
 }
 
 support::task<int> service_commands::diff(std::string service, std::string file) {
-  const auto text = read_file(file);
+  const auto text = support::read_text_file(file);
   if (!text)
     co_return missing_file(file);
   const operator_answer answer = co_await client_.ask("GET", "services/" + service);
--- a/tools/camphorlugd/main.cpp
+++ b/tools/camphorlugd/main.cpp
@@ -4,6 +4,7 @@
 #include "camphorlug/peers/http_peer_client.h"
 #include "camphorlug/support/asio_clock.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/support/watched_file.h"
 #include "camphorlug/table/http_instance_list.h"
 #include "camphorlug/table/http_table_store.h"
 #include "camphorlug/targets/http_target_client.h"
@@ -11,11 +12,9 @@
 #include <asio/signal_set.hpp>
 #include <asio/use_awaitable.hpp>
 #include <csignal>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 DEFINE_string(settings, "", "path of the node's settings file (TOML)");
 DEFINE_string(log_level, "info", "lowest level that is logged: info, warning or error");
@@ -94,12 +93,10 @@
 
 static std::optional<node::node_settings> read_settings(const std::string& path) {
   support::config_errors errors;
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
+  const std::optional<std::string> text = support::read_text_file(path);
   std::optional<node::node_settings> settings;
-  if (file)
-    settings = node::node_settings::parse(text.str(), path, errors);
+  if (text)
+    settings = node::node_settings::parse(*text, path, errors);
   else
     errors.push_back({path, 0, "--settings", path, "the path of a readable file"});
   for (const support::config_error& error : errors)
--- a/unittests/support/watched_file_test.cpp
+++ b/unittests/support/watched_file_test.cpp
@@ -60,3 +60,9 @@
   BOOST_TEST(file.check());
   BOOST_TEST(seen == std::vector<std::string>{"c"});
 }
+
+BOOST_FIXTURE_TEST_CASE(emptied_file_is_another_text, file_world) {
+  write("");
+  BOOST_TEST(file.check());
+  BOOST_TEST(seen == std::vector<std::string>{""});
+}
