--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -69,7 +69,11 @@
   void note_traffic();
   support::task<> register_self();
   support::task<> keep_house();
+  support::task<std::optional<std::string>>
+  ask_peer(net::client_request request, std::chrono::milliseconds timeout, std::string_view event);
   support::task<> fetch_config(std::string peer_address);
+  bool hears_store() const;
+  const gateway::node_status* peer_ahead() const;
   void follow_peers_entries();
   support::task<> fetch_entries(std::string peer_address);
   void take_config(const std::string& text);
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/edge/state_path.h"
 #include "camphorlug/gateway/config_in_force.h"
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_board.h"
@@ -16,9 +17,6 @@
 
 namespace camphorlug::edge {
 
-/// Path at which a node tells operators what it believes.
-inline constexpr const char* state_path = "/camphorlug/v1/state";
-
 /// The beliefs of one node that operators ask for.
 struct reported_state {
   const support::clock& time;
--- a/include/camphorlug/gateway/forwarded_call.h
+++ b/include/camphorlug/gateway/forwarded_call.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <type_traits>
 
 namespace camphorlug::gateway {
 
@@ -39,10 +40,9 @@
                                          const chosen_target& target);
   support::task<sending_end> relay_stream(net::http_exchange& exchange, target_answer answer,
                                           const chosen_target& target);
-  support::task<net::response_head> await_head(net::http_exchange& exchange, std::string target_id,
-                                               std::chrono::nanoseconds limit);
-  support::task<std::optional<std::string>>
-  await_piece(net::http_exchange& exchange, std::string target_id, std::chrono::nanoseconds limit);
+  template<class Ask>
+  auto await_part(Ask ask, std::string target_id, std::chrono::nanoseconds limit)
+      -> std::invoke_result_t<Ask, std::chrono::nanoseconds>;
   bool stays_when_late(const std::string& target_id, const net::transport_error& error,
                        support::clock::time_point asked_at, std::chrono::nanoseconds limit);
   support::task<bool> pass_on(const target_answer& answer, raw_event event);
--- a/include/camphorlug/gateway/peer_circle.h
+++ b/include/camphorlug/gateway/peer_circle.h
@@ -68,8 +68,8 @@
   /// Without a status for this long a peer counts as not alive.
   std::chrono::milliseconds silence() const;
 
-  /// Statuses of the peers that were heard lately.
-  std::vector<node_status> alive() const;
+  /// Statuses of the peers that were heard lately, until the next one comes.
+  std::vector<const node_status*> alive() const;
   std::size_t alive_count() const;
   /// All peers that were ever heard, by id.
   const std::map<std::string, peer>& known() const { return peers_; }
--- a/include/camphorlug/table/http_table_store.h
+++ b/include/camphorlug/table/http_table_store.h
@@ -12,7 +12,6 @@
 public:
   http_table_store(net::http_client& client, std::string address);
 
-  support::task<std::optional<row>> read(std::string key) override;
   support::task<std::vector<row>> scan(std::string prefix) override;
   support::task<commit_result> commit(transaction change) override;
 
--- a/include/camphorlug/table/table_store.h
+++ b/include/camphorlug/table/table_store.h
@@ -19,8 +19,8 @@
   table_store& operator=(const table_store&) = delete;
   virtual ~table_store() = default;
 
-  /// Throws store_error.
-  virtual support::task<std::optional<row>> read(std::string key) = 0;
+  /// The row with that key, by a scan. Throws store_error.
+  support::task<std::optional<row>> read(std::string key);
 
   /// All rows whose key begins with `prefix`, in the order of their keys. Throws store_error.
   virtual support::task<std::vector<row>> scan(std::string prefix) = 0;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -29,6 +29,8 @@
 static constexpr std::chrono::milliseconds housekeeping_interval{50};
 static constexpr std::chrono::milliseconds registration_retry{500};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
+static constexpr std::string_view config_fetch_failed = "config_fetch_failed";
+static constexpr std::string_view entries_fetch_failed = "entries_fetch_failed";
 /// Entries are asked of a peer that is ahead when the store was silent for this
 /// long; where instances report all the time it answers several times a second.
 static constexpr std::chrono::milliseconds entries_silence{600};
@@ -164,37 +166,61 @@
   }
 }
 
-support::task<> edge_node::fetch_config(std::string peer_address) {
-  net::client_request request;
-  request.address = peer_address;
-  request.target = gateway::config_path;
+static void log_fetch_failure(std::string_view event, const std::string& peer, const char* error) {
+  support::log_event(support::log_level::warning, event, {{"peer", peer}, {"error", error}});
+}
+
+/// The body of a peer's answer, or nothing when it has none; a failure is logged as `event`.
+support::task<std::optional<std::string>> edge_node::ask_peer(net::client_request request,
+                                                              std::chrono::milliseconds timeout,
+                                                              std::string_view event) {
+  const std::string peer = request.address;
   request.connection = net::connection_use::pooled;
   try {
-    const net::client_response response =
-        co_await context_.client.fetch(std::move(request), config_fetch_timeout);
+    net::client_response response = co_await context_.client.fetch(std::move(request), timeout);
     if (response.status == 200)
-      take_config(response.body);
+      co_return std::move(response.body);
   } catch (const net::transport_error& error) {
-    support::log_event(support::log_level::warning, "config_fetch_failed",
-                       {{"peer", peer_address}, {"error", error.what()}});
+    log_fetch_failure(event, peer, error.what());
   }
+  co_return std::nullopt;
+}
+
+support::task<> edge_node::fetch_config(std::string peer_address) {
+  net::client_request request;
+  request.address = std::move(peer_address);
+  request.target = gateway::config_path;
+  const std::optional<std::string> text =
+      co_await ask_peer(std::move(request), config_fetch_timeout, config_fetch_failed);
+  if (text)
+    take_config(*text);
   fetching_config_ = false;
 }
 
+bool edge_node::hears_store() const {
+  const auto answered_at = target_follower_.answered_at();
+  return answered_at && context_.time.now() - *answered_at < entries_silence;
+}
+
+/// The peer that has read most of the entries, or null when none has read more than this node.
+const gateway::node_status* edge_node::peer_ahead() const {
+  const auto peers = peers_.alive();
+  const auto newest =
+      std::max_element(peers.begin(), peers.end(), [](const auto* left, const auto* right) {
+        return left->entries_version < right->entries_version;
+      });
+  const bool is_ahead = newest != peers.end() && (*newest)->entries_version > entries_.newest_row();
+  return is_ahead ? *newest : nullptr;
+}
+
 /// While the store does not answer this node, a peer that it answers hands on
 /// what changes: groups move on, and a node that missed it would send its
 /// requests to heads that serve no more.
 void edge_node::follow_peers_entries() {
-  const auto answered_at = target_follower_.answered_at();
-  const bool hears_store = answered_at && context_.time.now() - *answered_at < entries_silence;
   if (fetching_entries_)
     return;
-  const std::vector<gateway::node_status> peers = peers_.alive();
-  const auto newest =
-      std::max_element(peers.begin(), peers.end(), [](const auto& left, const auto& right) {
-        return left.entries_version < right.entries_version;
-      });
-  if (hears_store || newest == peers.end() || newest->entries_version <= entries_.newest_row()) {
+  const gateway::node_status* ahead = hears_store() ? nullptr : peer_ahead();
+  if (!ahead) {
     behind_peers_since_.reset();
     return;
   }
@@ -204,7 +230,7 @@
     return;
   behind_peers_since_.reset();
   fetching_entries_ = true;
-  support::spawn(context_.executor, "fetch_entries", fetch_entries(newest->peer_address));
+  support::spawn(context_.executor, "fetch_entries", fetch_entries(ahead->peer_address));
 }
 
 support::task<> edge_node::fetch_entries(std::string peer_address) {
@@ -212,23 +238,16 @@
   request.address = peer_address;
   request.target =
       std::string(gateway::entries_path) + "?since=" + std::to_string(entries_.version());
-  request.connection = net::connection_use::pooled;
-  std::string failure;
+  const std::optional<std::string> text =
+      co_await ask_peer(std::move(request), entries_fetch_timeout, entries_fetch_failed);
   try {
-    const net::client_response response =
-        co_await context_.client.fetch(std::move(request), entries_fetch_timeout);
-    if (response.status == 200) {
-      const table::feed_batch batch = table::batch_from_json(response.body);
+    if (text) {
+      const table::feed_batch batch = table::batch_from_json(*text);
       take_targets(batch, batch.history_gone);
     }
-  } catch (const net::transport_error& error) {
-    failure = error.what();
   } catch (const nlohmann::json::exception& error) {
-    failure = error.what();
+    log_fetch_failure(entries_fetch_failed, peer_address, error.what());
   }
-  if (!failure.empty())
-    support::log_event(support::log_level::warning, "entries_fetch_failed",
-                       {{"peer", peer_address}, {"error", failure}});
   fetching_entries_ = false;
 }
 
@@ -248,10 +267,10 @@
 void edge_node::note_traffic() {
   if (traffic_since_)
     return;
-  const std::vector<gateway::node_status> peers = peers_.alive();
+  const auto peers = peers_.alive();
   const bool served =
       requests_.handled() > 0 ||
-      std::any_of(peers.begin(), peers.end(), [](const auto& peer) { return peer.has_served; });
+      std::any_of(peers.begin(), peers.end(), [](const auto* peer) { return peer->has_served; });
   if (served)
     traffic_since_ = context_.time.now();
 }
@@ -285,8 +304,8 @@
   if (!traffic_since_ || context_.time.now() - *traffic_since_ < demand_settling)
     return {};
   gateway::slot_demand sum = demand_.demand();
-  for (const gateway::node_status& peer : peers_.alive()) {
-    for (const auto& [pool, slots] : peer.demand)
+  for (const gateway::node_status* peer : peers_.alive()) {
+    for (const auto& [pool, slots] : peer->demand)
       sum[pool] += slots;
   }
   return sum;
@@ -294,13 +313,15 @@
 
 std::vector<std::string> edge_node::stalled_anywhere() const {
   std::vector<std::string> heads = stalls_.recent();
-  for (const gateway::node_status& peer : peers_.alive())
-    heads.insert(heads.end(), peer.stalled.begin(), peer.stalled.end());
+  for (const gateway::node_status* peer : peers_.alive())
+    heads.insert(heads.end(), peer->stalled.begin(), peer->stalled.end());
   return heads;
 }
 
 std::vector<std::string> edge_node::entries(const std::string& data_centre) const {
-  std::vector<gateway::node_status> nodes = peers_.alive();
+  std::vector<gateway::node_status> nodes;
+  for (const gateway::node_status* peer : peers_.alive())
+    nodes.push_back(*peer);
   gateway::node_status self;
   self.data_centre = settings_.data_centre;
   self.public_address = settings_.public_address;
--- a/lib/gateway/forwarded_call.cpp
+++ b/lib/gateway/forwarded_call.cpp
@@ -135,6 +135,36 @@
   return true;
 }
 
+/// A late sending is given up only for a better one. Where the target works on, no
+/// other one has room or no retry is left, its answer still comes sooner than any
+/// other, and in a moment of overload each repeat would add to the load.
+bool forwarded_call::stays_when_late(const std::string& target_id,
+                                     const net::transport_error& error,
+                                     support::clock::time_point asked_at, nanoseconds limit) {
+  const bool waited = error.timed_out() && env_.time.now() - asked_at >= limit;
+  if (!waited || gone_ || left() < least_useful_time)
+    return false;
+  return env_.stalls.writes(target_id) || !env_.retries.has(service_) ||
+         !env_.line.has_room_beside(pool(), tried_);
+}
+
+/// Asks for the next part of an answer, which `limit` is to bring, and goes on
+/// asking while a late sending stays where it is.
+template<class Ask>
+auto forwarded_call::await_part(Ask ask, std::string target_id, nanoseconds limit)
+    -> std::invoke_result_t<Ask, nanoseconds> {
+  for (;;) {
+    const auto asked_at = env_.time.now();
+    try {
+      co_return co_await ask(limit);
+    } catch (const net::transport_error& error) {
+      if (!stays_when_late(target_id, error, asked_at, limit))
+        throw;
+    }
+    limit = std::min<nanoseconds>(left(), late_look_round);
+  }
+}
+
 support::task<forwarded_call::sending_end> forwarded_call::send_to(const chosen_target& target) {
   ++sendings_;
   tried_.insert(target.id);
@@ -167,7 +197,8 @@
       const auto part = scaled(limit, first_sending_part);
       limit = stream ? std::min(limit, first_event_limit()) : part;
     }
-    const net::response_head head = co_await await_head(*exchange, target.id, limit);
+    const auto ask_head = [open = exchange.get()](nanoseconds wait) { return open->head(wait); };
+    const net::response_head head = co_await await_part(ask_head, target.id, limit);
     target_answer answer = env_.protocol.read_answer(request_, head);
     const auto judged = judge_head(answer, target);
     if (judged)
@@ -212,48 +243,6 @@
   return std::nullopt;
 }
 
-/// A late sending is given up only for a better one. Where the target works on, no
-/// other one has room or no retry is left, its answer still comes sooner than any
-/// other, and in a moment of overload each repeat would add to the load.
-bool forwarded_call::stays_when_late(const std::string& target_id,
-                                     const net::transport_error& error,
-                                     support::clock::time_point asked_at, nanoseconds limit) {
-  const bool waited = error.timed_out() && env_.time.now() - asked_at >= limit;
-  if (!waited || gone_ || left() < least_useful_time)
-    return false;
-  return env_.stalls.writes(target_id) || !env_.retries.has(service_) ||
-         !env_.line.has_room_beside(pool(), tried_);
-}
-
-support::task<net::response_head>
-forwarded_call::await_head(net::http_exchange& exchange, std::string target_id, nanoseconds limit) {
-  for (;;) {
-    const auto asked_at = env_.time.now();
-    try {
-      co_return co_await exchange.head(limit);
-    } catch (const net::transport_error& error) {
-      if (!stays_when_late(target_id, error, asked_at, limit))
-        throw;
-    }
-    limit = std::min<nanoseconds>(left(), late_look_round);
-  }
-}
-
-support::task<std::optional<std::string>> forwarded_call::await_piece(net::http_exchange& exchange,
-                                                                      std::string target_id,
-                                                                      nanoseconds limit) {
-  for (;;) {
-    const auto asked_at = env_.time.now();
-    try {
-      co_return co_await exchange.read(limit);
-    } catch (const net::transport_error& error) {
-      if (!stays_when_late(target_id, error, asked_at, limit))
-        throw;
-    }
-    limit = std::min<nanoseconds>(left(), late_look_round);
-  }
-}
-
 support::task<forwarded_call::sending_end>
 forwarded_call::relay_whole(net::http_exchange& exchange, target_answer answer,
                             const chosen_target& target) {
@@ -294,11 +283,12 @@
 forwarded_call::relay_stream(net::http_exchange& exchange, target_answer answer,
                              const chosen_target& target) {
   event_splitter splitter;
+  const auto ask_piece = [&exchange](nanoseconds wait) { return exchange.read(wait); };
   for (;;) {
     const bool may_move = route_->repeatable();
     const nanoseconds patience = events_ == 0 ? first_event_limit() : pause_limit();
-    std::optional<std::string> piece =
-        co_await await_piece(exchange, target.id, may_move ? std::min(left(), patience) : left());
+    const nanoseconds limit = may_move ? std::min(left(), patience) : left();
+    std::optional<std::string> piece = co_await await_part(ask_piece, target.id, limit);
     if (!piece)
       break;
     if (watched_)
--- a/lib/gateway/peer_circle.cpp
+++ b/lib/gateway/peer_circle.cpp
@@ -139,11 +139,11 @@
       peers_.begin(), peers_.end(), [this](const auto& entry) { return is_alive(entry.second); }));
 }
 
-std::vector<node_status> peer_circle::alive() const {
-  std::vector<node_status> statuses;
+std::vector<const node_status*> peer_circle::alive() const {
+  std::vector<const node_status*> statuses;
   for (const auto& [id, known] : peers_) {
     if (is_alive(known))
-      statuses.push_back(known.status);
+      statuses.push_back(&known.status);
   }
   return statuses;
 }
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -128,22 +128,25 @@
   }
 }
 
+/// An order that names a group and needs nothing else. `Group` has `group` and `epoch`.
+template<class Group>
+static replica_order about(const Group& group, order_kind kind, const target_entry& entry,
+                           const char* reason) {
+  replica_order wanted;
+  wanted.kind = kind;
+  wanted.target = entry.id;
+  wanted.address = entry.address;
+  wanted.group = group.group;
+  wanted.epoch = group.epoch;
+  wanted.reason = reason;
+  return wanted;
+}
+
 void replica_planner::advance(formation& group, const planning_view& view,
                               std::vector<replica_order>& orders) {
   const auto in_phase = time_.now() - group.phase_since;
   const registered_target* head = target_of(group.members.front().id);
   const bool head_in = head && is_in(head->entry, group);
-  const auto to_head = [&](order_kind kind, const std::string& reason) {
-    order(orders, {kind,
-                   head->entry.id,
-                   head->entry.address,
-                   group.group,
-                   group.epoch,
-                   "",
-                   {},
-                   false,
-                   reason});
-  };
   switch (group.phase) {
   case formation_phase::forming:
     advance_forming(group, view, orders);
@@ -154,7 +157,7 @@
     else if (in_phase > longest_opening)
       enter(group, formation_phase::dissolving, "its head does not open");
     else if (head_in && head->entry.membership->state == membership_state::ready)
-      to_head(order_kind::open, "all members are ready");
+      order(orders, about(group, order_kind::open, head->entry, "all members are ready"));
     return;
   case formation_phase::serving:
     if (head_in && head->entry.membership->state == membership_state::ready)
@@ -178,15 +181,7 @@
   if (finished || time_.now() - group.phase_since > limit)
     enter(group, formation_phase::dissolving, "its head has finished");
   else if (head && head->entry.membership->state == membership_state::open)
-    order(orders, {order_kind::close,
-                   head->entry.id,
-                   head->entry.address,
-                   group.group,
-                   group.epoch,
-                   "",
-                   {},
-                   false,
-                   "a member is leaving"});
+    order(orders, about(group, order_kind::close, head->entry, "a member is leaving"));
 }
 
 void replica_planner::advance_forming(formation& group, const planning_view& view,
@@ -227,15 +222,7 @@
       continue;
     // Also an instance that does not show the group yet may still join it.
     all_left = false;
-    order(orders, {order_kind::leave,
-                   member.id,
-                   target->entry.address,
-                   group.group,
-                   group.epoch,
-                   "",
-                   {},
-                   false,
-                   "the group ends"});
+    order(orders, about(group, order_kind::leave, target->entry, "the group ends"));
   }
   // Whoever has not confirmed stays a stray, which is told to leave until it does.
   if (all_left || time_.now() - group.phase_since > longest_dissolving)
@@ -264,15 +251,7 @@
     const target_entry& entry = instance->entry();
     if (instance->assigned || instance->silent || instance->has_left())
       continue;
-    order(orders, {order_kind::leave,
-                   entry.id,
-                   entry.address,
-                   entry.membership->group,
-                   entry.membership->epoch,
-                   "",
-                   {},
-                   false,
-                   "no planned group has it"});
+    order(orders, about(*entry.membership, order_kind::leave, entry, "no planned group has it"));
   }
 }
 
--- a/lib/table/http_table_store.cpp
+++ b/lib/table/http_table_store.cpp
@@ -46,15 +46,6 @@
 http_table_store::http_table_store(net::http_client& client, std::string address)
     : client_(client), address_(std::move(address)) {}
 
-support::task<std::optional<row>> http_table_store::read(std::string key) {
-  const std::vector<row> rows = co_await scan(key);
-  for (const row& entry : rows) {
-    if (entry.key == key)
-      co_return entry;
-  }
-  co_return std::nullopt;
-}
-
 support::task<std::vector<row>> http_table_store::scan(std::string prefix) {
   net::client_request request;
   request.address = address_;
--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -2,17 +2,13 @@
 import http.client
 import json
 import os
-import pathlib
-import signal
 import subprocess
 import threading
 import time
 
+from cluster import BIN, wait_until
 from platform_world import World
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BIN = ROOT / "build" / "default" / "bin"
-WAIT_LIMIT_S = 60
 KEY = "key-1"
 HOST = "shop.example"
 ZONES = ["east", "west", "east"]
@@ -33,14 +29,6 @@
 TENANTS = [{"name": "org", "apiKeys": [KEY]}]
 
 
-def wait_until(condition, what):
-    deadline = time.monotonic() + WAIT_LIMIT_S
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError(f"never came true: {what}")
-        time.sleep(0.05)
-
-
 class Answer:
     """A whole answer, or the part that came before the connection ended."""
 
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -9,8 +9,8 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from platform_cluster import (BIN, ROOT, ROUTES, Callers, PlatformCluster, get, route,  # noqa: E402
-                              wait_until)
+from cluster import BIN, ROOT, wait_until  # noqa: E402
+from platform_cluster import ROUTES, Callers, PlatformCluster, get, route  # noqa: E402
 
 PORT = 28500
 cluster = None
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -1,5 +1,6 @@
 #include "edge_commands.h"
 
+#include "camphorlug/edge/state_path.h"
 #include "camphorlug/net/transport_error.h"
 
 #include "exit_code.h"
@@ -13,8 +14,6 @@
 
 using nlohmann::ordered_json;
 
-/// Where an edge node reports its state; see lib/edge.
-static constexpr const char* state_target = "/camphorlug/v1/state";
 static constexpr std::chrono::seconds state_timeout{10};
 
 static std::string when(const ordered_json& flag, const char* word) {
@@ -116,7 +115,7 @@
                              output_options output) {
   net::client_request request;
   request.address = std::move(address);
-  request.target = state_target;
+  request.target = edge::state_path;
   ordered_json state;
   try {
     const net::client_response response = co_await client.fetch(std::move(request), state_timeout);
--- a/unittests/fakes/fake_store.cpp
+++ b/unittests/fakes/fake_store.cpp
@@ -10,15 +10,6 @@
     throw table::store_error("down", false);
 }
 
-support::task<std::optional<table::row>> fake_store::read(std::string key) {
-  const auto rows = co_await scan(key);
-  for (const table::row& row : rows) {
-    if (row.key == key)
-      co_return row;
-  }
-  co_return std::nullopt;
-}
-
 support::task<std::vector<table::row>> fake_store::scan(std::string prefix) {
   co_await travel();
   ++table_.reads;
--- a/unittests/fakes/fake_store.h
+++ b/unittests/fakes/fake_store.h
@@ -30,7 +30,6 @@
 public:
   fake_store(support::clock& time, shared_table& table) : time_(time), table_(table) {}
 
-  support::task<std::optional<table::row>> read(std::string key) override;
   support::task<std::vector<table::row>> scan(std::string prefix) override;
   support::task<table::commit_result> commit(table::transaction change) override;
 
--- a/unittests/fakes/keeper_world.cpp
+++ b/unittests/fakes/keeper_world.cpp
@@ -32,10 +32,6 @@
   co_return std::move(*result);
 }
 
-support::task<std::optional<table::row>> suspended_store::read(std::string key) {
-  return when_awake(process_, inner_.read(std::move(key)));
-}
-
 support::task<std::vector<table::row>> suspended_store::scan(std::string prefix) {
   return when_awake(process_, inner_.scan(std::move(prefix)));
 }
--- a/unittests/fakes/keeper_world.h
+++ b/unittests/fakes/keeper_world.h
@@ -23,7 +23,6 @@
   suspended_store(freezing_clock& process, table::table_store& inner)
       : process_(process), inner_(inner) {}
 
-  support::task<std::optional<table::row>> read(std::string key) override;
   support::task<std::vector<table::row>> scan(std::string prefix) override;
   support::task<table::commit_result> commit(table::transaction change) override;
 
