Relay state over hubs in place of a status exchange between all nodes

Change: each node attaches itself to a hub of its data centre, hubs exchange sections (their members and the sum of their reports), two hubs in two data centres read the store, and rows and configurations go on by the paths that existed. Roles follow from the list of live nodes alone; nodes with more processor share come first. Up to 12 nodes all are hubs, as before. Ruled out: longer intervals between the same messages (older sums), one hub a data centre (its loss would stop all of it). Also: suspicions of this node and of peers are kept apart, since two nodes prolonged each other's without end (read in the code; the new test fails before).

The test that a node never asks peers for rows while the store answers held the old design; it is replaced by one that holds that two nodes read, that they ask no peer and that each other node asks once for a change. Bounds of the test on the exchange rate are kept; detection of a death is held to 2.5 s in place of 5 to 10.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -4,7 +4,7 @@
 #include "camphorlug/edge/row_decoder.h"
 #include "camphorlug/edge/table_names.h"
 #include "camphorlug/gateway/caller_protocol.h"
-#include "camphorlug/gateway/peer_status_exchange.h"
+#include "camphorlug/gateway/fleet_exchange.h"
 #include "camphorlug/gateway/request_gateway.h"
 #include "camphorlug/groups/table_lease.h"
 #include "camphorlug/replicas/replica_controller.h"
@@ -57,7 +57,7 @@
 
   /// Returns the addresses of the nodes that a caller in `data_centre` should use now: the
   /// directory of entry points.
-  std::vector<std::string> entry_points(const std::string& data_centre) const;
+  std::vector<std::string> entry_points(const std::string& data_centre);
 
   /// Announces the shutdown to the peers, gives up the planner lease, and returns when callers
   /// should have switched to other nodes or half of the termination grace period is over.
@@ -67,7 +67,14 @@
 
 private:
   bool is_leaving() const { return phase_ != gateway::shutdown_phase::none; }
-  gateway::node_status status();
+  /// Returns this node's status; its revision increases when another field has changed.
+  const gateway::node_status& status();
+  gateway::fleet_exchange::own_report report();
+  void apply_peer_message(const gateway::fleet_message& message);
+  /// Whether this node competes for the planner lease.
+  bool may_plan();
+  /// Decides whether this node reads the tables of the store itself.
+  void update_reading();
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
   void detect_first_traffic();
@@ -78,13 +85,13 @@
                                                             std::string_view event);
   support::task<> fetch_config(std::string peer_address);
   bool store_answered_recently() const;
-  const gateway::node_status* find_peer_with_newer_rows() const;
-  void sync_target_rows_from_peers();
+  /// Whether rows that a peer holds should be fetched from it now.
+  bool needs_rows_of_peers();
   support::task<> fetch_target_rows(std::string peer_address);
   void apply_config(const std::string& text);
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
-  std::size_t live_node_count() const { return peers_.alive_count() + 1; }
+  std::size_t live_node_count() { return fleet_.others().size() + 1; }
   /// Returns the version of the active configuration, or 0 if there is none yet.
   std::uint64_t config_version() const {
     return config_.current() ? config_.current()->version : 0;
@@ -93,10 +100,18 @@
   edge_context context_;
   edge_settings settings_;
   std::uint64_t incarnation_;
-  std::uint64_t sequence_ = 0;
+  gateway::node_status status_;
   gateway::shutdown_phase phase_ = gateway::shutdown_phase::none;
   bool fetching_config_ = false;
   bool fetching_target_rows_ = false;
+  /// Whether this node reads the tables of the store itself; otherwise peers relay them.
+  bool reads_store_ = false;
+  /// Since when this node has had another duty to read than `reads_store_` says.
+  std::optional<support::clock::time_point> reading_differs_since_;
+  /// Since when this node has known no other one.
+  std::optional<support::clock::time_point> alone_since_;
+  /// Random part of the time after which a node that knows no other one reads the store.
+  std::chrono::nanoseconds isolation_jitter_;
   /// Since when a peer has had newer target rows while the store does not answer this node.
   std::optional<support::clock::time_point> behind_peers_since_;
   /// When this node first saw that it or a peer had handled a request.
@@ -117,7 +132,8 @@
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::request_gateway requests_;
-  gateway::peer_status_exchange peers_;
+  gateway::fleet_view fleet_;
+  gateway::fleet_exchange exchange_;
   groups::table_lease lease_;
   replicas::replica_controller replica_controller_;
   table::table_follower config_follower_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -18,6 +18,8 @@
   std::string public_address;
   /// `ip:port` for peers.
   std::string peer_address;
+  /// Processor share of the instance in cores.
+  double cores = 1;
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
   gateway::retry_limits retries;
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -2,10 +2,10 @@
 
 #include "camphorlug/edge/state_path.h"
 #include "camphorlug/gateway/active_config.h"
+#include "camphorlug/gateway/fleet_view.h"
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/node_status.h"
-#include "camphorlug/gateway/peer_status_exchange.h"
 #include "camphorlug/gateway/retry_limiter.h"
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_registry.h"
@@ -22,13 +22,15 @@
   const support::clock& time;
   /// The status that the node sends to its peers.
   const gateway::node_status& self;
+  const std::map<std::string, gateway::fleet_view::member>& others;
+  const gateway::fleet_roles& roles;
+  gateway::fleet_summary others_summary;
   const gateway::active_config& config;
   const gateway::target_registry& registry;
   gateway::group_directory& groups;
   gateway::load_tracker& loads;
   const gateway::suspicion_list& suspicions;
   const gateway::retry_limiter& retries;
-  const gateway::peer_status_exchange& peers;
   const groups::lease& lease;
   std::size_t waiting_requests = 0;
   /// When the store last answered a read of the target table; nullopt if it never did.
--- /dev/null
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "camphorlug/gateway/fleet_summary.h"
+#include "camphorlug/gateway/node_status.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// Identifies one state of a section.
+struct section_stamp {
+  /// Incarnation of the section's owner.
+  std::uint64_t incarnation = 0;
+  /// Increases with each change of the members.
+  std::uint64_t version = 0;
+
+  auto operator<=>(const section_stamp&) const = default;
+};
+
+/// A hub and the nodes that are attached to it.
+struct fleet_section {
+  std::string owner;
+  section_stamp stamp;
+  std::vector<node_status> members;
+  /// Time since the sender heard of the owner.
+  std::chrono::milliseconds age{0};
+};
+
+/// A request or response between two nodes: between an attached node and its hub, or between two
+/// hubs.
+struct fleet_message {
+  /// In a request: the sender attaches itself to the receiver. Otherwise both are hubs.
+  bool attaches = false;
+  node_status sender;
+  /// Increases within an incarnation of the sender with each message.
+  std::uint64_t sequence = 0;
+  /// Version of the configuration that can be fetched from the sender; 0 if it has none.
+  std::uint64_t config_version = 0;
+  /// Commit number of the newest target entry that can be fetched from the sender.
+  std::uint64_t entries_version = 0;
+  /// Of the sender alone (request of an attached node), of all nodes but the receiver (response
+  /// to it), or of the sender's section (between hubs).
+  fleet_summary summary;
+  /// Sections that the sender holds, by owner.
+  std::map<std::string, section_stamp> known;
+  /// Sections that the receiver lacks.
+  std::vector<fleet_section> sections;
+  /// Owners of all sections that the sender believes alive, with the time since it heard of them;
+  /// not in a request of an attached node.
+  std::map<std::string, std::chrono::milliseconds> owners;
+
+  std::string to_json() const;
+  /// Throws nlohmann::json::exception if `text` is not a valid message.
+  static fleet_message from_json(const std::string& text);
+};
+
+} // namespace camphorlug::gateway
--- /dev/null
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "camphorlug/gateway/demand_meter.h"
+#include "camphorlug/gateway/load_tracker.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// What one or several nodes report several times a second. Summaries of disjoint sets of nodes
+/// are added up on the way, so that their size does not depend on the number of nodes.
+struct fleet_summary {
+  /// Requests in flight.
+  target_loads loads;
+  /// Slots that the nodes' requests need, by service and model.
+  slot_demand demand;
+  /// Heads of groups whose streams stalled recently.
+  std::set<std::string> stalled;
+  /// Targets that nodes suspect, with the number of these nodes.
+  std::map<std::string, std::size_t> suspects;
+  /// Id of the node that plans the groups; empty if none of these nodes does.
+  std::string leader;
+  /// Whether any of the nodes has handled a request since it started.
+  bool has_served = false;
+  /// Time since the store last answered one of the nodes; nullopt if it never did.
+  std::optional<std::chrono::milliseconds> store_answer_age;
+  /// Time since the store answered again after an outage; nullopt if it had none.
+  std::optional<std::chrono::milliseconds> store_recovery_age;
+
+  void add(const fleet_summary& other);
+  /// Adds everything but the loads. `elapsed` is the time since `other` was received, by which
+  /// its ages have grown.
+  void add_without_loads(const fleet_summary& other,
+                         std::chrono::nanoseconds elapsed = std::chrono::nanoseconds(0));
+};
+
+void to_json(nlohmann::json& value, const fleet_summary& summary);
+/// Throws nlohmann::json::exception if `value` is not a valid summary.
+void from_json(const nlohmann::json& value, fleet_summary& summary);
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/load_tracker.h
+++ b/include/camphorlug/gateway/load_tracker.h
@@ -35,6 +35,12 @@
   /// Replaces the counts of `peer`.
   void update_peer(const std::string& peer, target_loads loads);
 
+  /// Drops the counts of all peers.
+  void clear_peers();
+
+  /// Requests in flight by target, from this node and all peers but `peer`.
+  target_loads sums_without(const std::string& peer) const;
+
   /// Requests in flight at `target` from this node and all peers with current counts.
   std::size_t in_flight(const std::string& target);
   /// Requests in flight at `target` from this node alone.
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -1,15 +1,13 @@
 #pragma once
 
-#include "camphorlug/gateway/demand_meter.h"
-#include "camphorlug/gateway/load_tracker.h"
-
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
-#include <vector>
 
 namespace camphorlug::gateway {
 
-/// A node's status as sent to its peers several times a second.
+/// What a node tells all other nodes about itself. It changes rarely; what changes with each
+/// request is in `fleet_summary`.
 struct node_status {
   std::string id;
   std::string data_centre;
@@ -20,29 +18,27 @@
   /// Distinguishes this process from earlier ones of the same node; later processes
   /// have larger values.
   std::uint64_t incarnation = 0;
-  /// Increases within an incarnation with each status.
-  std::uint64_t sequence = 0;
+  /// Increases within an incarnation with each change of the other fields.
+  std::uint64_t revision = 0;
+  /// Processor share of the instance in cores. Nodes with more of it relay for the others.
+  double cores = 0;
   /// The node accepts requests.
   bool ready = false;
   bool leaving = false;
-  std::uint64_t config_version = 0;
-  /// Commit number of the newest target entry that the node has read.
-  std::uint64_t entries_version = 0;
-  /// The node is the leader, which plans the groups.
-  bool leads = false;
-  /// Whether the node has handled any request since it started.
-  bool has_served = false;
-  target_loads loads;
-  /// Slots that the node's requests need, by service and model.
-  slot_demand demand;
-  /// Heads of groups whose streams stalled recently.
-  std::vector<std::string> stalled;
-  /// Targets that the node itself suspects.
-  std::vector<std::string> suspects;
+  /// Whether the store answered the node's last calls; true for a node that made none.
+  bool reaches_store = true;
+
+  bool operator==(const node_status&) const = default;
 
-  std::string to_json() const;
-  /// Throws nlohmann::json::exception if `text` is not a valid status.
-  static node_status from_json(const std::string& text);
+  /// Whether this status replaces `other` of the same node.
+  bool is_newer_than(const node_status& other) const {
+    return incarnation != other.incarnation ? incarnation > other.incarnation
+                                            : revision > other.revision;
+  }
 };
 
+void to_json(nlohmann::json& value, const node_status& status);
+/// Throws nlohmann::json::exception if `value` is not a valid status.
+void from_json(const nlohmann::json& value, node_status& status);
+
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/suspicion_list.h
+++ b/include/camphorlug/gateway/suspicion_list.h
@@ -30,8 +30,8 @@
   /// Forgets all failures and suspicions of the target, including those of peers.
   void count_success(const std::string& target);
 
-  /// Records that a peer suspects the target. It is not passed on, unless this node has suspected
-  /// the target itself since its last success.
+  /// Records that a peer suspects the target. It is not passed on, so that
+  /// nodes do not prolong each other's suspicions.
   void add_peer_suspicion(const std::string& target);
 
   bool suspected(const std::string& target) const;
@@ -42,8 +42,10 @@
   struct record {
     int failures = 0;
     int suspensions = 0;
-    support::clock::time_point until;
-    bool own = false;
+    /// End of the suspension by this node itself.
+    support::clock::time_point own_until;
+    /// End of the suspicion that peers reported.
+    support::clock::time_point peer_until;
   };
 
   support::clock& time_;
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -48,8 +48,13 @@
   /// `version` or it is already marked as missing.
   void retain(const std::set<std::string>& present, std::uint64_t version);
 
-  /// Starts the grace period: the store answers again after an outage.
-  void mark_store_recovered() { store_recovered_at_ = time_.now(); }
+  /// Starts the grace period: the store answers again after an outage, since `age`.
+  void mark_store_recovered(std::chrono::nanoseconds age = std::chrono::nanoseconds(0)) {
+    store_recovered_at_ =
+        std::max(store_recovered_at_.value_or(time_.now() - age), time_.now() - age);
+  }
+  /// Time since the store last answered again after an outage; nullopt if it had none.
+  std::optional<std::chrono::nanoseconds> store_recovery_age() const;
 
   /// Drops entries that are still missing after the grace period. Call it a few
   /// times a second.
--- a/include/camphorlug/table/row_mirror.h
+++ b/include/camphorlug/table/row_mirror.h
@@ -26,6 +26,9 @@
   /// were dropped, returns a snapshot instead and sets `history_truncated`.
   feed_batch changes(std::uint64_t since) const;
 
+  /// Returns all rows that exist, with `history_truncated` set.
+  feed_batch snapshot() const;
+
   /// The version up to which all changes were applied; 0 before the first batch.
   std::uint64_t version() const { return version_; }
 
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -13,7 +13,8 @@
 
 /// Keeps a node up to date with one table: reads a snapshot, follows the change
 /// feed, and rereads snapshots periodically, because a feed may stop reporting
-/// changes without failing. Responses older than the known version are ignored.
+/// changes without failing. It pauses while its gate is closed. Responses older than the known
+/// version are ignored.
 class table_follower {
 public:
   /// Receives each batch. If `is_snapshot`, rows that are absent from the batch did not
@@ -30,6 +31,9 @@
   /// Like `reread`, but reads the first snapshot at once; for a table whose feed is not followed.
   support::task<> poll();
 
+  /// Sets the function that decides whether the store may be read now. By default it always may.
+  void set_gate(std::function<bool()> may_read) { may_read_ = std::move(may_read); }
+
   /// Whether the last call to the store succeeded; true before the first call. Turns false at
   /// the first failure, before the store is reported lost.
   bool is_store_reachable() const { return failures_ == 0; }
@@ -52,6 +56,7 @@
   std::chrono::milliseconds reread_interval_;
   listener on_batch_;
   std::function<void()> on_reconnected_;
+  std::function<bool()> may_read_ = [] { return true; };
   std::uint64_t version_ = 0;
   std::optional<support::clock::time_point> answered_at_;
   bool needs_snapshot_ = true;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -39,6 +39,15 @@
 /// store's answer and a peer's status that reports the same change race with each other.
 static constexpr std::chrono::milliseconds peer_fetch_delay{200};
 static constexpr std::chrono::milliseconds target_rows_fetch_timeout{500};
+/// A node that knows no other one for this long reads the store itself.
+static constexpr std::chrono::milliseconds isolation_time{1500};
+/// Spreads the reads of many isolated nodes.
+static constexpr std::chrono::milliseconds max_isolation_jitter{800};
+/// A node begins to read the store when it has had the duty for this long; while nodes still
+/// discover each other, many of them believe to have it.
+static constexpr std::chrono::milliseconds reader_start_delay{300};
+/// Longer than the start of another reader takes.
+static constexpr std::chrono::milliseconds reader_stop_delay{1500};
 /// Some callers cache a response of the directory of entry points for this many times its validity.
 static constexpr int max_entry_reuse_factor = 3;
 /// Time until all peers have learned that this node is shutting down.
@@ -46,9 +55,11 @@
 
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
-      incarnation_(support::make_incarnation(context_.time)), config_(context_.time),
-      registry_(context_.time), groups_(registry_, config_), loads_(context_.time),
-      suspicions_(context_.time),
+      incarnation_(support::make_incarnation(context_.time)),
+      isolation_jitter_(std::chrono::duration_cast<std::chrono::nanoseconds>(
+          max_isolation_jitter * context_.random.uniform_real())),
+      config_(context_.time), registry_(context_.time), groups_(registry_, config_),
+      loads_(context_.time), suspicions_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
@@ -56,14 +67,15 @@
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, slot_queue_, suspicions_, retries_, stalls_, demand_, metrics_},
                 [this] { return phase_; }),
-      peers_(context_.executor, context_.time, context_.client, loads_, suspicions_, settings_.id,
-             settings_.peer_address, [this] { return status(); }),
+      fleet_(context_.time, loads_, suspicions_),
+      exchange_(context_.executor, context_.time, context_.random, context_.client, fleet_,
+                [this] { return report(); }),
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
              lease_timing),
       replica_controller_(
           {context_.executor, context_.time, config_, registry_, lease_, context_.orders,
            context_.prober, [this] { return traffic_since_.has_value(); },
-           [this] { return peers_.any_peer_leads(planner_status_max_age); },
+           [this] { return !may_plan() || fleet_.leader_heard_within(planner_status_max_age); },
            [this] { return total_demand(); }, [this] { return all_stalled_heads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread_interval,
@@ -83,17 +95,17 @@
                     [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }) {
   registry_.add_listener([this] { slot_queue_.assign_free_slots(); });
   target_follower_.on_reconnected([this] { registry_.mark_store_recovered(); });
-  peers_.on_status([this](const gateway::node_status& peer) {
-    if (peer.config_version > config_version() && !std::exchange(fetching_config_, true))
-      support::spawn(context_.executor, "fetch_config", fetch_config(peer.peer_address));
-  });
+  for (table::table_follower* each : {&config_follower_, &target_follower_, &own_follower_})
+    each->set_gate([this] { return reads_store_; });
+  exchange_.on_message(
+      [this](const gateway::fleet_message& message) { apply_peer_message(message); });
 }
 
 edge_node::~edge_node() = default;
 
 void edge_node::start() {
   for (const std::string& seed : settings_.seeds)
-    peers_.add_address(seed);
+    exchange_.add_address(seed);
   const auto& executor = context_.executor;
   support::spawn(executor, "follow_config", config_follower_.follow());
   support::spawn(executor, "reread_config", config_follower_.reread());
@@ -101,7 +113,7 @@
   support::spawn(executor, "reread_targets", target_follower_.reread());
   support::spawn(executor, "poll_own_rows", own_follower_.poll());
   support::spawn(executor, "register", register_self());
-  support::spawn(executor, "peers", peers_.run());
+  support::spawn(executor, "peers", exchange_.run());
   support::spawn(executor, "lease", replica_controller_.keep_lease());
   support::spawn(executor, "replicas", replica_controller_.run());
   support::spawn(executor, "housekeeping", run_housekeeping());
@@ -109,7 +121,7 @@
 
 void edge_node::change_settings(const edge_settings& settings) {
   for (const std::string& seed : settings.seeds)
-    peers_.add_address(seed);
+    exchange_.add_address(seed);
   settings_.seeds = settings.seeds;
   settings_.retries = settings.retries;
   retries_.change_limits(settings.retries);
@@ -146,7 +158,7 @@
       continue;
     try {
       const std::string address = nlohmann::json::parse(row.value).at("peer_address");
-      peers_.add_address(address);
+      exchange_.add_address(address);
     } catch (const nlohmann::json::exception& error) {
       support::log_event(support::log_level::warning, "node_row_unreadable",
                          {{"key", row.key}, {"error", error.what()}});
@@ -154,8 +166,13 @@
   }
 }
 
+/// Registers this node when it begins to read the store, so that nodes whose seeds are gone find
+/// one that knows the others. Waits a moment, since an isolated node may find others at once.
 support::task<> edge_node::register_self() {
   for (;;) {
+    co_await context_.time.sleep_for(registration_retry_interval);
+    if (!reads_store_)
+      continue;
     table::transaction change;
     const nlohmann::json value{{"peer_address", settings_.peer_address}};
     change.writes.push_back({node_prefix + settings_.id, value.dump()});
@@ -167,7 +184,6 @@
       support::log_event(support::log_level::warning, "registration_failed",
                          {{"error", error.what()}});
     }
-    co_await context_.time.sleep_for(registration_retry_interval);
   }
 }
 
@@ -208,38 +224,60 @@
   return answered_at && context_.time.now() - *answered_at < store_silence_limit;
 }
 
-/// Returns the live peer with the newest target rows, or null if none has newer rows than this
-/// node.
-const gateway::node_status* edge_node::find_peer_with_newer_rows() const {
-  const auto peers = peers_.alive();
-  const auto newest =
-      std::max_element(peers.begin(), peers.end(), [](const auto* left, const auto* right) {
-        return left->entries_version < right->entries_version;
-      });
-  const bool is_ahead =
-      newest != peers.end() && (*newest)->entries_version > target_rows_.newest_row_version();
-  return is_ahead ? *newest : nullptr;
-}
-
-/// Fetches changed target rows from a peer while the store does not answer this node. Groups
-/// change meanwhile, and a node that missed a change would send requests to instances that
-/// are no longer the head of a group (the member that receives its requests).
-void edge_node::sync_target_rows_from_peers() {
-  if (fetching_target_rows_)
-    return;
-  const gateway::node_status* ahead =
-      store_answered_recently() ? nullptr : find_peer_with_newer_rows();
-  if (!ahead) {
+/// A node that reads the store gets changes from there. It asks peers only while the store does
+/// not answer: groups change meanwhile, and a node that missed a change would send requests to
+/// instances that are no longer the head of a group (the member that receives its requests).
+bool edge_node::needs_rows_of_peers() {
+  if (!reads_store_)
+    return true;
+  if (store_answered_recently()) {
     behind_peers_since_.reset();
-    return;
+    return false;
   }
   if (!behind_peers_since_)
     behind_peers_since_ = context_.time.now();
-  if (context_.time.now() - *behind_peers_since_ < peer_fetch_delay)
+  return context_.time.now() - *behind_peers_since_ >= peer_fetch_delay;
+}
+
+void edge_node::apply_peer_message(const gateway::fleet_message& message) {
+  const std::string& peer = message.sender.peer_address;
+  if (message.summary.store_recovery_age &&
+      *message.summary.store_recovery_age < gateway::target_registry::outage_grace_period)
+    registry_.mark_store_recovered(*message.summary.store_recovery_age);
+  if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
+    support::spawn(context_.executor, "fetch_config", fetch_config(peer));
+  const bool is_ahead = message.entries_version > target_rows_.newest_row_version();
+  if (is_ahead && needs_rows_of_peers() && !std::exchange(fetching_target_rows_, true))
+    support::spawn(context_.executor, "fetch_entries", fetch_target_rows(peer));
+}
+
+bool edge_node::may_plan() {
+  return fleet_.others().empty() ? reads_store_ : fleet_.roles().is_planner(settings_.id);
+}
+
+void edge_node::update_reading() {
+  const auto now = context_.time.now();
+  bool wanted = false;
+  if (fleet_.others().empty()) {
+    if (!alone_since_)
+      alone_since_ = now;
+    wanted = now - *alone_since_ >= isolation_time + isolation_jitter_;
+  } else {
+    alone_since_.reset();
+    wanted = fleet_.roles().is_reader(settings_.id);
+  }
+  if (wanted == reads_store_) {
+    reading_differs_since_.reset();
+    return;
+  }
+  if (!reading_differs_since_)
+    reading_differs_since_ = now;
+  if (now - *reading_differs_since_ < (wanted ? reader_start_delay : reader_stop_delay))
     return;
-  behind_peers_since_.reset();
-  fetching_target_rows_ = true;
-  support::spawn(context_.executor, "fetch_entries", fetch_target_rows(ahead->peer_address));
+  reads_store_ = wanted;
+  support::log_event(support::log_level::info,
+                     wanted ? "store_reader_started" : "store_reader_stopped",
+                     {{"nodes", std::to_string(live_node_count())}});
 }
 
 support::task<> edge_node::fetch_target_rows(std::string peer_address) {
@@ -264,7 +302,7 @@
   for (;;) {
     registry_.expire();
     detect_first_traffic();
-    sync_target_rows_from_peers();
+    update_reading();
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     slot_queue_.assign_free_slots();
@@ -274,13 +312,7 @@
 }
 
 void edge_node::detect_first_traffic() {
-  if (traffic_since_)
-    return;
-  const auto peers = peers_.alive();
-  const bool served =
-      requests_.handled() > 0 ||
-      std::any_of(peers.begin(), peers.end(), [](const auto* peer) { return peer->has_served; });
-  if (served)
+  if (!traffic_since_ && (requests_.handled() > 0 || fleet_.others_summary().has_served))
     traffic_since_ = context_.time.now();
 }
 
@@ -288,55 +320,74 @@
   return !is_leaving() && config_.current() && registry_.was_read();
 }
 
-gateway::node_status edge_node::status() {
-  gateway::node_status status;
-  status.id = settings_.id;
-  status.data_centre = settings_.data_centre;
-  status.public_address = settings_.public_address;
-  status.peer_address = settings_.peer_address;
-  status.incarnation = incarnation_;
-  status.sequence = ++sequence_;
-  status.ready = ready();
-  status.leaving = is_leaving();
-  status.config_version = config_version();
-  status.entries_version = target_rows_.newest_row_version();
-  status.leads = replica_controller_.leads();
-  status.has_served = requests_.handled() > 0;
-  status.loads = loads_.own_loads();
-  status.demand = demand_.demand();
-  status.stalled = stalls_.recent_stalls();
-  status.suspects = suspicions_.own();
-  return status;
+const gateway::node_status& edge_node::status() {
+  gateway::node_status current = status_;
+  current.id = settings_.id;
+  current.data_centre = settings_.data_centre;
+  current.public_address = settings_.public_address;
+  current.peer_address = settings_.peer_address;
+  current.incarnation = incarnation_;
+  current.cores = settings_.cores;
+  current.ready = ready();
+  current.leaving = is_leaving();
+  current.reaches_store =
+      config_follower_.is_store_reachable() && target_follower_.is_store_reachable();
+  if (current != status_) {
+    ++current.revision;
+    status_ = std::move(current);
+  }
+  return status_;
+}
+
+static std::chrono::milliseconds to_milliseconds(std::chrono::nanoseconds span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
+gateway::fleet_exchange::own_report edge_node::report() {
+  gateway::fleet_exchange::own_report report;
+  report.status = status();
+  report.config_version = config_version();
+  report.entries_version = target_rows_.newest_row_version();
+  gateway::fleet_summary& summary = report.summary;
+  summary.loads = loads_.own_loads();
+  summary.demand = demand_.demand();
+  for (const std::string& head : stalls_.recent_stalls())
+    summary.stalled.insert(head);
+  for (const std::string& target : suspicions_.own())
+    summary.suspects[target] = 1;
+  if (replica_controller_.leads())
+    summary.leader = settings_.id;
+  summary.has_served = requests_.handled() > 0;
+  if (const auto answered_at = target_follower_.answered_at())
+    summary.store_answer_age = to_milliseconds(context_.time.now() - *answered_at);
+  // Only readers see the store return; the others learn it from them.
+  if (const auto age = registry_.store_recovery_age();
+      reads_store_ && age && *age < gateway::target_registry::outage_grace_period)
+    summary.store_recovery_age = to_milliseconds(*age);
+  return report;
 }
 
 gateway::slot_demand edge_node::total_demand() const {
   if (!traffic_since_ || context_.time.now() - *traffic_since_ < demand_settling_time)
     return {};
   gateway::slot_demand sum = demand_.demand();
-  for (const gateway::node_status* peer : peers_.alive()) {
-    for (const auto& [pool, slots] : peer->demand)
-      sum[pool] += slots;
-  }
+  for (const auto& [pool, slots] : fleet_.others_summary().demand)
+    sum[pool] += slots;
   return sum;
 }
 
 std::vector<std::string> edge_node::all_stalled_heads() const {
   std::vector<std::string> heads = stalls_.recent_stalls();
-  for (const gateway::node_status* peer : peers_.alive())
-    heads.insert(heads.end(), peer->stalled.begin(), peer->stalled.end());
+  const auto others = fleet_.others_summary().stalled;
+  heads.insert(heads.end(), others.begin(), others.end());
   return heads;
 }
 
-std::vector<std::string> edge_node::entry_points(const std::string& data_centre) const {
+std::vector<std::string> edge_node::entry_points(const std::string& data_centre) {
   std::vector<gateway::node_status> nodes;
-  for (const gateway::node_status* peer : peers_.alive())
-    nodes.push_back(*peer);
-  gateway::node_status self;
-  self.data_centre = settings_.data_centre;
-  self.public_address = settings_.public_address;
-  self.ready = ready();
-  self.leaving = is_leaving();
-  nodes.push_back(std::move(self));
+  for (const auto& [id, other] : fleet_.others())
+    nodes.push_back(other.status);
+  nodes.push_back(status());
   return gateway::select_gateway_addresses(nodes, data_centre, settings_.min_entry_points);
 }
 
@@ -362,41 +413,46 @@
     co_return;
   }
   if (request.path == gateway::entries_path) {
-    net::send_json(writer, 200, table::to_json(target_rows_.changes(parse_since(request))));
+    // A node without any rows needs a snapshot to know that it has read the whole table.
+    const std::uint64_t since = parse_since(request);
+    net::send_json(
+        writer, 200,
+        table::to_json(since == 0 ? target_rows_.snapshot() : target_rows_.changes(since)));
     co_return;
   }
   if (request.path == state_path) {
-    const gateway::node_status self = status();
     const state_report_input state{context_.time,
-                                   self,
+                                   status(),
+                                   fleet_.others(),
+                                   fleet_.roles(),
+                                   fleet_.others_summary(),
                                    config_,
                                    registry_,
                                    groups_,
                                    loads_,
                                    suspicions_,
                                    retries_,
-                                   peers_,
                                    lease_,
                                    slot_queue_.waiting(),
                                    target_follower_.answered_at()};
     net::send_json(writer, 200, make_state_report(state).dump());
     co_return;
   }
-  if (request.path != gateway::status_path) {
+  if (request.path != gateway::fleet_path) {
     net::send_problem(writer, {404, "unknown-path", "not a path of the peer protocol"});
     co_return;
   }
   try {
-    net::send_json(writer, 200, peers_.answer(request.body));
+    net::send_json(writer, 200, exchange_.answer(request.body));
   } catch (const nlohmann::json::exception& error) {
-    net::send_problem(writer, {400, "bad-status", error.what()});
+    net::send_problem(writer, {400, "bad-message", error.what()});
   }
 }
 
 support::task<> edge_node::leave() {
   phase_ = gateway::shutdown_phase::leaving;
   support::log_event(support::log_level::info, "leaving");
-  peers_.announce();
+  exchange_.announce();
   support::spawn(context_.executor, "step_down", replica_controller_.step_down());
   const auto drain_time = settings_.entries_valid_for * max_entry_reuse_factor + announcement_time;
   co_await context_.time.sleep_for(std::min(drain_time, settings_.termination_grace / 2));
@@ -407,7 +463,7 @@
   gateway::gateway_gauges gauges;
   gauges.waiting_requests = slot_queue_.waiting();
   gauges.known_targets = registry_.all().size();
-  gauges.live_peers = peers_.alive_count();
+  gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/edge/state_report.h"
 
+#include <algorithm>
+
 namespace camphorlug::edge {
 
 using nlohmann::ordered_json;
@@ -77,17 +79,29 @@
 
 static ordered_json peers_to_json(const state_report_input& state) {
   ordered_json peers = ordered_json::array();
-  for (const auto& [id, peer] : state.peers.known())
+  for (const auto& [id, peer] : state.others)
     peers.push_back({{"node", id},
                      {"data_centre", peer.status.data_centre},
                      {"heard_ms_ago", age_ms(state.time, peer.heard_at)},
                      {"ready", peer.status.ready},
                      {"leaving", peer.status.leaving},
-                     {"leads", peer.status.leads},
-                     {"config", peer.status.config_version}});
+                     {"hub", state.roles.is_hub(id)},
+                     {"reads_store", state.roles.is_reader(id)},
+                     {"leads", state.others_summary.leader == id},
+                     {"config", peer.config_version}});
   return peers;
 }
 
+/// Time since the store last answered this node or one that relays its rows; null if never.
+static ordered_json store_answer_age_ms(const state_report_input& state) {
+  auto age = state.others_summary.store_answer_age;
+  if (state.store_answered_at) {
+    const std::chrono::milliseconds own(age_ms(state.time, *state.store_answered_at));
+    age = age ? std::min(*age, own) : own;
+  }
+  return age ? ordered_json(age->count()) : ordered_json(nullptr);
+}
+
 static ordered_json retries_to_json(const state_report_input& state) {
   ordered_json budgets = ordered_json::array();
   for (const auto& [service, budget] : state.retries.budgets())
@@ -106,8 +120,10 @@
                       {"data_centre", state.self.data_centre},
                       {"ready", state.self.ready},
                       {"leaving", state.self.leaving},
+                      {"hub", state.roles.is_hub(state.self.id)},
+                      {"reads_store", state.roles.is_reader(state.self.id)},
                       {"waiting_requests", state.waiting_requests},
-                      {"store_answered_ms_ago", nullptr},
+                      {"store_answered_ms_ago", store_answer_age_ms(state)},
                       {"lease",
                        {{"held_here", state.lease.held()},
                         {"number", state.lease.number()},
@@ -117,8 +133,6 @@
                       {"targets", std::move(targets)},
                       {"peers", peers_to_json(state)},
                       {"retries", retries_to_json(state)}};
-  if (state.store_answered_at)
-    report["store_answered_ms_ago"] = age_ms(state.time, *state.store_answered_at);
   return report;
 }
 
--- /dev/null
+++ b/lib/gateway/fleet_message.cpp
@@ -0,0 +1,59 @@
+#include "camphorlug/gateway/fleet_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::gateway {
+
+static nlohmann::json to_list(const std::vector<fleet_section>& sections) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const fleet_section& each : sections)
+    list.push_back(
+        {each.owner, each.stamp.incarnation, each.stamp.version, each.members, each.age.count()});
+  return list;
+}
+
+static std::vector<fleet_section> read_sections(const nlohmann::json& list) {
+  std::vector<fleet_section> sections;
+  for (const auto& each : list)
+    sections.push_back({each.at(0),
+                        {each.at(1), each.at(2)},
+                        each.at(3),
+                        std::chrono::milliseconds(each.at(4).get<std::int64_t>())});
+  return sections;
+}
+
+std::string fleet_message::to_json() const {
+  nlohmann::json stamps = nlohmann::json::object();
+  for (const auto& [owner, stamp] : known)
+    stamps[owner] = {stamp.incarnation, stamp.version};
+  nlohmann::json value{{"from", sender},         {"seq", sequence}, {"cfg", config_version},
+                       {"ent", entries_version}, {"sum", summary},  {"have", stamps}};
+  if (attaches)
+    value["attach"] = true;
+  if (!sections.empty())
+    value["sec"] = to_list(sections);
+  for (const auto& [owner, age] : owners)
+    value["own"][owner] = age.count();
+  return value.dump();
+}
+
+fleet_message fleet_message::from_json(const std::string& text) {
+  const auto value = nlohmann::json::parse(text);
+  fleet_message message;
+  message.attaches = value.value("attach", false);
+  value.at("from").get_to(message.sender);
+  value.at("seq").get_to(message.sequence);
+  value.at("cfg").get_to(message.config_version);
+  value.at("ent").get_to(message.entries_version);
+  value.at("sum").get_to(message.summary);
+  for (const auto& [owner, stamp] : value.at("have").items())
+    message.known[owner] = {stamp.at(0), stamp.at(1)};
+  if (const auto sections = value.find("sec"); sections != value.end())
+    message.sections = read_sections(*sections);
+  if (const auto owners = value.find("own"); owners != value.end())
+    for (const auto& [owner, age] : owners->items())
+      message.owners[owner] = std::chrono::milliseconds(age.get<std::int64_t>());
+  return message;
+}
+
+} // namespace camphorlug::gateway
--- a/lib/gateway/load_tracker.cpp
+++ b/lib/gateway/load_tracker.cpp
@@ -45,6 +45,24 @@
   peers_[peer] = std::prev(by_age_.end());
 }
 
+void load_tracker::clear_peers() {
+  while (!by_age_.empty())
+    remove_peer(by_age_.begin());
+}
+
+target_loads load_tracker::sums_without(const std::string& peer) const {
+  target_loads loads(sums_.begin(), sums_.end());
+  const auto left_out = peers_.find(peer);
+  if (left_out == peers_.end())
+    return loads;
+  for (const auto& [target, count] : left_out->second->loads) {
+    const auto sum = loads.find(target);
+    if ((sum->second -= count) == 0)
+      loads.erase(sum);
+  }
+  return loads;
+}
+
 std::size_t load_tracker::in_flight(const std::string& target) {
   expire_peer_loads();
   const auto found = sums_.find(target);
--- a/lib/gateway/suspicion_list.cpp
+++ b/lib/gateway/suspicion_list.cpp
@@ -14,13 +14,12 @@
   record& known = records_[target];
   const auto now = time_.now();
   known.failures = 0;
-  if (known.own && now < known.until)
+  if (now < known.own_until)
     return;
   const auto span = std::min<std::chrono::nanoseconds>(
       initial_suspension * (1 << std::min(known.suspensions, 4)), max_suspension);
   known.suspensions += 1;
-  known.until = now + span;
-  known.own = true;
+  known.own_until = now + span;
   support::log_event(support::log_level::warning, "target_suspected",
                      {{"target", target},
                       {"reason", reason},
@@ -40,18 +39,19 @@
 
 void suspicion_list::add_peer_suspicion(const std::string& target) {
   record& known = records_[target];
-  known.until = std::max(known.until, time_.now() + peer_suspicion_duration);
+  known.peer_until = time_.now() + peer_suspicion_duration;
 }
 
 bool suspicion_list::suspected(const std::string& target) const {
   const auto found = records_.find(target);
-  return found != records_.end() && time_.now() < found->second.until;
+  return found != records_.end() &&
+         time_.now() < std::max(found->second.own_until, found->second.peer_until);
 }
 
 std::vector<std::string> suspicion_list::own() const {
   std::vector<std::string> targets;
   for (const auto& [target, known] : records_) {
-    if (known.own && time_.now() < known.until)
+    if (time_.now() < known.own_until)
       targets.push_back(target);
   }
   return targets;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -71,6 +71,12 @@
   return store_recovered_at_ && time_.now() - *store_recovered_at_ < outage_grace_period;
 }
 
+std::optional<std::chrono::nanoseconds> target_registry::store_recovery_age() const {
+  if (!store_recovered_at_)
+    return std::nullopt;
+  return time_.now() - *store_recovered_at_;
+}
+
 void target_registry::remove(const std::string& id, std::uint64_t version) {
   newest_version_ = std::max(newest_version_, version);
   std::uint64_t& removed = removed_[id];
--- a/lib/table/row_mirror.cpp
+++ b/lib/table/row_mirror.cpp
@@ -60,6 +60,17 @@
   return batch;
 }
 
+feed_batch row_mirror::snapshot() const {
+  feed_batch batch;
+  batch.version = version_;
+  batch.history_truncated = true;
+  for (const auto& [key, row] : rows_) {
+    if (!row.deleted)
+      batch.rows.push_back(row);
+  }
+  return batch;
+}
+
 std::string to_json(const feed_batch& batch) {
   nlohmann::json rows = nlohmann::json::array();
   for (const feed_row& row : batch.rows)
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -14,6 +14,8 @@
 static constexpr std::chrono::milliseconds batching_pause{80};
 static constexpr std::chrono::milliseconds first_backoff{100};
 static constexpr std::chrono::milliseconds max_backoff{800};
+/// Interval at which a follower whose gate is closed checks it again.
+static constexpr std::chrono::milliseconds gate_check_interval{50};
 /// Consecutive failures after which the store is reported as lost.
 static constexpr int lost_after_failures = 2;
 
@@ -59,6 +61,11 @@
 
 support::task<> table_follower::follow() {
   for (;;) {
+    if (!may_read_()) {
+      needs_snapshot_ = true;
+      co_await time_.sleep_for(gate_check_interval);
+      continue;
+    }
     bool healthy = true;
     if (needs_snapshot_) {
       healthy = co_await read_snapshot();
@@ -95,11 +102,14 @@
   for (;;) {
     co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
         reread_interval_ * (0.75 + 0.5 * random_.uniform_real())));
-    co_await read_snapshot();
+    if (may_read_())
+      co_await read_snapshot();
   }
 }
 
 support::task<> table_follower::poll() {
+  while (!may_read_())
+    co_await time_.sleep_for(gate_check_interval);
   co_await read_snapshot();
   co_await reread();
 }
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/// A node spends at most 2 % of a core on messages, at about 0.25 ms for each that it starts or
+/// answers.
+constexpr int max_exchanges_per_second = 40;
+
 /// Four nodes with one configuration and one target that have run for two seconds.
 struct small_edge : fakes::edge_cluster {
   small_edge() : edge_cluster(4) {
@@ -161,12 +165,48 @@
   BOOST_TEST(targets_of(3) == std::set<std::string>{"t2"}, boost::test_tools::per_element());
 }
 
-BOOST_FIXTURE_TEST_CASE(peers_are_not_asked_for_targets_while_the_store_answers, small_edge) {
+BOOST_FIXTURE_TEST_CASE(two_nodes_read_the_store_and_relay_its_rows, small_edge) {
+  for (auto& each : edges)
+    each->feed->reads = 0;
   for (int i = 0; i < 20; ++i) {
     add_target("t" + std::to_string(i));
     run_for(200ms);
   }
-  BOOST_TEST(network.requests["/camphorlug/v1/entries"] == 0);
+  run_for(500ms);
+  std::size_t readers = 0;
+  for (std::size_t i = 0; i < 4; ++i) {
+    readers += edges[i]->feed->reads > 0 ? 1 : 0;
+    BOOST_TEST(state(i)["targets"].size() == 20);
+  }
+  BOOST_TEST(readers == gateway::fleet_roles::reader_count);
+  // Readers get the rows from the store alone; each of the others asks one peer for a change.
+  BOOST_TEST(network.requests["/camphorlug/v1/entries"] <= 2 * 21);
+}
+
+BOOST_FIXTURE_TEST_CASE(killed_readers_are_replaced, small_edge) {
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (state(i)["reads_store"].get<bool>())
+      kill(i);
+  }
+  run_for(2500ms);
+  add_target("t2");
+  run_for(1s);
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (edges[i])
+      BOOST_TEST(state(i)["targets"].size() == 2);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(reader_without_store_access_is_replaced, small_edge) {
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (state(i)["reads_store"].get<bool>())
+      cut_store(i, true);
+  }
+  run_for(3s);
+  add_target("t2");
+  run_for(1s);
+  for (std::size_t i = 0; i < 4; ++i)
+    BOOST_TEST(state(i)["targets"].size() == 2);
 }
 
 BOOST_FIXTURE_TEST_CASE(requests_succeed_while_the_store_is_unreachable, small_edge) {
@@ -237,26 +277,32 @@
   return out << each.nodes << " nodes";
 }
 
-const cluster_size cluster_sizes[] = {{6, 2000ms}, {11, 2000ms}, {40, 5000ms}, {88, 10'000ms}};
+const cluster_size cluster_sizes[] = {
+    {6, 2000ms}, {11, 2000ms}, {40, 2500ms}, {88, 2500ms}, {295, 2500ms}};
 
 BOOST_DATA_TEST_CASE(exchange_rate_stays_bounded_at_any_cluster_size, data::make(cluster_sizes),
                      each) {
   fakes::edge_cluster world(each.nodes);
   world.set_config(1);
   world.add_target("t1");
-  // Nodes discover each other from the registration rows, which are polled periodically.
-  world.run_for(10s);
+  world.run_for(5s);
   for (std::size_t i = 0; i < each.nodes; ++i)
     BOOST_TEST(world.state(i)["peers"].size() == each.nodes - 1);
   world.network.requests.clear();
   // Several rounds, so that a partly finished round does not distort the rate.
   world.run_for(10s);
   const double exchanges_per_second =
-      static_cast<double>(world.network.requests[gateway::status_path]) /
+      static_cast<double>(world.network.requests[gateway::fleet_path]) /
       static_cast<double>(each.nodes) / 10;
-  BOOST_TEST(exchanges_per_second <= gateway::peer_status_exchange::max_exchanges_per_second);
+  BOOST_TEST(exchanges_per_second <= max_exchanges_per_second);
+  // The number of nodes that read the store does not grow with the number of nodes.
+  std::size_t reads = 0;
+  for (auto& edge : world.edges)
+    reads += std::exchange(edge->feed->reads, 0);
+  BOOST_TEST(reads <= 15 * 20);
   BOOST_TEST(world.entries(0, "west").size() == each.nodes / 2);
   world.kill(1);
   world.run_for(each.detected_within);
-  BOOST_TEST(world.entries(0, "west").size() == each.nodes / 2 - 1);
+  for (std::size_t asked : {std::size_t{0}, each.nodes - 1})
+    BOOST_TEST(world.entries(asked, "west").size() == each.nodes / 2 - 1);
 }
--- a/unittests/gateway/small_parts_test.cpp
+++ b/unittests/gateway/small_parts_test.cpp
@@ -158,6 +158,22 @@
   BOOST_TEST(list.own().empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(nodes_do_not_prolong_each_others_suspicions, clock_fixture) {
+  gateway::suspicion_list one(clock);
+  gateway::suspicion_list other(clock);
+  one.suspect("a", "test");
+  other.suspect("a", "test");
+  for (std::chrono::milliseconds passed{0}; passed < 3s; passed += 200ms) {
+    clock.run_for(200ms);
+    for (const std::string& target : one.own())
+      other.add_peer_suspicion(target);
+    for (const std::string& target : other.own())
+      one.add_peer_suspicion(target);
+  }
+  BOOST_TEST(!one.suspected("a"));
+  BOOST_TEST(!other.suspected("a"));
+}
+
 BOOST_FIXTURE_TEST_CASE(engine_that_writes_to_no_stream_is_stalled, clock_fixture) {
   gateway::stall_detector detector(clock);
   int stall_calls = 0;
