Draw two targets in each scope when loads come over hubs

Cause: with more than 12 nodes the sums of loads are some hundred milliseconds old and all nodes that scan a pool take the same target.

Change: above 12 nodes two targets of the own data centre and two of all are compared; a scan follows only if none of them has a free slot.

--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -25,9 +25,12 @@
 
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
-/// are excluded, and suspected targets are used only as a last resort. In a large pool only a few
-/// random targets are compared, so that the cost doesn't depend on the pool size; all targets are
-/// scanned only when none of the samples has a free slot.
+/// are excluded, and suspected targets are used only as a last resort.
+///
+/// With many nodes, the sums of loads are older than the time between two choices of the fleet. If
+/// each node took the target with the lowest load, they would all take the same one. Then, and in
+/// a large pool, only a few random targets are compared; all targets are scanned only when none of
+/// the samples has a free slot.
 class target_chooser {
 public:
   target_chooser(const target_registry& registry, group_directory& groups, load_tracker& loads,
@@ -36,6 +39,9 @@
       : registry_(registry), groups_(groups), loads_(loads), suspicions_(suspicions),
         random_(random), data_centre_(std::move(data_centre)) {}
 
+  /// Sets the number of nodes that choose among the same targets.
+  void set_node_count(std::size_t nodes) { node_count_ = nodes; }
+
   /// Returns nothing if no target of the pool outside `avoided` has a free slot.
   std::optional<chosen_target> choose(const target_pool& pool,
                                       const std::set<std::string>& avoided);
@@ -75,6 +81,8 @@
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
+  /// Compares a few random candidates without suspected ones.
+  selection sample(const pool_view& view, const std::set<std::string>& avoided);
   const candidate& random_candidate(const pool_view& view, bool local_only);
 
   const target_registry& registry_;
@@ -83,6 +91,7 @@
   const suspicion_list& suspicions_;
   support::random_source& random_;
   std::string data_centre_;
+  std::size_t node_count_ = 1;
   std::map<target_pool, pool_view> views_;
 };
 
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -303,6 +303,7 @@
     registry_.expire();
     detect_first_traffic();
     update_reading();
+    chooser_.set_node_count(live_node_count());
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     slot_queue_.assign_free_slots();
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -19,6 +19,10 @@
 /// Number of random targets from the local data centre, and the same number from all. The least
 /// loaded of these is nearly as good as the least loaded of thousands.
 static constexpr int samples_per_scope = 6;
+/// With more nodes than this, loads are summed up over hubs and are several hundred milliseconds
+/// old, so that fewer targets are compared.
+static constexpr std::size_t max_nodes_with_fresh_loads = 12;
+static constexpr int samples_per_scope_with_old_loads = 2;
 
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
   std::vector<candidate> found;
@@ -85,17 +89,25 @@
   return view.candidates[random_.below(local_only ? view.local_count : view.candidates.size())];
 }
 
+target_chooser::selection target_chooser::sample(const pool_view& view,
+                                                 const std::set<std::string>& avoided) {
+  selection chosen;
+  const bool has_old_loads = node_count_ > max_nodes_with_fresh_loads;
+  if (view.candidates.empty() || (!has_old_loads && view.candidates.size() <= max_scanned_pool))
+    return chosen;
+  const int samples = has_old_loads ? samples_per_scope_with_old_loads : samples_per_scope;
+  for (int i = 0; i < samples; ++i) {
+    update_selection(random_candidate(view, false), avoided, false, chosen);
+    if (view.local_count > 0)
+      update_selection(random_candidate(view, true), avoided, false, chosen);
+  }
+  return chosen;
+}
+
 std::optional<chosen_target> target_chooser::choose(const target_pool& pool,
                                                     const std::set<std::string>& avoided) {
   const pool_view& view = view_of(pool);
-  selection chosen;
-  if (view.candidates.size() > max_scanned_pool) {
-    for (int i = 0; i < samples_per_scope; ++i) {
-      update_selection(random_candidate(view, false), avoided, false, chosen);
-      if (view.local_count > 0)
-        update_selection(random_candidate(view, true), avoided, false, chosen);
-    }
-  }
+  selection chosen = sample(view, avoided);
   for (const bool with_suspects : {false, true}) {
     if (chosen.best)
       return chosen.best->target;
