Take small groups for lacking large ones at once

One group was taken every 2.5 s and only beyond a difference in supply of a quarter. Small groups fit everywhere and use up the replacements that a large group needs from its own domain.

Change: where the better supplied model has the smaller groups, a difference of a tenth is enough, and as many groups of one domain close at once as one large group needs. The new test plays a dark domain and repeated losses; it failed before.

--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -121,8 +121,8 @@
   void advance_dissolving(planned_group& group, std::vector<replica_order>& orders);
   void release_orphans(std::vector<replica_order>& orders);
   void form_missing_groups(const planning_input& input, std::vector<replica_order>& orders);
-  void reclaim_group(const gateway::model_profile& best_supplied,
-                     const gateway::model_profile& worst_supplied);
+  void reclaim_groups(const gateway::model_profile& best_supplied,
+                      const gateway::model_profile& worst_supplied, std::size_t max_groups);
   bool form_group(const planning_input& input, const gateway::model_profile& model,
                   free_instances& free, std::vector<replica_order>& orders);
   placement_candidate make_placement_candidate(std::vector<const tracked_instance*> free,
--- a/lib/replicas/planning_limits.h
+++ b/lib/replicas/planning_limits.h
@@ -49,8 +49,14 @@
 /// A group is taken from one model for another only if the supply of the two differs by more than
 /// this.
 inline constexpr double min_supply_gap = 0.25;
-/// Minimum time between two reclaimed groups, so that the first change has taken effect.
+/// The same limit for taking groups from a model with smaller groups: little is given up then, and
+/// a lack of the larger groups does not end by itself, because the replacements of lost members
+/// are used up by smaller groups.
+inline constexpr double min_supply_gap_from_smaller = 0.1;
+/// Minimum time between two decisions to reclaim groups, so that the first change has taken
+/// effect.
 inline constexpr std::chrono::milliseconds reclaim_interval{2500};
+inline constexpr std::chrono::milliseconds reclaim_interval_from_smaller{600};
 /// Relative costs of a join; they are only summed and compared. The model is in memory.
 inline constexpr int cost_in_memory = 0;
 /// The weights are staged on the host.
--- a/lib/replicas/replica_planner_forming.cpp
+++ b/lib/replicas/replica_planner_forming.cpp
@@ -157,21 +157,27 @@
   }
   const model_profile* worst_supplied = models.front();
   const model_profile* best_supplied = models.back();
-  const double supply_after_reclaim = supply(best_supplied) - 1.0 / wanted[best_supplied->name];
-  if (input.traffic_started && supply(worst_supplied) < 1 &&
-      supply_after_reclaim > supply(worst_supplied) &&
-      supply(best_supplied) - supply(worst_supplied) > min_supply_gap)
-    reclaim_group(*best_supplied, *worst_supplied);
+  const bool from_smaller = best_supplied->size < worst_supplied->size;
+  const double gap = from_smaller ? min_supply_gap_from_smaller : min_supply_gap;
+  // The number of groups that can close before the other model becomes the better supplied one.
+  const double surplus =
+      (supply(best_supplied) - supply(worst_supplied)) * wanted[best_supplied->name];
+  if (input.traffic_started && supply(worst_supplied) < 1 && surplus > 1 &&
+      supply(best_supplied) - supply(worst_supplied) > gap)
+    reclaim_groups(*best_supplied, *worst_supplied, static_cast<std::size_t>(surplus));
 }
 
-/// Closes one group of `best_supplied` to make room for a group of `worst_supplied` that forms
-/// without weight loads. Selects the domain where the fewest groups have to close for that.
-void replica_planner::reclaim_group(const model_profile& best_supplied,
-                                    const model_profile& worst_supplied) {
+/// Closes groups of `best_supplied` to make room for a group of `worst_supplied` that forms
+/// without weight loads: one, or up to `max_groups` smaller ones of the same domain. Selects the
+/// domain where the fewest groups have to close for that.
+void replica_planner::reclaim_groups(const model_profile& best_supplied,
+                                     const model_profile& worst_supplied, std::size_t max_groups) {
+  const bool from_smaller = best_supplied.size < worst_supplied.size;
+  const auto interval = from_smaller ? reclaim_interval_from_smaller : reclaim_interval;
   const bool any_closing =
       std::any_of(planned_groups_.begin(), planned_groups_.end(),
                   [](const planned_group& group) { return group.phase == group_phase::closing; });
-  if (any_closing || time_.now() - last_reclaim_at_ < reclaim_interval)
+  if (any_closing || time_.now() - last_reclaim_at_ < interval)
     return;
   const auto joins_without_load = [&](const tracked_instance& instance) {
     return instance.join_cost(worst_supplied.name) < cost_load;
@@ -183,7 +189,7 @@
       free[domain] += joins_without_load(*instance) ? 1 : 0;
   }
   std::map<std::string, std::size_t> obtainable = free;
-  std::map<std::string, planned_group*> candidates;
+  std::map<std::string, std::vector<planned_group*>> candidates;
   for (planned_group& group : planned_groups_) {
     if (group.model != best_supplied.name || group.phase != group_phase::serving)
       continue;
@@ -192,18 +198,28 @@
       without_load += joins_without_load(instances_by_id_.at(member.id)) ? 1 : 0;
     obtainable[group.fabric_domain] += without_load;
     if (without_load > 0)
-      candidates[group.fabric_domain] = &group;
+      candidates[group.fabric_domain].push_back(&group);
   }
-  planned_group* best = nullptr;
-  for (const auto& [domain, group] : candidates) {
+  const std::string* best = nullptr;
+  for (const auto& [domain, groups] : candidates) {
     const bool suffices = obtainable[domain] >= worst_supplied.size;
-    if (suffices && (!best || free[domain] > free[best->fabric_domain]))
-      best = group;
+    if (suffices && (!best || free[domain] > free[*best]))
+      best = &domain;
   }
   if (!best)
     return;
   last_reclaim_at_ = time_.now();
-  enter_phase(*best, group_phase::closing, "the instances are needed for " + worst_supplied.name);
+  std::size_t obtained = free[*best];
+  std::size_t closed = 0;
+  for (planned_group* group : candidates[*best]) {
+    const std::size_t limit = from_smaller ? max_groups : 1;
+    if (closed == limit || (closed > 0 && obtained >= worst_supplied.size))
+      break;
+    enter_phase(*group, group_phase::closing,
+                "the instances are needed for " + worst_supplied.name);
+    obtained += group->members.size();
+    ++closed;
+  }
 }
 
 } // namespace camphorlug::replicas
--- a/unittests/replicas/replica_planner_test.cpp
+++ b/unittests/replicas/replica_planner_test.cpp
@@ -285,6 +285,35 @@
   BOOST_TEST(world.serving("large") == large);
 }
 
+/// A fabric domain goes dark and members are lost one after the other, while new instances come
+/// up empty. Small groups fit everywhere, so without a correction they take the instances that the
+/// large groups need.
+BOOST_AUTO_TEST_CASE(losses_leave_both_models_equally_supplied) {
+  planner_world world;
+  world.run_for(8s);
+  world.pool.traffic = true;
+  world.needed = {{"large", 65}, {"small", 140}};
+  world.run_for(10s);
+  for (int i = 0; i < 10; ++i)
+    world.pool.kill("i" + std::to_string(i));
+  double utilisation_gap = 0;
+  int samples = 0;
+  for (int loss = 0; loss < 8; ++loss) {
+    world.kill_member(loss % 2 == 0 ? "large" : "small");
+    world.pool.add("n" + std::to_string(loss), "d" + std::to_string(1 + loss % 5));
+    for (int i = 0; i < 30; ++i, ++samples) {
+      world.run_for(100ms);
+      const auto utilisation = [&](const char* model) {
+        const double groups = std::max(static_cast<double>(world.serving(model)), 0.5);
+        return world.needed[model] / groups / static_cast<double>(world.engine.batch_slots);
+      };
+      utilisation_gap += utilisation("large") - utilisation("small");
+    }
+  }
+  BOOST_TEST(utilisation_gap / samples < 0.15);
+  BOOST_TEST(world.pool.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(loads_stay_below_their_rate) {
   planner_world world;
   world.run_for(8s);
