Carry the grace for lapsed entries to every node after a store outage

Cause: with readers that change during an outage, the one that sees the store return may have begun to read just then and does not know of the outage, so it drops all entries that lapsed; and a hub that is no reader passed on the deletions without the grace. Found by a test written for this: outages of 2 s with 22 nodes lost the targets on several nodes.

--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -44,6 +44,9 @@
   /// Sets the function to call when the store responds again after it was reported lost.
   void on_reconnected(std::function<void()> action) { on_reconnected_ = std::move(action); }
 
+  /// Makes the next answer of the store count as its return from an outage.
+  void treat_next_answer_as_reconnection() { expects_reconnection_ = true; }
+
 private:
   support::task<bool> read_snapshot();
   void record_success();
@@ -60,6 +63,7 @@
   std::uint64_t version_ = 0;
   std::optional<support::clock::time_point> answered_at_;
   bool needs_snapshot_ = true;
+  bool expects_reconnection_ = false;
   int failures_ = 0;
 };
 
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -291,6 +291,12 @@
   if (now - *reading_differs_since_ < (wanted ? reader_start_delay : reader_stop_delay))
     return;
   reads_store_ = wanted;
+  // This node may see the store return from an outage that it has not seen itself.
+  const bool others_lost_the_store =
+      std::any_of(fleet_.others().begin(), fleet_.others().end(),
+                  [](const auto& other) { return !other.second.status.reaches_store; });
+  if (reads_store_ && others_lost_the_store)
+    target_follower_.treat_next_answer_as_reconnection();
   support::log_event(support::log_level::info,
                      wanted ? "store_reader_started" : "store_reader_stopped",
                      {{"nodes", std::to_string(live_node_count())}});
@@ -377,9 +383,9 @@
   summary.has_served = requests_.handled() > 0;
   if (const auto answered_at = target_follower_.answered_at())
     summary.store_answer_age = to_milliseconds(context_.time.now() - *answered_at);
-  // Only readers see the store return; the others learn it from them.
+  // Also passed on by nodes that learned it from a reader, since they pass on its rows too.
   if (const auto age = registry_.store_recovery_age();
-      reads_store_ && age && *age < gateway::target_registry::outage_grace_period)
+      age && *age < gateway::target_registry::outage_grace_period)
     summary.store_recovery_age = to_milliseconds(*age);
   return report;
 }
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -4,6 +4,7 @@
 #include "camphorlug/table/store_error.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorlug::table {
 
@@ -26,7 +27,7 @@
       reread_interval_(reread_interval), on_batch_(std::move(on_batch)) {}
 
 void table_follower::record_success() {
-  if (failures_ >= lost_after_failures) {
+  if (std::exchange(expects_reconnection_, false) || failures_ >= lost_after_failures) {
     support::log_event(support::log_level::info, "store_regained",
                        {{"table", table_}, {"version", std::to_string(version_)}});
     if (on_reconnected_)
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -228,6 +228,35 @@
     BOOST_TEST(state(i)["targets"].size() == 2);
 }
 
+/// Entries of live targets lapse while the store is away and come back within two seconds of its
+/// return. Readers change during the outage, so the one that sees the store return may have begun
+/// just then.
+BOOST_DATA_TEST_CASE(lapsed_entries_are_kept_when_the_store_returns,
+                     data::make({1000, 1500, 2000, 2500, 3000, 4000, 5000, 7000, 9000}),
+                     outage_ms) {
+  fakes::edge_cluster world(22);
+  world.set_config(1);
+  world.add_target("t1");
+  world.run_for(3s);
+  for (std::size_t i = 0; i < 22; ++i)
+    world.cut_store(i, true);
+  world.run_for(std::chrono::milliseconds(outage_ms));
+  world.tables.remove("targets", "t1");
+  for (std::size_t i = 0; i < 22; ++i)
+    world.cut_store(i, false);
+  for (int step = 0; step < 12; ++step) {
+    world.run_for(50ms);
+    const auto index = static_cast<std::size_t>(step);
+    BOOST_TEST(world.state(index)["targets"].size() == 1, "after " << step << " steps");
+    BOOST_TEST(world.state(21 - index)["targets"].size() == 1, "after " << step << " steps");
+    world.run_for(50ms);
+  }
+  world.add_target("t1");
+  world.run_for(2s);
+  for (std::size_t i = 0; i < 22; ++i)
+    BOOST_TEST(world.state(i)["targets"].size() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(requests_succeed_while_the_store_is_unreachable, small_edge) {
   for (std::size_t i = 0; i < 4; ++i)
     cut_store(i, true);
