--- a/include/camphorlug/gateway/fleet_roles.h
+++ b/include/camphorlug/gateway/fleet_roles.h
@@ -30,6 +30,9 @@
   /// Ids of the hubs that compete for the planner lease.
   std::vector<std::string> planners;
 
+  /// Whether all of `nodes` live nodes are hubs and exchange their state directly.
+  static constexpr bool is_full_mesh(std::size_t nodes) { return nodes <= max_mesh_size; }
+
   bool is_hub(const std::string& id) const;
   bool is_reader(const std::string& id) const;
   bool is_planner(const std::string& id) const;
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -33,11 +33,10 @@
   /// Time since the store answered again after an outage; nullopt if it had none.
   std::optional<std::chrono::milliseconds> store_recovery_age;
 
-  void add(const fleet_summary& other);
-  /// Adds everything but the loads. `elapsed` is the time since `other` was received, by which
-  /// its ages have grown.
-  void add_without_loads(const fleet_summary& other,
-                         std::chrono::nanoseconds elapsed = std::chrono::nanoseconds(0));
+  /// Adds `other`, which was received `elapsed` ago, so that its ages have grown by that.
+  void add(const fleet_summary& other, std::chrono::nanoseconds elapsed);
+  /// Adds everything but the loads.
+  void add_without_loads(const fleet_summary& other, std::chrono::nanoseconds elapsed);
 };
 
 void to_json(nlohmann::json& value, const fleet_summary& summary);
--- a/include/camphorlug/gateway/fleet_view.h
+++ b/include/camphorlug/gateway/fleet_view.h
@@ -108,6 +108,8 @@
   fleet_section own_section() const;
   fleet_section to_section(const std::string& owner, const known_section& known) const;
   fleet_summary own_section_summary() const;
+  /// Adds what attached nodes, except `left_out`, and other sections reported, without loads.
+  void add_known_summaries(fleet_summary& sum, const std::string& left_out) const;
   void store_section(const fleet_section& section);
   void follow_hub(bool follows);
   void offer_member(const node_status& status, support::clock::time_point heard_at,
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -179,7 +179,7 @@
   fleet_message message = make_message();
   view_.complete_hub_message(id, contacts_[address].held, message);
   const std::optional<fleet_message> reply = co_await send(address, std::move(message));
-  const bool is_full_mesh = view_.others().size() < fleet_roles::max_mesh_size;
+  const bool is_full_mesh = fleet_roles::is_full_mesh(view_.others().size() + 1);
   record_result(address, reply.has_value(), is_full_mesh ? mesh_interval : hub_interval);
   if (!reply)
     co_return;
--- a/lib/gateway/fleet_roles.cpp
+++ b/lib/gateway/fleet_roles.cpp
@@ -19,7 +19,7 @@
 }
 
 static std::vector<const node_status*> choose_hubs(const std::vector<const node_status*>& members) {
-  if (members.size() <= fleet_roles::max_mesh_size)
+  if (fleet_roles::is_full_mesh(members.size()))
     return members;
   std::map<std::string, std::vector<const node_status*>> data_centres;
   for (const node_status* each : members)
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -17,10 +17,10 @@
     age = grown;
 }
 
-void fleet_summary::add(const fleet_summary& other) {
+void fleet_summary::add(const fleet_summary& other, std::chrono::nanoseconds elapsed) {
   for (const auto& [target, count] : other.loads)
     loads[target] += count;
-  add_without_loads(other);
+  add_without_loads(other, elapsed);
 }
 
 void fleet_summary::add_without_loads(const fleet_summary& other,
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -67,7 +67,7 @@
 
 void fleet_view::apply_suspicions() {
   const std::size_t required =
-      others_.size() < fleet_roles::max_mesh_size ? 1 : confirming_nodes_in_large_fleet;
+      fleet_roles::is_full_mesh(others_.size() + 1) ? 1 : confirming_nodes_in_large_fleet;
   for (const auto& [target, nodes] : others_summary().suspects) {
     if (nodes >= required)
       suspicions_.add_peer_suspicion(target);
@@ -119,11 +119,8 @@
 
 fleet_summary fleet_view::own_section_summary() const {
   fleet_summary sum = own_summary_;
-  for (const auto& [id, each] : attached_) {
-    sum.add_without_loads(each.summary, time_.now() - each.heard_at);
-    for (const auto& [target, count] : each.summary.loads)
-      sum.loads[target] += count;
-  }
+  for (const auto& [id, each] : attached_)
+    sum.add(each.summary, time_.now() - each.heard_at);
   return sum;
 }
 
@@ -141,12 +138,7 @@
       reply.sections.push_back(to_section(owner, each));
   }
   reply.summary = own_summary_;
-  for (const auto& [id, each] : attached_) {
-    if (id != request.sender.id)
-      reply.summary.add_without_loads(each.summary, time_.now() - each.heard_at);
-  }
-  for (const auto& [owner, each] : sections_)
-    reply.summary.add_without_loads(each.summary, time_.now() - each.heard_at);
+  add_known_summaries(reply.summary, request.sender.id);
   reply.summary.loads = loads_.sums_without(request.sender.id);
 }
 
@@ -279,18 +271,23 @@
 }
 
 fleet_summary fleet_view::others_summary() const {
+  fleet_summary sum;
   if (follows_hub_) {
-    fleet_summary sum;
     if (!sections_.empty())
       sum.add_without_loads(hub_summary_, time_.now() - hub_heard_at_);
     return sum;
   }
-  fleet_summary sum;
-  for (const auto& [id, each] : attached_)
-    sum.add_without_loads(each.summary, time_.now() - each.heard_at);
+  add_known_summaries(sum, "");
+  return sum;
+}
+
+void fleet_view::add_known_summaries(fleet_summary& sum, const std::string& left_out) const {
+  for (const auto& [id, each] : attached_) {
+    if (id != left_out)
+      sum.add_without_loads(each.summary, time_.now() - each.heard_at);
+  }
   for (const auto& [owner, each] : sections_)
     sum.add_without_loads(each.summary, time_.now() - each.heard_at);
-  return sum;
 }
 
 bool fleet_view::leader_heard_within(std::chrono::nanoseconds max_age) const {
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/gateway/target_chooser.h"
 
+#include "camphorlug/gateway/fleet_roles.h"
+
 #include <algorithm>
 
 namespace camphorlug::gateway {
@@ -19,9 +21,7 @@
 /// Number of random targets from the local data centre, and the same number from all. The least
 /// loaded of these is nearly as good as the least loaded of thousands.
 static constexpr int samples_per_scope = 6;
-/// With more nodes than this, loads are summed up over hubs and are several hundred milliseconds
-/// old, so that fewer targets are compared.
-static constexpr std::size_t max_nodes_with_fresh_loads = 12;
+/// The same number when loads are summed up over hubs and are several hundred milliseconds old.
 static constexpr int samples_per_scope_with_old_loads = 2;
 
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
@@ -92,7 +92,7 @@
 target_chooser::selection target_chooser::sample(const pool_view& view,
                                                  const std::set<std::string>& avoided) {
   selection chosen;
-  const bool has_old_loads = node_count_ > max_nodes_with_fresh_loads;
+  const bool has_old_loads = !fleet_roles::is_full_mesh(node_count_);
   if (view.candidates.empty() || (!has_old_loads && view.candidates.size() <= max_scanned_pool))
     return chosen;
   const int samples = has_old_loads ? samples_per_scope_with_old_loads : samples_per_scope;
--- a/lib/table/row_mirror.cpp
+++ b/lib/table/row_mirror.cpp
@@ -49,12 +49,12 @@
 }
 
 feed_batch row_mirror::changes(std::uint64_t since) const {
+  if (since < newest_dropped_tombstone_)
+    return snapshot();
   feed_batch batch;
   batch.version = version_;
-  batch.history_truncated = since < newest_dropped_tombstone_;
   for (const auto& [key, row] : rows_) {
-    const bool included = batch.history_truncated ? !row.deleted : row.version > since;
-    if (included)
+    if (row.version > since)
       batch.rows.push_back(row);
   }
   return batch;
