Move the decision to read the store out of edge_node

edge_node held four members and a function that decide when this node reads the tables of the store, beside its I/O. They are store_reader_duty now, with the delays that belong to it; edge_node asks it and acts.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/row_decoder.h"
+#include "camphorlug/edge/store_reader_duty.h"
 #include "camphorlug/edge/table_names.h"
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/fleet_exchange.h"
@@ -73,7 +74,7 @@
   void apply_peer_message(const gateway::fleet_message& message);
   /// Whether this node competes for the planner lease.
   bool may_plan();
-  /// Decides whether this node reads the tables of the store itself.
+  /// Starts or stops reading the tables of the store itself.
   void update_reading();
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
@@ -105,13 +106,7 @@
   bool fetching_config_ = false;
   bool fetching_target_rows_ = false;
   /// Whether this node reads the tables of the store itself; otherwise peers relay them.
-  bool reads_store_ = false;
-  /// Since when this node has had another duty to read than `reads_store_` says.
-  std::optional<support::clock::time_point> reading_differs_since_;
-  /// Since when this node has known no other one.
-  std::optional<support::clock::time_point> alone_since_;
-  /// Random part of the time after which a node that knows no other one reads the store.
-  std::chrono::nanoseconds isolation_jitter_;
+  store_reader_duty reading_;
   /// Since when a peer has had newer target rows while the store does not answer this node.
   std::optional<support::clock::time_point> behind_peers_since_;
   /// When this node first saw that it or a peer had handled a request.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -39,15 +39,6 @@
 /// store's answer and a peer's status that reports the same change race with each other.
 static constexpr std::chrono::milliseconds peer_fetch_delay{200};
 static constexpr std::chrono::milliseconds target_rows_fetch_timeout{500};
-/// A node that knows no other one for this long reads the store itself.
-static constexpr std::chrono::milliseconds isolation_time{1500};
-/// Spreads the reads of many isolated nodes.
-static constexpr std::chrono::milliseconds max_isolation_jitter{800};
-/// A node begins to read the store when it has had the duty for this long; while nodes still
-/// discover each other, many of them believe to have it.
-static constexpr std::chrono::milliseconds reader_start_delay{300};
-/// Longer than the start of another reader takes.
-static constexpr std::chrono::milliseconds reader_stop_delay{1500};
 /// Some callers cache a response of the directory of entry points for this many times its validity.
 static constexpr int max_entry_reuse_factor = 3;
 /// Time until all peers have learned that this node is shutting down.
@@ -56,10 +47,8 @@
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
       incarnation_(support::make_incarnation(context_.time)),
-      isolation_jitter_(std::chrono::duration_cast<std::chrono::nanoseconds>(
-          max_isolation_jitter * context_.random.uniform_real())),
-      config_(context_.time), registry_(context_.time), groups_(registry_, config_),
-      loads_(context_.time), suspicions_(context_.time),
+      reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
+      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
@@ -96,7 +85,7 @@
   registry_.add_listener([this] { slot_queue_.assign_free_slots(); });
   target_follower_.on_reconnected([this] { registry_.mark_store_recovered(); });
   for (table::table_follower* each : {&config_follower_, &target_follower_, &own_follower_})
-    each->set_gate([this] { return reads_store_; });
+    each->set_gate([this] { return reading_.is_active(); });
   exchange_.on_message(
       [this](const gateway::fleet_message& message) { apply_peer_message(message); });
 }
@@ -171,7 +160,7 @@
 support::task<> edge_node::register_self() {
   for (;;) {
     co_await context_.time.sleep_for(registration_retry_interval);
-    if (!reads_store_)
+    if (!reading_.is_active())
       continue;
     table::transaction change;
     const nlohmann::json value{{"peer_address", settings_.peer_address}};
@@ -244,7 +233,7 @@
 /// not answer: groups change meanwhile, and a node that missed a change would send requests to
 /// instances that are no longer the head of a group (the member that receives its requests).
 bool edge_node::needs_rows_of_peers() {
-  if (!reads_store_)
+  if (!reading_.is_active())
     return true;
   if (store_answered_recently()) {
     behind_peers_since_.reset();
@@ -268,37 +257,20 @@
 }
 
 bool edge_node::may_plan() {
-  return fleet_.others().empty() ? reads_store_ : fleet_.roles().is_planner(settings_.id);
+  return fleet_.others().empty() ? reading_.is_active() : fleet_.roles().is_planner(settings_.id);
 }
 
 void edge_node::update_reading() {
-  const auto now = context_.time.now();
-  bool wanted = false;
-  if (fleet_.others().empty()) {
-    if (!alone_since_)
-      alone_since_ = now;
-    wanted = now - *alone_since_ >= isolation_time + isolation_jitter_;
-  } else {
-    alone_since_.reset();
-    wanted = fleet_.roles().is_reader(settings_.id);
-  }
-  if (wanted == reads_store_) {
-    reading_differs_since_.reset();
-    return;
-  }
-  if (!reading_differs_since_)
-    reading_differs_since_ = now;
-  if (now - *reading_differs_since_ < (wanted ? reader_start_delay : reader_stop_delay))
+  if (!reading_.update(fleet_.others().empty(), fleet_.roles().is_reader(settings_.id)))
     return;
-  reads_store_ = wanted;
   // This node may see the store return from an outage that it has not seen itself.
   const bool others_lost_the_store =
       std::any_of(fleet_.others().begin(), fleet_.others().end(),
                   [](const auto& other) { return !other.second.status.reaches_store; });
-  if (reads_store_ && others_lost_the_store)
+  if (reading_.is_active() && others_lost_the_store)
     target_follower_.treat_next_answer_as_reconnection();
   support::log_event(support::log_level::info,
-                     wanted ? "store_reader_started" : "store_reader_stopped",
+                     reading_.is_active() ? "store_reader_started" : "store_reader_stopped",
                      {{"nodes", std::to_string(live_node_count())}});
 }
 
