Log why a request ends unanswered and what the end of a process cuts

No change of behaviour.

A request without an answer now logs why no further target was tried; a target that stood still and writes again is logged; the end of the process names each unfinished request and counts the responses that were not written.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -64,6 +64,9 @@
   /// should have switched to other nodes or half of the termination grace period is over.
   support::task<> leave();
 
+  /// Logs each caller's request that has no complete response yet.
+  void log_unfinished_requests() const { requests_.log_unfinished_requests(); }
+
   std::string metrics();
 
 private:
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <type_traits>
 
 namespace camphorlug::gateway {
@@ -23,6 +24,9 @@
 
   support::task<> run();
 
+  /// Logs the request's state when the process ends before the request does.
+  void log_unfinished() const;
+
 private:
   /// Result of sending the request to one target.
   enum class attempt_result {
@@ -55,6 +59,8 @@
   support::task<std::optional<slot_guard>> wait_for_slot();
   support::clock::time_point slot_deadline() const;
   bool may_retry(attempt_result last);
+  /// Records why no further target is tried. Returns false.
+  bool give_up(std::string_view reason);
   void send_refusal(std::string reason, std::chrono::nanoseconds expected_wait);
   void finish_failed_request(attempt_result last);
   void send_local_response(int status, std::string_view reason,
@@ -95,6 +101,8 @@
   std::string target_failure_body_;
   /// Tried targets and their faults, each as ` ID (REASON)`; parsed by diagnosis/sending_trail.
   std::string attempt_trail_;
+  /// Why no further target was tried; empty while the request may still be answered.
+  std::string give_up_reason_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -7,9 +7,12 @@
 
 #include <chrono>
 #include <functional>
+#include <set>
 
 namespace camphorlug::gateway {
 
+class request_forwarder;
+
 /// Finds the route of each request, checks its key and limits, and forwards it.
 class request_gateway {
 public:
@@ -18,6 +21,9 @@
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
+  /// Logs each request in progress; called when the process ends before they do.
+  void log_unfinished_requests() const;
+
   /// Number of requests handled since the process started.
   std::uint64_t handled() const { return handled_; }
 
@@ -28,6 +34,7 @@
   gateway_environment env_;
   std::function<shutdown_phase()> phase_;
   std::uint64_t handled_ = 0;
+  std::set<const request_forwarder*> in_progress_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/stall_detector.h
+++ b/include/camphorlug/gateway/stall_detector.h
@@ -60,9 +60,15 @@
     support::clock::time_point last_progress;
   };
 
+  struct stall {
+    support::clock::time_point detected_at;
+    /// The target has written to a stream since.
+    bool resumed = false;
+  };
+
   support::clock& time_;
   std::map<std::string, activity> targets_;
-  std::map<std::string, support::clock::time_point> stalled_;
+  std::map<std::string, stall> stalled_;
   support::clock::time_point checked_at_;
 };
 
--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -36,6 +36,9 @@
   /// Returns the number of requests whose handler has not returned.
   std::size_t in_progress() const;
 
+  /// Returns the number of responses that are complete but not yet written to their connections.
+  std::size_t unwritten_responses() const;
+
 private:
   struct implementation;
   std::shared_ptr<implementation> implementation_;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -81,6 +81,7 @@
     if (caller_gone_)
       break;
     if (!slot) {
+      give_up("no other target had a free slot in time");
       if (attempts_ > 0)
         finish_failed_request(last);
       else
@@ -125,11 +126,15 @@
 
 bool request_forwarder::may_retry(attempt_result last) {
   const bool repeatable = route_->repeatable() || last == attempt_result::not_run;
-  if (!repeatable || attempts_ >= route_->attempts || remaining_time() < min_remaining_time)
-    return false;
+  if (!repeatable)
+    return give_up("the request may not run again");
+  if (attempts_ >= route_->attempts)
+    return give_up("the route allows no further attempt");
+  if (remaining_time() < min_remaining_time)
+    return give_up("the time limit has passed");
   if (!env_.retries.try_acquire(service_)) {
     attempt_trail_ += " no-retries-left";
-    return false;
+    return give_up("the retry limit is reached");
   }
   env_.metrics.count_retry(last == attempt_result::not_run  ? "not_run"
                            : last == attempt_result::failed ? "failed"
@@ -137,6 +142,11 @@
   return true;
 }
 
+bool request_forwarder::give_up(std::string_view reason) {
+  give_up_reason_ = reason;
+  return false;
+}
+
 /// Decides whether a timed-out attempt stays at its target. It is abandoned only if a retry is
 /// likely to be faster. Waiting is faster if the target still writes to other streams, if no other
 /// target has a free slot, or if no retry is left. Under overload, each retry would also add load.
@@ -378,6 +388,17 @@
   record_outcome("unknown", deadline_passed ? "time limit" : "no complete response");
 }
 
+void request_forwarder::log_unfinished() const {
+  support::log_event(support::log_level::warning, "request_unfinished",
+                     {{"request", request_.id},
+                      {"route", route_->name},
+                      {"state", current_exchange_ ? "waits for its target" : "waits for a slot"},
+                      {"events", std::to_string(events_sent_)},
+                      {"targets", attempt_trail_},
+                      {"age_ms", std::to_string((env_.time.now() - arrived_at_) / milliseconds(1))},
+                      {"left_ms", std::to_string(remaining_time() / milliseconds(1))}});
+}
+
 void request_forwarder::record_outcome(std::string outcome, std::string detail) {
   const auto now = env_.time.now();
   const auto first_byte = first_byte_at_.value_or(now) - arrived_at_;
@@ -391,6 +412,7 @@
                       {"outcome", outcome},
                       {"detail", detail},
                       {"targets", attempt_trail_},
+                      {"reason", outcome == "answered" ? "" : give_up_reason_},
                       {"config", std::to_string(env_.config.current()->version)},
                       {"entries", std::to_string(env_.registry.newest_version())},
                       {"first_ms", std::to_string(first_byte / milliseconds(1))},
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -11,6 +11,26 @@
 /// The caller can retry at another node at once.
 static constexpr std::chrono::milliseconds other_node_retry_after{50};
 
+namespace {
+
+/// Lists a forwarder while it runs.
+class in_progress_entry {
+public:
+  in_progress_entry(std::set<const request_forwarder*>& all, const request_forwarder& forwarder)
+      : all_(all), forwarder_(forwarder) {
+    all_.insert(&forwarder_);
+  }
+  ~in_progress_entry() { all_.erase(&forwarder_); }
+  in_progress_entry(const in_progress_entry&) = delete;
+  in_progress_entry& operator=(const in_progress_entry&) = delete;
+
+private:
+  std::set<const request_forwarder*>& all_;
+  const request_forwarder& forwarder_;
+};
+
+} // namespace
+
 void request_gateway::reject(const caller_request& request, net::response_writer& writer,
                              int status, std::string_view reason,
                              std::chrono::milliseconds retry_after) {
@@ -71,7 +91,13 @@
   }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
                               priority, phase_() != shutdown_phase::none);
+  const in_progress_entry entry(in_progress_, forwarder);
   co_await forwarder.run();
 }
 
+void request_gateway::log_unfinished_requests() const {
+  for (const request_forwarder* each : in_progress_)
+    each->log_unfinished();
+}
+
 } // namespace camphorlug::gateway
--- a/lib/gateway/stall_detector.cpp
+++ b/lib/gateway/stall_detector.cpp
@@ -1,11 +1,16 @@
 #include "camphorlug/gateway/stall_detector.h"
 
+#include "camphorlug/support/log.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace camphorlug::gateway {
 
 /// How long a stall is reported by `recent_stalls`.
 static constexpr std::chrono::milliseconds report_duration{1000};
+/// How long the resumption of a stalled target is waited for, to be logged.
+static constexpr std::chrono::milliseconds resumption_wait{10'000};
 
 stall_detector::stream::stream(stall_detector& detector, std::string target,
                                std::function<void()> on_stall)
@@ -22,7 +27,15 @@
 
 void stall_detector::stream::progress() {
   has_written_ = true;
-  detector_.targets_[target_].last_progress = detector_.time_.now();
+  const auto now = detector_.time_.now();
+  detector_.targets_[target_].last_progress = now;
+  const auto found = detector_.stalled_.find(target_);
+  if (found == detector_.stalled_.end() || std::exchange(found->second.resumed, true))
+    return;
+  const auto silence = now - found->second.detected_at + stall_timeout;
+  support::log_event(
+      support::log_level::info, "target_resumed",
+      {{"target", target_}, {"silent_ms", std::to_string(silence / std::chrono::milliseconds(1))}});
 }
 
 std::vector<std::string> stall_detector::check() {
@@ -41,10 +54,13 @@
     // The streams move to other targets. Later streams start with a full timeout.
     state.last_progress = now;
     stalled.push_back(target);
-    stalled_[target] = now;
+    stalled_[target] = {now, false};
     for (const stream* each : state.streams)
       actions.push_back(each->on_stall_);
   }
+  std::erase_if(stalled_, [now](const auto& entry) {
+    return now - entry.second.detected_at > resumption_wait;
+  });
   for (const auto& action : actions)
     action();
   return stalled;
@@ -61,8 +77,8 @@
 
 std::vector<std::string> stall_detector::recent_stalls() const {
   std::vector<std::string> targets;
-  for (const auto& [target, when] : stalled_) {
-    if (time_.now() - when < report_duration)
+  for (const auto& [target, known] : stalled_) {
+    if (time_.now() - known.detected_at < report_duration)
       targets.push_back(target);
   }
   return targets;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -90,9 +90,12 @@
 
 class restinio_writer final : public response_writer {
 public:
+  /// `unwritten` counts the completed responses whose last bytes have not been written.
   restinio_writer(restinio::request_handle_t request,
-                  std::shared_ptr<disconnect_callbacks> callbacks)
-      : request_(std::move(request)), disconnect_callbacks_(std::move(callbacks)) {}
+                  std::shared_ptr<disconnect_callbacks> callbacks,
+                  std::shared_ptr<std::size_t> unwritten)
+      : request_(std::move(request)), disconnect_callbacks_(std::move(callbacks)),
+        unwritten_(std::move(unwritten)) {}
 
   ~restinio_writer() override {
     if (callback_id_)
@@ -104,7 +107,7 @@
     auto response = request_->create_response(status_line(status));
     add_headers(response, headers);
     response.set_body(std::move(body));
-    response.done();
+    response.done(count_until_written());
   }
 
   void start(int status, header_list headers) override {
@@ -132,7 +135,7 @@
     co_return written;
   }
 
-  void finish() override { chunks_->done(); }
+  void finish() override { chunks_->done(count_until_written()); }
 
   void abort() override {
     using connection_type = restinio::impl::connection_t<server_traits>;
@@ -158,6 +161,13 @@
   bool started() const override { return started_; }
 
 private:
+  /// RESTinio calls the result once: when the response has been written, or when its connection
+  /// was closed before.
+  restinio::write_status_cb_t count_until_written() {
+    ++*unwritten_;
+    return [unwritten = unwritten_](const asio::error_code&) { --*unwritten; };
+  }
+
   static restinio::http_status_line_t status_line(int status) {
     return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
             reason_phrase(status)};
@@ -171,6 +181,7 @@
 
   restinio::request_handle_t request_;
   std::shared_ptr<disconnect_callbacks> disconnect_callbacks_;
+  std::shared_ptr<std::size_t> unwritten_;
   std::optional<chunked_builder> chunks_;
   /// Keeps the connection for `abort`, because the response builder moves it out of the
   /// request.
@@ -218,6 +229,7 @@
   std::shared_ptr<disconnect_callbacks> callbacks = std::make_shared<disconnect_callbacks>();
   std::unique_ptr<server_type> server;
   std::size_t in_progress = 0;
+  std::shared_ptr<std::size_t> unwritten_responses = std::make_shared<std::size_t>(0);
   bool accepting = true;
 
   implementation(asio::io_context& io, request_handler handle, server_limits bounds)
@@ -226,7 +238,7 @@
   static support::task<> handle_request(std::shared_ptr<implementation> self,
                                         restinio::request_handle_t handle) {
     ++self->in_progress;
-    restinio_writer writer(handle, self->callbacks);
+    restinio_writer writer(handle, self->callbacks, self->unwritten_responses);
     server_request request = to_server_request(handle);
     std::exception_ptr failure;
     try {
@@ -308,4 +320,8 @@
   return implementation_->in_progress;
 }
 
+std::size_t http_server::unwritten_responses() const {
+  return *implementation_->unwritten_responses;
+}
+
 } // namespace camphorlug::net
