Add failing tests of silent targets, slow readers and failed handlers

A silence of 1.2 s of sound targets ends streams and idempotent requests that would have been answered; the end of a process discards responses that its kernel has not taken; a handler that fails after its response began leaves the connection open.

--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import os
+import socket
 import subprocess
 import threading
 import time
@@ -175,6 +176,30 @@
         finally:
             connection.close()
 
+    def open_slow_reader(self, path, gateway=0):
+        """Sends a request on a connection with a small receive buffer and reads nothing."""
+        host, port = self.gateways[gateway].addresses["http"].split(":")
+        reader = socket.socket()
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        reader.settimeout(10)
+        reader.connect((host, int(port)))
+        reader.sendall(f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+                       f"X-Deadline-Ms: 6000\r\nX-Request-Id: {self.next_id()}\r\n"
+                       "Content-Length: 1\r\n\r\nx".encode())
+        return reader
+
+    @staticmethod
+    def read_all(reader, size):
+        """Reads until `size` bytes or the end; returns the number of bytes."""
+        received = 0
+        with reader:
+            while received < size:
+                data = reader.recv(1 << 20)
+                if not data:
+                    break
+                received += len(data)
+        return received
+
     def directory(self, gateway=0, zone="east"):
         response = get(self.gateways[gateway].addresses["directory"],
                        f"/api/resolve?name={HOST}&region=r&zone={zone}")
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -187,6 +187,59 @@
             self.assertEqual(cluster.call("/read/x", index).status, 200)
 
 
+class SilenceTests(PlatformTest):
+    """Sound targets that fall silent for about a second and go on."""
+
+    SILENCE_S = 1.2
+
+    def call_in_threads(self, count, **arguments):
+        responses = [None] * count
+
+        def run(index):
+            responses[index] = cluster.call("/chat/x", index % 3, **arguments)
+
+        threads = [threading.Thread(target=run, args=(index,)) for index in range(count)]
+        for thread in threads:
+            thread.start()
+        return threads, responses
+
+    @staticmethod
+    def open_heads(model):
+        return [runner for runner in cluster.standins.runners.values()
+                if runner.model == model and runner.group and runner.group["rank"] == 0
+                and runner.group["state"] == "open"]
+
+    def check_streams_with_silent_heads(self, model):
+        threads, responses = self.call_in_threads(9, events=100, model=model)
+        # All heads of the model, so that no stream finds a target that writes. As often as a
+        # route allows attempts, so that a stream that moves at each silence runs out of them.
+        for _ in range(3):
+            time.sleep(0.4)
+            for head in self.open_heads(model):
+                head.pause_streams(self.SILENCE_S)
+            time.sleep(self.SILENCE_S)
+        for thread in threads:
+            thread.join()
+        for response in responses:
+            self.assertEqual((response.status, response.whole), (200, True))
+            self.assertEqual(response.event_ids(), list(range(1, 101)))
+
+    def test_streams_go_on_after_silences_of_all_heads(self):
+        self.check_streams_with_silent_heads("large")
+
+    def test_streams_go_on_after_silences_of_all_single_targets(self):
+        self.check_streams_with_silent_heads("small")
+
+    def test_first_events_arrive_after_a_silence_of_all_heads(self):
+        for head in self.open_heads("large"):
+            head.pause_streams(self.SILENCE_S)
+        threads, responses = self.call_in_threads(6, events=20, model="large")
+        for thread in threads:
+            thread.join()
+        for response in responses:
+            self.assertEqual((response.status, response.whole), (200, True))
+
+
 class LeavingTests(PlatformTest):
     def test_leaving_node_loses_no_request(self):
         callers = BackgroundCallers(cluster)
@@ -201,6 +254,23 @@
         self.assertEqual(callers.errors, [])
         self.assertEqual(set(callers.statuses), {200})
 
+    def test_leaving_node_writes_its_responses_to_slow_readers(self):
+        size = 16_000_000
+        shops = [r for r in cluster.standins.runners.values() if r.service == "shop"]
+        for runner in shops:
+            runner.answer_bytes = size
+        gateway = cluster.gateways[0]
+        readers = [cluster.open_slow_reader("/read/x") for _ in range(3)]
+        time.sleep(0.5)
+        gateway.signal(signal.SIGTERM)
+        # Within the grace period, and after the node has stopped to take requests.
+        time.sleep(3.5)
+        for reader in readers:
+            self.assertGreaterEqual(cluster.read_all(reader, size), size)
+        self.assertEqual(gateway.process.wait(15), 0)
+        for runner in shops:
+            runner.answer_bytes = 0
+
     @staticmethod
     def directory_after_delay():
         time.sleep(0.3)
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -184,6 +184,8 @@
         self.alive = True
         self.silent = False
         self.lose_answers = 0
+        self.paused_until = 0
+        self.answer_bytes = 0
         self.draining = False
         self.fence = 0
         self.seq = 0
@@ -296,7 +298,8 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return False
-        return connection.send(200, request.headers["x-request-id"].encode(), response_headers)
+        body = b"y" * self.answer_bytes or request.headers["x-request-id"].encode()
+        return connection.send(200, body, response_headers)
 
     async def stream(self, request, connection, response_headers):
         connection.start({**response_headers, "Content-Type": "text/event-stream"})
@@ -304,7 +307,8 @@
         last = int(request.headers.get("x-token-counts", "1,20").split(",")[1])
         for number in range(first, last + 1):
             # A group makes progress only while all of its members do.
-            while not self.standins.group_makes_progress(self):
+            while (time.monotonic() < self.paused_until
+                   or not self.standins.group_makes_progress(self)):
                 await asyncio.sleep(EVENT_S)
             if connection.disconnected:
                 self.standins.disconnects[request.headers["x-request-id"]] = number
@@ -315,6 +319,10 @@
         await connection.chunk(b"")
         return True
 
+    def pause_streams(self, seconds):
+        """Writes nothing to any stream for a while, and then goes on."""
+        self.paused_until = time.monotonic() + seconds
+
     def kill(self):
         self.alive = False
         self.server.close()
--- a/unittests/fakes/scripted_client.cpp
+++ b/unittests/fakes/scripted_client.cpp
@@ -45,6 +45,14 @@
       ended_ = true;
       co_return std::nullopt;
     }
+    if (const auto silence = answer_.silences.find(next_); silence != answer_.silences.end()) {
+      co_await pass(std::min<std::chrono::nanoseconds>(silence->second, timeout));
+      if (silence->second > timeout) {
+        silence->second -= std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+        throw transport_error(request_progress::may_have_been_read, true, "late");
+      }
+      answer_.silences.erase(silence);
+    }
     co_await pass(answer_.delay);
     co_return answer_.pieces[next_++];
   }
--- a/unittests/fakes/scripted_client.h
+++ b/unittests/fakes/scripted_client.h
@@ -34,6 +34,8 @@
   std::chrono::milliseconds delay{1};
   /// Time until each piece arrives; `delay` if not set.
   std::optional<std::chrono::milliseconds> pause;
+  /// Additional time before the piece with the given index arrives.
+  std::map<std::size_t, std::chrono::milliseconds> silences;
 };
 
 /// A client whose targets return scripted answers. Each address uses its answers in the order of
--- a/unittests/net/server_test.cpp
+++ b/unittests/net/server_test.cpp
@@ -161,3 +161,52 @@
   BOOST_TEST(fixture.run_until([&] { return disconnected; }));
   fixture.run_until([&] { return server.in_progress() == 0; });
 }
+
+BOOST_AUTO_TEST_CASE(request_is_in_progress_until_its_response_is_written) {
+  server_fixture fixture;
+  bool handled = false;
+  // More than the socket buffers of both ends hold.
+  const std::size_t body_size = 32 * 1024 * 1024;
+  net::http_server server(
+      fixture.context, address,
+      [&](net::server_request, net::response_writer& writer) -> support::task<> {
+        writer.send(200, {}, std::string(body_size, 'x'));
+        handled = true;
+        co_return;
+      });
+  asio::ip::tcp::socket client_socket(fixture.context);
+  client_socket.connect({asio::ip::make_address("127.0.0.1"), 28998});
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(client_socket, asio::buffer(request));
+  BOOST_REQUIRE(fixture.run_until([&] { return handled; }));
+  BOOST_TEST(server.in_progress() == 1);
+  std::size_t received = 0;
+  std::vector<char> buffer(256 * 1024);
+  std::function<void()> read_on = [&] {
+    client_socket.async_read_some(asio::buffer(buffer), [&](const auto& error, std::size_t size) {
+      received += size;
+      if (!error)
+        read_on();
+    });
+  };
+  read_on();
+  BOOST_TEST(fixture.run_until([&] { return server.in_progress() == 0; }));
+  BOOST_TEST(fixture.run_until([&] { return received > body_size; }));
+}
+
+BOOST_AUTO_TEST_CASE(failure_of_a_handler_after_the_response_began_ends_the_response) {
+  server_fixture fixture;
+  net::http_server server(fixture.context, address,
+                          [](net::server_request, net::response_writer& writer) -> support::task<> {
+                            writer.start(200, {});
+                            co_await writer.write("chunk");
+                            throw std::runtime_error("a failure of the handler");
+                          });
+  std::string outcome;
+  support::spawn(fixture.context.get_executor(), "read", read_all(fixture.client, outcome));
+  const auto started_at = std::chrono::steady_clock::now();
+  BOOST_REQUIRE(fixture.run_until([&] { return !outcome.empty(); }));
+  BOOST_TEST(outcome == "incomplete");
+  // The client's own time limit of 5 s must not be needed.
+  BOOST_TEST((std::chrono::steady_clock::now() - started_at < 4s));
+}
