Count a response as done when it is written, and end it when its handler fails

Cause: http_server counted a request as done when its handler returned, while RESTinio still held the bytes; the process ended and discarded them. A handler that failed after its response had begun left the connection open, so the caller got neither an answer nor a refusal.

Change: a request is in progress until RESTinio reports the last write; such a failure resets the connection. response_writer::written tells handlers.

--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -33,10 +33,11 @@
   /// Stops accepting connections. Requests in progress are completed.
   void stop_accepting();
 
-  /// Returns the number of requests whose handler has not returned.
+  /// Returns the number of requests whose response is not complete or not yet written to its
+  /// connection.
   std::size_t in_progress() const;
 
-  /// Returns the number of responses that are complete but not yet written to their connections.
+  /// Returns how many of these responses are complete but not yet written.
   std::size_t unwritten_responses() const;
 
 private:
--- a/include/camphorlug/net/response_writer.h
+++ b/include/camphorlug/net/response_writer.h
@@ -30,6 +30,10 @@
   /// Completes a response begun by `start`.
   virtual void finish() = 0;
 
+  /// Returns when the response completed by `send` or `finish` has been written to the connection.
+  /// Returns false when the connection closed before.
+  virtual support::task<bool> written() = 0;
+
   /// Resets the connection, so that the client cannot mistake the response for a complete one.
   virtual void abort() = 0;
 
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <netinet/tcp.h>
 #include <restinio/all.hpp>
+#include <utility>
 #include <vector>
 
 namespace camphorlug::net {
@@ -88,6 +89,15 @@
   }
 }
 
+/// Whether a complete response has been written to its connection.
+struct write_progress {
+  /// The response is complete, and RESTinio has not yet reported the end of its writing.
+  bool pending = false;
+  bool written = false;
+  /// Called when the writing has ended.
+  std::function<void()> on_end;
+};
+
 class restinio_writer final : public response_writer {
 public:
   /// `unwritten` counts the completed responses whose last bytes have not been written.
@@ -107,7 +117,7 @@
     auto response = request_->create_response(status_line(status));
     add_headers(response, headers);
     response.set_body(std::move(body));
-    response.done(count_until_written());
+    response.done(begin_last_write());
   }
 
   void start(int status, header_list headers) override {
@@ -135,11 +145,27 @@
     co_return written;
   }
 
-  void finish() override { chunks_->done(count_until_written()); }
+  void finish() override { chunks_->done(begin_last_write()); }
+
+  support::task<bool> written() override {
+    if (progress_->pending) {
+      auto begin_wait = [this](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        progress_->on_end = [shared] {
+          auto executor = asio::get_associated_executor(*shared);
+          asio::post(executor, [shared] { std::move (*shared)(); });
+        };
+      };
+      co_await asio::async_initiate<decltype(asio::use_awaitable), void()>(std::move(begin_wait),
+                                                                           asio::use_awaitable);
+    }
+    co_return progress_->written;
+  }
 
   void abort() override {
     using connection_type = restinio::impl::connection_t<server_traits>;
     started_ = true;
+    is_complete_ = true;
     auto handle_to_close = std::move(restinio::impl::access_req_connection(*request_));
     if (!handle_to_close && connection_)
       handle_to_close = connection_;
@@ -160,12 +186,23 @@
 
   bool started() const override { return started_; }
 
+  /// Whether `send`, `finish` or `abort` was called.
+  bool is_complete() const { return is_complete_; }
+
 private:
   /// RESTinio calls the result once: when the response has been written, or when its connection
   /// was closed before.
-  restinio::write_status_cb_t count_until_written() {
+  restinio::write_status_cb_t begin_last_write() {
+    is_complete_ = true;
+    progress_->pending = true;
     ++*unwritten_;
-    return [unwritten = unwritten_](const asio::error_code&) { --*unwritten; };
+    return [progress = progress_, unwritten = unwritten_](const asio::error_code& error) {
+      --*unwritten;
+      progress->pending = false;
+      progress->written = !error;
+      if (const auto on_end = std::exchange(progress->on_end, nullptr))
+        on_end();
+    };
   }
 
   static restinio::http_status_line_t status_line(int status) {
@@ -187,7 +224,9 @@
   /// request.
   restinio::impl::connection_handle_t connection_;
   std::optional<disconnect_callbacks::callback_id> callback_id_;
+  std::shared_ptr<write_progress> progress_ = std::make_shared<write_progress>();
   bool started_ = false;
+  bool is_complete_ = false;
 };
 
 server_request to_server_request(const restinio::request_handle_t& request) {
@@ -249,9 +288,12 @@
     } catch (...) {
       failure = std::current_exception();
     }
-    --self->in_progress;
     if (failure && !writer.started())
       send_problem(writer, {500, "internal-error", "the node failed to answer; see its log"});
+    else if (failure && !writer.is_complete())
+      writer.abort();
+    co_await writer.written();
+    --self->in_progress;
     if (failure)
       std::rethrow_exception(failure);
   }
--- a/unittests/fakes/recording_writer.h
+++ b/unittests/fakes/recording_writer.h
@@ -20,6 +20,7 @@
     finished = true;
     disconnect_action_ = nullptr;
   }
+  support::task<bool> written() override { co_return finished; }
   void abort() override {
     aborted = true;
     disconnect_action_ = nullptr;
