Keep a silent target's exchange open while a replacement is sought

Cause: the stall detector and the limits on the first event, on pauses and on idempotent calls cancelled the exchange with a silent target first and then looked for another one. Without an attempt, a retry or a slot left, a stream that its target would have gone on with a moment later was reset, or its caller got 502. Class of fault: giving up the only thing that can still succeed before its replacement is certain.

Change: each attempt reads its response in a coroutine of its own (target_attempt). While all attempts of a repeatable request are silent, the request goes to a further target within the route's attempts and the retry limit; the attempt that goes on first is forwarded and the others are closed. A stream that broke waits for a slot until its deadline. A target that goes on ends its own suspension. One silence is reported again each 450 ms while it lasts.

--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -29,6 +29,10 @@
   /// Counts a retry. `reason` must be one of a few fixed values.
   void count_retry(const std::string& reason);
 
+  /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
+  /// fixed values.
+  void count_silence(const std::string& outcome);
+
   /// Returns all metrics in the text format.
   std::string serialize(const gateway_gauges& gauges);
 
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -35,6 +35,9 @@
   support::task<std::optional<slot_guard>> acquire(slot_request request,
                                                    support::clock::time_point until);
 
+  /// Returns a slot if one is free and no request with a better rank waits for it.
+  std::optional<slot_guard> try_acquire(const slot_request& request);
+
   /// Assigns free slots to waiting requests. Must be called after targets or loads change.
   void assign_free_slots();
 
--- a/include/camphorlug/gateway/stall_detector.h
+++ b/include/camphorlug/gateway/stall_detector.h
@@ -44,8 +44,8 @@
 
   explicit stall_detector(support::clock& time) : time_(time) {}
 
-  /// Calls `on_stall` of all streams of stalled targets and returns these targets. Must be called
-  /// about every 50 ms.
+  /// Calls `on_stall` of all streams of stalled targets and returns these targets, once in each
+  /// `stall_timeout` while the silence lasts. Must be called about every 50 ms.
   std::vector<std::string> check();
 
   /// Whether the target has written to an open stream within `stall_timeout`.
@@ -58,9 +58,13 @@
   struct activity {
     std::vector<stream*> streams;
     support::clock::time_point last_progress;
+    /// Time of the latest report of its stall.
+    support::clock::time_point reported_at;
   };
 
   struct stall {
+    support::clock::time_point silent_since;
+    /// Time of the latest report during the silence.
     support::clock::time_point detected_at;
     /// The target has written to a stream since.
     bool resumed = false;
--- a/include/camphorlug/gateway/suspicion_list.h
+++ b/include/camphorlug/gateway/suspicion_list.h
@@ -27,6 +27,9 @@
   void suspect(const std::string& target, const std::string& reason);
   /// Counts a failure that can also occur on a healthy target.
   void count_failure(const std::string& target, const std::string& reason);
+  /// Ends a suspension by this node, because the target has shown that it goes on. Further
+  /// suspensions still grow.
+  void end_suspension(const std::string& target);
   /// Forgets all failures and suspicions of the target, including those of peers.
   void count_success(const std::string& target);
 
--- /dev/null
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "camphorlug/gateway/event_splitter.h"
+#include "camphorlug/gateway/gateway_environment.h"
+#include "camphorlug/net/http_exchange.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// What all attempts of one request share.
+struct attempted_request {
+  caller_request request;
+  std::shared_ptr<const route> chosen;
+  /// Empty when requests need no API key.
+  std::string organisation;
+  /// Time of the final response at the latest.
+  support::clock::time_point deadline;
+};
+
+/// A place between two events of a stream.
+struct stream_position {
+  /// Id of the last event before this place, if any is known.
+  std::optional<std::uint64_t> last_event_id;
+  /// Number of events of the response before this place.
+  std::size_t events = 0;
+
+  bool is_followed_by(const raw_event& event) const {
+    return event.id && (!last_event_id || *event.id == *last_event_id + 1);
+  }
+  void advance(const raw_event& event) {
+    last_event_id = event.id;
+    ++events;
+  }
+};
+
+/// Result of sending a request to one target.
+enum class attempt_result {
+  /// The target has sent its complete response.
+  answered,
+  /// The target did not execute the request.
+  not_run,
+  /// The target may have executed the request, but sent no complete response.
+  unknown,
+  /// The target executed the request and returned an error that may be forwarded.
+  failed,
+};
+
+/// Sends a request to one target and reads the response in a coroutine of its own, so that several
+/// attempts of a request can wait for their targets at the same time. Events of a stream are
+/// queued until the owner takes them; other responses are kept until they are complete.
+class target_attempt : public std::enable_shared_from_this<target_attempt> {
+public:
+  /// The target resumes a stream after `position`. `on_change` is called after each event and at
+  /// the end, until the attempt is closed.
+  target_attempt(gateway_environment& environment, std::shared_ptr<const attempted_request> shared,
+                 slot_guard slot, stream_position position, std::function<void()> on_change);
+  target_attempt(const target_attempt&) = delete;
+  target_attempt& operator=(const target_attempt&) = delete;
+
+  /// Sends the request. The coroutine keeps the attempt alive until the exchange has ended.
+  void start(const asio::any_io_executor& executor);
+
+  /// Ends the exchange with the target. `on_change` is not called any more.
+  void close();
+
+  const std::string& target_id() const { return target_id_; }
+  support::clock::time_point started_at() const { return started_at_; }
+
+  /// Head of the response; valid from the first event on, or with the result `answered` or
+  /// `failed`.
+  const target_response& response() const { return response_; }
+  bool has_event() const { return !events_.empty(); }
+  raw_event take_event();
+  /// Body of a complete response that is not a stream.
+  std::string take_body() { return std::move(body_); }
+  /// Nothing while more of the response may arrive.
+  std::optional<attempt_result> result() const { return result_; }
+  /// Why the attempt failed, as ` (REASON)` each; empty without a failure.
+  const std::string& failure() const { return failure_; }
+
+  /// Whether the target is silent: it has stopped writing to all its streams, or has sent nothing
+  /// to this attempt for longer than is usual while it writes to no other stream either. A silent
+  /// target may still go on.
+  bool is_silent() const;
+  /// Time at which the target counts as silent if nothing arrives before.
+  support::clock::time_point silent_at() const;
+
+private:
+  static support::task<> run(std::shared_ptr<target_attempt> self);
+  support::task<attempt_result> exchange_messages();
+  /// Returns the result if the response is no answer to the request.
+  std::optional<attempt_result> check_head();
+  support::task<attempt_result> read_stream(net::http_exchange& exchange);
+  support::task<attempt_result> read_body(net::http_exchange& exchange);
+  /// Counts a failure of the target and returns `result`. `note` is logged with the request.
+  attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
+  net::client_request make_target_request();
+  void record_progress();
+  bool is_stream() const;
+  std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
+
+  gateway_environment& env_;
+  std::shared_ptr<const attempted_request> shared_;
+  std::optional<slot_guard> slot_;
+  std::string target_id_;
+  std::string target_address_;
+  /// End of the events received.
+  stream_position position_;
+  std::function<void()> on_change_;
+  support::clock::time_point started_at_;
+  support::clock::time_point last_progress_;
+  /// Time from the start within which the first part of the response usually arrives.
+  std::chrono::nanoseconds first_part_limit_;
+
+  bool closed_ = false;
+  bool has_progressed_ = false;
+  bool target_stalled_ = false;
+  net::http_exchange* exchange_ = nullptr;
+  stall_detector::stream* monitored_ = nullptr;
+  target_response response_;
+  std::deque<raw_event> events_;
+  std::size_t queued_bytes_ = 0;
+  support::notification queue_drained_;
+  std::string body_;
+  std::optional<attempt_result> result_;
+  std::string failure_;
+};
+
+} // namespace camphorlug::gateway
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -26,6 +26,11 @@
           .Name("camphorlug_gateway_retries_total")
           .Help("Sendings beyond the first of a request, by reason")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& silences =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_silences_total")
+          .Help("Requests sent to a further target because of a silence, by which target went on")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_byte =
       prometheus::BuildHistogram()
           .Name("camphorlug_gateway_first_byte_seconds")
@@ -62,6 +67,10 @@
   implementation_->retries.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::count_silence(const std::string& outcome) {
+  implementation_->silences.Add({{"outcome", outcome}}).Increment();
+}
+
 std::string gateway_metrics::serialize(const gateway_gauges& gauges) {
   const auto set = [this](const char* name, double value) {
     implementation_->gauges.Add({{"value", name}}).Set(value);
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -27,16 +27,23 @@
           }};
 }
 
+std::optional<slot_guard> slot_queue::try_acquire(const slot_request& request) {
+  const queue& waiters = queues_[request.pool];
+  const bool goes_first = waiters.empty() || request.rank < waiters.begin()->first;
+  if (!goes_first)
+    return std::nullopt;
+  auto target = chooser_.choose(request.pool, request.avoided);
+  if (!target)
+    return std::nullopt;
+  loads_.add(target->id);
+  return make_guard(std::move(*target));
+}
+
 support::task<std::optional<slot_guard>> slot_queue::acquire(slot_request request,
                                                              support::clock::time_point until) {
+  if (auto slot = try_acquire(request))
+    co_return std::move(slot);
   queue& waiters = queues_[request.pool];
-  const bool goes_first = waiters.empty() || request.rank < waiters.begin()->first;
-  if (goes_first) {
-    if (auto target = chooser_.choose(request.pool, request.avoided)) {
-      loads_.add(target->id);
-      co_return make_guard(std::move(*target));
-    }
-  }
   waiter self(*this, waiters, std::move(request));
   while (!self.assigned_target && !(self.request.cancelled && *self.request.cancelled)) {
     const auto left = until - time_.now();
--- a/lib/gateway/stall_detector.cpp
+++ b/lib/gateway/stall_detector.cpp
@@ -32,7 +32,7 @@
   const auto found = detector_.stalled_.find(target_);
   if (found == detector_.stalled_.end() || std::exchange(found->second.resumed, true))
     return;
-  const auto silence = now - found->second.detected_at + stall_timeout;
+  const auto silence = now - found->second.silent_since;
   support::log_event(
       support::log_level::info, "target_resumed",
       {{"target", target_}, {"silent_ms", std::to_string(silence / std::chrono::milliseconds(1))}});
@@ -49,12 +49,11 @@
       state.last_progress = now;
     const bool writes = std::any_of(state.streams.begin(), state.streams.end(),
                                     [](const stream* each) { return each->has_written_; });
-    if (!writes || now - state.last_progress < stall_timeout)
+    if (!writes || now - std::max(state.last_progress, state.reported_at) < stall_timeout)
       continue;
-    // The streams move to other targets. Later streams start with a full timeout.
-    state.last_progress = now;
+    state.reported_at = now;
     stalled.push_back(target);
-    stalled_[target] = {now, false};
+    stalled_[target] = {state.last_progress, now, false};
     for (const stream* each : state.streams)
       actions.push_back(each->on_stall_);
   }
--- a/lib/gateway/suspicion_list.cpp
+++ b/lib/gateway/suspicion_list.cpp
@@ -33,6 +33,11 @@
     suspect(target, reason);
 }
 
+void suspicion_list::end_suspension(const std::string& target) {
+  if (const auto found = records_.find(target); found != records_.end())
+    found->second.own_until = time_.now();
+}
+
 void suspicion_list::count_success(const std::string& target) {
   records_.erase(target);
 }
--- /dev/null
+++ b/lib/gateway/target_attempt.cpp
@@ -0,0 +1,234 @@
+#include "camphorlug/gateway/target_attempt.h"
+
+#include "camphorlug/net/transport_error.h"
+
+#include <algorithm>
+
+namespace camphorlug::gateway {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// A stream is silent when its first event takes longer than this multiple of the objective.
+static constexpr double first_event_limit_factor = 2.5;
+static constexpr milliseconds min_first_event_limit{800};
+/// The same limit between two events, as a multiple of the pause objective.
+static constexpr double pause_limit_factor = 3;
+static constexpr milliseconds min_pause_limit{600};
+/// Fraction of the remaining time after which the target of a request that is not a stream counts
+/// as silent.
+static constexpr double silent_time_fraction = 0.4;
+/// Reading pauses while the caller has this much of a stream still to take.
+static constexpr std::size_t max_queued_bytes = 64 * 1024;
+
+static nanoseconds scaled(nanoseconds span, double factor) {
+  return std::chrono::duration_cast<nanoseconds>(span * factor);
+}
+
+static nanoseconds pause_limit(const route& chosen) {
+  return std::max<nanoseconds>(scaled(chosen.pause_objective, pause_limit_factor), min_pause_limit);
+}
+
+static nanoseconds first_part_limit(const route& chosen, nanoseconds remaining_time) {
+  if (chosen.kind != request_kind::stream)
+    return scaled(remaining_time, silent_time_fraction);
+  return std::max<nanoseconds>(scaled(chosen.objective, first_event_limit_factor),
+                               min_first_event_limit);
+}
+
+target_attempt::target_attempt(gateway_environment& environment,
+                               std::shared_ptr<const attempted_request> shared, slot_guard slot,
+                               stream_position position, std::function<void()> on_change)
+    : env_(environment), shared_(std::move(shared)), target_id_(slot.target().id),
+      target_address_(slot.target().address), position_(position), on_change_(std::move(on_change)),
+      started_at_(environment.time.now()), last_progress_(started_at_),
+      first_part_limit_(gateway::first_part_limit(*shared_->chosen, remaining_time())),
+      queue_drained_(environment.time) {
+  slot_.emplace(std::move(slot));
+}
+
+bool target_attempt::is_stream() const {
+  return shared_->chosen->kind == request_kind::stream;
+}
+
+void target_attempt::start(const asio::any_io_executor& executor) {
+  support::spawn(executor, "attempt", run(shared_from_this()));
+}
+
+void target_attempt::close() {
+  closed_ = true;
+  on_change_ = nullptr;
+  queue_drained_.notify();
+  if (exchange_)
+    exchange_->cancel();
+}
+
+raw_event target_attempt::take_event() {
+  raw_event event = std::move(events_.front());
+  events_.pop_front();
+  queued_bytes_ -= event.bytes.size();
+  if (events_.empty())
+    queue_drained_.notify();
+  return event;
+}
+
+support::clock::time_point target_attempt::silent_at() const {
+  return last_progress_ + (has_progressed_ ? pause_limit(*shared_->chosen) : first_part_limit_);
+}
+
+bool target_attempt::is_silent() const {
+  if (result_ || has_event())
+    return false;
+  return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_id_);
+}
+
+support::task<> target_attempt::run(std::shared_ptr<target_attempt> self) {
+  auto result = attempt_result::unknown;
+  std::exception_ptr unexpected;
+  try {
+    result = co_await self->exchange_messages();
+  } catch (...) {
+    unexpected = std::current_exception();
+  }
+  self->exchange_ = nullptr;
+  self->slot_.reset();
+  self->result_ = result;
+  if (self->on_change_)
+    self->on_change_();
+  if (unexpected)
+    std::rethrow_exception(unexpected);
+}
+
+net::client_request target_attempt::make_target_request() {
+  send_attempt details;
+  details.target_id = target_id_;
+  details.address = target_address_;
+  details.time_left = std::chrono::duration_cast<milliseconds>(remaining_time());
+  details.organisation = shared_->organisation;
+  details.resume_after = position_.last_event_id;
+  details.reuse_connection = shared_->chosen->repeatable();
+  net::client_request outgoing = env_.protocol.build_target_request(shared_->request, details);
+  outgoing.accept_head = [&protocol = env_.protocol, shared = shared_](const auto& head) {
+    return protocol.parse_response_head(shared->request, head).valid;
+  };
+  return outgoing;
+}
+
+support::task<attempt_result> target_attempt::exchange_messages() {
+  if (closed_)
+    co_return attempt_result::not_run;
+  std::optional<stall_detector::stream> monitored;
+  if (is_stream() && shared_->chosen->repeatable())
+    monitored.emplace(env_.stalls, target_id_, [this] {
+      target_stalled_ = true;
+      if (on_change_)
+        on_change_();
+    });
+  monitored_ = monitored ? &*monitored : nullptr;
+  std::unique_ptr<net::http_exchange> exchange = env_.client.open(make_target_request());
+  exchange_ = exchange.get();
+  auto result = attempt_result::unknown;
+  try {
+    const net::response_head head = co_await exchange->head(remaining_time());
+    response_ = env_.protocol.parse_response_head(shared_->request, head);
+    const auto early_result = check_head();
+    if (early_result)
+      result = *early_result;
+    else if (is_stream() && response_.success())
+      result = co_await read_stream(*exchange);
+    else
+      result = co_await read_body(*exchange);
+  } catch (const net::transport_error& error) {
+    const bool sent = error.progress() == net::request_progress::may_have_been_read;
+    result = sent ? attempt_result::unknown : attempt_result::not_run;
+    failure_ += std::string(" (") + error.what() + ")";
+    const bool only_slow = sent && error.timed_out() && env_.stalls.is_writing(target_id_);
+    if (!closed_ && !only_slow && (!sent || error.timed_out()))
+      env_.suspicions.suspect(target_id_, error.what());
+    else if (!closed_ && !only_slow)
+      env_.suspicions.count_failure(target_id_, error.what());
+  }
+  monitored_ = nullptr;
+  exchange_ = nullptr;
+  co_return result;
+}
+
+attempt_result target_attempt::fail(attempt_result result, const std::string& note,
+                                    const std::string& reason) {
+  env_.suspicions.count_failure(target_id_, reason);
+  failure_ += " (" + note + ")";
+  return result;
+}
+
+std::optional<attempt_result> target_attempt::check_head() {
+  if (response_.wrong_instance) {
+    env_.suspicions.suspect(target_id_, "another instance has its address");
+    failure_ += " (wrong instance)";
+    return attempt_result::not_run;
+  }
+  if (response_.not_run)
+    return fail(attempt_result::not_run, "refused " + std::to_string(response_.status),
+                "it refused a request");
+  if (!response_.valid)
+    return fail(attempt_result::unknown, "response does not match the request",
+                "it answered another request");
+  return std::nullopt;
+}
+
+support::task<attempt_result> target_attempt::read_body(net::http_exchange& exchange) {
+  for (;;) {
+    std::optional<std::string> piece = co_await exchange.read(remaining_time());
+    if (!piece)
+      break;
+    body_ += *piece;
+  }
+  if (!response_.success() && response_.status >= 500) {
+    failure_ += " (failed " + std::to_string(response_.status) + ")";
+    co_return attempt_result::failed;
+  }
+  env_.suspicions.count_success(target_id_);
+  co_return attempt_result::answered;
+}
+
+void target_attempt::record_progress() {
+  last_progress_ = env_.time.now();
+  has_progressed_ = true;
+  target_stalled_ = false;
+  if (monitored_)
+    monitored_->progress();
+}
+
+support::task<attempt_result> target_attempt::read_stream(net::http_exchange& exchange) {
+  event_splitter splitter;
+  for (;;) {
+    while (queued_bytes_ > max_queued_bytes && !closed_) {
+      const bool drained = co_await queue_drained_.wait_for(remaining_time());
+      if (!drained) {
+        failure_ += " (the caller reads too slowly)";
+        co_return attempt_result::unknown;
+      }
+    }
+    std::optional<std::string> piece = co_await exchange.read(remaining_time());
+    if (!piece)
+      break;
+    record_progress();
+    splitter.append(*piece);
+    while (auto event = splitter.next()) {
+      if (!position_.is_followed_by(*event))
+        co_return fail(attempt_result::unknown, "event out of order",
+                       "it sent an event out of order");
+      position_.advance(*event);
+      queued_bytes_ += event->bytes.size();
+      events_.push_back(std::move(*event));
+    }
+    if (has_event() && on_change_)
+      on_change_();
+  }
+  if (splitter.has_partial_event() || position_.events == 0)
+    co_return fail(attempt_result::unknown, "ended within an event",
+                   "its stream ended within an event");
+  env_.suspicions.count_success(target_id_);
+  co_return attempt_result::answered;
+}
+
+} // namespace camphorlug::gateway
