Drop a handler's disconnect callback when the handler returns

Cause: since a response is awaited until it is written, the writer outlives the handler, and a client that closed meanwhile called a callback into the handler's destroyed objects.

Test: test-net/disconnect_is_not_reported_after_the_handler_has_returned fails first.

--- a/include/camphorlug/net/response_writer.h
+++ b/include/camphorlug/net/response_writer.h
@@ -37,7 +37,8 @@
   /// Resets the connection, so that the client cannot mistake the response for a complete one.
   virtual void abort() = 0;
 
-  /// Registers `callback` to be called once when the client closes its connection.
+  /// Registers `callback` to be called once when the client closes its connection while the
+  /// handler runs.
   virtual void on_disconnect(std::function<void()> callback) = 0;
 
   /// Returns true after `send` or `start`.
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -107,9 +107,12 @@
       : request_(std::move(request)), disconnect_callbacks_(std::move(callbacks)),
         unwritten_(std::move(unwritten)) {}
 
-  ~restinio_writer() override {
-    if (callback_id_)
-      disconnect_callbacks_->remove(request_->connection_id(), *callback_id_);
+  ~restinio_writer() override { drop_disconnect_callback(); }
+
+  /// The callback may refer to objects of the handler, so it must not outlive it.
+  void drop_disconnect_callback() {
+    if (const auto id = std::exchange(callback_id_, std::nullopt))
+      disconnect_callbacks_->remove(request_->connection_id(), *id);
   }
 
   void send(int status, header_list headers, std::string body) override {
@@ -288,6 +291,7 @@
     } catch (...) {
       failure = std::current_exception();
     }
+    writer.drop_disconnect_callback();
     if (failure && !writer.started())
       send_problem(writer, {500, "internal-error", "the node failed to answer; see its log"});
     else if (failure && !writer.is_complete())
--- a/unittests/net/server_test.cpp
+++ b/unittests/net/server_test.cpp
@@ -210,3 +210,27 @@
   // The client's own time limit of 5 s must not be needed.
   BOOST_TEST((std::chrono::steady_clock::now() - started_at < 4s));
 }
+
+BOOST_AUTO_TEST_CASE(disconnect_is_not_reported_after_the_handler_has_returned) {
+  server_fixture fixture;
+  bool handled = false;
+  bool reported = false;
+  net::http_server server(
+      fixture.context, address,
+      [&](net::server_request, net::response_writer& writer) -> support::task<> {
+        writer.on_disconnect([&] { reported = true; });
+        // More than the socket buffers of both ends hold, so that the response stays unwritten.
+        writer.send(200, {}, std::string(32 * 1024 * 1024, 'x'));
+        handled = true;
+        co_return;
+      });
+  asio::ip::tcp::socket client_socket(fixture.context);
+  client_socket.connect({asio::ip::make_address("127.0.0.1"), 28998});
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(client_socket, asio::buffer(request));
+  BOOST_REQUIRE(fixture.run_until([&] { return handled; }));
+  BOOST_TEST(server.in_progress() == 1);
+  client_socket.close();
+  BOOST_TEST(fixture.run_until([&] { return server.in_progress() == 0; }));
+  BOOST_TEST(!reported);
+}
