Leave requests that cannot finish before the exit to other nodes

Cause: a node that was told to end took requests for 2.7 s whatever time they need; those still running when the grace period was over were cut, although other nodes would have served them.

Change: while another node serves, a request is refused at once as not run, with a short Retry-After, if its time limit is longer than the time left and twice the mean duration of its pool is too. Short requests are taken as before.

Test: test-gateway/node_that_ends_takes_only_what_it_can_finish fails first in its second last but one case (200 in place of 503).

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -64,12 +64,17 @@
   /// should have switched to other nodes or half of the termination grace period is over.
   support::task<> leave();
 
+  /// Time at which the process must end after `leave` was called, shortly before the grace period
+  /// is over.
+  support::clock::time_point exits_at() const { return exits_at_; }
+
   /// Logs each caller's request that has no complete response yet.
   void log_unfinished_requests() const { requests_.log_unfinished_requests(); }
 
   std::string metrics();
 
 private:
+  gateway::shutdown_state shutdown();
   bool is_leaving() const { return phase_ != gateway::shutdown_phase::none; }
   /// Returns this node's status; its revision increases when another field has changed.
   const gateway::node_status& status();
@@ -106,6 +111,7 @@
   std::uint64_t incarnation_;
   gateway::node_status status_;
   gateway::shutdown_phase phase_ = gateway::shutdown_phase::none;
+  support::clock::time_point exits_at_;
   bool fetching_config_ = false;
   bool fetching_target_rows_ = false;
   /// Whether this node reads the tables of the store itself; otherwise peers relay them.
--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/gateway_environment.h"
-#include "camphorlug/gateway/shutdown_phase.h"
+#include "camphorlug/gateway/shutdown_state.h"
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/net/server_request.h"
 
@@ -16,8 +16,8 @@
 /// Finds the route of each request, checks its key and limits, and forwards it.
 class request_gateway {
 public:
-  request_gateway(gateway_environment environment, std::function<shutdown_phase()> phase)
-      : env_(environment), phase_(std::move(phase)) {}
+  request_gateway(gateway_environment environment, std::function<shutdown_state()> shutdown)
+      : env_(environment), shutdown_(std::move(shutdown)) {}
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
@@ -31,8 +31,10 @@
   void reject(const caller_request& request, net::response_writer& writer, int status,
               std::string_view reason, std::chrono::milliseconds retry_after = {});
 
+  std::chrono::nanoseconds usual_duration(const route& chosen, const caller_request& request) const;
+
   gateway_environment env_;
-  std::function<shutdown_phase()> phase_;
+  std::function<shutdown_state()> shutdown_;
   std::uint64_t handled_ = 0;
   std::set<const request_forwarder*> in_progress_;
 };
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -47,6 +47,9 @@
   /// Updates the mean hold time of the pool with one more slot use.
   void update_hold_estimate(const target_pool& pool, std::chrono::nanoseconds held);
 
+  /// Mean hold time of the pool, if a slot of it has been used.
+  std::optional<std::chrono::nanoseconds> mean_hold(const target_pool& pool) const;
+
   /// Whether an unsuspected target of the pool outside `avoided` has a free slot.
   bool has_alternative(const target_pool& pool, const std::set<std::string>& avoided) {
     return chooser_.has_unsuspected_slot(pool, avoided);
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -43,6 +43,8 @@
 static constexpr int max_entry_reuse_factor = 3;
 /// Time until all peers have learned that this node is shutting down.
 static constexpr std::chrono::milliseconds announcement_time{300};
+/// Requests in progress are cut this long before the platform kills the process.
+static constexpr std::chrono::milliseconds termination_margin{300};
 
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
@@ -55,7 +57,7 @@
       stalls_(context_.time), demand_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, slot_queue_, suspicions_, retries_, stalls_, demand_, metrics_},
-                [this] { return phase_; }),
+                [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       exchange_(context_.executor, context_.time, context_.random, context_.client, fleet_,
                 [this] { return report(); }),
@@ -444,8 +446,19 @@
   }
 }
 
+gateway::shutdown_state edge_node::shutdown() {
+  if (!is_leaving())
+    return {};
+  const auto serves = [](const auto& other) {
+    return other.second.status.ready && !other.second.status.leaving;
+  };
+  const auto& others = fleet_.others();
+  return {phase_, exits_at_, std::any_of(others.begin(), others.end(), serves)};
+}
+
 support::task<> edge_node::leave() {
   phase_ = gateway::shutdown_phase::leaving;
+  exits_at_ = context_.time.now() + settings_.termination_grace - termination_margin;
   support::log_event(support::log_level::info, "leaving");
   exchange_.announce();
   support::spawn(context_.executor, "step_down", replica_controller_.step_down());
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -37,7 +37,7 @@
   const bool may_retry = retry_after > std::chrono::milliseconds(0);
   net::header_list headers = env_.protocol.local_response_headers(
       request, may_retry ? std::optional(retry_after) : std::nullopt);
-  if (phase_() != shutdown_phase::none)
+  if (shutdown_().phase != shutdown_phase::none)
     headers.add("Connection", "close");
   writer.send(status, std::move(headers), std::string(reason) + "\n");
   const auto& config = env_.config.current();
@@ -85,16 +85,35 @@
     organisation = key_entry->second.organisation;
     priority = key_entry->second.priority.value_or(priority);
   }
-  if (phase_() == shutdown_phase::closing && chosen->kind == request_kind::stream) {
+  const shutdown_state shutdown = shutdown_();
+  const bool is_closed_to_streams =
+      shutdown.phase == shutdown_phase::closing && chosen->kind == request_kind::stream;
+  const std::chrono::nanoseconds time_limit =
+      std::min(request.time_limit.value_or(chosen->timeout), chosen->timeout);
+  if (is_closed_to_streams || shutdown.should_leave_to_others(env_.time.now(), time_limit,
+                                                              usual_duration(*chosen, request))) {
     reject(request, writer, 503, "this node ends; connect to another one", other_node_retry_after);
     co_return;
   }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
-                              priority, phase_() != shutdown_phase::none);
+                              priority, shutdown.phase != shutdown_phase::none);
   const in_progress_entry entry(in_progress_, forwarder);
   co_await forwarder.run();
 }
 
+/// Returns the mean time for which requests of the route's slowest pool have used a slot; zero if
+/// none is known.
+std::chrono::nanoseconds request_gateway::usual_duration(const route& chosen,
+                                                         const caller_request& request) const {
+  std::chrono::nanoseconds longest{0};
+  for (const weighted_service& each : chosen.services) {
+    const bool in_groups = env_.config.current()->serves_in_groups(each.service);
+    const target_pool pool{each.service, in_groups ? request.model : ""};
+    longest = std::max(longest, env_.queue.mean_hold(pool).value_or(longest));
+  }
+  return longest;
+}
+
 void request_gateway::log_unfinished_requests() const {
   for (const request_forwarder* each : in_progress_)
     each->log_unfinished();
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -104,6 +104,13 @@
     found->second += (std::chrono::duration<double>(held) - found->second) * hold_smoothing_factor;
 }
 
+std::optional<std::chrono::nanoseconds> slot_queue::mean_hold(const target_pool& pool) const {
+  const auto found = mean_hold_.find(pool);
+  if (found == mean_hold_.end())
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(found->second);
+}
+
 std::size_t slot_queue::waiting() const {
   std::size_t sum = 0;
   for (const auto& [pool, waiters] : queues_)
--- a/unittests/fakes/gateway_fixture.cpp
+++ b/unittests/fakes/gateway_fixture.cpp
@@ -6,7 +6,8 @@
 
 static constexpr const char* request_id = "r1";
 
-static gateway::route make_route(const char* prefix, gateway::request_kind kind, bool resumable) {
+static gateway::route make_route(const char* prefix, gateway::request_kind kind, bool resumable,
+                                 std::chrono::milliseconds timeout) {
   gateway::route result;
   result.name = prefix;
   result.host = "example";
@@ -14,25 +15,25 @@
   result.kind = kind;
   result.resumable = resumable;
   result.attempts = 2;
-  result.timeout = 4s;
+  result.timeout = timeout;
   result.objective = 300ms;
   result.pause_objective = 200ms;
   result.services = {{"shop", 1}};
   return result;
 }
 
-gateway_fixture::gateway_fixture()
+gateway_fixture::gateway_fixture(std::chrono::milliseconds timeout)
     : gateway({clock, random, client, protocol, config, registry, queue, suspicions, retries,
                stalls, demand, metrics},
-              [this] { return phase; }) {
+              [this] { return shutdown; }) {
   auto first = std::make_shared<gateway::routing_config>();
   first->version = 1;
   first->has_organisations = true;
   first->keys["key"] = {"org", std::nullopt};
-  first->add_route(make_route("/plain/", gateway::request_kind::idempotent, false));
-  first->add_route(make_route("/once/", gateway::request_kind::non_idempotent, false));
-  first->add_route(make_route("/stream/", gateway::request_kind::stream, true));
-  first->add_route(make_route("/cut/", gateway::request_kind::stream, false));
+  first->add_route(make_route("/plain/", gateway::request_kind::idempotent, false, timeout));
+  first->add_route(make_route("/once/", gateway::request_kind::non_idempotent, false, timeout));
+  first->add_route(make_route("/stream/", gateway::request_kind::stream, true, timeout));
+  first->add_route(make_route("/cut/", gateway::request_kind::stream, false, timeout));
   config.update_if_newer(first);
   registry.add_listener([this] { queue.assign_free_slots(); });
 }
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -16,7 +16,8 @@
 /// One gateway with scripted targets, in virtual time. The routes `/plain/`,
 /// `/once/`, `/stream/` and `/cut/` lead to the service `shop`.
 struct gateway_fixture {
-  gateway_fixture();
+  /// `timeout` is the time limit of all routes.
+  explicit gateway_fixture(std::chrono::milliseconds timeout = std::chrono::seconds(4));
   ~gateway_fixture();
 
   /// Adds a target of the service `shop` whose address equals its id.
@@ -48,7 +49,7 @@
   gateway::stall_detector stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
-  gateway::shutdown_phase phase = gateway::shutdown_phase::none;
+  gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
 
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -227,7 +227,7 @@
 
 BOOST_AUTO_TEST_CASE(closing_node_rejects_new_streams) {
   gateway_fixture world;
-  world.phase = gateway::shutdown_phase::closing;
+  world.shutdown.phase = gateway::shutdown_phase::closing;
   world.add_target("one");
   world.answer("one", complete_answer());
   const auto stream = world.call("/stream/x");
@@ -238,9 +238,48 @@
   BOOST_TEST(world.call("/plain/x")->status == 200);
 }
 
+namespace {
+
+/// A request that reaches a node with 5 s until its exit.
+struct late_arrival {
+  const char* name;
+  gateway::shutdown_phase phase;
+  bool others_serve;
+  std::chrono::milliseconds usual_duration;
+  std::chrono::milliseconds time_limit;
+  int status;
+};
+
+std::ostream& operator<<(std::ostream& out, const late_arrival& each) {
+  return out << each.name;
+}
+
+const late_arrival late_arrivals[] = {
+    {"no shutdown", gateway::shutdown_phase::none, true, 4s, 10s, 200},
+    {"short requests", gateway::shutdown_phase::leaving, true, 1s, 10s, 200},
+    {"long requests", gateway::shutdown_phase::leaving, true, 4s, 10s, 503},
+    {"long requests that end in time", gateway::shutdown_phase::leaving, true, 4s, 3s, 200},
+    {"long requests, no other node", gateway::shutdown_phase::leaving, false, 4s, 10s, 200},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(node_that_ends_takes_only_what_it_can_finish, data::make(late_arrivals),
+                     each) {
+  gateway_fixture world(10s);
+  world.shutdown = {each.phase, world.clock.now() + 5s, each.others_serve};
+  world.queue.update_hold_estimate({"shop", ""}, each.usual_duration);
+  world.add_target("one");
+  world.answer("one", events(1, 3));
+  const auto writer = world.call("/stream/x", each.time_limit);
+  BOOST_TEST(writer->status == each.status);
+  BOOST_TEST(writer->headers.find("Retry-After-Ms").has_value() == (each.status == 503));
+  BOOST_TEST(world.client.received.size() == (each.status == 503 ? 0 : 1));
+}
+
 BOOST_AUTO_TEST_CASE(leaving_node_closes_connections_after_responses) {
   gateway_fixture world;
-  world.phase = gateway::shutdown_phase::leaving;
+  world.shutdown.phase = gateway::shutdown_phase::leaving;
   world.add_target("one");
   world.answer("one", complete_answer());
   const auto writer = world.call("/plain/x");
