--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -1,5 +1,6 @@
 """Process tests of the gateway against platform stand-ins: real signals and sockets."""
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -12,7 +13,8 @@
 from cluster import BIN, ROOT, wait_until  # noqa: E402
 from platform_cluster import ROUTES, BackgroundCallers, PlatformCluster, get, route  # noqa: E402
 
-PORT = 28500
+# Another first port lets work trees of one machine run the tests side by side.
+PORT = int(os.environ.get("CAMPHORLUG_TEST_PORT", "28500"))
 cluster = None
 
 
