Don't count the time for which a caller reads as silence of its target

Cause: when a caller takes more than 64 KiB late, its stream is not read further. The stall detector saw no progress, reported the sound target as stalled (all nodes avoid it, and its group's members are probed), and the request counted as silent when reading went on.

Change: a stream tells the detector while it is not read, and its silence counts from when reading goes on.

--- a/include/camphorlug/gateway/stall_detector.h
+++ b/include/camphorlug/gateway/stall_detector.h
@@ -34,12 +34,19 @@
     /// Records that the target has written to the stream.
     void progress();
 
+    /// While paused, nothing is read from the stream, so its silence says nothing of the target.
+    void pause() { is_paused_ = true; }
+    void resume();
+
   private:
     friend class stall_detector;
     stall_detector& detector_;
     std::string target_;
     std::function<void()> on_stall_;
     bool has_written_ = false;
+    bool is_paused_ = false;
+
+    bool is_expected_to_write() const { return has_written_ && !is_paused_; }
   };
 
   explicit stall_detector(support::clock& time) : time_(time) {}
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -101,6 +101,7 @@
   attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
   net::client_request make_target_request();
   void record_progress();
+  support::task<bool> wait_until_queue_is_drained();
   bool is_stream() const;
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
 
@@ -126,6 +127,8 @@
   std::deque<raw_event> events_;
   std::size_t queued_bytes_ = 0;
   support::notification queue_drained_;
+  /// Nothing is read while the caller has too much still to take.
+  bool is_reading_paused_ = false;
   std::string body_;
   std::optional<attempt_result> result_;
   std::string failure_;
--- a/lib/gateway/stall_detector.cpp
+++ b/lib/gateway/stall_detector.cpp
@@ -38,6 +38,11 @@
       {{"target", target_}, {"silent_ms", std::to_string(silence / std::chrono::milliseconds(1))}});
 }
 
+void stall_detector::stream::resume() {
+  is_paused_ = false;
+  detector_.targets_[target_].last_progress = detector_.time_.now();
+}
+
 std::vector<std::string> stall_detector::check() {
   const auto now = time_.now();
   const bool process_paused = now - checked_at_ > max_check_gap;
@@ -47,8 +52,9 @@
   for (auto& [target, state] : targets_) {
     if (process_paused)
       state.last_progress = now;
-    const bool writes = std::any_of(state.streams.begin(), state.streams.end(),
-                                    [](const stream* each) { return each->has_written_; });
+    const bool writes =
+        std::any_of(state.streams.begin(), state.streams.end(),
+                    [](const stream* each) { return each->is_expected_to_write(); });
     if (!writes || now - std::max(state.last_progress, state.reported_at) < stall_timeout)
       continue;
     state.reported_at = now;
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -77,7 +77,7 @@
 }
 
 bool target_attempt::is_silent() const {
-  if (result_ || has_event())
+  if (result_ || has_event() || is_reading_paused_)
     return false;
   return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_id_);
 }
@@ -198,11 +198,27 @@
     monitored_->progress();
 }
 
+/// Returns false when the time limit has passed. The time of the wait does not count as silence of
+/// the target.
+support::task<bool> target_attempt::wait_until_queue_is_drained() {
+  is_reading_paused_ = true;
+  if (monitored_)
+    monitored_->pause();
+  bool notified = true;
+  while (queued_bytes_ > max_queued_bytes && !closed_ && notified)
+    notified = co_await queue_drained_.wait_for(remaining_time());
+  is_reading_paused_ = false;
+  last_progress_ = env_.time.now();
+  if (monitored_)
+    monitored_->resume();
+  co_return notified;
+}
+
 support::task<attempt_result> target_attempt::read_stream(net::http_exchange& exchange) {
   event_splitter splitter;
   for (;;) {
-    while (queued_bytes_ > max_queued_bytes && !closed_) {
-      const bool drained = co_await queue_drained_.wait_for(remaining_time());
+    if (queued_bytes_ > max_queued_bytes) {
+      const bool drained = co_await wait_until_queue_is_drained();
       if (!drained) {
         failure_ += " (the caller reads too slowly)";
         co_return attempt_result::unknown;
--- a/unittests/fakes/recording_writer.cpp
+++ b/unittests/fakes/recording_writer.cpp
@@ -20,7 +20,15 @@
   headers = std::move(fields);
 }
 
+support::task<bool> recording_writer::written() {
+  if (reading)
+    co_await reading();
+  co_return finished;
+}
+
 support::task<bool> recording_writer::write(std::string piece) {
+  if (reading)
+    co_await reading();
   if (pieces_ >= pieces_until_disconnect)
     co_return false;
   ++pieces_;
--- a/unittests/fakes/recording_writer.h
+++ b/unittests/fakes/recording_writer.h
@@ -20,7 +20,7 @@
     finished = true;
     disconnect_action_ = nullptr;
   }
-  support::task<bool> written() override { co_return finished; }
+  support::task<bool> written() override;
   void abort() override {
     aborted = true;
     disconnect_action_ = nullptr;
@@ -49,6 +49,9 @@
   bool aborted = false;
   /// Number of pieces after which writes fail because the caller has disconnected.
   std::size_t pieces_until_disconnect = 1'000'000;
+  /// Awaited, if set, before each piece of a stream and before the end of the response counts as
+  /// written: the time that a slow caller needs, or an exception.
+  std::function<support::task<>()> reading;
 
 private:
   std::size_t pieces_ = 0;
--- /dev/null
+++ b/unittests/gateway/slow_caller_test.cpp
@@ -0,0 +1,60 @@
+#include "fakes/gateway_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+// Load pattern: callers on slow links read large responses for seconds after their targets have
+// sent them, beside callers that read at once.
+
+using namespace camphorlug;
+using namespace camphorlug::fakes;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr auto reading_time = 1s;
+constexpr int event_count = 6;
+
+/// Events of the given size, sent without a pause.
+scripted_answer large_events(std::size_t event_bytes) {
+  scripted_answer script = events(1, 0);
+  for (int id = 1; id <= event_count; ++id)
+    script.pieces.push_back("id: " + std::to_string(id) +
+                            "\ndata: " + std::string(event_bytes, 'x') + "\n\n");
+  return script;
+}
+
+void make_slow(recording_writer& writer, gateway_fixture& world) {
+  writer.reading = [&world]() -> support::task<> { co_await world.clock.sleep_for(reading_time); };
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(slow_caller_does_not_make_its_target_suspected,
+                     data::make({1'000, 40'000, 70'000, 200'000}), event_bytes) {
+  gateway_fixture world(20s);
+  world.add_target("one");
+  world.answer("one", large_events(event_bytes));
+  recording_writer writer;
+  make_slow(writer, world);
+  world.begin("/stream/x", writer, 20s);
+  world.add_target("two");
+  world.answer("two", events(2, event_count));
+  const auto started_at = world.clock.now();
+  bool suspected = false;
+  std::size_t stalls = 0;
+  while (world.unfinished > 0 && world.clock.now() - started_at < 15s) {
+    world.clock.run_for(50ms);
+    for (const std::string& target : world.stalls.check()) {
+      world.suspicions.suspect(target, "it stands still");
+      ++stalls;
+    }
+    suspected = suspected || world.suspicions.suspected("one");
+  }
+  BOOST_TEST(stalls == 0);
+  BOOST_TEST(!suspected);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(world.client.received.size() == 1);
+}
