Don't count the time for which a caller reads as hold time of a slot

Cause: since responses are awaited until they are written, an attempt's hold time was taken after that wait, although its slot is given back when the target has ended. Slow callers raised the mean hold time of the pool, from which the expected wait (and so refusals) and the requests that a leaving node leaves to others are derived.

Change: the hold time of an attempt ends with its exchange.

Test slow_caller_does_not_lengthen_the_estimated_hold_time (targets that answer in a few ms, a caller that needs 1 s to read a piece): before, above 100 ms for plain requests and streams; after, below. test-gateway passes.

--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -69,7 +69,10 @@
   void close();
 
   const std::string& target_id() const { return target_id_; }
-  support::clock::time_point started_at() const { return started_at_; }
+  /// Time for which the attempt has used its slot.
+  std::chrono::nanoseconds held() const {
+    return ended_at_.value_or(env_.time.now()) - started_at_;
+  }
 
   /// Head of the response; valid from the first event on, or with the result `answered` or
   /// `failed`.
@@ -114,6 +117,7 @@
   stream_position position_;
   std::function<void()> on_change_;
   support::clock::time_point started_at_;
+  std::optional<support::clock::time_point> ended_at_;
   support::clock::time_point last_progress_;
   /// Time from the start within which the first part of the response usually arrives.
   std::chrono::nanoseconds first_part_limit_;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -191,7 +191,7 @@
 }
 
 support::task<> request_forwarder::finish_answered_request(target_attempt& attempt) {
-  env_.demand.record_hold(pool(), env_.time.now() - attempt.started_at());
+  env_.demand.record_hold(pool(), attempt.held());
   std::string detail;
   if (position_.events > 0) {
     writer_.finish();
@@ -228,7 +228,7 @@
 
 void request_forwarder::end_attempt(const open_attempt& ended) {
   ended.attempt->close();
-  env_.queue.update_hold_estimate(pool(), env_.time.now() - ended.attempt->started_at());
+  env_.queue.update_hold_estimate(pool(), ended.attempt->held());
 }
 
 /// Removes the attempts that cannot provide the rest of the response.
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -92,6 +92,7 @@
   }
   self->exchange_ = nullptr;
   self->slot_.reset();
+  self->ended_at_ = self->env_.time.now();
   self->result_ = result;
   if (self->on_change_)
     self->on_change_();
--- a/unittests/gateway/slow_caller_test.cpp
+++ b/unittests/gateway/slow_caller_test.cpp
@@ -58,3 +58,19 @@
   BOOST_TEST(writer.finished);
   BOOST_TEST(world.client.received.size() == 1);
 }
+
+BOOST_DATA_TEST_CASE(slow_caller_does_not_lengthen_the_estimated_hold_time,
+                     data::make({"/plain/x", "/stream/x"}), path) {
+  gateway_fixture world(20s);
+  world.add_target("one");
+  world.answer("one", path == std::string("/plain/x") ? complete_answer() : large_events(100));
+  recording_writer writer;
+  make_slow(writer, world);
+  world.begin(path, writer, 20s);
+  world.clock.run_for(10s);
+  BOOST_TEST(world.unfinished == 0);
+  BOOST_TEST(writer.finished);
+  const auto held = world.queue.mean_hold({"shop", ""});
+  BOOST_REQUIRE(held.has_value());
+  BOOST_TEST((*held < 100ms));
+}
