Close a request's attempts when its handler ends with an exception

Cause: attempts run in coroutines of their own and call back into the forwarder. When writing to the caller threw, the forwarder was destroyed while its attempts went on: the next event called a dead object, the exchange with the target stayed open and its slot taken.

Change: the forwarder's destructor closes its attempts. An attempt's pointers to its exchange and monitored stream end with the coroutine that owns them.

Test exchange_is_closed_when_writing_to_the_caller_fails: before, a memory access violation; after, the exchange is closed and the slot free. test-gateway passes.

--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -26,6 +26,11 @@
                     caller_request request, std::shared_ptr<const route> chosen,
                     std::string organisation, int priority, bool closes_connection);
 
+  /// Closes the attempts that are still open, because they refer to the forwarder.
+  ~request_forwarder();
+  request_forwarder(const request_forwarder&) = delete;
+  request_forwarder& operator=(const request_forwarder&) = delete;
+
   support::task<> run();
 
   /// Logs the request's state when the process ends before the request does.
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -51,6 +51,11 @@
       attempted_request{std::move(request), route_, std::move(organisation), deadline});
 }
 
+request_forwarder::~request_forwarder() {
+  for (const open_attempt& each : open_)
+    each.attempt->close();
+}
+
 support::task<> request_forwarder::run() {
   writer_.on_disconnect([this] {
     caller_gone_ = true;
@@ -72,7 +77,7 @@
     if (!finished && !caller_gone_)
       seek_replacement(executor);
   }
-  for (const open_attempt& each : open_)
+  for (const open_attempt& each : std::exchange(open_, {}))
     end_attempt(each);
   if (!finished)
     record_outcome("abandoned", "the caller closed its connection");
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -36,6 +36,27 @@
                                min_first_event_limit);
 }
 
+namespace {
+
+/// Clears pointers to the locals of a coroutine when it ends or is destroyed.
+class pointer_reset {
+public:
+  pointer_reset(net::http_exchange*& exchange, stall_detector::stream*& monitored)
+      : exchange_(exchange), monitored_(monitored) {}
+  ~pointer_reset() {
+    exchange_ = nullptr;
+    monitored_ = nullptr;
+  }
+  pointer_reset(const pointer_reset&) = delete;
+  pointer_reset& operator=(const pointer_reset&) = delete;
+
+private:
+  net::http_exchange*& exchange_;
+  stall_detector::stream*& monitored_;
+};
+
+} // namespace
+
 target_attempt::target_attempt(gateway_environment& environment,
                                std::shared_ptr<const attempted_request> shared, slot_guard slot,
                                stream_position position, std::function<void()> on_change)
@@ -90,7 +111,6 @@
   } catch (...) {
     unexpected = std::current_exception();
   }
-  self->exchange_ = nullptr;
   self->slot_.reset();
   self->ended_at_ = self->env_.time.now();
   self->result_ = result;
@@ -128,6 +148,7 @@
   monitored_ = monitored ? &*monitored : nullptr;
   std::unique_ptr<net::http_exchange> exchange = env_.client.open(make_target_request());
   exchange_ = exchange.get();
+  const pointer_reset reset(exchange_, monitored_);
   auto result = attempt_result::unknown;
   try {
     const net::response_head head = co_await exchange->head(remaining_time());
@@ -149,8 +170,6 @@
     else if (!closed_ && !only_slow)
       env_.suspicions.count_failure(target_id_, error.what());
   }
-  monitored_ = nullptr;
-  exchange_ = nullptr;
   co_return result;
 }
 
--- a/unittests/gateway/slow_caller_test.cpp
+++ b/unittests/gateway/slow_caller_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 
 // Load pattern: callers on slow links read large responses for seconds after their targets have
 // sent them, beside callers that read at once.
@@ -74,3 +75,24 @@
   BOOST_REQUIRE(held.has_value());
   BOOST_TEST((*held < 100ms));
 }
+
+BOOST_DATA_TEST_CASE(exchange_is_closed_when_writing_to_the_caller_fails, data::make({1, 3}),
+                     failing_piece) {
+  gateway_fixture world;
+  world.add_target("one");
+  scripted_answer script = events(1, event_count);
+  script.silences[4] = 2s;
+  world.answer("one", script);
+  recording_writer writer;
+  int pieces = 0;
+  writer.reading = [&pieces, failing_piece]() -> support::task<> {
+    if (++pieces == failing_piece)
+      throw std::runtime_error("the connection has no buffer left");
+    co_return;
+  };
+  world.begin("/stream/x", writer);
+  world.clock.run_for(100ms);
+  BOOST_TEST(pieces == failing_piece);
+  BOOST_TEST(world.client.aborted_exchanges == 1);
+  BOOST_TEST(world.loads.in_flight("one") == 0);
+}
