Forward a target's own error when the retry after it is refused

Cause: in camphorlugd, a retry after a 5xx response was acquired twice: once before the response was dropped, once in the loop over attempts. Each retry used up two of the budget, and if the second acquisition failed, the caller got 502 instead of the response that its target had given.

Change: the result of an attempt tells whether the retry has been acquired.

Tests error_of_a_target_is_forwarded_when_retries_end and retry_after_an_error_of_a_target_counts_once, all targets answering 500: before, 502 for the first request and 2 attempts of 3; after, 500 with the target's body and 3. test-requests passes.

--- a/include/camphorlug/requests/forwarder.h
+++ b/include/camphorlug/requests/forwarder.h
@@ -18,7 +18,13 @@
   const recorded_response& response() const { return response_; }
 
 private:
-  enum class attempt_result { answered, retry, give_up };
+  enum class attempt_result {
+    answered,
+    /// The attempt failed.
+    failed,
+    /// The target sent an error, which is dropped because a retry has been acquired.
+    retry_acquired,
+  };
 
   support::task<attempt_result> attempt(groups::routable_target target, std::string attempt_id,
                                         net::response_writer& writer);
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -47,7 +47,7 @@
     service_state_.router.release_slot(target->id);
     if (result == attempt_result::answered)
       co_return request_outcome::answered;
-    if (result == attempt_result::give_up || !acquire_retry())
+    if (result == attempt_result::failed && !acquire_retry())
       break;
   }
   const request_outcome outcome =
@@ -107,12 +107,12 @@
   } catch (const net::transport_error& error) {
     service_state_.router.on_failure(target.id);
     call_.may_have_run |= error.progress() == net::request_progress::may_have_been_read;
-    co_return attempt_result::retry;
+    co_return attempt_result::failed;
   }
   const auto& not_run = call_.document().not_run_statuses;
   if (std::find(not_run.begin(), not_run.end(), response.status) != not_run.end()) {
     service_state_.router.on_failure(target.id);
-    co_return attempt_result::retry;
+    co_return attempt_result::failed;
   }
   const bool belongs_to_attempt = !call_.document().echoes_attempt_id ||
                                   response.headers.find("Attempt-Id").value_or("") == attempt_id ||
@@ -121,14 +121,14 @@
     // The response belongs to another request; this one may or may not have run.
     service_state_.router.on_failure(target.id);
     call_.may_have_run = true;
-    co_return attempt_result::retry;
+    co_return attempt_result::failed;
   }
   const bool is_server_error = response.status >= 500;
   if (is_server_error && call_.idempotent) {
     service_state_.router.on_failure(target.id);
     call_.may_have_run = true;
     if (acquire_retry())
-      co_return attempt_result::retry;
+      co_return attempt_result::retry_acquired;
   }
   service_state_.router.on_response(target.id, environment_.time.now() - began);
   send_response(std::move(response), writer);
--- a/unittests/fakes/fake_engine.h
+++ b/unittests/fakes/fake_engine.h
@@ -26,6 +26,8 @@
   silent,
   /// The response has a status that declares that the request was not executed.
   declared_not_run,
+  /// The request is executed, and the response is an error of the target itself.
+  failed,
   /// The response belongs to another request.
   crossed,
 };
--- a/unittests/fakes/fake_fleet.cpp
+++ b/unittests/fakes/fake_fleet.cpp
@@ -37,6 +37,8 @@
       throw transport_error(request_progress::may_have_been_read, false, "reset");
     net::response_head answer;
     answer.status = fault_ == connection_fault::declared_not_run ? 503 : start();
+    if (fault_ == connection_fault::failed)
+      answer.status = 500;
     if (fault_ == connection_fault::broken_after_run)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
     if (fault_ == connection_fault::silent)
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -181,6 +181,26 @@
   BOOST_TEST(response->body.starts_with("ran "));
 }
 
+// All targets answer with errors of their own. The last one is forwarded, with or without retries.
+BOOST_DATA_TEST_CASE(error_of_a_target_is_forwarded_when_retries_end, data::make({1, 2, 3, 4}),
+                     requests) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::failed, 1'000'000);
+  std::unique_ptr<fakes::recording_writer> response;
+  for (int i = 0; i < requests; ++i)
+    response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 500);
+  BOOST_TEST(response->body.starts_with("ran "));
+}
+
+// As many retries as the budget has at the start, so that each of them must count once.
+BOOST_AUTO_TEST_CASE(retry_after_an_error_of_a_target_counts_once) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::failed, 1'000'000);
+  fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(fixture.executions() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(retries_stay_within_budget_when_all_targets_fail) {
   plain_service_fixture fixture;
   constexpr std::size_t requests = 300;
