Cancel a superseded stream only when its continuation has begun

Cause: in camphorlugd, a failover cancelled the stream at its engine before it knew that a retry was left, that a target could be chosen and that this target answered. If the failover failed, the caller's resumption found no stream.

Change: the superseded attempts are cancelled when the next one has sent an event. Without one they are left to the engine, which discards streams that nobody reads. The fake engine drops a stream on DELETE, as engines do; that request is exempt from the scripted connection faults.

Test stream_is_kept_for_its_caller_when_no_failover_is_possible: before, the resumption ran the request again; after, it gets the rest of the first run. test-requests passes.

--- a/include/camphorlug/requests/stream_relay.h
+++ b/include/camphorlug/requests/stream_relay.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace camphorlug::requests {
 
@@ -50,6 +51,12 @@
     rejected
   };
 
+  /// An attempt that another one is to continue.
+  struct superseded_stream {
+    std::string address;
+    std::string attempt;
+  };
+
   bool acquire_target();
   bool locate_resumed_stream();
   support::task<upstream_result> relay_upstream();
@@ -61,7 +68,7 @@
   void record_latency();
   bool prepare_next_connection(upstream_result result);
   bool fail_over();
-  void cancel_at_target();
+  void cancel_superseded();
   void release_target();
   support::task<request_outcome> give_up();
 
@@ -73,6 +80,7 @@
   groups::routable_target target_;
   bool has_target_ = false;
   std::string attempt_;
+  std::vector<superseded_stream> superseded_;
   /// Index of the next event to send to the caller.
   std::size_t next_index_ = 0;
   /// Index of the next event on the current connection; less than `next_index_`
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -214,6 +214,7 @@
   ++next_index_;
   progressed_ = true;
   failovers_ = 0;
+  cancel_superseded();
   const bool delivered = co_await sink_.event(sign_position(position, environment_.stream_key),
                                               std::move(event.data), parsed.text);
   co_return delivered ? upstream_result::refused : upstream_result::caller_gone;
@@ -251,14 +252,13 @@
 }
 
 bool stream_relay::fail_over() {
-  if (call_.may_have_run) {
-    if (!call_.idempotent)
-      return false;
-    cancel_at_target();
-  }
-  release_target();
+  if (call_.may_have_run && !call_.idempotent)
+    return false;
   if (++failovers_ > max_failovers || !service_state_.retries.try_consume())
     return false;
+  if (call_.may_have_run)
+    superseded_.push_back({target_.address, attempt_});
+  release_target();
   if (next_index_ == 0)
     fetch_mode_ = fetch_mode::start;
   else
@@ -277,14 +277,18 @@
   }
 }
 
-void stream_relay::cancel_at_target() {
-  net::client_request request;
-  request.method = "DELETE";
-  request.address = target_.address;
-  request.target = "/v1/streams/" + attempt_;
-  request.connect_timeout = connect_timeout;
-  support::spawn(environment_.executor, "cancel",
-                 send_cancel(environment_.targets, std::move(request)));
+/// Called when another attempt has sent an event. Until then the caller may have to resume one of
+/// the earlier ones.
+void stream_relay::cancel_superseded() {
+  for (const superseded_stream& each : std::exchange(superseded_, {})) {
+    net::client_request request;
+    request.method = "DELETE";
+    request.address = each.address;
+    request.target = "/v1/streams/" + each.attempt;
+    request.connect_timeout = connect_timeout;
+    support::spawn(environment_.executor, "cancel",
+                   send_cancel(environment_.targets, std::move(request)));
+  }
 }
 
 support::task<request_outcome> stream_relay::give_up() {
--- a/unittests/fakes/fake_engine.h
+++ b/unittests/fakes/fake_engine.h
@@ -57,7 +57,8 @@
   support::clock::time_point ready_at;
 
   connection_fault next_connection = connection_fault::none;
-  /// Number of next connections that have the fault `next_connection`.
+  /// Number of next connections that have the fault `next_connection`; those that cancel a stream
+  /// have none.
   std::size_t faulty_connections = 0;
   stream_fault fault = stream_fault::none;
   std::size_t fault_at = 0;
--- a/unittests/requests/stream_resume_test.cpp
+++ b/unittests/requests/stream_resume_test.cpp
@@ -77,6 +77,36 @@
                  ->status == 400);
 }
 
+// The connection breaks, and so do those that resume the stream or continue it elsewhere, until
+// no retry is left. The engine that still generates it must keep it for the caller.
+BOOST_AUTO_TEST_CASE(stream_is_kept_for_its_caller_when_no_failover_is_possible) {
+  resume_fixture fixture;
+  for (auto& [id, engine] : fixture.fleet.engines()) {
+    engine.fault = fakes::stream_fault::cut;
+    engine.fault_at = 5;
+  }
+  fakes::recording_writer first;
+  fixture.begin_call(0, fakes::chat_request("tell me", tokens), first);
+  fixture.run_for(30ms);
+  for (auto& [id, engine] : fixture.fleet.engines()) {
+    engine.next_connection = fakes::connection_fault::broken_before_run;
+    engine.faulty_connections = 1000;
+  }
+  BOOST_REQUIRE(fixture.run_until([&first] { return first.finished; }, 10s));
+  BOOST_REQUIRE(first.text() != fakes::expected_text("tell me", tokens));
+  std::size_t executed = 0;
+  for (auto& [id, engine] : fixture.fleet.engines()) {
+    engine.faulty_connections = 0;
+    executed += engine.executed.size();
+  }
+  const auto second = fixture.resume(first.last_id(), fakes::organisation_key);
+  BOOST_TEST(first.text() + second->text() == fakes::expected_text("tell me", tokens));
+  for (auto& [id, engine] : fixture.fleet.engines())
+    executed -= engine.executed.size();
+  // The rest came from the stream that the engine had begun.
+  BOOST_TEST(executed == 0);
+}
+
 BOOST_AUTO_TEST_CASE(stream_continues_when_its_leader_fails) {
   resume_fixture fixture;
   fakes::recording_writer response;
