--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -69,7 +69,10 @@
   void close();
 
   const std::string& target_id() const { return target_id_; }
-  support::clock::time_point started_at() const { return started_at_; }
+  /// Time for which the attempt has used its slot.
+  std::chrono::nanoseconds held() const {
+    return ended_at_.value_or(env_.time.now()) - started_at_;
+  }
 
   /// Head of the response; valid from the first event on, or with the result `answered` or
   /// `failed`.
@@ -101,6 +104,7 @@
   attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
   net::client_request make_target_request();
   void record_progress();
+  support::task<bool> wait_until_queue_is_drained();
   bool is_stream() const;
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
 
@@ -113,6 +117,7 @@
   stream_position position_;
   std::function<void()> on_change_;
   support::clock::time_point started_at_;
+  std::optional<support::clock::time_point> ended_at_;
   support::clock::time_point last_progress_;
   /// Time from the start within which the first part of the response usually arrives.
   std::chrono::nanoseconds first_part_limit_;
@@ -126,6 +131,8 @@
   std::deque<raw_event> events_;
   std::size_t queued_bytes_ = 0;
   support::notification queue_drained_;
+  /// Nothing is read while the caller has too much still to take.
+  bool is_reading_paused_ = false;
   std::string body_;
   std::optional<attempt_result> result_;
   std::string failure_;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -51,6 +51,11 @@
       attempted_request{std::move(request), route_, std::move(organisation), deadline});
 }
 
+request_forwarder::~request_forwarder() {
+  for (const open_attempt& each : open_)
+    each.attempt->close();
+}
+
 support::task<> request_forwarder::run() {
   writer_.on_disconnect([this] {
     caller_gone_ = true;
@@ -72,7 +77,7 @@
     if (!finished && !caller_gone_)
       seek_replacement(executor);
   }
-  for (const open_attempt& each : open_)
+  for (const open_attempt& each : std::exchange(open_, {}))
     end_attempt(each);
   if (!finished)
     record_outcome("abandoned", "the caller closed its connection");
@@ -191,7 +196,7 @@
 }
 
 support::task<> request_forwarder::finish_answered_request(target_attempt& attempt) {
-  env_.demand.record_hold(pool(), env_.time.now() - attempt.started_at());
+  env_.demand.record_hold(pool(), attempt.held());
   std::string detail;
   if (position_.events > 0) {
     writer_.finish();
@@ -228,7 +233,7 @@
 
 void request_forwarder::end_attempt(const open_attempt& ended) {
   ended.attempt->close();
-  env_.queue.update_hold_estimate(pool(), env_.time.now() - ended.attempt->started_at());
+  env_.queue.update_hold_estimate(pool(), ended.attempt->held());
 }
 
 /// Removes the attempts that cannot provide the rest of the response.
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -36,6 +36,27 @@
                                min_first_event_limit);
 }
 
+namespace {
+
+/// Clears pointers to the locals of a coroutine when it ends or is destroyed.
+class pointer_reset {
+public:
+  pointer_reset(net::http_exchange*& exchange, stall_detector::stream*& monitored)
+      : exchange_(exchange), monitored_(monitored) {}
+  ~pointer_reset() {
+    exchange_ = nullptr;
+    monitored_ = nullptr;
+  }
+  pointer_reset(const pointer_reset&) = delete;
+  pointer_reset& operator=(const pointer_reset&) = delete;
+
+private:
+  net::http_exchange*& exchange_;
+  stall_detector::stream*& monitored_;
+};
+
+} // namespace
+
 target_attempt::target_attempt(gateway_environment& environment,
                                std::shared_ptr<const attempted_request> shared, slot_guard slot,
                                stream_position position, std::function<void()> on_change)
@@ -77,7 +98,7 @@
 }
 
 bool target_attempt::is_silent() const {
-  if (result_ || has_event())
+  if (result_ || has_event() || is_reading_paused_)
     return false;
   return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_id_);
 }
@@ -90,8 +111,8 @@
   } catch (...) {
     unexpected = std::current_exception();
   }
-  self->exchange_ = nullptr;
   self->slot_.reset();
+  self->ended_at_ = self->env_.time.now();
   self->result_ = result;
   if (self->on_change_)
     self->on_change_();
@@ -127,6 +148,7 @@
   monitored_ = monitored ? &*monitored : nullptr;
   std::unique_ptr<net::http_exchange> exchange = env_.client.open(make_target_request());
   exchange_ = exchange.get();
+  const pointer_reset reset(exchange_, monitored_);
   auto result = attempt_result::unknown;
   try {
     const net::response_head head = co_await exchange->head(remaining_time());
@@ -148,8 +170,6 @@
     else if (!closed_ && !only_slow)
       env_.suspicions.count_failure(target_id_, error.what());
   }
-  monitored_ = nullptr;
-  exchange_ = nullptr;
   co_return result;
 }
 
@@ -198,11 +218,27 @@
     monitored_->progress();
 }
 
+/// Returns false when the time limit has passed. The time of the wait does not count as silence of
+/// the target.
+support::task<bool> target_attempt::wait_until_queue_is_drained() {
+  is_reading_paused_ = true;
+  if (monitored_)
+    monitored_->pause();
+  bool notified = true;
+  while (queued_bytes_ > max_queued_bytes && !closed_ && notified)
+    notified = co_await queue_drained_.wait_for(remaining_time());
+  is_reading_paused_ = false;
+  last_progress_ = env_.time.now();
+  if (monitored_)
+    monitored_->resume();
+  co_return notified;
+}
+
 support::task<attempt_result> target_attempt::read_stream(net::http_exchange& exchange) {
   event_splitter splitter;
   for (;;) {
-    while (queued_bytes_ > max_queued_bytes && !closed_) {
-      const bool drained = co_await queue_drained_.wait_for(remaining_time());
+    if (queued_bytes_ > max_queued_bytes) {
+      const bool drained = co_await wait_until_queue_is_drained();
       if (!drained) {
         failure_ += " (the caller reads too slowly)";
         co_return attempt_result::unknown;
