Release only instances of the planner's own pool

Cause: collect_release_orders compared all observed runners with the rows of one pool, so the planners of two model services released each other's instances; the fencing numbers of two leases are equal or close, so engines accepted the orders. Change: instances listed in another pool are passed over. Test: planners_leave_instances_of_other_pools_alone (test-groups).

--- a/include/camphorlug/groups/pool_table.h
+++ b/include/camphorlug/groups/pool_table.h
@@ -50,6 +50,8 @@
   /// meantime. Throws table::store_error if the commit fails.
   support::task<bool> set_state(std::string group, group_state state, std::string reason);
 
+  const std::string& pool() const { return pool_; }
+
   /// Groups that are not dissolved, by id.
   const std::map<std::string, cached_group_row>& groups() const { return groups_; }
   /// Instances that a row assigns to a group, by id.
--- a/lib/groups/order_sender.cpp
+++ b/lib/groups/order_sender.cpp
@@ -70,15 +70,15 @@
     add(standby.member, standby.rank, order_action::prepare);
 }
 
-/// Collects release orders for instances that report a group although no row
-/// assigns them to one.
+/// Collects release orders for instances of the table's pool that report a group
+/// although no row assigns them to one.
 void order_sender::collect_release_orders(const pool_table& table,
                                           std::vector<pending_order>& pending) const {
   for (const auto& [id, seen] : observations_.all()) {
     const table::listed_instance* listed = directory_.find(id);
     const bool is_unassigned = listed && listed->role == table::instance_role::runner &&
-                               !seen.absent && !seen.report.group.empty() &&
-                               !table.instances().contains(id);
+                               listed->pool == table.pool() && !seen.absent &&
+                               !seen.report.group.empty() && !table.instances().contains(id);
     if (is_unassigned)
       pending.push_back({id,
                          listed->address,
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -261,3 +261,28 @@
   BOOST_TEST(fewest >= 4 - 1);
   BOOST_TEST(world.invariants_hold());
 }
+
+BOOST_AUTO_TEST_CASE(planners_leave_instances_of_other_pools_alone) {
+  fakes::simulated_cluster world;
+  world.add_runners(2, 4);
+  for (int index = 0; index < 4; ++index)
+    world.fleet.listed().at("r" + std::to_string(index)).pool = "others";
+  world.add_nodes(3);
+  world.run_for(1s);
+  world.apply(fakes::model_document("", "v1", 1));
+  std::string other = fakes::model_document("", "v1", 1);
+  other.replace(other.find("\"model\""), 7, "\"other\"");
+  other.replace(other.find("\"runners\""), 9, "\"others\"");
+  world.apply(other);
+  const auto both_serve = [&] { return world.routable(0) == 1 && world.routable(0, "other") == 1; };
+  BOOST_TEST(world.run_until(both_serve, 30s));
+  world.run_for(60s);
+  BOOST_TEST(both_serve());
+  for (auto& [id, engine] : world.fleet.engines()) {
+    const bool released =
+        std::any_of(engine.orders.begin(), engine.orders.end(), [](const auto& order) {
+          return order.action == targets::order_action::release;
+        });
+    BOOST_TEST(!released, id);
+  }
+}
