Give an instance orders again after an unexpected exception

Cause: send_order caught transport errors only; any other exception ended the task before it took the instance out of in_flight_, so it got no order again. Change: every exception but that of the shutdown is logged as order_failed, and the instance leaves in_flight_ after the usual pause. Test: order_is_sent_again_after_an_unexpected_exception (test-groups).

--- a/lib/groups/order_sender.cpp
+++ b/lib/groups/order_sender.cpp
@@ -1,7 +1,7 @@
 #include "camphorlug/groups/order_sender.h"
 
-#include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/support/shutdown_exception.h"
 
 #include <algorithm>
 
@@ -154,7 +154,10 @@
     if (result != targets::order_result::accepted)
       support::log_event(support::log_level::warning, "order_refused",
                          {{"instance", pending.instance}});
-  } catch (const net::transport_error& error) {
+  } catch (const support::shutdown_exception&) {
+    throw;
+  } catch (const std::exception& error) {
+    // Whatever failed, the instance must not stay in flight, or it gets no order again.
     support::log_event(support::log_level::warning, "order_failed",
                        {{"instance", pending.instance}, {"error", error.what()}});
   }
--- a/unittests/fakes/fake_fleet.cpp
+++ b/unittests/fakes/fake_fleet.cpp
@@ -207,6 +207,10 @@
 fake_target_client::order(std::string address, targets::instance_order what,
                           std::chrono::nanoseconds timeout, std::function<bool()> still_allowed) {
   fake_engine* engine = co_await connect(std::move(address), timeout);
+  if (order_exceptions > 0) {
+    --order_exceptions;
+    throw std::runtime_error("an unexpected failure");
+  }
   if (!still_allowed())
     throw transport_error(request_progress::not_sent, false, "not allowed");
   co_await fleet_.time().sleep_for(order_delay);
--- a/unittests/fakes/fake_fleet.h
+++ b/unittests/fakes/fake_fleet.h
@@ -52,6 +52,8 @@
   /// Addresses that this node cannot reach: reports, probes and orders time out, other requests
   /// are refused.
   std::set<std::string> unreachable;
+  /// Number of next orders that end with an exception that the interface does not name.
+  std::size_t order_exceptions = 0;
   /// Network delay of orders.
   std::chrono::nanoseconds order_delay{0};
 
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -286,3 +286,14 @@
     BOOST_TEST(!released, id);
   }
 }
+
+BOOST_AUTO_TEST_CASE(order_is_sent_again_after_an_unexpected_exception) {
+  fakes::simulated_cluster world;
+  world.add_runners(1, 4);
+  world.add_nodes(1);
+  world.run_for(1s);
+  world.nodes[0].targets->order_exceptions = 1;
+  world.apply(fakes::model_document("", "v1", 1));
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, 30s));
+  BOOST_TEST(world.nodes[0].targets->order_exceptions == 0);
+}
