Plan on when a group or instance row cannot be read

Cause: an exception other than store_error ended group_planner::run, while keep_lease went on renewing the lease, so no node planned the pool again; a row that says "members": [] crashed the node. Change: pool_table::load logs and passes over malformed rows (an instance with such a row is neither free nor a member), a group record without members is malformed, and run() survives every exception but that of the shutdown. Test: malformed_row_does_not_end_planning (test-groups, 6 rows).

--- a/include/camphorlug/groups/pool_table.h
+++ b/include/camphorlug/groups/pool_table.h
@@ -63,6 +63,8 @@
 
 private:
   struct pending_change;
+  void load_group(const table::row& row);
+  void load_instance(const table::row& row);
   std::uint64_t next_number();
   pending_change begin_change(const placement_step& step, const std::string& service,
                               const documents::model_spec& spec);
--- a/lib/groups/group_planner.cpp
+++ b/lib/groups/group_planner.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/groups/group_planner.h"
 
 #include "camphorlug/support/log.h"
+#include "camphorlug/support/shutdown_exception.h"
 #include "camphorlug/table/store_error.h"
 
 namespace camphorlug::groups {
@@ -43,6 +44,13 @@
         co_await try_acquire_lease();
     } catch (const table::store_error& error) {
       status_.waits_for = std::string("table service: ") + error.what();
+    } catch (const support::shutdown_exception&) {
+      throw;
+    } catch (const std::exception& error) {
+      // If planning ended here, the lease would be renewed and no other node would plan.
+      status_.waits_for = std::string("a failed planning pass: ") + error.what();
+      support::log_event(support::log_level::error, "planning_failed",
+                         {{"pool", pool_}, {"error", error.what()}});
     }
     status_.leads = context_.pool_lease.held();
     status_.lease_number = status_.leads ? context_.pool_lease.number() : 0;
--- a/lib/groups/group_record.cpp
+++ b/lib/groups/group_record.cpp
@@ -76,6 +76,8 @@
       record.members.push_back(parse_member(member));
     for (const auto& standby : value.at("standbys"))
       record.standbys.push_back({standby.at("rank"), parse_member(standby.at("instance"))});
+    if (record.members.empty())
+      throw std::runtime_error("not a group record: it has no members");
     return record;
   } catch (const nlohmann::json::exception& error) {
     throw std::runtime_error(std::string("not a group record: ") + error.what());
--- a/lib/groups/pool_table.cpp
+++ b/lib/groups/pool_table.cpp
@@ -13,6 +13,15 @@
 /// them hold the lease's number.
 static constexpr unsigned sequence_bits = 24;
 
+/// Stands for the group of an instance whose row cannot be read, so that the instance
+/// is neither free nor a member of any group.
+static constexpr const char* unreadable_group = "(unreadable)";
+
+static void log_malformed_row(const table::row& malformed, const std::exception& error) {
+  support::log_event(support::log_level::error, "pool_row_malformed",
+                     {{"key", malformed.key}, {"error", error.what()}});
+}
+
 /// A transaction under construction and the group record that it writes.
 struct pool_table::pending_change {
   group_record record;
@@ -32,15 +41,34 @@
   instances_.clear();
   for (const table::row& row : group_rows) {
     rows_.update_if_newer(row);
+    load_group(row);
+  }
+  for (const table::row& row : instance_rows)
+    load_instance(row);
+  loaded_ = true;
+}
+
+/// A malformed row is passed over, so that it does not keep the other groups from
+/// being planned.
+void pool_table::load_group(const table::row& row) {
+  try {
     group_record record = group_record::from_json(row.value);
     if (record.state != group_state::dissolved)
       groups_.emplace(record.id, cached_group_row{record, row.version});
+  } catch (const std::exception& error) {
+    log_malformed_row(row, error);
   }
-  for (const table::row& row : instance_rows) {
-    const std::string id = row.key.substr(pool_instance_prefix(pool_).size());
-    instances_[id] = {nlohmann::json::parse(row.value).at("group"), row.version};
+}
+
+void pool_table::load_instance(const table::row& row) {
+  const std::string id = row.key.substr(pool_instance_prefix(pool_).size());
+  try {
+    const auto value = nlohmann::json::parse(row.value);
+    instances_[id] = {value.at("group"), row.version};
+  } catch (const std::exception& error) {
+    log_malformed_row(row, error);
+    instances_[id] = {unreadable_group, row.version};
   }
-  loaded_ = true;
 }
 
 std::uint64_t pool_table::newest_number() const {
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -297,3 +297,45 @@
   BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, 30s));
   BOOST_TEST(world.nodes[0].targets->order_exceptions == 0);
 }
+
+namespace {
+
+struct row_text {
+  const char* key;
+  const char* value;
+};
+
+std::ostream& operator<<(std::ostream& out, const row_text& row) {
+  return out << row.key << " = " << row.value;
+}
+
+const row_text malformed_rows[] = {
+    {"group/runners/g-malformed", "{"},
+    {"group/runners/g-malformed",
+     R"({"id":"g-malformed","service":"model","pool":"runners","state":"odd","model":"m",)"
+     R"("version":"v1","fabric_domain":"f0","data_centre":"dc0","members":[],"standbys":[],)"
+     R"("number":1,"reason":""})"},
+    {"group/runners/g-malformed",
+     R"({"id":"g-malformed","service":"model","pool":"runners","state":"serving","model":"m",)"
+     R"("version":"v1","fabric_domain":"f0","data_centre":"dc0","members":[],"standbys":[],)"
+     R"("number":1,"reason":""})"},
+    {"instance/runners/r8", "{"},
+    {"instance/runners/r8", R"({"group":7})"},
+    {"instance/runners/r8", "[]"},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(malformed_row_does_not_end_planning, data::make(malformed_rows), row) {
+  fakes::simulated_cluster world;
+  world.add_runners(1, 9);
+  world.add_nodes(1);
+  world.table.rows.commit({{}, {{row.key, row.value}}});
+  world.run_for(1s);
+  world.apply(fakes::model_document("", "v1", 2));
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 2; }, 30s));
+  for (const auto& record : world.nodes[0].node->live_groups().records()) {
+    for (const auto& member : record.members)
+      BOOST_TEST((member.instance != "r8" || std::string(row.key) != "instance/runners/r8"));
+  }
+}
