Return a target's 5xx when its retries get no better response

Cause: the forwarder took a retry from the budget in attempt() and again in run(), and when the second was refused, or the retry got no response, it answered 502 no-answer although the target had responded. give_up was never returned. Change: attempt() keeps the 5xx, run() takes one retry, and the kept response is sent when there is no further attempt. give_up is gone. Tests: server_error_is_retried_and_then_returned, server_error_is_returned_when_its_retries_get_no_response (test-requests).

--- a/include/camphorlug/requests/forwarder.h
+++ b/include/camphorlug/requests/forwarder.h
@@ -4,6 +4,8 @@
 #include "camphorlug/requests/request_environment.h"
 #include "camphorlug/requests/service_state.h"
 
+#include <optional>
+
 namespace camphorlug::requests {
 
 /// Forwards a request to a target and returns the complete response to the caller.
@@ -18,7 +20,7 @@
   const recorded_response& response() const { return response_; }
 
 private:
-  enum class attempt_result { answered, retry, give_up };
+  enum class attempt_result { answered, retry };
 
   support::task<attempt_result> attempt(groups::routable_target target, std::string attempt_id,
                                         net::response_writer& writer);
@@ -32,6 +34,8 @@
   service_state& service_state_;
   call& call_;
   recorded_response response_;
+  /// The last 5xx response of a target to a request that may be retried.
+  std::optional<net::client_response> server_error_;
 };
 
 } // namespace camphorlug::requests
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -47,9 +47,14 @@
     service_state_.router.release_slot(target->id);
     if (result == attempt_result::answered)
       co_return request_outcome::answered;
-    if (result == attempt_result::give_up || !acquire_retry())
+    if (!acquire_retry())
       break;
   }
+  if (server_error_) {
+    // No further attempt gave a better response than the target's own.
+    send_response(std::move(*server_error_), writer);
+    co_return request_outcome::answered;
+  }
   const request_outcome outcome =
       call_.may_have_run ? request_outcome::unknown : request_outcome::not_run;
   const std::chrono::seconds retry_after(call_.may_have_run && !call_.idempotent ? 0 : 1);
@@ -127,8 +132,8 @@
   if (is_server_error && call_.idempotent) {
     service_state_.router.on_failure(target.id);
     call_.may_have_run = true;
-    if (acquire_retry())
-      co_return attempt_result::retry;
+    server_error_ = std::move(response);
+    co_return attempt_result::retry;
   }
   service_state_.router.on_response(target.id, environment_.time.now() - began);
   send_response(std::move(response), writer);
--- a/unittests/fakes/fake_engine.h
+++ b/unittests/fakes/fake_engine.h
@@ -28,6 +28,10 @@
   declared_not_run,
   /// The response belongs to another request.
   crossed,
+  /// The request is executed, and the response has status 500.
+  server_error,
+  /// The exchange ends with an exception that the interface does not name.
+  unexpected,
 };
 
 /// Fault that a stream has once, at the event `fake_engine::fault_at`: the connection breaks
--- a/unittests/fakes/fake_fleet.cpp
+++ b/unittests/fakes/fake_fleet.cpp
@@ -35,12 +35,16 @@
       throw transport_error(request_progress::not_sent, false, "refused");
     if (fault_ == connection_fault::broken_before_run)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
+    if (fault_ == connection_fault::unexpected)
+      throw std::runtime_error("an unexpected failure");
     net::response_head answer;
     answer.status = fault_ == connection_fault::declared_not_run ? 503 : start();
     if (fault_ == connection_fault::broken_after_run)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
     if (fault_ == connection_fault::silent)
       co_await fail_with_timeout(timeout);
+    if (fault_ == connection_fault::server_error)
+      answer.status = 500;
     const bool crossed = fault_ == connection_fault::crossed;
     answer.headers.add("Attempt-Id", crossed ? "another" : attempt_);
     answer.headers.add("Content-Type", "application/json");
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -196,3 +196,25 @@
   const double attempts_per_request = static_cast<double>(left_before - left_after) / requests;
   BOOST_TEST(attempts_per_request < 1.15);
 }
+
+BOOST_AUTO_TEST_CASE(server_error_is_retried_and_then_returned) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::server_error, 1'000'000);
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 500);
+  BOOST_TEST(outcome_of(*response) == "");
+  BOOST_TEST(response->body.starts_with("ran "));
+  // Each retry takes one from the budget, which is 3 at first.
+  BOOST_TEST(fixture.executions() == 3);
+}
+
+BOOST_DATA_TEST_CASE(server_error_is_returned_when_its_retries_get_no_response,
+                     data::make({"p0", "p1", "p2"}), failing) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::refused, 1'000'000);
+  fixture.fleet.engine(failing).next_connection = connection_fault::server_error;
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 500);
+  BOOST_TEST(outcome_of(*response) == "");
+  BOOST_TEST(response->body.starts_with("ran "));
+}
