Count a target's 5xx as one failure and not as a response

Cause: a 5xx of a request that may run once counted as a timely response, which widened the target's window and reset its failures; one of an idempotent request without retries left counted as a failure and as a response. Change: a 5xx is one failure. Test: target_that_fails_every_request_is_avoided (test-requests).

--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -129,13 +129,16 @@
     co_return attempt_result::retry;
   }
   const bool is_server_error = response.status >= 500;
-  if (is_server_error && call_.idempotent) {
+  // A quick 5xx must not attract further requests, so it does not count as a response.
+  if (is_server_error)
     service_state_.router.on_failure(target.id);
+  else
+    service_state_.router.on_response(target.id, environment_.time.now() - began);
+  if (is_server_error && call_.idempotent) {
     call_.may_have_run = true;
     server_error_ = std::move(response);
     co_return attempt_result::retry;
   }
-  service_state_.router.on_response(target.id, environment_.time.now() - began);
   send_response(std::move(response), writer);
   co_return attempt_result::answered;
 }
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -218,3 +218,16 @@
   BOOST_TEST(outcome_of(*response) == "");
   BOOST_TEST(response->body.starts_with("ran "));
 }
+
+BOOST_DATA_TEST_CASE(target_that_fails_every_request_is_avoided,
+                     data::make({"/title-cards/1", "/orders/1"}), path) {
+  plain_service_fixture fixture;
+  fakes::fake_engine& failing = fixture.fleet.engine("p0");
+  failing.next_connection = connection_fault::server_error;
+  failing.faulty_connections = 1'000'000;
+  for (std::size_t i = 0; i < 300; ++i)
+    fixture.call(0, fakes::plain_request(path));
+  // It is avoided for a second after three failures, and longer after each further one; the
+  // 300 requests take 6 s.
+  BOOST_TEST(failing.executed.size() <= 8);
+}
