Give a target's slot back when an unexpected exception ends a request

Cause: forwarder::run and stream_relay::run released the slot only on the paths without an exception, so each one took a slot of the target for ever, until all requests of the service were refused with 429. Change: both release it and rethrow. Tests: unexpected_exception_gives_the_slot_back, unexpected_exception_in_a_stream_gives_the_slot_back (test-requests).

--- a/include/camphorlug/requests/stream_relay.h
+++ b/include/camphorlug/requests/stream_relay.h
@@ -21,6 +21,8 @@
   stream_relay(request_environment& environment, service_state& state, call& current,
                stream_sink& sink);
 
+  /// Relays the stream to its end, and gives the target's slot back even if an
+  /// exception ends it.
   support::task<request_outcome> run();
 
 private:
@@ -50,6 +52,7 @@
     rejected
   };
 
+  support::task<request_outcome> relay_until_end();
   bool acquire_target();
   bool locate_resumed_stream();
   support::task<upstream_result> relay_upstream();
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -42,9 +42,16 @@
     ++call_.attempts;
     call_.tried.push_back(target->id);
     environment_.observer.on_attempt(call_.labels);
-    const attempt_result result =
-        co_await attempt(*target, environment_.random.identifier(), writer);
+    std::exception_ptr failure;
+    attempt_result result = attempt_result::retry;
+    try {
+      result = co_await attempt(*target, environment_.random.identifier(), writer);
+    } catch (...) {
+      failure = std::current_exception();
+    }
     service_state_.router.release_slot(target->id);
+    if (failure)
+      std::rethrow_exception(failure);
     if (result == attempt_result::answered)
       co_return request_outcome::answered;
     if (!acquire_retry())
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -25,6 +25,20 @@
     : environment_(environment), service_state_(state), call_(current), sink_(sink) {}
 
 support::task<request_outcome> stream_relay::run() {
+  std::exception_ptr failure;
+  request_outcome outcome = request_outcome::unknown;
+  try {
+    outcome = co_await relay_until_end();
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  release_target();
+  if (failure)
+    std::rethrow_exception(failure);
+  co_return outcome;
+}
+
+support::task<request_outcome> stream_relay::relay_until_end() {
   if (call_.resume_after && !locate_resumed_stream())
     fetch_mode_ = fetch_mode::regenerate;
   for (;;) {
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -231,3 +231,18 @@
   // 300 requests take 6 s.
   BOOST_TEST(failing.executed.size() <= 8);
 }
+
+BOOST_AUTO_TEST_CASE(unexpected_exception_gives_the_slot_back) {
+  plain_service_fixture fixture;
+  // More than the windows of the three targets.
+  constexpr std::size_t exceptions = 100;
+  fixture.set_fault(connection_fault::unexpected, 1'000'000);
+  std::vector<fakes::recording_writer> writers(exceptions);
+  for (fakes::recording_writer& writer : writers) {
+    fixture.begin_call(0, fakes::plain_request("/title-cards/1"), writer);
+    fixture.run_for(20ms);
+  }
+  fixture.set_fault(connection_fault::none, 0);
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 200);
+}
--- a/unittests/requests/stream_relay_test.cpp
+++ b/unittests/requests/stream_relay_test.cpp
@@ -59,3 +59,24 @@
   BOOST_TEST(body["choices"][0]["message"]["content"].get<std::string>() ==
              fakes::expected_text("tell me", tokens));
 }
+
+BOOST_AUTO_TEST_CASE(unexpected_exception_in_a_stream_gives_the_slot_back) {
+  stream_fixture fixture;
+  // More than the windows of the two groups.
+  constexpr std::size_t exceptions = 100;
+  const auto set_connection_fault = [&](fakes::connection_fault fault, std::size_t connections) {
+    for (auto& [id, engine] : fixture.fleet.engines()) {
+      engine.next_connection = fault;
+      engine.faulty_connections = connections;
+    }
+  };
+  set_connection_fault(fakes::connection_fault::unexpected, 1'000'000);
+  std::vector<fakes::recording_writer> writers(exceptions);
+  for (fakes::recording_writer& writer : writers) {
+    fixture.begin_call(0, fakes::chat_request("tell me", tokens), writer);
+    fixture.run_for(20ms);
+  }
+  set_connection_fault(fakes::connection_fault::none, 0);
+  const auto response = fixture.call(0, fakes::chat_request("tell me", tokens));
+  BOOST_TEST(response->status == 200);
+}
