Count a stream as resumed when its next connection begins

Cause: on_resumed was counted after each failed connection, also when there was no target, time or budget to go on. Change: relay_upstream counts it for each connection after the first. Test: only_connections_that_follow_another_count_as_resumed (test-requests).

--- a/include/camphorlug/requests/stream_relay.h
+++ b/include/camphorlug/requests/stream_relay.h
@@ -94,6 +94,8 @@
   /// Failovers to another group since an event was last sent to the caller.
   std::size_t failovers_ = 0;
   bool finish_seen_ = false;
+  /// Whether an earlier connection of this relay failed.
+  bool follows_failure_ = false;
   support::clock::time_point upstream_began_;
   support::clock::time_point last_token_at_;
   net::problem rejection_;
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -140,6 +140,8 @@
   progressed_ = false;
   ++call_.attempts;
   environment_.observer.on_attempt(call_.labels);
+  if (std::exchange(follows_failure_, true))
+    environment_.observer.on_resumed(call_.labels);
   try {
     auto exchange = environment_.targets.open(make_request());
     const net::response_head head = co_await exchange->head(call_.document().first_byte_limit);
@@ -247,7 +249,6 @@
 /// Resumes at the same target or fails over. Returns false if the stream cannot be
 /// continued.
 bool stream_relay::prepare_next_connection(upstream_result result) {
-  environment_.observer.on_resumed(call_.labels);
   // The engine may still have the stream after a broken connection, so resume it
   // there before failing over.
   const bool may_resume = result == upstream_result::broken && call_.may_have_run &&
--- a/unittests/requests/stream_relay_test.cpp
+++ b/unittests/requests/stream_relay_test.cpp
@@ -80,3 +80,55 @@
   const auto response = fixture.call(0, fakes::chat_request("tell me", tokens));
   BOOST_TEST(response->status == 200);
 }
+
+namespace {
+
+/// Returns the sum of a counter's values in the node's metrics.
+double counter_sum(fakes::simulated_cluster& cluster, const std::string& name) {
+  fakes::recording_writer writer;
+  net::server_request request;
+  request.method = "GET";
+  request.path = "/metrics";
+  support::spawn(cluster.context.get_executor(), "metrics",
+                 cluster.nodes[0].node->handle_operator(std::move(request), writer));
+  cluster.run_for(10ms);
+  double sum = 0;
+  std::istringstream lines(writer.body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(name + "{"))
+      sum += std::stod(line.substr(line.rfind(' ')));
+  }
+  return sum;
+}
+
+struct resumption_row {
+  fakes::connection_fault fault;
+  std::size_t connections;
+};
+
+std::ostream& operator<<(std::ostream& out, const resumption_row& row) {
+  return out << static_cast<int>(row.fault) << "x" << row.connections;
+}
+
+const resumption_row resumption_rows[] = {
+    {fakes::connection_fault::none, 0},
+    {fakes::connection_fault::declared_not_run, 1},
+    {fakes::connection_fault::declared_not_run, 1'000'000},
+    {fakes::connection_fault::broken_after_run, 1},
+    {fakes::connection_fault::broken_after_run, 1'000'000},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(only_connections_that_follow_another_count_as_resumed,
+                     data::make(resumption_rows), row) {
+  stream_fixture fixture;
+  for (auto& [id, engine] : fixture.fleet.engines()) {
+    engine.next_connection = row.fault;
+    engine.faulty_connections = row.connections;
+  }
+  fixture.call(0, fakes::chat_request("tell me", tokens));
+  const double attempts = counter_sum(fixture, "camphorlug_attempts_total");
+  BOOST_TEST(attempts >= 1);
+  BOOST_TEST(counter_sum(fixture, "camphorlug_streams_resumed_total") == attempts - 1);
+}
