Call the outcome of a retried edit unknown when the history is unreadable

Cause: a retry of an edit that was accepted and superseded looks its edit id up in the history; when that scan failed the answer was not_written, "Nothing was changed", although the edit had been written. Change: the answer is unknown then. Test: retry_whose_history_cannot_be_read_has_an_unknown_outcome (test-documents).

--- a/include/camphorlug/documents/document_editor.h
+++ b/include/camphorlug/documents/document_editor.h
@@ -36,6 +36,7 @@
 
 private:
   support::task<edit_result> write(edit_request request);
+  support::task<edit_result> find_earlier_edit(edit_request request, document_version current);
   support::task<edit_result> resolve_unknown_outcome(edit_request request);
 
   table::table_store& store_;
--- a/lib/documents/document_editor.cpp
+++ b/lib/documents/document_editor.cpp
@@ -62,15 +62,8 @@
     current = document_version::from_json(current_row->value);
   if (current_row && current.edit_id == request.edit_id)
     co_return edit_result{edit_outcome::accepted, current, {}};
-  if (current.number != request.expected_number) {
-    // This may be a retry of an edit that was committed and has been superseded since.
-    const std::vector<document_version> versions = co_await history(request.service);
-    for (const document_version& each : versions) {
-      if (each.edit_id == request.edit_id)
-        co_return edit_result{edit_outcome::accepted, each, {}};
-    }
-    co_return edit_result{edit_outcome::conflict, current, {}};
-  }
+  if (current.number != request.expected_number)
+    co_return co_await find_earlier_edit(std::move(request), std::move(current));
   document_version next{request.service, current.number + 1, request.text,
                         request.edit_id, request.author,     format_utc(time_.wall_time())};
   table::transaction change;
@@ -91,6 +84,26 @@
   co_return edit_result{edit_outcome::accepted, next, {}};
 }
 
+/// Answers an edit that is not based on the current version. It may be a retry of an edit that
+/// was committed and has been superseded since.
+support::task<edit_result> document_editor::find_earlier_edit(edit_request request,
+                                                              document_version current) {
+  std::vector<document_version> versions;
+  bool was_read = true;
+  try {
+    versions = co_await history(request.service);
+  } catch (const table::store_error&) {
+    was_read = false;
+  }
+  for (const document_version& each : versions) {
+    if (each.edit_id == request.edit_id)
+      co_return edit_result{edit_outcome::accepted, each, {}};
+  }
+  if (!was_read)
+    co_return edit_result{edit_outcome::unknown, {}, {}};
+  co_return edit_result{edit_outcome::conflict, std::move(current), {}};
+}
+
 support::task<edit_result> document_editor::resolve_unknown_outcome(edit_request request) {
   try {
     const std::vector<document_version> versions = co_await history(request.service);
--- a/unittests/documents/editor_test.cpp
+++ b/unittests/documents/editor_test.cpp
@@ -103,6 +103,16 @@
   BOOST_TEST(retry.current.number == 1);
 }
 
+BOOST_AUTO_TEST_CASE(retry_whose_history_cannot_be_read_has_an_unknown_outcome) {
+  editor_fixture fixture;
+  BOOST_TEST(fixture.edit_once(0, make_edit(0, "e1")).outcome == edit_outcome::accepted);
+  BOOST_TEST(fixture.edit_once(1, make_edit(1, "e2")).outcome == edit_outcome::accepted);
+  fixture.table.unreadable_prefix = "history/";
+  BOOST_TEST(fixture.edit_once(2, make_edit(0, "e1")).outcome == edit_outcome::unknown);
+  fixture.table.unreadable_prefix = "";
+  BOOST_TEST(fixture.edit_once(2, make_edit(0, "e1")).outcome == edit_outcome::accepted);
+}
+
 BOOST_AUTO_TEST_CASE(edit_writes_nothing_while_store_is_down) {
   editor_fixture fixture;
   fixture.table.down = true;
--- a/unittests/fakes/fake_store.cpp
+++ b/unittests/fakes/fake_store.cpp
@@ -12,6 +12,8 @@
 
 support::task<std::vector<table::row>> fake_store::scan(std::string prefix) {
   co_await simulate_transfer();
+  if (!table_.unreadable_prefix.empty() && prefix.starts_with(table_.unreadable_prefix))
+    throw table::store_error("unreadable", false);
   ++table_.reads;
   co_return table_.rows.scan(prefix);
 }
--- a/unittests/fakes/fake_store.h
+++ b/unittests/fakes/fake_store.h
@@ -16,6 +16,8 @@
 struct shared_table {
   standins::row_table rows;
   bool down = false;
+  /// Scans of this prefix fail; empty for none.
+  std::string unreadable_prefix;
   /// Number of next commits that take effect but whose answers are lost.
   int commit_answers_to_drop = 0;
   std::chrono::nanoseconds delay{std::chrono::milliseconds(2)};
