Split server-sent events at CR LF too

Cause: sse_reader looked for two line feeds, so a stream whose lines end with CR LF never gave an event. Change: it reads line by line; an empty line ends the event. A CR alone is still no end of a line.

--- a/include/camphorlug/net/sse_reader.h
+++ b/include/camphorlug/net/sse_reader.h
@@ -13,7 +13,7 @@
   std::string data;
 };
 
-/// Incremental parser for a stream of server-sent events.
+/// Incremental parser for a stream of server-sent events, whose lines end with LF or CR LF.
 class sse_reader {
 public:
   void append(std::string_view bytes) { buffer_ += bytes; }
@@ -24,7 +24,10 @@
 
 private:
   std::string buffer_;
+  /// Where the first line that was not read yet begins.
   std::size_t begin_ = 0;
+  /// The event whose lines were read so far.
+  sse_event event_;
 };
 
 } // namespace camphorlug::net
