Refuse ports above 65535 in the node's settings

Cause: is_address took any number of up to five digits. Change: the port is read as a 16-bit number. Test: address_has_a_port_that_exists (test-node). Before: 65536 and 99999 passed; after: refused.

--- a/lib/node/node_settings.cpp
+++ b/lib/node/node_settings.cpp
@@ -2,6 +2,9 @@
 
 #include "camphorlug/support/config_table.h"
 
+#include <charconv>
+#include <cstdint>
+
 namespace camphorlug::node {
 
 using std::chrono::milliseconds;
@@ -12,8 +15,10 @@
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
     return false;
-  const std::string port = text.substr(colon + 1);
-  return port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data() + colon + 1, end, port);
+  return read.ec == std::errc() && read.ptr == end;
 }
 
 static std::string read_address(support::config_table& table, std::string_view key) {
