Read a Retry-After that is a date

Cause: reference_caller passed the header to std::stol, which throws for a date, an empty value and a number too large, so the request ended with an exception and without a result; a negative number was taken as it is. Change: seconds or an HTTP date are read; anything else counts as absent.

--- a/lib/caller/reference_caller.cpp
+++ b/lib/caller/reference_caller.cpp
@@ -4,6 +4,11 @@
 #include "camphorlug/net/sse_reader.h"
 #include "camphorlug/net/transport_error.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <ctime>
+
 namespace camphorlug::caller {
 
 static constexpr std::size_t max_attempts = 6;
@@ -21,6 +26,22 @@
   text_listener on_text;
 };
 
+/// Parses a number of seconds or an HTTP date. Returns 0 for what is neither, as if there were no
+/// Retry-After.
+static std::chrono::seconds parse_retry_after(const std::string& value, support::clock& time) {
+  std::uint32_t seconds = 0;
+  const char* end = value.data() + value.size();
+  const auto read = std::from_chars(value.data(), end, seconds);
+  if (read.ec == std::errc() && read.ptr == end)
+    return std::chrono::seconds(seconds);
+  std::tm parts{};
+  if (!strptime(value.c_str(), "%a, %d %b %Y %H:%M:%S GMT", &parts))
+    return std::chrono::seconds(0);
+  const auto until = std::chrono::system_clock::from_time_t(timegm(&parts));
+  const auto left = std::chrono::ceil<std::chrono::seconds>(until - time.wall_time());
+  return std::max(left, std::chrono::seconds(0));
+}
+
 reference_caller::reference_caller(net::http_client& client, support::clock& time,
                                    entry_cache& entries)
     : client_(client), time_(time), entries_(entries) {}
@@ -73,8 +94,7 @@
     const net::response_head head = co_await exchange->head(request.timeout);
     result.status = head.status;
     result.outcome = head.headers.find("Camphorlug-Outcome").value_or("");
-    const std::string retry_after = head.headers.find("Retry-After").value_or("0");
-    result.retry_after = std::chrono::seconds(std::stol(retry_after));
+    result.retry_after = parse_retry_after(head.headers.find("Retry-After").value_or(""), time_);
     if (request.stream && head.status == 200)
       co_return co_await read_stream(*exchange, request, state);
     const net::client_response response = co_await client_.collect(*exchange, request.timeout);
