Say that a rollback's version is no number

Cause: service rollback passed its argument to std::stoull, which throws for "abc" (exit code 1, no message) and takes "-1" and "1x". Change: what is not a whole number is an invalid command with a message.

--- a/tools/camphorlugctl/service_commands.cpp
+++ b/tools/camphorlugctl/service_commands.cpp
@@ -6,6 +6,7 @@
 #include "screen.h"
 #include "text_diff.h"
 
+#include <charconv>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -28,6 +29,15 @@
   return text ? std::stoull(*text) : 0;
 }
 
+static std::optional<std::uint64_t> parse_version_number(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  if (read.ec != std::errc() || read.ptr != end)
+    return std::nullopt;
+  return number;
+}
+
 static int report_unreadable_file(const std::string& file) {
   print_wrapped("Cannot read " + file + ".");
   return exit_invalid;
@@ -62,8 +72,13 @@
     co_return co_await apply(arguments[1], arguments[2]);
   if (verb == "diff" && arguments.size() == 3)
     co_return co_await diff(arguments[1], arguments[2]);
-  if (verb == "rollback" && arguments.size() == 3)
-    co_return co_await rollback(arguments[1], std::stoull(arguments[2]));
+  if (verb == "rollback" && arguments.size() == 3) {
+    const std::optional<std::uint64_t> number = parse_version_number(arguments[2]);
+    if (number)
+      co_return co_await rollback(arguments[1], *number);
+    print_wrapped("'" + arguments[2] + "' is not the number of a version.");
+    co_return exit_invalid;
+  }
   print_wrapped("Unknown service command; see: camphorlugctl --help");
   co_return exit_invalid;
 }
