Report a 200 without JSON as no answer of a node

Cause: operator_client handed on a discarded JSON value, and the commands threw when they read its fields. Change: a 200 whose body is no JSON object counts as no response, with the reason. Test: response_that_is_no_json_is_reported_as_no_response (test-ctl).

--- a/tools/camphorlugctl/operator_client.cpp
+++ b/tools/camphorlugctl/operator_client.cpp
@@ -22,6 +22,11 @@
     const net::client_response response = co_await client_.fetch(std::move(request), call_timeout);
     result.status = response.status;
     result.body = nlohmann::ordered_json::parse(response.body, nullptr, false);
+    // Whatever answered 200 without JSON is not a node.
+    if (response.status == 200 && !result.body.is_object()) {
+      result.status = 0;
+      result.body = {{"detail", "the response is not JSON"}};
+    }
   } catch (const net::transport_error& error) {
     result.body["detail"] = error.what();
   }
--- a/tools/camphorlugctl/operator_client.h
+++ b/tools/camphorlugctl/operator_client.h
@@ -9,7 +9,7 @@
 
 /// A response of the operator port.
 struct operator_response {
-  /// 0 when the node did not respond.
+  /// 0 when the node did not respond, or with 200 and no JSON object.
   int status = 0;
   nlohmann::ordered_json body;
 };
--- a/unittests/ctl/service_commands_test.cpp
+++ b/unittests/ctl/service_commands_test.cpp
@@ -55,3 +55,15 @@
   BOOST_TEST(*code == ctl::exit_invalid);
   BOOST_TEST(fixture.client.received.empty());
 }
+
+BOOST_DATA_TEST_CASE(response_that_is_no_json_is_reported_as_no_response,
+                     data::make({"list", "show", "history", "status"}), verb) {
+  ctl_fixture fixture;
+  fixture.answer(200, "<html>");
+  std::vector<std::string> arguments{verb};
+  if (arguments[0] != "list")
+    arguments.push_back("s");
+  const auto code = fixture.run_command(arguments);
+  BOOST_REQUIRE(code.has_value());
+  BOOST_TEST(*code == ctl::exit_unreachable);
+}
