Keep an edit's outcome unknown when a later attempt is refused

Cause: camphorlugctl repeats an edit after 504 or no answer; when the repetition got 503 it printed "Nothing was changed" although the first may have been written. Change: 503 after an unknown outcome stays unknown (exit code 4). Test: edit_that_is_refused_after_an_unknown_outcome_stays_unknown (test-ctl).

--- a/tools/camphorlugctl/service_commands.cpp
+++ b/tools/camphorlugctl/service_commands.cpp
@@ -206,11 +206,16 @@
                                                std::string edited_file) {
   const ordered_json body{{"text", text}, {"seen_number", base_version}, {"edit_id", edit_id_}};
   operator_response response;
+  bool may_be_written = false;
   for (int attempt = 0; attempt < max_edit_attempts; ++attempt) {
     response = co_await client_.call("PUT", "services/" + service, body.dump());
     if (response.status != 504 && response.status != 0)
       break;
+    may_be_written = true;
   }
+  // That the last attempt wrote nothing says nothing about the ones before it.
+  if (response.status == 503 && may_be_written)
+    response.status = 504;
   if (output_.json && response.status != 0)
     std::cout << response.body.dump() << "\n";
   switch (response.status) {
--- a/unittests/ctl/service_commands_test.cpp
+++ b/unittests/ctl/service_commands_test.cpp
@@ -67,3 +67,22 @@
   BOOST_REQUIRE(code.has_value());
   BOOST_TEST(*code == ctl::exit_unreachable);
 }
+
+BOOST_AUTO_TEST_CASE(edit_that_is_refused_after_an_unknown_outcome_stays_unknown) {
+  ctl_fixture fixture;
+  fixture.answer(200, history);
+  fixture.answer(504, "{}");
+  fixture.answer(503, "{}");
+  const auto code = fixture.run_command({"rollback", "s", "1"});
+  BOOST_REQUIRE(code.has_value());
+  BOOST_TEST(*code == ctl::exit_unknown);
+}
+
+BOOST_AUTO_TEST_CASE(edit_that_is_refused_at_once_is_not_written) {
+  ctl_fixture fixture;
+  fixture.answer(200, history);
+  fixture.answer(503, "{}");
+  const auto code = fixture.run_command({"rollback", "s", "1"});
+  BOOST_REQUIRE(code.has_value());
+  BOOST_TEST(*code == ctl::exit_refused);
+}
