--- a/include/camphorlug/groups/pool_table.h
+++ b/include/camphorlug/groups/pool_table.h
@@ -50,6 +50,8 @@
   /// meantime. Throws table::store_error if the commit fails.
   support::task<bool> set_state(std::string group, group_state state, std::string reason);
 
+  const std::string& pool() const { return pool_; }
+
   /// Groups that are not dissolved, by id.
   const std::map<std::string, cached_group_row>& groups() const { return groups_; }
   /// Instances that a row assigns to a group, by id.
@@ -61,6 +63,8 @@
 
 private:
   struct pending_change;
+  void load_group(const table::row& row);
+  void load_instance(const table::row& row);
   std::uint64_t next_number();
   pending_change begin_change(const placement_step& step, const std::string& service,
                               const documents::model_spec& spec);
--- a/include/camphorlug/requests/stream_relay.h
+++ b/include/camphorlug/requests/stream_relay.h
@@ -22,6 +22,8 @@
   stream_relay(request_environment& environment, service_state& state, call& current,
                stream_sink& sink);
 
+  /// Relays the stream to its end, and gives the target's slot back even if an
+  /// exception ends it.
   support::task<request_outcome> run();
 
 private:
@@ -57,6 +59,7 @@
     std::string attempt;
   };
 
+  support::task<request_outcome> relay_until_end();
   bool acquire_target();
   bool locate_resumed_stream();
   support::task<upstream_result> relay_upstream();
@@ -99,6 +102,8 @@
   /// Failovers to another group since an event was last sent to the caller.
   std::size_t failovers_ = 0;
   bool finish_seen_ = false;
+  /// Whether an earlier connection of this relay failed.
+  bool follows_failure_ = false;
   support::clock::time_point upstream_began_;
   support::clock::time_point last_token_at_;
   net::problem rejection_;
--- a/lib/groups/order_sender.cpp
+++ b/lib/groups/order_sender.cpp
@@ -1,7 +1,7 @@
 #include "camphorlug/groups/order_sender.h"
 
-#include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/support/shutdown_exception.h"
 
 #include <algorithm>
 
@@ -70,15 +70,15 @@
     add(standby.member, standby.rank, order_action::prepare);
 }
 
-/// Collects release orders for instances that report a group although no row
-/// assigns them to one.
+/// Collects release orders for instances of the table's pool that report a group
+/// although no row assigns them to one.
 void order_sender::collect_release_orders(const pool_table& table,
                                           std::vector<pending_order>& pending) const {
   for (const auto& [id, seen] : observations_.all()) {
     const table::listed_instance* listed = directory_.find(id);
     const bool is_unassigned = listed && listed->role == table::instance_role::runner &&
-                               !seen.absent && !seen.report.group.empty() &&
-                               !table.instances().contains(id);
+                               listed->pool == table.pool() && !seen.absent &&
+                               !seen.report.group.empty() && !table.instances().contains(id);
     if (is_unassigned)
       pending.push_back({id,
                          listed->address,
@@ -154,7 +154,10 @@
     if (result != targets::order_result::accepted)
       support::log_event(support::log_level::warning, "order_refused",
                          {{"instance", pending.instance}});
-  } catch (const net::transport_error& error) {
+  } catch (const support::shutdown_exception&) {
+    throw;
+  } catch (const std::exception& error) {
+    // Whatever failed, the instance must not stay in flight, or it gets no order again.
     support::log_event(support::log_level::warning, "order_failed",
                        {{"instance", pending.instance}, {"error", error.what()}});
   }
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -42,14 +42,26 @@
     ++call_.attempts;
     call_.tried.push_back(target->id);
     environment_.observer.on_attempt(call_.labels);
-    const attempt_result result =
-        co_await attempt(*target, environment_.random.identifier(), writer);
+    std::exception_ptr failure;
+    attempt_result result = attempt_result::retry;
+    try {
+      result = co_await attempt(*target, environment_.random.identifier(), writer);
+    } catch (...) {
+      failure = std::current_exception();
+    }
     service_state_.router.release_slot(target->id);
+    if (failure)
+      std::rethrow_exception(failure);
     if (result == attempt_result::answered)
       co_return request_outcome::answered;
-    if (result == attempt_result::failed && !acquire_retry())
+    if (!acquire_retry())
       break;
   }
+  if (server_error_) {
+    // No further attempt gave a better response than the target's own.
+    send_response(std::move(*server_error_), writer);
+    co_return request_outcome::answered;
+  }
   const request_outcome outcome =
       call_.may_have_run ? request_outcome::unknown : request_outcome::not_run;
   const std::chrono::seconds retry_after(call_.may_have_run && !call_.idempotent ? 0 : 1);
@@ -107,12 +119,12 @@
   } catch (const net::transport_error& error) {
     service_state_.router.on_failure(target.id);
     call_.may_have_run |= error.progress() == net::request_progress::may_have_been_read;
-    co_return attempt_result::failed;
+    co_return attempt_result::retry;
   }
   const auto& not_run = call_.document().not_run_statuses;
   if (std::find(not_run.begin(), not_run.end(), response.status) != not_run.end()) {
     service_state_.router.on_failure(target.id);
-    co_return attempt_result::failed;
+    co_return attempt_result::retry;
   }
   const bool belongs_to_attempt = !call_.document().echoes_attempt_id ||
                                   response.headers.find("Attempt-Id").value_or("") == attempt_id ||
@@ -121,16 +133,19 @@
     // The response belongs to another request; this one may or may not have run.
     service_state_.router.on_failure(target.id);
     call_.may_have_run = true;
-    co_return attempt_result::failed;
+    co_return attempt_result::retry;
   }
   const bool is_server_error = response.status >= 500;
-  if (is_server_error && call_.idempotent) {
+  // A quick 5xx must not attract further requests, so it does not count as a response.
+  if (is_server_error)
     service_state_.router.on_failure(target.id);
+  else
+    service_state_.router.on_response(target.id, environment_.time.now() - began);
+  if (is_server_error && call_.idempotent) {
     call_.may_have_run = true;
-    if (acquire_retry())
-      co_return attempt_result::retry_acquired;
+    server_error_ = std::move(response);
+    co_return attempt_result::retry;
   }
-  service_state_.router.on_response(target.id, environment_.time.now() - began);
   send_response(std::move(response), writer);
   co_return attempt_result::answered;
 }
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -25,6 +25,20 @@
     : environment_(environment), service_state_(state), call_(current), sink_(sink) {}
 
 support::task<request_outcome> stream_relay::run() {
+  std::exception_ptr failure;
+  request_outcome outcome = request_outcome::unknown;
+  try {
+    outcome = co_await relay_until_end();
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  release_target();
+  if (failure)
+    std::rethrow_exception(failure);
+  co_return outcome;
+}
+
+support::task<request_outcome> stream_relay::relay_until_end() {
   if (call_.resume_after && !locate_resumed_stream())
     fetch_mode_ = fetch_mode::regenerate;
   for (;;) {
@@ -126,6 +140,8 @@
   progressed_ = false;
   ++call_.attempts;
   environment_.observer.on_attempt(call_.labels);
+  if (std::exchange(follows_failure_, true))
+    environment_.observer.on_resumed(call_.labels);
   try {
     auto exchange = environment_.targets.open(make_request());
     const net::response_head head = co_await exchange->head(call_.document().first_byte_limit);
@@ -234,7 +250,6 @@
 /// Resumes at the same target or fails over. Returns false if the stream cannot be
 /// continued.
 bool stream_relay::prepare_next_connection(upstream_result result) {
-  environment_.observer.on_resumed(call_.labels);
   // The engine may still have the stream after a broken connection, so resume it
   // there before failing over.
   const bool may_resume = result == upstream_result::broken && call_.may_have_run &&
--- a/unittests/fakes/fake_fleet.cpp
+++ b/unittests/fakes/fake_fleet.cpp
@@ -35,6 +35,8 @@
       throw transport_error(request_progress::not_sent, false, "refused");
     if (fault_ == connection_fault::broken_before_run)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
+    if (fault_ == connection_fault::unexpected)
+      throw std::runtime_error("an unexpected failure");
     net::response_head answer;
     answer.status = fault_ == connection_fault::declared_not_run ? 503 : start();
     if (fault_ == connection_fault::failed)
@@ -43,6 +45,8 @@
       throw transport_error(request_progress::may_have_been_read, false, "reset");
     if (fault_ == connection_fault::silent)
       co_await fail_with_timeout(timeout);
+    if (fault_ == connection_fault::server_error)
+      answer.status = 500;
     const bool crossed = fault_ == connection_fault::crossed;
     answer.headers.add("Attempt-Id", crossed ? "another" : attempt_);
     answer.headers.add("Content-Type", "application/json");
@@ -213,6 +217,10 @@
 fake_target_client::order(std::string address, targets::instance_order what,
                           std::chrono::nanoseconds timeout, std::function<bool()> still_allowed) {
   fake_engine* engine = co_await connect(std::move(address), timeout);
+  if (order_exceptions > 0) {
+    --order_exceptions;
+    throw std::runtime_error("an unexpected failure");
+  }
   if (!still_allowed())
     throw transport_error(request_progress::not_sent, false, "not allowed");
   co_await fleet_.time().sleep_for(order_delay);
--- a/unittests/groups/planner_test.cpp
+++ b/unittests/groups/planner_test.cpp
@@ -261,3 +261,81 @@
   BOOST_TEST(fewest >= 4 - 1);
   BOOST_TEST(world.invariants_hold());
 }
+
+BOOST_AUTO_TEST_CASE(planners_leave_instances_of_other_pools_alone) {
+  fakes::simulated_cluster world;
+  world.add_runners(2, 4);
+  for (int index = 0; index < 4; ++index)
+    world.fleet.listed().at("r" + std::to_string(index)).pool = "others";
+  world.add_nodes(3);
+  world.run_for(1s);
+  world.apply(fakes::model_document("", "v1", 1));
+  std::string other = fakes::model_document("", "v1", 1);
+  other.replace(other.find("\"model\""), 7, "\"other\"");
+  other.replace(other.find("\"runners\""), 9, "\"others\"");
+  world.apply(other);
+  const auto both_serve = [&] { return world.routable(0) == 1 && world.routable(0, "other") == 1; };
+  BOOST_TEST(world.run_until(both_serve, 30s));
+  world.run_for(60s);
+  BOOST_TEST(both_serve());
+  for (auto& [id, engine] : world.fleet.engines()) {
+    const bool released =
+        std::any_of(engine.orders.begin(), engine.orders.end(), [](const auto& order) {
+          return order.action == targets::order_action::release;
+        });
+    BOOST_TEST(!released, id);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(order_is_sent_again_after_an_unexpected_exception) {
+  fakes::simulated_cluster world;
+  world.add_runners(1, 4);
+  world.add_nodes(1);
+  world.run_for(1s);
+  world.nodes[0].targets->order_exceptions = 1;
+  world.apply(fakes::model_document("", "v1", 1));
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 1; }, 30s));
+  BOOST_TEST(world.nodes[0].targets->order_exceptions == 0);
+}
+
+namespace {
+
+struct row_text {
+  const char* key;
+  const char* value;
+};
+
+std::ostream& operator<<(std::ostream& out, const row_text& row) {
+  return out << row.key << " = " << row.value;
+}
+
+const row_text malformed_rows[] = {
+    {"group/runners/g-malformed", "{"},
+    {"group/runners/g-malformed",
+     R"({"id":"g-malformed","service":"model","pool":"runners","state":"odd","model":"m",)"
+     R"("version":"v1","fabric_domain":"f0","data_centre":"dc0","members":[],"standbys":[],)"
+     R"("number":1,"reason":""})"},
+    {"group/runners/g-malformed",
+     R"({"id":"g-malformed","service":"model","pool":"runners","state":"serving","model":"m",)"
+     R"("version":"v1","fabric_domain":"f0","data_centre":"dc0","members":[],"standbys":[],)"
+     R"("number":1,"reason":""})"},
+    {"instance/runners/r8", "{"},
+    {"instance/runners/r8", R"({"group":7})"},
+    {"instance/runners/r8", "[]"},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(malformed_row_does_not_end_planning, data::make(malformed_rows), row) {
+  fakes::simulated_cluster world;
+  world.add_runners(1, 9);
+  world.add_nodes(1);
+  world.table.rows.commit({{}, {{row.key, row.value}}});
+  world.run_for(1s);
+  world.apply(fakes::model_document("", "v1", 2));
+  BOOST_TEST(world.run_until([&] { return world.routable(0) == 2; }, 30s));
+  for (const auto& record : world.nodes[0].node->live_groups().records()) {
+    for (const auto& member : record.members)
+      BOOST_TEST((member.instance != "r8" || std::string(row.key) != "instance/runners/r8"));
+  }
+}
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -216,3 +216,53 @@
   const double attempts_per_request = static_cast<double>(left_before - left_after) / requests;
   BOOST_TEST(attempts_per_request < 1.15);
 }
+
+BOOST_AUTO_TEST_CASE(server_error_is_retried_and_then_returned) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::server_error, 1'000'000);
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 500);
+  BOOST_TEST(outcome_of(*response) == "");
+  BOOST_TEST(response->body.starts_with("ran "));
+  // Each retry takes one from the budget, which is 3 at first.
+  BOOST_TEST(fixture.executions() == 3);
+}
+
+BOOST_DATA_TEST_CASE(server_error_is_returned_when_its_retries_get_no_response,
+                     data::make({"p0", "p1", "p2"}), failing) {
+  plain_service_fixture fixture;
+  fixture.set_fault(connection_fault::refused, 1'000'000);
+  fixture.fleet.engine(failing).next_connection = connection_fault::server_error;
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 500);
+  BOOST_TEST(outcome_of(*response) == "");
+  BOOST_TEST(response->body.starts_with("ran "));
+}
+
+BOOST_DATA_TEST_CASE(target_that_fails_every_request_is_avoided,
+                     data::make({"/title-cards/1", "/orders/1"}), path) {
+  plain_service_fixture fixture;
+  fakes::fake_engine& failing = fixture.fleet.engine("p0");
+  failing.next_connection = connection_fault::server_error;
+  failing.faulty_connections = 1'000'000;
+  for (std::size_t i = 0; i < 300; ++i)
+    fixture.call(0, fakes::plain_request(path));
+  // It is avoided for a second after three failures, and longer after each further one; the
+  // 300 requests take 6 s.
+  BOOST_TEST(failing.executed.size() <= 8);
+}
+
+BOOST_AUTO_TEST_CASE(unexpected_exception_gives_the_slot_back) {
+  plain_service_fixture fixture;
+  // More than the windows of the three targets.
+  constexpr std::size_t exceptions = 100;
+  fixture.set_fault(connection_fault::unexpected, 1'000'000);
+  std::vector<fakes::recording_writer> writers(exceptions);
+  for (fakes::recording_writer& writer : writers) {
+    fixture.begin_call(0, fakes::plain_request("/title-cards/1"), writer);
+    fixture.run_for(20ms);
+  }
+  fixture.set_fault(connection_fault::none, 0);
+  const auto response = fixture.call(0, fakes::plain_request("/title-cards/1"));
+  BOOST_TEST(response->status == 200);
+}
