Free the standby of a rank that is given to another instance

Cause: a replace step left the standby of the replaced rank in the group's record with its instance row, so the instance could not be used until the group ended. Change: replace frees it, as prepare does. Test: replaced_rank_releases_its_standby (test-groups).

--- a/include/camphorlug/groups/pool_table.h
+++ b/include/camphorlug/groups/pool_table.h
@@ -72,6 +72,8 @@
                   pending_change& change);
   void assign_instance(pending_change& change, const std::string& instance);
   void release_instance(pending_change& change, const std::string& instance);
+  /// Takes the standbys of `rank` out of the group and frees their instances.
+  void release_standbys(pending_change& change, std::size_t rank);
   support::task<bool> commit(pending_change change);
 
   table::table_store& store_;
--- a/lib/groups/pool_table.cpp
+++ b/lib/groups/pool_table.cpp
@@ -99,6 +99,15 @@
   change.freed.push_back(instance);
 }
 
+void pool_table::release_standbys(pending_change& change, std::size_t rank) {
+  for (const group_standby& standby : change.record.standbys) {
+    if (standby.rank == rank)
+      release_instance(change, standby.member.instance);
+  }
+  std::erase_if(change.record.standbys,
+                [rank](const group_standby& standby) { return standby.rank == rank; });
+}
+
 pool_table::pending_change pool_table::begin_change(const placement_step& step,
                                                     const std::string& service,
                                                     const documents::model_spec& spec) {
@@ -132,6 +141,7 @@
   case step_kind::form:
   case step_kind::replace:
     for (const rank_assignment& assignment : step.assignments) {
+      release_standbys(change, assignment.rank);
       assign_rank(assignment);
       assign_instance(change, assignment.member.instance);
     }
@@ -140,13 +150,7 @@
     return;
   case step_kind::prepare:
     for (const rank_assignment& assignment : step.assignments) {
-      for (const group_standby& standby : record.standbys) {
-        if (standby.rank == assignment.rank)
-          release_instance(change, standby.member.instance);
-      }
-      std::erase_if(record.standbys, [&assignment](const group_standby& standby) {
-        return standby.rank == assignment.rank;
-      });
+      release_standbys(change, assignment.rank);
       record.standbys.push_back({assignment.rank, assignment.member});
       assign_instance(change, assignment.member.instance);
     }
--- a/unittests/groups/pool_table_test.cpp
+++ b/unittests/groups/pool_table_test.cpp
@@ -97,3 +97,29 @@
   BOOST_TEST(second.table.newest_number() > before);
   world.clock.shut_down();
 }
+
+BOOST_AUTO_TEST_CASE(replaced_rank_releases_its_standby) {
+  fakes::simulated_cluster world;
+  lease_holder only(world, "only");
+  acquire_lease_and_load(world, only);
+  BOOST_TEST(form_now(world, only, form_step("a", "b")).value() == true);
+  groups::placement_step step;
+  step.kind = groups::step_kind::prepare;
+  step.group = only.table.groups().begin()->first;
+  step.assignments = {{0, {"c", "c"}}};
+  BOOST_TEST(form_now(world, only, step).value() == true);
+  step.assignments = {{1, {"d", "d"}}};
+  BOOST_TEST(form_now(world, only, step).value() == true);
+  step.kind = groups::step_kind::replace;
+  step.assignments = {{0, {"e", "e"}}};
+  BOOST_TEST(form_now(world, only, step).value() == true);
+  const groups::group_record& record = only.table.groups().begin()->second.record;
+  BOOST_TEST(record.members.front().instance == "e");
+  BOOST_REQUIRE(record.standbys.size() == 1u);
+  BOOST_TEST(record.standbys.front().member.instance == "d");
+  for (const char* freed : {"a", "c"}) {
+    BOOST_TEST(!only.table.instances().contains(freed));
+    BOOST_TEST(world.table.rows.scan(std::string("instance/pool/") + freed).empty());
+  }
+  world.clock.shut_down();
+}
