Take a chat message whose role is no text

Cause: call_parser read the role with json::value, which throws for a number, null or an object; the request ended without any response. Change: the role is compared as it is and left to the engine. Test: role_that_is_no_text_is_left_to_the_engine (test-requests).

--- a/lib/requests/call_parser.cpp
+++ b/lib/requests/call_parser.cpp
@@ -107,7 +107,8 @@
 static std::string prompt_prefix_of(const nlohmann::json& body) {
   if (body.contains("messages") && body["messages"].is_array() && !body["messages"].empty()) {
     const nlohmann::json& first = body["messages"][0];
-    if (first.is_object() && first.value("role", "") == "system")
+    // Callers may send a role that is no text.
+    if (first.is_object() && first.contains("role") && first["role"] == "system")
       return first.dump();
     return first.dump().substr(0, affinity_prefix_length);
   }
--- a/unittests/requests/stream_relay_test.cpp
+++ b/unittests/requests/stream_relay_test.cpp
@@ -132,3 +132,13 @@
   BOOST_TEST(attempts >= 1);
   BOOST_TEST(counter_sum(fixture, "camphorlug_streams_resumed_total") == attempts - 1);
 }
+
+BOOST_DATA_TEST_CASE(role_that_is_no_text_is_left_to_the_engine,
+                     data::make({"1", "null", "[]", "{}"}), role) {
+  stream_fixture fixture;
+  auto request = fakes::chat_request("tell me", tokens);
+  request.body =
+      "{\"messages\":[{\"role\":" + std::string(role) + ",\"content\":\"x\"}],\"stream\":true}";
+  const auto response = fixture.call(0, std::move(request));
+  BOOST_TEST(response->status == 200);
+}
