Pass the requests of a connection to their handler one after the other

Cause: two pipelined requests were handled at the same time. When the response to the first closed the connection (a leaving node, or a cut stream), the second had already been passed on to a target and could not be answered. When the second was cut, the reset also ended the unfinished response to the first.

Change: a request starts when the previous one of its connection has been answered, and not at all if the connection ends with that answer.

Tests request_reaches_its_handler_only_if_it_can_be_answered and abort_of_a_pipelined_response_leaves_the_one_before_complete: before, the second request ran without an answer (close and abort), and the first answer was lost; after, neither. test-net passes.

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -89,6 +89,28 @@
   }
 }
 
+/// Stores a function in `callback` and waits until it is called.
+support::task<> wait_for_call(std::function<void()>& callback) {
+  auto begin_wait = [&callback](auto handler) {
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    callback = [shared] {
+      auto executor = asio::get_associated_executor(*shared);
+      asio::post(executor, [shared] { std::move (*shared)(); });
+    };
+  };
+  co_await asio::async_initiate<decltype(asio::use_awaitable), void()>(std::move(begin_wait),
+                                                                       asio::use_awaitable);
+}
+
+/// A request's place in the order of the requests of its connection.
+struct request_turn {
+  bool ended = false;
+  /// No response can be sent on the connection after this request's.
+  bool closed_connection = false;
+  /// Called when the response has been written or given up.
+  std::function<void()> on_end;
+};
+
 /// Whether a complete response has been written to its connection.
 struct write_progress {
   /// The response is complete, and RESTinio has not yet reported the end of its writing.
@@ -105,7 +127,8 @@
                   std::shared_ptr<disconnect_callbacks> callbacks,
                   std::shared_ptr<std::size_t> unwritten)
       : request_(std::move(request)), disconnect_callbacks_(std::move(callbacks)),
-        unwritten_(std::move(unwritten)) {}
+        unwritten_(std::move(unwritten)),
+        closes_connection_(!request_->header().should_keep_alive()) {}
 
   ~restinio_writer() override { drop_disconnect_callback(); }
 
@@ -119,6 +142,7 @@
     started_ = true;
     auto response = request_->create_response(status_line(status));
     add_headers(response, headers);
+    note_connection_header(headers);
     response.set_body(std::move(body));
     response.done(begin_last_write());
   }
@@ -128,6 +152,7 @@
     connection_ = restinio::impl::access_req_connection(*request_);
     chunks_.emplace(request_->create_response<restinio::chunked_output_t>(status_line(status)));
     add_headers(*chunks_, headers);
+    note_connection_header(headers);
     chunks_->flush();
   }
 
@@ -151,17 +176,8 @@
   void finish() override { chunks_->done(begin_last_write()); }
 
   support::task<bool> written() override {
-    if (progress_->pending) {
-      auto begin_wait = [this](auto handler) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        progress_->on_end = [shared] {
-          auto executor = asio::get_associated_executor(*shared);
-          asio::post(executor, [shared] { std::move (*shared)(); });
-        };
-      };
-      co_await asio::async_initiate<decltype(asio::use_awaitable), void()>(std::move(begin_wait),
-                                                                           asio::use_awaitable);
-    }
+    if (progress_->pending)
+      co_await wait_for_call(progress_->on_end);
     co_return progress_->written;
   }
 
@@ -169,6 +185,7 @@
     using connection_type = restinio::impl::connection_t<server_traits>;
     started_ = true;
     is_complete_ = true;
+    closes_connection_ = true;
     auto handle_to_close = std::move(restinio::impl::access_req_connection(*request_));
     if (!handle_to_close && connection_)
       handle_to_close = connection_;
@@ -192,6 +209,9 @@
   /// Whether `send`, `finish` or `abort` was called.
   bool is_complete() const { return is_complete_; }
 
+  /// Whether the connection ends with this response.
+  bool closes_connection() const { return closes_connection_; }
+
 private:
   /// RESTinio calls the result once: when the response has been written, or when its connection
   /// was closed before.
@@ -208,6 +228,10 @@
     };
   }
 
+  void note_connection_header(const header_list& headers) {
+    closes_connection_ = closes_connection_ || headers.find("Connection").has_value();
+  }
+
   static restinio::http_status_line_t status_line(int status) {
     return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
             reason_phrase(status)};
@@ -230,6 +254,7 @@
   std::shared_ptr<write_progress> progress_ = std::make_shared<write_progress>();
   bool started_ = false;
   bool is_complete_ = false;
+  bool closes_connection_;
 };
 
 server_request to_server_request(const restinio::request_handle_t& request) {
@@ -271,15 +296,52 @@
   std::shared_ptr<disconnect_callbacks> callbacks = std::make_shared<disconnect_callbacks>();
   std::unique_ptr<server_type> server;
   std::size_t in_progress = 0;
+  /// The latest request of each connection that has requests in progress.
+  std::map<restinio::connection_id_t, std::shared_ptr<request_turn>> latest_turns;
   std::shared_ptr<std::size_t> unwritten_responses = std::make_shared<std::size_t>(0);
   bool accepting = true;
 
   implementation(asio::io_context& io, request_handler handle, server_limits bounds)
       : context(io), handler(std::move(handle)), limits(bounds) {}
 
+  /// Waits until the previous request of the connection has ended. Returns whether the connection
+  /// is still open then.
+  support::task<bool> wait_for_turn(restinio::connection_id_t connection,
+                                    std::shared_ptr<request_turn> previous) {
+    const auto disconnected = std::make_shared<bool>(false);
+    const auto id = callbacks->add(connection, [disconnected] { *disconnected = true; });
+    if (!previous->ended)
+      co_await wait_for_call(previous->on_end);
+    callbacks->remove(connection, id);
+    co_return !*disconnected && !previous->closed_connection;
+  }
+
+  void end_turn(restinio::connection_id_t connection, request_turn& turn) {
+    turn.ended = true;
+    if (const auto latest = latest_turns.find(connection); latest->second.get() == &turn)
+      latest_turns.erase(latest);
+    if (const auto on_end = std::exchange(turn.on_end, nullptr))
+      on_end();
+    --in_progress;
+  }
+
+  /// Passes the requests of a connection to the handler one after the other. The response to a
+  /// request may close the connection, and one that follows it must not be executed then, because
+  /// it could not be answered.
   static support::task<> handle_request(std::shared_ptr<implementation> self,
                                         restinio::request_handle_t handle) {
     ++self->in_progress;
+    const auto connection = handle->connection_id();
+    const auto turn = std::make_shared<request_turn>();
+    const auto previous = std::exchange(self->latest_turns[connection], turn);
+    if (previous) {
+      const bool is_open = co_await self->wait_for_turn(connection, previous);
+      if (!is_open) {
+        turn->closed_connection = true;
+        self->end_turn(connection, *turn);
+        co_return;
+      }
+    }
     restinio_writer writer(handle, self->callbacks, self->unwritten_responses);
     server_request request = to_server_request(handle);
     std::exception_ptr failure;
@@ -296,8 +358,9 @@
       send_problem(writer, {500, "internal-error", "the node failed to answer; see its log"});
     else if (failure && !writer.is_complete())
       writer.abort();
-    co_await writer.written();
-    --self->in_progress;
+    const bool written = co_await writer.written();
+    turn->closed_connection = !written || writer.closes_connection();
+    self->end_turn(connection, *turn);
     if (failure)
       std::rethrow_exception(failure);
   }
--- a/unittests/net/server_test.cpp
+++ b/unittests/net/server_test.cpp
@@ -4,8 +4,12 @@
 #include "camphorlug/support/asio_clock.h"
 #include "camphorlug/support/notification.h"
 
+#include <algorithm>
+#include <array>
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -234,3 +238,84 @@
   BOOST_TEST(fixture.run_until([&] { return server.in_progress() == 0; }));
   BOOST_TEST(!reported);
 }
+
+namespace {
+
+const std::string pipelined_requests =
+    "GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n";
+
+support::task<> read_until_close(asio::ip::tcp::socket& socket, std::string& received,
+                                 bool& closed) {
+  std::array<char, 4096> bytes{};
+  while (!closed) {
+    asio::error_code error;
+    const std::size_t size = co_await socket.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    received.append(bytes.data(), size);
+    closed = static_cast<bool>(error);
+  }
+}
+
+} // namespace
+
+// Pipelined requests share a connection, and the response to one may close it.
+BOOST_DATA_TEST_CASE(request_reaches_its_handler_only_if_it_can_be_answered,
+                     data::make({"close", "abort", "keep"}), first_response) {
+  server_fixture fixture;
+  const std::string kind = first_response;
+  std::vector<std::string> handled;
+  net::http_server server(
+      fixture.context, address,
+      [&](net::server_request request, net::response_writer& writer) -> support::task<> {
+        handled.push_back(request.path);
+        if (request.path == "/first") {
+          co_await fixture.clock.sleep_for(100ms);
+          if (kind == "abort") {
+            writer.abort();
+            co_return;
+          }
+        }
+        net::header_list headers;
+        if (request.path == "/first" && kind == "close")
+          headers.add("Connection", "close");
+        writer.send(200, std::move(headers), "answer to " + request.path);
+      });
+  asio::ip::tcp::socket client_socket(fixture.context);
+  client_socket.connect({asio::ip::make_address("127.0.0.1"), 28998});
+  asio::write(client_socket, asio::buffer(pipelined_requests));
+  std::string received;
+  bool closed = false;
+  support::spawn(fixture.context.get_executor(), "read",
+                 read_until_close(client_socket, received, closed));
+  BOOST_REQUIRE(fixture.run_until(
+      [&] { return closed || received.find("answer to /second") != std::string::npos; }));
+  const bool second_handled = std::find(handled.begin(), handled.end(), "/second") != handled.end();
+  const bool second_answered = received.find("answer to /second") != std::string::npos;
+  BOOST_TEST(second_handled == (kind == "keep"));
+  BOOST_TEST(second_answered == (kind == "keep"));
+  client_socket.close();
+  BOOST_TEST(fixture.run_until([&] { return server.in_progress() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(abort_of_a_pipelined_response_leaves_the_one_before_complete) {
+  server_fixture fixture;
+  net::http_server server(
+      fixture.context, address,
+      [&](net::server_request request, net::response_writer& writer) -> support::task<> {
+        if (request.path == "/first") {
+          co_await fixture.clock.sleep_for(100ms);
+          writer.send(200, {}, "whole answer");
+        } else {
+          writer.abort();
+        }
+      });
+  asio::ip::tcp::socket client_socket(fixture.context);
+  client_socket.connect({asio::ip::make_address("127.0.0.1"), 28998});
+  asio::write(client_socket, asio::buffer(pipelined_requests));
+  std::string received;
+  bool closed = false;
+  support::spawn(fixture.context.get_executor(), "read",
+                 read_until_close(client_socket, received, closed));
+  BOOST_REQUIRE(fixture.run_until([&] { return closed; }));
+  BOOST_TEST(received.ends_with("whole answer"));
+}
