Add a failing test of probes of an instance that pauses

A sound instance that is silent for 1.2 s is stalled after 450 ms and probed from about 550 ms on, twice for 250 ms. Both probes fail before it goes on, so it counts as lost, and the planner dissolves its group at once.

instance_that_pauses_for_about_a_second_answers_its_probe fails for 1200 ms and passes for 600 and 1000. A third probe would let it pass, and would make the detection of a host that is lost without a reset 250 ms slower; a process that is gone refuses connections and is found at once as before (probe_of_an_instance_that_refuses_connections_fails_at_once passes).

--- /dev/null
+++ b/unittests/platform/order_client_test.cpp
@@ -0,0 +1,89 @@
+#include "platform_order_client.h"
+
+#include "camphorlug/support/virtual_clock.h"
+
+#include "fakes/scripted_client.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// An instance that answers nothing until `resumes_at`, and then everything.
+class paused_instance final : public net::http_client {
+public:
+  explicit paused_instance(support::clock& time) : time_(time), client_(time) {}
+
+  std::unique_ptr<net::http_exchange> open(net::client_request request) override {
+    fakes::scripted_answer answer;
+    answer.refused = refuses;
+    const auto pause = std::chrono::ceil<std::chrono::milliseconds>(resumes_at - time_.now());
+    answer.delay = std::max(pause, 1ms);
+    answer.pause = 1ms;
+    answer.pieces = {"{}"};
+    client_.answers[request.address].push_back(std::move(answer));
+    return client_.open(std::move(request));
+  }
+
+  support::clock::time_point resumes_at;
+  bool refuses = false;
+
+private:
+  support::clock& time_;
+  fakes::scripted_client client_;
+};
+
+struct probe_fixture {
+  ~probe_fixture() { clock.shut_down(); }
+
+  /// Probes the instance and returns the result; `took` is the time until then.
+  bool probe() {
+    gateway::target_entry entry;
+    entry.id = "one";
+    entry.address = "one";
+    const auto started_at = clock.now();
+    std::optional<bool> result;
+    const auto run = [&]() -> support::task<> {
+      const bool answers = co_await prober.probe(entry);
+      result = answers;
+    };
+    support::spawn(context.get_executor(), "probe", run());
+    while (!result && clock.now() - started_at < 10s)
+      clock.run_for(10ms);
+    took = clock.now() - started_at;
+    return result.value();
+  }
+
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  paused_instance instance{clock};
+  platform::platform_order_client prober{instance};
+  std::chrono::nanoseconds took{0};
+};
+
+/// Time of a silence after which the instance is probed: the stall detector reports the silence,
+/// and the planner's next pass starts the probe.
+constexpr auto silence_before_probe = 550ms;
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(instance_that_pauses_for_about_a_second_answers_its_probe,
+                     data::make({600, 1000, 1200}), silence) {
+  probe_fixture fixture;
+  fixture.instance.resumes_at =
+      fixture.clock.now() + std::chrono::milliseconds(silence) - silence_before_probe;
+  BOOST_TEST(fixture.probe());
+}
+
+BOOST_AUTO_TEST_CASE(probe_of_an_instance_that_refuses_connections_fails_at_once) {
+  probe_fixture fixture;
+  fixture.instance.refuses = true;
+  BOOST_TEST(!fixture.probe());
+  BOOST_TEST((fixture.took <= 20ms));
+}
