Send nothing new to a target that says that it leaves

Change: the header is decoded into target_response::notice; notice_handler passes it on to the registry, where the target counts as draining until a row with a later start arrives. It is asked again before an assigned slot is used and once the connection is established. A response of another instance (421) says nothing about the target. The scripted client of the tests can take time to connect and honours send_if, as the real one does.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -135,6 +135,7 @@
   gateway::stall_detector stalls_;
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
+  gateway::notice_handler notices_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
   gateway::fleet_exchange exchange_;
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/gateway_metrics.h"
+#include "camphorlug/gateway/notice_handler.h"
 #include "camphorlug/gateway/retry_limiter.h"
 #include "camphorlug/gateway/slot_queue.h"
 #include "camphorlug/gateway/stall_detector.h"
@@ -25,6 +26,7 @@
   const target_registry& registry;
   slot_queue& queue;
   suspicion_list& suspicions;
+  notice_handler& notices;
   retry_limiter& retries;
   stall_detector& stalls;
   demand_meter& demand;
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -31,6 +31,8 @@
 
   /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
   /// fixed values.
+  /// Counts a new notice of a target, by what it says.
+  void count_notice(const std::string& notice);
   void count_silence(const std::string& outcome);
 
   /// Returns all metrics in the text format.
--- /dev/null
+++ b/include/camphorlug/gateway/notice_handler.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "camphorlug/gateway/gateway_metrics.h"
+#include "camphorlug/gateway/target_notice.h"
+#include "camphorlug/gateway/target_registry.h"
+
+#include <cstdint>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// Applies what targets say about themselves in their responses.
+///
+/// A target that shuts down says so in its responses before its row in the store does, and some
+/// targets never write such a row. With a store that is slow or unavailable, the responses may be
+/// the only source for as long as the target still accepts connections.
+class notice_handler {
+public:
+  notice_handler(target_registry& registry, gateway_metrics& metrics)
+      : registry_(registry), metrics_(metrics) {}
+
+  /// Applies a notice of the start `started_at_ms` of a target.
+  void apply(const std::string& target, std::int64_t started_at_ms, const target_notice& notice);
+
+private:
+  target_registry& registry_;
+  gateway_metrics& metrics_;
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -54,6 +54,10 @@
   bool has_alternative(const target_pool& pool, const std::set<std::string>& avoided) {
     return chooser_.has_unsuspected_slot(pool, avoided);
   }
+  /// Whether a target whose slot was assigned earlier still accepts requests.
+  bool accepts_requests(const chosen_target& chosen) const {
+    return chooser_.accepts_requests(chosen);
+  }
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool) { return chooser_.slots(pool); }
   std::size_t waiting() const;
@@ -67,6 +71,8 @@
   struct waiter {
     waiter(slot_queue& queue_of_all, queue& waiting, slot_request new_request);
     ~waiter();
+    /// Whether a slot was assigned whose target still accepts requests. Gives back any other.
+    bool has_usable_slot();
     waiter(const waiter&) = delete;
     waiter& operator=(const waiter&) = delete;
 
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -3,6 +3,7 @@
 #include "camphorlug/gateway/event_splitter.h"
 #include "camphorlug/gateway/gateway_environment.h"
 #include "camphorlug/net/http_exchange.h"
+#include "camphorlug/net/transport_error.h"
 
 #include <deque>
 #include <functional>
@@ -68,7 +69,7 @@
   /// Ends the exchange with the target. `on_change` is not called any more.
   void close();
 
-  const std::string& target_id() const { return target_id_; }
+  const std::string& target_id() const { return target_.id; }
   support::clock::time_point started_at() const { return started_at_; }
 
   /// Head of the response; valid from the first event on, or with the result `answered` or
@@ -99,7 +100,10 @@
   support::task<attempt_result> read_body(net::http_exchange& exchange);
   /// Counts a failure of the target and returns `result`. `note` is logged with the request.
   attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
+  void count_transport_failure(const net::transport_error& error);
   net::client_request make_target_request();
+  /// Whether the target still accepts requests; sets `withheld_` if not.
+  bool may_send();
   void record_progress();
   bool is_stream() const;
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
@@ -107,8 +111,7 @@
   gateway_environment& env_;
   std::shared_ptr<const attempted_request> shared_;
   std::optional<slot_guard> slot_;
-  std::string target_id_;
-  std::string target_address_;
+  chosen_target target_;
   /// End of the events received.
   stream_position position_;
   std::function<void()> on_change_;
@@ -120,6 +123,8 @@
   bool closed_ = false;
   bool has_progressed_ = false;
   bool target_stalled_ = false;
+  /// The request was not sent, because the target no longer accepts requests.
+  bool withheld_ = false;
   net::http_exchange* exchange_ = nullptr;
   stall_detector::stream* monitored_ = nullptr;
   target_response response_;
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -46,6 +46,8 @@
   std::optional<chosen_target> choose(const target_pool& pool,
                                       const std::set<std::string>& avoided);
 
+  /// Whether a target that was chosen earlier still accepts requests.
+  bool accepts_requests(const chosen_target& chosen) const;
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool);
   /// Whether any target of the pool has a free slot.
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -48,6 +48,13 @@
   /// `version` or it is already marked as missing.
   void retain(const std::set<std::string>& present, std::uint64_t version);
 
+  /// Records that the target said in a response, since its start `started_at_ms`, that it is
+  /// shutting down. It counts as draining from then on, also when its row is removed and
+  /// written again, until a row with a later start arrives. Returns whether this is new.
+  bool mark_leaving(const std::string& id, std::int64_t started_at_ms);
+  /// Whether the target said so since that start or a later one.
+  bool is_leaving(const std::string& id, std::int64_t started_at_ms) const;
+
   /// Starts the grace period: the store answers again after an outage, since `age`.
   void mark_store_recovered(std::chrono::nanoseconds age = std::chrono::nanoseconds(0)) {
     store_recovered_at_ =
@@ -85,6 +92,8 @@
   /// Versions of deletions, so that a delayed older read does not restore a
   /// deleted target.
   std::map<std::string, std::uint64_t> removed_;
+  /// Start of each target that said in a response that it is shutting down.
+  std::map<std::string, std::int64_t> leaving_;
   std::optional<support::clock::time_point> store_recovered_at_;
   std::uint64_t revision_ = 0;
   std::uint64_t newest_version_ = 0;
--- a/include/camphorlug/gateway/target_response.h
+++ b/include/camphorlug/gateway/target_response.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/target_notice.h"
 #include "camphorlug/net/header_list.h"
 
 namespace camphorlug::gateway {
@@ -15,6 +16,8 @@
   bool wrong_instance = false;
   /// The response belongs to this request and has all required headers.
   bool valid = false;
+  /// Of the target itself, unless `wrong_instance` is set.
+  target_notice notice;
   bool success() const { return status >= 200 && status < 300; }
 };
 
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -31,6 +31,11 @@
           .Name("camphorlug_gateway_silences_total")
           .Help("Requests sent to a further target because of a silence, by which target went on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& notices =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_notices_total")
+          .Help("What targets newly said about themselves in their responses")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_byte =
       prometheus::BuildHistogram()
           .Name("camphorlug_gateway_first_byte_seconds")
@@ -71,6 +76,10 @@
   implementation_->silences.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::count_notice(const std::string& notice) {
+  implementation_->notices.Add({{"notice", notice}}).Increment();
+}
+
 std::string gateway_metrics::serialize(const gateway_gauges& gauges) {
   const auto set = [this](const char* name, double value) {
     implementation_->gauges.Add({{"value", name}}).Set(value);
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -20,6 +20,16 @@
     owner.loads_.remove(assigned_target->id);
 }
 
+bool slot_queue::waiter::has_usable_slot() {
+  if (assigned_target && !owner.chooser_.accepts_requests(*assigned_target)) {
+    owner.loads_.remove(assigned_target->id);
+    assigned_target = owner.chooser_.choose(request.pool, request.avoided);
+    if (assigned_target)
+      owner.loads_.add(assigned_target->id);
+  }
+  return assigned_target.has_value();
+}
+
 slot_guard slot_queue::make_guard(chosen_target target) {
   return {std::move(target), [this](const std::string& id) {
             loads_.remove(id);
@@ -45,7 +55,7 @@
     co_return std::move(slot);
   queue& waiters = queues_[request.pool];
   waiter self(*this, waiters, std::move(request));
-  while (!self.assigned_target && !(self.request.cancelled && *self.request.cancelled)) {
+  while (!self.has_usable_slot() && !(self.request.cancelled && *self.request.cancelled)) {
     const auto left = until - time_.now();
     if (left <= std::chrono::nanoseconds(0))
       break;
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -39,9 +39,9 @@
 target_attempt::target_attempt(gateway_environment& environment,
                                std::shared_ptr<const attempted_request> shared, slot_guard slot,
                                stream_position position, std::function<void()> on_change)
-    : env_(environment), shared_(std::move(shared)), target_id_(slot.target().id),
-      target_address_(slot.target().address), position_(position), on_change_(std::move(on_change)),
-      started_at_(environment.time.now()), last_progress_(started_at_),
+    : env_(environment), shared_(std::move(shared)), target_(slot.target()), position_(position),
+      on_change_(std::move(on_change)), started_at_(environment.time.now()),
+      last_progress_(started_at_),
       first_part_limit_(gateway::first_part_limit(*shared_->chosen, remaining_time())),
       queue_drained_(environment.time) {
   slot_.emplace(std::move(slot));
@@ -79,7 +79,7 @@
 bool target_attempt::is_silent() const {
   if (result_ || has_event())
     return false;
-  return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_id_);
+  return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_.id);
 }
 
 support::task<> target_attempt::run(std::shared_ptr<target_attempt> self) {
@@ -99,15 +99,22 @@
     std::rethrow_exception(unexpected);
 }
 
+bool target_attempt::may_send() {
+  withheld_ = !env_.queue.accepts_requests(target_);
+  return !withheld_;
+}
+
 net::client_request target_attempt::make_target_request() {
   send_attempt details;
-  details.target_id = target_id_;
-  details.address = target_address_;
+  details.target_id = target_.id;
+  details.address = target_.address;
   details.time_left = std::chrono::duration_cast<milliseconds>(remaining_time());
   details.organisation = shared_->organisation;
   details.resume_after = position_.last_event_id;
   details.reuse_connection = shared_->chosen->repeatable();
   net::client_request outgoing = env_.protocol.build_target_request(shared_->request, details);
+  // The target may say that it leaves while the connection is being established.
+  outgoing.send_if = [attempt = shared_from_this()] { return attempt->may_send(); };
   outgoing.accept_head = [&protocol = env_.protocol, shared = shared_](const auto& head) {
     return protocol.parse_response_head(shared->request, head).valid;
   };
@@ -119,7 +126,7 @@
     co_return attempt_result::not_run;
   std::optional<stall_detector::stream> monitored;
   if (is_stream() && shared_->chosen->repeatable())
-    monitored.emplace(env_.stalls, target_id_, [this] {
+    monitored.emplace(env_.stalls, target_.id, [this] {
       target_stalled_ = true;
       if (on_change_)
         on_change_();
@@ -141,31 +148,43 @@
   } catch (const net::transport_error& error) {
     const bool sent = error.progress() == net::request_progress::may_have_been_read;
     result = sent ? attempt_result::unknown : attempt_result::not_run;
-    failure_ += std::string(" (") + error.what() + ")";
-    const bool only_slow = sent && error.timed_out() && env_.stalls.is_writing(target_id_);
-    if (!closed_ && !only_slow && (!sent || error.timed_out()))
-      env_.suspicions.suspect(target_id_, error.what());
-    else if (!closed_ && !only_slow)
-      env_.suspicions.count_failure(target_id_, error.what());
+    if (withheld_) {
+      failure_ += " (not sent: it accepts no requests)";
+    } else {
+      failure_ += std::string(" (") + error.what() + ")";
+      count_transport_failure(error);
+    }
   }
   monitored_ = nullptr;
   exchange_ = nullptr;
   co_return result;
 }
 
+void target_attempt::count_transport_failure(const net::transport_error& error) {
+  const bool sent = error.progress() == net::request_progress::may_have_been_read;
+  const bool only_slow = sent && error.timed_out() && env_.stalls.is_writing(target_.id);
+  if (closed_ || only_slow)
+    return;
+  if (!sent || error.timed_out())
+    env_.suspicions.suspect(target_.id, error.what());
+  else
+    env_.suspicions.count_failure(target_.id, error.what());
+}
+
 attempt_result target_attempt::fail(attempt_result result, const std::string& note,
                                     const std::string& reason) {
-  env_.suspicions.count_failure(target_id_, reason);
+  env_.suspicions.count_failure(target_.id, reason);
   failure_ += " (" + note + ")";
   return result;
 }
 
 std::optional<attempt_result> target_attempt::check_head() {
   if (response_.wrong_instance) {
-    env_.suspicions.suspect(target_id_, "another instance has its address");
+    env_.suspicions.suspect(target_.id, "another instance has its address");
     failure_ += " (wrong instance)";
     return attempt_result::not_run;
   }
+  env_.notices.apply(target_.id, target_.started_at_ms, response_.notice);
   if (response_.not_run)
     return fail(attempt_result::not_run, "refused " + std::to_string(response_.status),
                 "it refused a request");
@@ -186,7 +205,7 @@
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
   }
-  env_.suspicions.count_success(target_id_);
+  env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
 
@@ -227,7 +246,7 @@
   if (splitter.has_partial_event() || position_.events == 0)
     co_return fail(attempt_result::unknown, "ended within an event",
                    "its stream ended within an event");
-  env_.suspicions.count_success(target_id_);
+  env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
 
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -27,7 +27,7 @@
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
   std::vector<candidate> found;
   const auto add = [&](const target_entry& entry, std::uint64_t epoch) {
-    found.push_back({{entry.id, entry.address, entry.slots, epoch},
+    found.push_back({{entry.id, entry.address, entry.slots, epoch, entry.started_at_ms},
                      entry.data_centre == data_centre_,
                      entry.warm_up_remaining > std::chrono::milliseconds(0)});
   };
@@ -117,6 +117,11 @@
   return chosen.best ? std::optional(chosen.best->target) : std::nullopt;
 }
 
+bool target_chooser::accepts_requests(const chosen_target& chosen) const {
+  const target_entry* entry = registry_.find(chosen.id);
+  return entry && !entry->draining;
+}
+
 std::size_t target_chooser::slots(const target_pool& pool) {
   return view_of(pool).slots;
 }
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -40,6 +40,7 @@
     erase(id);
     return;
   }
+  entry->draining = entry->draining || is_leaving(id, entry->started_at_ms);
   if (held != targets_.end() && (version == held->second.version || *entry == held->second.entry)) {
     confirm_unchanged(held->second, version);
     return;
@@ -67,6 +68,24 @@
     mark_changed();
 }
 
+bool target_registry::mark_leaving(const std::string& id, std::int64_t started_at_ms) {
+  if (is_leaving(id, started_at_ms))
+    return false;
+  leaving_[id] = started_at_ms;
+  const auto held = targets_.find(id);
+  log_target("target_leaving", id, held == targets_.end() ? 0 : held->second.version);
+  if (held != targets_.end() && is_leaving(id, held->second.entry.started_at_ms)) {
+    held->second.entry.draining = true;
+    mark_changed();
+  }
+  return true;
+}
+
+bool target_registry::is_leaving(const std::string& id, std::int64_t started_at_ms) const {
+  const auto found = leaving_.find(id);
+  return found != leaving_.end() && started_at_ms <= found->second;
+}
+
 bool target_registry::in_grace_period() const {
   return store_recovered_at_ && time_.now() - *store_recovered_at_ < outage_grace_period;
 }
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -49,6 +49,7 @@
   gateway::stall_detector stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
+  gateway::notice_handler notices{registry, metrics};
   gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -38,6 +38,7 @@
   answer.not_run = head.headers.find("Not-Run").has_value();
   answer.wrong_instance = head.status == 421;
   answer.valid = head.headers.find("Id") == request.id || answer.not_run || answer.wrong_instance;
+  answer.notice.leaving = head.headers.find("Leaving").has_value();
   answer.forwarded_headers = head.headers;
   return answer;
 }
--- a/unittests/fakes/scripted_client.cpp
+++ b/unittests/fakes/scripted_client.cpp
@@ -12,17 +12,29 @@
 
 class scripted_exchange final : public net::http_exchange {
 public:
-  scripted_exchange(support::clock& time, scripted_answer answer, std::size_t& aborted_exchanges)
-      : time_(time), answer_(std::move(answer)), aborted_exchanges_(aborted_exchanges),
-        cancelled_(time), pause_(answer_.pause.value_or(answer_.delay)) {}
+  scripted_exchange(scripted_client& client, support::clock& time, net::client_request request,
+                    scripted_answer answer)
+      : client_(client), time_(time), request_(std::move(request)), answer_(std::move(answer)),
+        cancelled_(time), pause_(answer_.pause.value_or(answer_.delay)) {
+    if (!answer_.refused && answer_.connect_delay == std::chrono::milliseconds(0))
+      send();
+  }
 
-  ~scripted_exchange() override { aborted_exchanges_ += ended_ ? 0 : 1; }
+  ~scripted_exchange() override { client_.aborted_exchanges += ended_ ? 0 : 1; }
 
   support::task<net::response_head> head(std::chrono::nanoseconds timeout) override {
     if (answer_.refused) {
       ended_ = true;
       throw transport_error(request_progress::not_sent, false, "refused");
     }
+    if (answer_.connect_delay > std::chrono::milliseconds(0)) {
+      co_await pass(answer_.connect_delay);
+      send();
+    }
+    if (!is_sent_) {
+      ended_ = true;
+      throw transport_error(request_progress::not_sent, false, "withheld");
+    }
     if (answer_.pieces.empty() && answer_.end != answer_ending::complete)
       co_await fail(timeout);
     co_await pass(std::min<std::chrono::nanoseconds>(answer_.delay, timeout));
@@ -63,6 +75,12 @@
   }
 
 private:
+  void send() {
+    is_sent_ = !request_.send_if || request_.send_if();
+    if (is_sent_)
+      client_.received.push_back(request_);
+  }
+
   support::task<> pass(std::chrono::nanoseconds span) {
     if (!is_cancelled_)
       co_await cancelled_.wait_for(span);
@@ -77,9 +95,11 @@
     throw transport_error(request_progress::may_have_been_read, true, "silence");
   }
 
+  scripted_client& client_;
   support::clock& time_;
+  net::client_request request_;
   scripted_answer answer_;
-  std::size_t& aborted_exchanges_;
+  bool is_sent_ = false;
   support::notification cancelled_;
   std::chrono::milliseconds pause_;
   std::size_t next_ = 0;
@@ -97,9 +117,7 @@
     answer = std::move(script.front());
     script.pop_front();
   }
-  if (!answer.refused)
-    received.push_back(std::move(request));
-  return std::make_unique<scripted_exchange>(time_, std::move(answer), aborted_exchanges);
+  return std::make_unique<scripted_exchange>(*this, time_, std::move(request), std::move(answer));
 }
 
 } // namespace camphorlug::fakes
--- a/unittests/fakes/scripted_client.h
+++ b/unittests/fakes/scripted_client.h
@@ -26,6 +26,8 @@
 struct scripted_answer {
   /// The connection is refused.
   bool refused = false;
+  /// Time until the connection is established; the request is sent then.
+  std::chrono::milliseconds connect_delay{0};
   int status = 200;
   net::header_list headers;
   std::vector<std::string> pieces;
--- a/unittests/gateway/slot_queue_test.cpp
+++ b/unittests/gateway/slot_queue_test.cpp
@@ -70,6 +70,23 @@
   BOOST_TEST(loads.in_flight("one") == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(assigned_slot_of_a_leaving_target_is_given_back, queue_fixture) {
+  add_target("one", 1);
+  loads.update_peer("peer", {{"one", 1}});
+  spawn("a", 5, 500ms);
+  loads.update_peer("peer", {});
+  queue.assign_free_slots();
+  BOOST_TEST(loads.in_flight("one") == 1);
+  // The target says so before the request has seen its slot.
+  registry.mark_leaving("one", 0);
+  clock.run_for(10ms);
+  BOOST_TEST(served.empty());
+  BOOST_TEST(loads.in_flight("one") == 0);
+  add_target("two", 1);
+  clock.run_for(10ms);
+  BOOST_TEST(served == "a");
+}
+
 BOOST_FIXTURE_TEST_CASE(requests_of_peers_occupy_slots, queue_fixture) {
   add_target("one", 2);
   loads.update_peer("peer", {{"one", 2}});
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -40,6 +40,40 @@
   BOOST_TEST(registry.find("a"));
 }
 
+BOOST_FIXTURE_TEST_CASE(leaving_target_counts_as_draining_until_it_restarts, registry_fixture) {
+  const auto update_started = [&](std::uint64_t version, std::int64_t start) {
+    gateway::target_entry entry;
+    entry.id = "a";
+    entry.service = "service";
+    entry.started_at_ms = start;
+    registry.update("a", version, entry);
+  };
+  update_started(1, 100);
+  int changes = 0;
+  registry.add_listener([&] { ++changes; });
+  // A late response of an earlier start says nothing about this one.
+  BOOST_TEST(registry.mark_leaving("a", 90));
+  BOOST_TEST(!registry.find("a")->draining);
+  BOOST_TEST(registry.mark_leaving("a", 100));
+  BOOST_TEST(!registry.mark_leaving("a", 100));
+  BOOST_TEST(registry.find("a")->draining);
+  BOOST_TEST(changes == 1);
+  // The row still says `ready`; it may also be removed and restored from an older copy.
+  update_started(2, 100);
+  BOOST_TEST(registry.find("a")->draining);
+  registry.remove("a", 3);
+  update_started(4, 100);
+  BOOST_TEST(registry.find("a")->draining);
+  update_started(5, 200);
+  BOOST_TEST(!registry.find("a")->draining);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_is_known_before_the_row, registry_fixture) {
+  registry.mark_leaving("a", 0);
+  update("a", 1);
+  BOOST_TEST(registry.find("a")->draining);
+}
+
 BOOST_FIXTURE_TEST_CASE(unusable_row_drops_only_its_target, registry_fixture) {
   update("a", 1);
   update("b", 2);
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -124,6 +124,38 @@
   BOOST_TEST(response.wrong_instance == each.wrong_instance);
 }
 
+namespace {
+
+struct notice_case {
+  const char* description;
+  net::response_head head;
+  bool leaving;
+};
+
+std::ostream& operator<<(std::ostream& out, const notice_case& each) {
+  return out << each.description;
+}
+
+const std::vector<notice_case> notice_cases = {
+    {"nothing said", head_of(200, {{"X-Request-Id", "id1"}, {"X-Response-Seal", "s"}}), false},
+    {"leaving",
+     head_of(200, {{"X-Request-Id", "id1"}, {"X-Response-Seal", "s"}, {"Server-Leaving", "1"}}),
+     true},
+    {"leaving in a refusal", head_of(503, {{"X-Not-Run", "1"}, {"server-leaving", "1"}}), true},
+    {"leaving in a response to another request",
+     head_of(200, {{"X-Request-Id", "id2"}, {"Server-Leaving", "1"}}), true},
+    {"another value", head_of(200, {{"X-Request-Id", "id1"}, {"Server-Leaving", "0"}}), false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(notices_of_targets_are_decoded, data::make(notice_cases), each) {
+  gateway::caller_request request;
+  request.id = "id1";
+  const gateway::target_response response = protocol.parse_response_head(request, each.head);
+  BOOST_TEST(response.notice.leaving == each.leaving);
+}
+
 BOOST_AUTO_TEST_CASE(retry_after_has_millisecond_precision) {
   const net::header_list headers = protocol.local_response_headers({}, 250ms);
   BOOST_TEST(headers.find("Retry-After").value_or("") == "0.250");
