Tell other nodes of leaving targets and learn it from orders and probes

Before (not sent and not applied): test-edge/ leaving_target_gets_no_requests_from_other_nodes and leaving_is_learned_from_orders_and_probes failed. After: test-edge passes, as does test-platform with notices_are_read_from_orders_and_probes.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -53,6 +53,9 @@
   support::task<> handle_caller(net::server_request request, net::response_writer& writer);
   support::task<> handle_peer(net::server_request request, net::response_writer& writer);
 
+  /// Applies what an instance says about itself in a response to an order or a probe.
+  void apply_notice(const std::string& instance, const gateway::target_notice& notice);
+
   /// Returns whether the node accepts requests; answers the platform's readiness check.
   bool ready() const;
 
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -24,6 +25,9 @@
   std::set<std::string> stalled;
   /// Targets that nodes suspect, with the number of these nodes.
   std::map<std::string, std::size_t> suspects;
+  /// Targets that said in a response that they are shutting down, with their start; see
+  /// `target_entry::started_at_ms`.
+  std::map<std::string, std::int64_t> leaving;
   /// Id of the node that plans the groups; empty if none of these nodes does.
   std::string leader;
   /// Whether any of the nodes has handled a request since it started.
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -54,6 +54,8 @@
   bool mark_leaving(const std::string& id, std::int64_t started_at_ms);
   /// Whether the target said so since that start or a later one.
   bool is_leaving(const std::string& id, std::int64_t started_at_ms) const;
+  /// The registered targets that said so, with the start of each, to be sent to peers.
+  std::map<std::string, std::int64_t> leaving() const;
 
   /// Starts the grace period: the store answers again after an outage, since `age`.
   void mark_store_recovered(std::chrono::nanoseconds age = std::chrono::nanoseconds(0)) {
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -122,6 +122,11 @@
   settings_.min_entry_points = settings.min_entry_points;
 }
 
+void edge_node::apply_notice(const std::string& instance, const gateway::target_notice& notice) {
+  if (const gateway::target_entry* entry = registry_.find(instance))
+    notices_.apply(instance, entry->started_at_ms, notice);
+}
+
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
   if (config && config_.update_if_newer(std::move(config)))
@@ -252,6 +257,8 @@
   if (message.summary.store_recovery_age &&
       *message.summary.store_recovery_age < gateway::target_registry::outage_grace_period)
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
+  for (const auto& [target, started_at_ms] : message.summary.leaving)
+    registry_.mark_leaving(target, started_at_ms);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   const bool is_ahead = message.entries_version > target_rows_.newest_row_version();
@@ -353,6 +360,7 @@
     summary.stalled.insert(head);
   for (const std::string& target : suspicions_.own())
     summary.suspects[target] = 1;
+  summary.leaving = registry_.leaving();
   if (replica_controller_.leads())
     summary.leader = settings_.id;
   summary.has_served = requests_.handled() > 0;
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -30,6 +30,10 @@
   stalled.insert(other.stalled.begin(), other.stalled.end());
   for (const auto& [target, nodes] : other.suspects)
     suspects[target] += nodes;
+  for (const auto& [target, started_at_ms] : other.leaving) {
+    std::int64_t& latest = leaving[target];
+    latest = std::max(latest, started_at_ms);
+  }
   if (leader.empty())
     leader = other.leader;
   has_served = has_served || other.has_served;
@@ -73,6 +77,8 @@
     value["stall"] = summary.stalled;
   if (!summary.suspects.empty())
     value["sus"] = summary.suspects;
+  if (!summary.leaving.empty())
+    value["leave"] = summary.leaving;
   if (!summary.leader.empty())
     value["lead"] = summary.leader;
   write_age(value, "store", summary.store_answer_age);
@@ -88,6 +94,8 @@
     stalled->get_to(summary.stalled);
   if (const auto suspects = value.find("sus"); suspects != value.end())
     suspects->get_to(summary.suspects);
+  if (const auto leaving = value.find("leave"); leaving != value.end())
+    leaving->get_to(summary.leaving);
   summary.leader = value.value("lead", "");
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -86,6 +86,16 @@
   return found != leaving_.end() && started_at_ms <= found->second;
 }
 
+std::map<std::string, std::int64_t> target_registry::leaving() const {
+  std::map<std::string, std::int64_t> registered;
+  for (const auto& [id, started_at_ms] : leaving_) {
+    const target_entry* entry = find(id);
+    if (entry && entry->started_at_ms <= started_at_ms)
+      registered.emplace(id, started_at_ms);
+  }
+  return registered;
+}
+
 bool target_registry::in_grace_period() const {
   return store_recovered_at_ && time_.now() - *store_recovered_at_ < outage_grace_period;
 }
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -73,6 +73,33 @@
     BOOST_TEST(version(i) == 5);
 }
 
+BOOST_FIXTURE_TEST_CASE(leaving_target_gets_no_requests_from_other_nodes, small_edge) {
+  fakes::scripted_answer leaving = fakes::complete_answer();
+  leaving.headers.add("Leaving", "1");
+  targets.answers["t1"] = {leaving, fakes::complete_answer(), fakes::complete_answer(),
+                           fakes::complete_answer(), fakes::complete_answer()};
+  BOOST_TEST(call(0)->status == 200);
+  run_for(1s);
+  for (std::size_t i = 0; i < 4; ++i)
+    BOOST_TEST(call(i)->status == 503);
+  BOOST_TEST(targets.received.size() == 1);
+  // A node that starts later learns it from its peers too.
+  kill(2);
+  start(2);
+  run_for(2s);
+  BOOST_TEST(call(2)->status == 503);
+  BOOST_TEST(targets.received.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_is_learned_from_orders_and_probes, small_edge) {
+  gateway::target_notice notice;
+  notice.leaving = true;
+  edges[0]->node->apply_notice("t1", notice);
+  targets.answers["t1"] = {fakes::complete_answer()};
+  BOOST_TEST(call(0)->status == 503);
+  BOOST_TEST(targets.received.empty());
+}
+
 BOOST_AUTO_TEST_CASE(node_without_configuration_answers_503_with_retry_after) {
   fakes::edge_cluster world(1);
   world.run_for(1s);
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -13,6 +13,9 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <set>
+#include <vector>
+
 using namespace camphorlug;
 using namespace std::chrono_literals;
 using fakes::answer_ending;
@@ -269,3 +272,47 @@
   BOOST_TEST((answered == std::vector{true, false}));
   BOOST_TEST(client.received.size() == 4);
 }
+
+namespace {
+
+struct instance_notice_case {
+  int status;
+  bool expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const instance_notice_case& each) {
+  return out << each.status;
+}
+
+const instance_notice_case instance_notice_cases[] = {
+    {200, true}, {202, true}, {409, true}, {503, true}, {421, false}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(notices_are_read_from_orders_and_probes, data::make(instance_notice_cases),
+                     each) {
+  platform_client_fixture fixture;
+  std::vector<std::string> leaving;
+  fixture.orders.on_notice([&](const std::string& instance, const gateway::target_notice& notice) {
+    if (notice.leaving)
+      leaving.push_back(instance);
+  });
+  fakes::scripted_answer script;
+  script.status = each.status;
+  script.headers.add("Server-Leaving", "1");
+  fixture.client.answers[store_address] = {script, script, script};
+  fixture.run([&]() -> support::task<> {
+    replicas::replica_order order;
+    order.target = "i1";
+    order.address = store_address;
+    co_await fixture.orders.send(std::move(order), {});
+    gateway::target_entry entry;
+    entry.id = "i2";
+    entry.address = store_address;
+    co_await fixture.orders.probe(entry);
+  });
+  const std::set<std::string> instances(leaving.begin(), leaving.end());
+  const std::set<std::string> expected =
+      each.expected ? std::set<std::string>{"i1", "i2"} : std::set<std::string>{};
+  BOOST_TEST((instances == expected));
+}
