Send nothing to a target for as long as its 503 with Retry-After asks

Change: target_pauses holds the latest end for each target; target_chooser skips such targets always, and the check right before sending asks too. The refusal no longer counts as a failure, so the pause does not reach other nodes as a suspicion. A request that no target can take before its slot wait ends is refused at once, with the end of the first pause as its Retry-After. Before (decoded and ignored): pausing_target_gets_no_request (2 cases), requests_go_to_targets_that_do_not_pause, latest_end_of_several_pauses_counts, request_waits_for_a_pause_that_ends_in_time and pause_is_no_suspicion failed. After: test-gateway, test-platform and test-edge pass.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -132,6 +132,7 @@
   gateway::group_directory groups_;
   gateway::load_tracker loads_;
   gateway::suspicion_list suspicions_;
+  gateway::target_pauses pauses_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
--- a/include/camphorlug/gateway/notice_handler.h
+++ b/include/camphorlug/gateway/notice_handler.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/gateway_metrics.h"
 #include "camphorlug/gateway/target_notice.h"
+#include "camphorlug/gateway/target_pauses.h"
 #include "camphorlug/gateway/target_registry.h"
 
 #include <cstdint>
@@ -16,14 +17,15 @@
 /// the only source for as long as the target still accepts connections.
 class notice_handler {
 public:
-  notice_handler(target_registry& registry, gateway_metrics& metrics)
-      : registry_(registry), metrics_(metrics) {}
+  notice_handler(target_registry& registry, target_pauses& pauses, gateway_metrics& metrics)
+      : registry_(registry), pauses_(pauses), metrics_(metrics) {}
 
   /// Applies a notice of the start `started_at_ms` of a target.
   void apply(const std::string& target, std::int64_t started_at_ms, const target_notice& notice);
 
 private:
   target_registry& registry_;
+  target_pauses& pauses_;
   gateway_metrics& metrics_;
 };
 
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -54,6 +54,11 @@
   bool has_alternative(const target_pool& pool, const std::set<std::string>& avoided) {
     return chooser_.has_unsuspected_slot(pool, avoided);
   }
+  /// See target_chooser::paused_until.
+  std::optional<support::clock::time_point> paused_until(const target_pool& pool,
+                                                         const std::set<std::string>& avoided) {
+    return chooser_.paused_until(pool, avoided);
+  }
   /// Whether a target whose slot was assigned earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const {
     return chooser_.accepts_requests(chosen);
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/gateway/target_pauses.h"
 #include "camphorlug/support/random_source.h"
 
 #include <map>
@@ -25,7 +26,7 @@
 
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
-/// are excluded, and suspected targets are used only as a last resort.
+/// are excluded, suspected targets are used only as a last resort, and pausing ones never.
 ///
 /// With many nodes, the sums of loads are older than the time between two choices of the fleet. If
 /// each node took the target with the lowest load, they would all take the same one. Then, and in
@@ -34,10 +35,10 @@
 class target_chooser {
 public:
   target_chooser(const target_registry& registry, group_directory& groups, load_tracker& loads,
-                 const suspicion_list& suspicions, support::random_source& random,
-                 std::string data_centre)
+                 const suspicion_list& suspicions, const target_pauses& pauses,
+                 support::random_source& random, std::string data_centre)
       : registry_(registry), groups_(groups), loads_(loads), suspicions_(suspicions),
-        random_(random), data_centre_(std::move(data_centre)) {}
+        pauses_(pauses), random_(random), data_centre_(std::move(data_centre)) {}
 
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
@@ -48,6 +49,10 @@
 
   /// Whether a target that was chosen earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const;
+  /// If each target of the pool outside `avoided` pauses, and any target at all does: the time at
+  /// which the first of these pauses ends; the maximum if all targets are in `avoided`.
+  std::optional<support::clock::time_point> paused_until(const target_pool& pool,
+                                                         const std::set<std::string>& avoided);
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool);
   /// Whether any target of the pool has a free slot.
@@ -80,6 +85,9 @@
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
+  bool paused(const candidate& each) const {
+    return pauses_.end(each.target.id, each.target.started_at_ms).has_value();
+  }
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
@@ -91,6 +99,7 @@
   group_directory& groups_;
   load_tracker& loads_;
   const suspicion_list& suspicions_;
+  const target_pauses& pauses_;
   support::random_source& random_;
   std::string data_centre_;
   std::size_t node_count_ = 1;
--- a/include/camphorlug/gateway/target_notice.h
+++ b/include/camphorlug/gateway/target_notice.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
+
 namespace camphorlug::gateway {
 
 /// What a target says about itself in a response, whatever the response answers.
 struct target_notice {
   /// It shuts down and accepts no new requests.
   bool leaving = false;
+  /// It has no capacity now and wants no requests from this node for this long.
+  std::optional<std::chrono::nanoseconds> retry_after;
 };
 
 } // namespace camphorlug::gateway
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -51,10 +51,11 @@
       incarnation_(support::make_incarnation(context_.time)),
       reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
       groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
+      pauses_(context_.time), chooser_(registry_, groups_, loads_, suspicions_, pauses_,
+                                       context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
-      stalls_(context_.time), demand_(context_.time), notices_(registry_, metrics_),
+      stalls_(context_.time), demand_(context_.time), notices_(registry_, pauses_, metrics_),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, slot_queue_, suspicions_, notices_, retries_, stalls_, demand_,
                  metrics_},
@@ -305,6 +306,7 @@
 support::task<> edge_node::run_housekeeping() {
   for (;;) {
     registry_.expire();
+    pauses_.expire();
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -276,6 +276,9 @@
   // The first attempt fails at once if the expected wait exceeds the limit.
   if (env_.time.now() + expected > until && attempts_ == 0)
     co_return std::nullopt;
+  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+      resumes_at && *resumes_at > until)
+    co_return std::nullopt;
   slot_queue::slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
   co_return co_await env_.queue.acquire(std::move(request), until);
 }
@@ -288,6 +291,9 @@
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
     return give_up("the time limit has passed");
+  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+      resumes_at && *resumes_at > slot_deadline())
+    return give_up("all targets have asked for a pause");
   if (!env_.retries.try_acquire(service_)) {
     trail_.emplace_back("no-retries-left");
     return give_up("the retry limit is reached");
@@ -317,8 +323,11 @@
 
 void request_forwarder::send_refusal(std::string reason, nanoseconds expected_wait) {
   const auto longest = scaled(remaining_time(), max_retry_after_fraction);
-  const auto wait = std::clamp<nanoseconds>(expected_wait, min_retry_after,
-                                            std::max<nanoseconds>(longest, min_retry_after));
+  auto wait = std::clamp<nanoseconds>(expected_wait, min_retry_after,
+                                      std::max<nanoseconds>(longest, min_retry_after));
+  // Unlike a queue, a pause does not get shorter, so an earlier return would be in vain.
+  if (const auto resumes_at = env_.queue.paused_until(pool(), {}))
+    wait = std::max<nanoseconds>(*resumes_at - env_.time.now(), min_retry_after);
   send_local_response(503, reason, std::chrono::duration_cast<milliseconds>(wait));
   record_outcome("refused", reason + " (" + std::to_string(env_.queue.slots(pool())) + " slots, " +
                                 std::to_string(env_.queue.waiting()) +
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -96,6 +96,8 @@
   const std::size_t slots = chooser_.slots(pool);
   if (slots == 0)
     return std::chrono::hours(1);
+  if (const auto until = chooser_.paused_until(pool, {}))
+    return *until - time_.now();
   const queue& waiters = queues_[pool];
   std::size_t ahead = 0;
   for (auto each = waiters.begin(); each != waiters.end() && each->first < rank; ++each)
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -76,7 +76,7 @@
 
 void target_chooser::update_selection(const candidate& each, const std::set<std::string>& avoided,
                                       bool with_suspects, selection& chosen) {
-  if (avoided.contains(each.target.id) || !has_free_slot(each) ||
+  if (avoided.contains(each.target.id) || !has_free_slot(each) || paused(each) ||
       (!with_suspects && suspicions_.suspected(each.target.id)))
     return;
   const double total_cost = cost(each) + jitter * random_.uniform_real();
@@ -119,7 +119,25 @@
 
 bool target_chooser::accepts_requests(const chosen_target& chosen) const {
   const target_entry* entry = registry_.find(chosen.id);
-  return entry && !entry->draining;
+  return entry && !entry->draining && !pauses_.end(chosen.id, chosen.started_at_ms);
+}
+
+std::optional<support::clock::time_point>
+target_chooser::paused_until(const target_pool& pool, const std::set<std::string>& avoided) {
+  if (pauses_.empty())
+    return std::nullopt;
+  auto earliest = support::clock::time_point::max();
+  bool any_pauses = false;
+  for (const candidate& each : view_of(pool).candidates) {
+    const auto end = pauses_.end(each.target.id, each.target.started_at_ms);
+    any_pauses = any_pauses || end;
+    if (avoided.contains(each.target.id))
+      continue;
+    if (!end)
+      return std::nullopt;
+    earliest = std::min(earliest, *end);
+  }
+  return any_pauses ? std::optional(earliest) : std::nullopt;
 }
 
 std::size_t target_chooser::slots(const target_pool& pool) {
@@ -132,7 +150,8 @@
   const std::size_t size = view.candidates.size();
   const std::size_t start = size > 0 ? random_.below(size) : 0;
   for (std::size_t i = 0; i < size; ++i) {
-    if (has_free_slot(view.candidates[(start + i) % size]))
+    const candidate& each = view.candidates[(start + i) % size];
+    if (has_free_slot(each) && !paused(each))
       return true;
   }
   return false;
@@ -143,7 +162,7 @@
   const std::vector<candidate>& candidates = view_of(pool).candidates;
   return std::any_of(candidates.begin(), candidates.end(), [&](const candidate& each) {
     return !avoided.contains(each.target.id) && !suspicions_.suspected(each.target.id) &&
-           has_free_slot(each);
+           has_free_slot(each) && !paused(each);
   });
 }
 
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -43,13 +43,14 @@
   gateway::group_directory groups{registry, config};
   gateway::load_tracker loads{clock};
   gateway::suspicion_list suspicions{clock};
-  gateway::target_chooser chooser{registry, groups, loads, suspicions, random, "here"};
+  gateway::target_pauses pauses{clock};
+  gateway::target_chooser chooser{registry, groups, loads, suspicions, pauses, random, "here"};
   gateway::slot_queue queue{clock, chooser, loads};
   gateway::retry_limiter retries{clock, {}, [] { return std::size_t{1}; }};
   gateway::stall_detector stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
-  gateway::notice_handler notices{registry, metrics};
+  gateway::notice_handler notices{registry, pauses, metrics};
   gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -39,6 +39,8 @@
   answer.wrong_instance = head.status == 421;
   answer.valid = head.headers.find("Id") == request.id || answer.not_run || answer.wrong_instance;
   answer.notice.leaving = head.headers.find("Leaving").has_value();
+  if (const auto pause = head.headers.find("Pause-Ms"))
+    answer.notice.retry_after = std::chrono::milliseconds(std::stoll(*pause));
   answer.forwarded_headers = head.headers;
   return answer;
 }
--- a/unittests/gateway/target_notice_test.cpp
+++ b/unittests/gateway/target_notice_test.cpp
@@ -154,3 +154,117 @@
   world.call("/once/x");
   BOOST_TEST(!world.registry.find("one")->draining);
 }
+
+namespace {
+
+scripted_answer pausing_refusal(std::chrono::milliseconds wait,
+                                std::chrono::milliseconds delay = 1ms) {
+  scripted_answer script = refusal();
+  script.headers.add("Pause-Ms", std::to_string(wait.count()));
+  script.delay = delay;
+  return script;
+}
+
+} // namespace
+
+// More than two requests from half a second after the refusal until the end of the pause are too
+// many, even if no other target can serve.
+BOOST_DATA_TEST_CASE(pausing_target_gets_no_request, data::make({1500, 60000}), pause_ms) {
+  notice_fixture world;
+  world.add_target("one");
+  world.answer("one", pausing_refusal(std::chrono::milliseconds(pause_ms)));
+  for (int i = 0; i < 5; ++i)
+    world.answer("one", complete_answer());
+  const auto asked_at = world.clock.now();
+  const auto refused = world.call("/once/x");
+  BOOST_TEST(refused->status == 503);
+  // The caller is told at once when the pause ends, not after a wait for a slot.
+  BOOST_TEST((world.clock.now() - asked_at < 50ms));
+  const int told_ms = std::stoi(refused->headers.find("Retry-After-Ms").value_or("0"));
+  BOOST_TEST(told_ms <= pause_ms);
+  BOOST_TEST(told_ms >= pause_ms - 50);
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(world.call("/plain/x")->status == 503);
+    world.clock.run_for(100ms);
+  }
+  BOOST_TEST(world.received_by("one") == 1);
+  world.clock.run_for(std::chrono::milliseconds(pause_ms));
+  BOOST_TEST(world.call("/plain/x")->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(requests_go_to_targets_that_do_not_pause) {
+  notice_fixture world;
+  world.add_target("one");
+  world.answer("one", pausing_refusal(2s));
+  recording_writer writer;
+  world.begin("/once/x", writer);
+  world.add_target("two");
+  for (int i = 0; i < 6; ++i) {
+    world.answer("one", complete_answer());
+    world.answer("two", complete_answer());
+  }
+  world.clock.run_for(100ms);
+  BOOST_TEST(writer.status == 200);
+  for (int i = 0; i < 5; ++i)
+    BOOST_TEST(world.call("/plain/x")->status == 200);
+  BOOST_TEST(world.received_by("one") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(latest_end_of_several_pauses_counts) {
+  notice_fixture world;
+  world.add_target("one", 3);
+  world.answer("one", pausing_refusal(2s, 10ms));
+  world.answer("one", pausing_refusal(400ms, 20ms));
+  recording_writer first;
+  recording_writer second;
+  world.begin("/once/x", first);
+  world.begin("/once/x", second);
+  world.clock.run_for(1s);
+  world.answer("one", complete_answer());
+  BOOST_TEST(world.call("/once/x")->status == 503);
+  BOOST_TEST(world.received_by("one") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(request_waits_for_a_pause_that_ends_in_time) {
+  notice_fixture world;
+  world.add_target("one");
+  world.answer("one", pausing_refusal(120ms));
+  BOOST_TEST(world.call("/once/x")->status == 503);
+  world.answer("one", complete_answer());
+  recording_writer writer;
+  world.begin("/once/x", writer);
+  world.clock.run_for(100ms);
+  BOOST_TEST(writer.status == 0);
+  world.clock.run_for(50ms);
+  // The node assigns free slots several times a second.
+  world.queue.assign_free_slots();
+  world.clock.run_for(50ms);
+  BOOST_TEST(writer.status == 200);
+}
+
+// Other nodes would heed a suspicion, but the target has only turned this one away.
+BOOST_AUTO_TEST_CASE(pause_is_no_suspicion) {
+  notice_fixture world;
+  world.add_target("one", 5);
+  for (int i = 0; i < 5; ++i)
+    world.answer("one", pausing_refusal(200ms, 20ms));
+  std::vector<std::unique_ptr<recording_writer>> writers;
+  for (int i = 0; i < 5; ++i) {
+    writers.push_back(std::make_unique<recording_writer>());
+    world.begin("/once/x", *writers.back());
+  }
+  world.clock.run_for(100ms);
+  BOOST_TEST(world.received_by("one") == 5);
+  BOOST_TEST(world.suspicions.own().empty());
+}
+
+BOOST_AUTO_TEST_CASE(pause_ends_with_a_restart_of_the_target) {
+  notice_fixture world;
+  world.pauses.pause("one", 100, 10s);
+  BOOST_TEST(world.pauses.end("one", 100).has_value());
+  BOOST_TEST(!world.pauses.end("one", 200).has_value());
+  world.clock.run_for(11s);
+  BOOST_TEST(!world.pauses.end("one", 100).has_value());
+  world.pauses.expire();
+  BOOST_TEST(world.pauses.empty());
+}
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -156,6 +156,47 @@
   BOOST_TEST(response.notice.leaving == each.leaving);
 }
 
+namespace {
+
+struct wait_case {
+  int status;
+  const char* text;
+  std::optional<std::chrono::milliseconds> expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const wait_case& each) {
+  return out << each.status << " " << each.text;
+}
+
+const std::vector<wait_case> wait_cases = {
+    {503, "2", 2s},
+    {503, "0.75", 750ms},
+    {503, "3600", 3600s},
+    {503, "1000000000000", 24h},
+    {503, "99999999999999999999999", 24h},
+    {503, "0", std::nullopt},
+    {503, "-3", std::nullopt},
+    {503, "soon", std::nullopt},
+    {503, "nan", std::nullopt},
+    {503, "inf", std::nullopt},
+    {503, "2 s", std::nullopt},
+    {503, "", std::nullopt},
+    {503, "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt},
+    {200, "2", std::nullopt},
+    {429, "2", std::nullopt},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(waits_of_targets_are_decoded, data::make(wait_cases), each) {
+  gateway::caller_request request;
+  request.id = "id1";
+  const net::response_head head = head_of(
+      each.status, {{"X-Request-Id", "id1"}, {"X-Not-Run", "1"}, {"Retry-After", each.text}});
+  const gateway::target_response response = protocol.parse_response_head(request, head);
+  BOOST_TEST((response.notice.retry_after == each.expected));
+}
+
 BOOST_AUTO_TEST_CASE(retry_after_has_millisecond_precision) {
   const net::header_list headers = protocol.local_response_headers({}, 250ms);
   BOOST_TEST(headers.find("Retry-After").value_or("") == "0.250");
