Test leaving and pausing runners with processes

The stand-in runner can say Server-Leaving while its row says ready, refuse with Retry-After, and notes when requests arrive.

--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -294,6 +294,54 @@
         cluster.standins.run_coroutine(runner.publish())
 
 
+class NoticeTests(PlatformTest):
+    """What targets say about themselves in their responses."""
+
+    @staticmethod
+    def plain_runner():
+        return next(runner for runner in cluster.standins.runners.values()
+                    if runner.service == "shop")
+
+    def test_runner_that_says_that_it_leaves_gets_no_new_requests(self):
+        runner = self.plain_runner()
+        runner.leaving = True
+        try:
+            wait_until(lambda: "Server-Leaving" in cluster.call("/read/x").headers,
+                       "the runner has answered")
+            wait_until(lambda: all(self.is_draining(gateway, runner)
+                                   for gateway in cluster.gateways), "all nodes know")
+            before = len(runner.arrivals)
+            for number in range(30):
+                self.assertEqual(cluster.call("/read/x", number % 3).status, 200)
+            self.assertEqual(len(runner.arrivals), before)
+        finally:
+            # The test's end restarts it under the same id.
+            cluster.standins.loop.call_soon_threadsafe(runner.kill)
+            wait_until(lambda: not runner.alive, "the runner is stopped")
+        cluster.standins.run_coroutine(runner.restart())
+        wait_until(lambda: cluster.call("/read/x").status == 200 and runner.arrivals,
+                   "the restarted runner gets requests")
+
+    @staticmethod
+    def is_draining(gateway, runner):
+        return any(target["draining"] for target in gateway.state()["targets"]
+                   if target["target"] == runner.id)
+
+    def test_runner_gets_no_requests_until_its_retry_after_ends(self):
+        runner = self.plain_runner()
+        wait_s = 1.5
+        runner.refuse_for = wait_s
+        deadline = time.monotonic() + 10
+        while time.monotonic() < (runner.refused_at or deadline) + wait_s + 1:
+            self.assertEqual(cluster.call("/read/x").status, 200)
+        self.assertIsNotNone(runner.refused_at)
+        late = [at - runner.refused_at for at in runner.arrivals
+                if 0.5 <= at - runner.refused_at < wait_s]
+        # Two are allowed; this node alone sends requests, one at a time.
+        self.assertEqual(late, [])
+        self.assertTrue(any(at - runner.refused_at >= wait_s for at in runner.arrivals))
+
+
 class OperatorTests(PlatformTest):
     def change_settings(self, gateway, **changes):
         before = len(gateway.log_lines("settings_reloaded")) + len(
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -187,6 +187,13 @@
         self.paused_until = 0
         self.answer_bytes = 0
         self.draining = False
+        # Says in its responses that it leaves, while its row says `ready`.
+        self.leaving = False
+        # Seconds in Retry-After of the next refusal.
+        self.refuse_for = 0
+        self.refused_at = None
+        # When each request arrived.
+        self.arrivals = []
         self.fence = 0
         self.seq = 0
         self.newest_epoch = 0
@@ -289,9 +296,17 @@
             return connection.send(421, headers=refused)
         if self.domain and self.group["state"] != "open":
             return connection.send(503, headers=refused)
+        self.arrivals.append(time.monotonic())
+        if self.refuse_for:
+            refused["Retry-After"] = str(self.refuse_for)
+            self.refuse_for = 0
+            self.refused_at = time.monotonic()
+            return connection.send(503, headers=refused)
         self.standins.check_run(self, request)
         response_headers = {"X-Request-Id": request.headers.get("x-request-id", ""),
                             "X-Response-Seal": "s"}
+        if self.leaving:
+            response_headers["Server-Leaving"] = "1"
         if self.domain:
             return await self.stream(request, connection, response_headers)
         await asyncio.sleep(EVENT_S)
