--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -53,6 +53,9 @@
   support::task<> handle_caller(net::server_request request, net::response_writer& writer);
   support::task<> handle_peer(net::server_request request, net::response_writer& writer);
 
+  /// Applies what an instance says about itself in a response to an order or a probe.
+  void apply_notice(const std::string& instance, const gateway::target_notice& notice);
+
   /// Returns whether the node accepts requests; answers the platform's readiness check.
   bool ready() const;
 
@@ -129,12 +132,14 @@
   gateway::group_directory groups_;
   gateway::load_tracker loads_;
   gateway::suspicion_list suspicions_;
+  gateway::target_pauses pauses_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
   gateway::stall_detector stalls_;
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
+  gateway::notice_handler notices_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
   gateway::fleet_exchange exchange_;
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
   /// fixed values.
   void count_silence(const std::string& outcome);
+  /// Counts a new notice of a target. `notice` must be one of a few fixed values.
+  void count_notice(const std::string& notice);
 
   /// Returns all metrics in the text format.
   std::string serialize(const gateway_gauges& gauges);
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -51,12 +51,14 @@
       incarnation_(support::make_incarnation(context_.time)),
       reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
       groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      chooser_(registry_, groups_, loads_, suspicions_, context_.random, settings_.data_centre),
+      pauses_(context_.time), chooser_(registry_, groups_, loads_, suspicions_, pauses_,
+                                       context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
-      stalls_(context_.time), demand_(context_.time),
+      stalls_(context_.time), demand_(context_.time), notices_(registry_, pauses_, metrics_),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
-                 registry_, slot_queue_, suspicions_, retries_, stalls_, demand_, metrics_},
+                 registry_, slot_queue_, suspicions_, notices_, retries_, stalls_, demand_,
+                 metrics_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       exchange_(context_.executor, context_.time, context_.random, context_.client, fleet_,
@@ -121,6 +123,11 @@
   settings_.min_entry_points = settings.min_entry_points;
 }
 
+void edge_node::apply_notice(const std::string& instance, const gateway::target_notice& notice) {
+  if (const gateway::target_entry* entry = registry_.find(instance))
+    notices_.apply(instance, entry->started_at_ms, notice);
+}
+
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
   if (config && config_.update_if_newer(std::move(config)))
@@ -251,6 +258,8 @@
   if (message.summary.store_recovery_age &&
       *message.summary.store_recovery_age < gateway::target_registry::outage_grace_period)
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
+  for (const auto& [target, started_at_ms] : message.summary.leaving)
+    registry_.mark_leaving(target, started_at_ms);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   const bool is_ahead = message.entries_version > target_rows_.newest_row_version();
@@ -297,6 +306,7 @@
 support::task<> edge_node::run_housekeeping() {
   for (;;) {
     registry_.expire();
+    pauses_.expire();
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
@@ -352,6 +362,7 @@
     summary.stalled.insert(head);
   for (const std::string& target : suspicions_.own())
     summary.suspects[target] = 1;
+  summary.leaving = registry_.leaving();
   if (replica_controller_.leads())
     summary.leader = settings_.id;
   summary.has_served = requests_.handled() > 0;
