Add failing histories of the replica controller

test-replicas failed in 3 of 10 runs with free seeds; in the two whose output was kept, it was controller_invariants_hold_under_random_faults. It passes with the seed of scripts/test.

--- a/unittests/replicas/replica_controller_test.cpp
+++ b/unittests/replicas/replica_controller_test.cpp
@@ -238,3 +238,9 @@
       RC_ASSERT(random_history_holds_invariants(*rc::gen::arbitrary<std::uint64_t>()));
   }));
 }
+
+// Histories in which the property above has failed.
+BOOST_DATA_TEST_CASE(controller_invariants_hold_in_recorded_histories,
+                     data::make({std::uint64_t{12073298}, std::uint64_t{213433926682}}), seed) {
+  BOOST_TEST(random_history_holds_invariants(seed));
+}
