--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -60,7 +60,7 @@
 
     def write_settings(self, **changes):
         settings = {
-            "nodeName": f"edge-{self.index}", "zone": ZONES[self.index], "ip": "127.0.0.1",
+            "nodeName": f"edge-{self.index}", "zone": ZONES[self.index % len(ZONES)], "ip": "127.0.0.1",
             "listen": self.addresses, "seeds": [self.cluster.gateways[0].addresses["control"]
                                                 if self.cluster.gateways else
                                                 self.addresses["control"]],
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -338,6 +338,8 @@
 class PlatformStandins:
     """The store and the runners, and the rule violations that they observed."""
 
+    store_class = Store
+
     def __init__(self, port):
         self.port = port
         self.loop = asyncio.new_event_loop()
@@ -357,7 +359,7 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
 
     async def open(self):
-        self.store = Store()
+        self.store = self.store_class()
         server = HttpServer(self.port, self.store.handle)
         await server.open()
         asyncio.ensure_future(self.expire_silent_entries())
