--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import http.client
 import random
 import select
+import socket
 import threading
 import time
 
@@ -10,6 +11,10 @@
 
 # A call without any answer this long after its own time limit counts as hung.
 HANG_S = 6
+# Every fourth caller reads slowly: it takes long answers, through a small buffer, after a pause.
+SLOW_READERS = 4
+SLOW_READER_BUFFER = 8192
+SLOW_READER_BYTES = 4_000_000
 
 
 @dataclasses.dataclass
@@ -45,6 +50,7 @@
         self.cluster = cluster
         self.index = index
         self.random = random.Random(f"{seed}/caller/{index}")
+        self.is_slow = index % SLOW_READERS == SLOW_READERS - 1
         self.connection = None
         self.gateway = index % len(cluster.gateways)
         self.calls = []
@@ -73,6 +79,9 @@
             self.connection = http.client.HTTPConnection(
                 "127.0.0.1", self.cluster.links[f"edge-{self.gateway}"].port, timeout=10)
             self.connection.connect()
+            if self.is_slow:
+                self.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                                SLOW_READER_BUFFER)
             self.connection.used = False
             return True
         except OSError:
@@ -103,6 +112,8 @@
             prefix = f"/gen-{max(0, newest - self.random.randrange(5))}/"
         work_ms = self.random.choice([0, 20, 20, 100, 500])
         size = self.random.choice([10, 10, 1000, 200_000])
+        if self.is_slow:
+            size = SLOW_READER_BYTES
         return f"{prefix}{work_ms}-{size}"
 
     def call(self):
@@ -121,6 +132,8 @@
             self.connection.used = True
             response = self.connection.getresponse()
             call.status, call.headers = response.status, dict(response.getheaders())
+            if self.is_slow:
+                time.sleep(self.random.uniform(0, 4))
             call.body = response.read()
             call.whole = True
         except TimeoutError:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,8 @@
 
 from links import DIRECTIONS
 
-PLANNED = ["term", "term_series", "hup", "config", "config_series", "silence", "drain"]
+PLANNED = ["term", "term_series", "hup", "config", "config_series", "silence",
+           "silence_series", "drain"]
 PROFILES = {
     "planned": [],
     "targets": ["target_kill", "target_reset", "target_refuse", "fail", "busy", "truncate",
@@ -190,6 +191,13 @@
         disturbance = self.lasting(fault)
         disturbance.ended = time.monotonic()
 
+    def silence_series(self, fault):
+        """All targets fall silent as often as a route allows attempts."""
+        for _ in range(3):
+            for runner in list(self.cluster.standins.runners.values()):
+                runner.pause_streams(0.5 + fault.draw)
+            time.sleep(0.9 + fault.draw)
+
     def drain(self, fault):
         runner = self.runner(fault)
         if not runner.alive or runner.draining:
