--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,8 +13,9 @@
 HANG_S = 6
 # Every fourth caller reads slowly: it takes long answers, through a small buffer, after a pause.
 SLOW_READERS = 4
-SLOW_READER_BUFFER = 8192
-SLOW_READER_BYTES = 4_000_000
+# It goes past the proxy, whose buffers would take the answer in its place.
+SLOW_READER_BUFFER = 65536
+SLOW_READER_BYTES = 8_000_000
 
 
 @dataclasses.dataclass
@@ -76,12 +77,15 @@
             self.read_between_calls()
             self.close()
         try:
-            self.connection = http.client.HTTPConnection(
-                "127.0.0.1", self.cluster.links[f"edge-{self.gateway}"].port, timeout=10)
-            self.connection.connect()
+            link = self.cluster.links[f"edge-{self.gateway}"]
+            port = link.target_port if self.is_slow else link.port
+            self.connection = http.client.HTTPConnection("127.0.0.1", port)
+            self.connection.sock = socket.socket()
             if self.is_slow:
                 self.connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                                 SLOW_READER_BUFFER)
+            self.connection.sock.settimeout(10)
+            self.connection.sock.connect(("127.0.0.1", port))
             self.connection.used = False
             return True
         except OSError:
