Read the store's era and make it part of each version

A restored store gives out version numbers again. The era of an answer now forms the high bits of every version read from it, so that each comparison of versions orders them by era first. Transactions that check a version of another era are not sent, and count as unknown if the era rises on the way.

Weighed: a field beside each version would have to be compared in every place that compares versions today; one number cannot be forgotten.

--- a/include/camphorlug/table/change_feed.h
+++ b/include/camphorlug/table/change_feed.h
@@ -13,6 +13,7 @@
 struct feed_row {
   std::string key;
   std::string value;
+  /// With the era in which the row was read (store_version.h).
   std::uint64_t version = 0;
   bool deleted = false;
 };
@@ -21,8 +22,9 @@
 struct feed_batch {
   std::vector<feed_row> rows;
   std::uint64_t version = 0;
-  /// Not all changes since the requested version are available any more. From a change_feed:
-  /// ignore `rows` and read a snapshot. From a row_mirror: `rows` is a snapshot.
+  /// Not all changes since the requested version are available any more, or the store is in
+  /// another era than it. From a change_feed: `version` tells the era; ignore `rows` and read a
+  /// snapshot. From a row_mirror: `rows` is a snapshot.
   bool history_truncated = false;
 };
 
--- a/include/camphorlug/table/commit_result.h
+++ b/include/camphorlug/table/commit_result.h
@@ -10,7 +10,7 @@
 /// The table service's response to a transaction.
 struct commit_result {
   bool committed = false;
-  /// The commit number, which is also the version of every row that was written.
+  /// The version of every row that was written (store_version.h).
   std::uint64_t version = 0;
   /// After a failed check: the current state of the checked rows that exist.
   std::vector<row> current;
--- a/include/camphorlug/table/transaction.h
+++ b/include/camphorlug/table/transaction.h
@@ -7,7 +7,8 @@
 
 namespace camphorlug::table {
 
-/// Requires that a row still has the given version; 0 requires that it does not exist.
+/// Requires that a row still has the given version (store_version.h); 0 requires that it does not
+/// exist.
 struct row_check {
   std::string key;
   std::uint64_t version = 0;
--- a/unittests/fakes/controller_cluster.h
+++ b/unittests/fakes/controller_cluster.h
@@ -26,6 +26,7 @@
 
   support::task<std::vector<table::row>> scan(std::string prefix) override;
   support::task<table::commit_result> commit(table::transaction change) override;
+  std::uint64_t era() const override { return inner_.era(); }
 
 private:
   suspendable_clock& process_;
--- a/unittests/fakes/fake_platform_tables.cpp
+++ b/unittests/fakes/fake_platform_tables.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fake_platform_tables.h"
 
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 namespace camphorlug::fakes {
 
@@ -17,6 +18,25 @@
   tables[name][key] = {key, "", ++version, true};
 }
 
+void fake_platform_tables::restore(table_contents copy) {
+  table_contents::operator=(std::move(copy));
+  ++era;
+}
+
+table::feed_batch fake_change_feed::rows_after(const std::string& name, std::uint64_t since) const {
+  table::feed_batch batch;
+  batch.version = table::make_version(tables_.era, tables_.version);
+  const auto found = tables_.tables.find(name);
+  if (found == tables_.tables.end())
+    return batch;
+  for (const auto& [key, row] : found->second) {
+    if (row.version > since)
+      batch.rows.push_back(
+          {row.key, row.value, table::make_version(tables_.era, row.version), row.deleted});
+  }
+  return batch;
+}
+
 support::task<> fake_change_feed::simulate_transfer() {
   ++reads;
   co_await time_.sleep_for(network_delay);
@@ -26,12 +46,10 @@
 
 support::task<table::feed_batch> fake_change_feed::read_all(std::string name) {
   co_await simulate_transfer();
-  table::feed_batch batch;
-  batch.version = tables_.version;
-  for (const auto& [key, row] : tables_.tables[name]) {
-    if (!row.deleted)
-      batch.rows.push_back(row);
-  }
+  table::feed_batch batch = rows_after(name, 0);
+  std::erase_if(batch.rows, [](const table::feed_row& row) { return row.deleted; });
+  // The answer is on its way while the platform may restore an older copy.
+  co_await time_.sleep_for(answer_delay);
   co_return batch;
 }
 
@@ -42,12 +60,13 @@
   for (;;) {
     if (cut)
       throw table::store_error("cut off", false);
-    table::feed_batch batch;
-    batch.version = tables_.version;
-    for (const auto& [key, row] : tables_.tables[name]) {
-      if (row.version > since)
-        batch.rows.push_back(row);
+    if (tables_.era != table::era_of(since)) {
+      table::feed_batch gone;
+      gone.version = table::make_version(tables_.era, 0);
+      gone.history_truncated = true;
+      co_return gone;
     }
+    table::feed_batch batch = rows_after(name, table::number_of(since));
     if (!batch.rows.empty() || time_.now() >= until)
       co_return batch;
     co_await time_.sleep_for(feed_step);
--- a/unittests/fakes/fake_platform_tables.h
+++ b/unittests/fakes/fake_platform_tables.h
@@ -3,15 +3,25 @@
 #include "camphorlug/support/clock.h"
 #include "camphorlug/table/change_feed.h"
 
+#include <chrono>
 #include <map>
 #include <string>
 
 namespace camphorlug::fakes {
 
-/// Tables of the platform, shared by the change feeds of all nodes.
-struct fake_platform_tables {
+/// Rows of all tables with their numbers, without eras.
+struct table_contents {
   std::map<std::string, std::map<std::string, table::feed_row>> tables;
   std::uint64_t version = 0;
+};
+
+/// Tables of the platform, shared by the change feeds of all nodes.
+struct fake_platform_tables : table_contents {
+  std::uint64_t era = 0;
+
+  table_contents copy() const { return *this; }
+  /// Simulates that the platform restores an older copy.
+  void restore(table_contents copy);
 
   void put(const std::string& name, const std::string& key, std::string value);
   void remove(const std::string& name, const std::string& key);
@@ -30,9 +40,13 @@
   /// Disconnects this node from the tables.
   bool cut = false;
   std::size_t reads = 0;
+  /// Time that the answer to a full read takes.
+  std::chrono::milliseconds answer_delay{0};
 
 private:
   support::task<> simulate_transfer();
+  /// Returns the rows with numbers above `since`, with the current era.
+  table::feed_batch rows_after(const std::string& name, std::uint64_t since) const;
 
   support::clock& time_;
   fake_platform_tables& tables_;
--- a/unittests/fakes/fake_store.h
+++ b/unittests/fakes/fake_store.h
@@ -6,6 +6,7 @@
 #include "row_table.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <set>
 #include <string>
@@ -15,10 +16,20 @@
 /// The rows of the table service, shared by the connections of all nodes.
 struct shared_table {
   standins::row_table rows;
+  std::uint64_t era = 0;
+
+  /// Simulates that the service restores an older copy.
+  void restore(standins::row_table copy) {
+    rows = std::move(copy);
+    ++era;
+  }
+
   bool down = false;
   /// Number of next commits that take effect but whose answers are lost.
   int commit_answers_to_drop = 0;
   std::chrono::nanoseconds delay{std::chrono::milliseconds(2)};
+  /// Time that the answer to a scan takes in addition.
+  std::chrono::nanoseconds answer_delay{0};
   std::size_t reads = 0;
   std::size_t commits = 0;
   /// Called with the transaction before each commit.
@@ -32,6 +43,7 @@
 
   support::task<std::vector<table::row>> scan(std::string prefix) override;
   support::task<table::commit_result> commit(table::transaction change) override;
+  std::uint64_t era() const override { return era_; }
 
   /// Disconnects this node from the store.
   bool cut = false;
@@ -41,6 +53,8 @@
 
   support::clock& time_;
   shared_table& table_;
+  /// The highest era of all answers.
+  std::uint64_t era_ = 0;
 };
 
 } // namespace camphorlug::fakes
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include "camphorlug/support/virtual_clock.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 #include "fakes/scripted_client.h"
 
@@ -36,6 +37,11 @@
     client.answers[store_address].push_back(script);
   }
 
+  void answer_in_era(std::uint64_t era, int status, const json& body) {
+    answer(status, body);
+    client.answers[store_address].back().headers.add("Store-Era", std::to_string(era));
+  }
+
   /// Runs `call` to completion. Returns which store_error it threw, or an empty string.
   template<class Call>
   std::string run(Call call) {
@@ -163,6 +169,85 @@
   BOOST_TEST(client.received[0].target == "/api/rows-feed?table=t&sinceRev=9&waitMs=500");
 }
 
+BOOST_FIXTURE_TEST_CASE(versions_contain_the_era_of_the_answer, platform_client_fixture) {
+  answer_in_era(3, 200, {{"rows", {row("a", 10, "new")}}, {"ver", 11}});
+  answer_in_era(4, 200, {{"rows", {row("a", 9, "old")}}, {"ver", 9}});
+  answer_in_era(4, 410, {{"error", "gone"}});
+  table::feed_batch before;
+  table::feed_batch after;
+  table::feed_batch gone;
+  BOOST_TEST(run([&]() -> support::task<> {
+               before = co_await store.read_all("t");
+               after = co_await store.read_all("t");
+               gone = co_await store.changes("t", before.version, 500ms);
+             }).empty());
+  BOOST_TEST(before.version == table::make_version(3, 11));
+  BOOST_TEST(before.rows[0].version == table::make_version(3, 10));
+  BOOST_TEST((after.version > before.version));
+  BOOST_TEST((after.rows[0].version > before.rows[0].version));
+  BOOST_TEST(gone.history_truncated);
+  BOOST_TEST(table::era_of(gone.version) == 4);
+  BOOST_TEST(client.received[2].target == "/api/rows-feed?table=t&sinceRev=11&waitMs=500");
+  BOOST_TEST(store.era() == 4);
+}
+
+// The number from which the feed was asked may have been given out again.
+BOOST_FIXTURE_TEST_CASE(changes_of_another_era_are_no_continuation, platform_client_fixture) {
+  answer_in_era(4, 200, {{"rows", {row("a", 12, "other")}}, {"ver", 12}});
+  table::feed_batch batch;
+  BOOST_TEST(run([&]() -> support::task<> {
+               batch = co_await store.changes("t", table::make_version(3, 11), 500ms);
+             }).empty());
+  BOOST_TEST(batch.history_truncated);
+  BOOST_TEST(batch.rows.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(pages_of_different_eras_are_not_combined, platform_client_fixture) {
+  answer_in_era(3, 200, {{"rows", {row("a", 5, "x")}}, {"ver", 9}, {"hasMore", true}});
+  answer_in_era(4, 200, {{"rows", {row("b", 6, "y")}}, {"ver", 8}, {"hasMore", false}});
+  BOOST_TEST(run([&]() -> support::task<> { co_await store.read_all("t"); }) == "not committed");
+}
+
+struct era_commit_case {
+  const char* name;
+  std::uint64_t known_era;
+  std::uint64_t checked_era;
+  std::uint64_t answered_era;
+  bool is_sent;
+  bool committed;
+  const char* error;
+};
+
+std::ostream& operator<<(std::ostream& out, const era_commit_case& each) {
+  return out << each.name;
+}
+
+const era_commit_case era_commit_cases[] = {
+    {"same era", 3, 3, 3, true, true, ""},
+    {"check of an earlier era", 4, 3, 4, false, false, ""},
+    {"new era on the way", 3, 3, 4, true, false, "may have committed"},
+};
+
+BOOST_DATA_TEST_CASE(check_of_an_earlier_era_never_succeeds, data::make(era_commit_cases), each) {
+  platform_client_fixture fixture;
+  fixture.answer_in_era(each.known_era, 200, {{"rows", json::array()}, {"ver", 20}});
+  fixture.answer_in_era(each.answered_era, 200, {{"ver", 21}});
+  table::commit_result result;
+  const std::string error = fixture.run([&]() -> support::task<> {
+    co_await fixture.store.read_all("t");
+    table::transaction change = sample_transaction();
+    change.checks[0].version = table::make_version(each.checked_era, 7);
+    result = co_await fixture.store.commit(std::move(change));
+  });
+  BOOST_TEST(error == each.error);
+  BOOST_TEST(result.committed == each.committed);
+  BOOST_TEST((fixture.client.received.size() == 2) == each.is_sent);
+  if (each.is_sent)
+    BOOST_TEST(json::parse(fixture.client.received[1].body)["expectRev"][0]["ver"] == 7);
+  if (each.committed)
+    BOOST_TEST(result.version == table::make_version(3, 21));
+}
+
 BOOST_FIXTURE_TEST_CASE(malformed_store_response_is_an_error, platform_client_fixture) {
   answer(200, {{"rows", 7}});
   BOOST_TEST(run([&]() -> support::task<> { co_await store.read_all("t"); }) == "not committed");
