Follow the store into a new era

The store may come back from a copy some seconds old: rows and versions go back, and versions are given out again for other rows.

- A follower reads its table again when an answer bears a higher era, and drops answers of a lower one.
- Nodes tell each other the era; a reader that learns of it reads at once.
- Entries that are missing after the return are kept as after an outage.
A restored entry with a lower heartbeat number than the one seen changes nothing; a removed target stays removed until it has written again.
- A reader writes its own row again in each era.
- The lease has rows of its own in each era.
Its holder takes the new era's at once; all others wait for a term after they learned of the era, by when every holder of the lost history has stopped.
No transaction of an earlier era can touch these rows.
- The era is the high part of the lease number, so fences and epochs of a new era exceed all earlier ones, also those of acquisitions that were lost.

Weighed for numbers: numbers that travel with the peers' status fail when the node that used the highest one is gone; a number space by era needs no message. With 20 bits for acquisitions and 1,000,000 numbers for each, 2^53 is reached at era 8,589.

Weighed for the first acquisition: after a restoration to a copy from before it, a node that meets the store for the first time cannot tell the empty table from a new one. Up to era 1 it takes the lease at once, since stores may count from 0 or 1 and waiting would delay the start of each deployment by a term.

camphorlugctl edge, the state report and the metric show the era; a new one is logged as store_era_changed.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -14,6 +14,7 @@
 #include "camphorlug/table/table_store.h"
 
 #include <asio/any_io_executor.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,6 +80,9 @@
   /// Returns this node's status; its revision increases when another field has changed.
   const gateway::node_status& status();
   gateway::fleet_exchange::own_report report();
+  /// Applies an era of the store that this node has learned from an answer or a peer: reads the
+  /// tables again if it is new.
+  void observe_store_era(std::uint64_t era);
   void apply_peer_message(const gateway::fleet_message& message);
   /// Whether this node competes for the planner lease.
   bool may_plan();
@@ -121,6 +125,10 @@
   /// When this node first saw that it or a peer had handled a request.
   std::optional<support::clock::time_point> traffic_since_;
   std::string config_text_;
+  /// The highest era of the store that this node knows of.
+  std::uint64_t store_era_ = 0;
+  /// The era in which this node wrote its own row.
+  std::optional<std::uint64_t> registered_in_era_;
 
   gateway::active_config config_;
   gateway::target_registry registry_;
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -32,6 +32,8 @@
   const gateway::suspicion_list& suspicions;
   const gateway::retry_limiter& retries;
   const groups::lease& lease;
+  /// The highest era of the store that the node knows of.
+  std::uint64_t store_era = 0;
   std::size_t waiting_requests = 0;
   /// When the store last answered a read of the target table; nullopt if it never did.
   std::optional<support::clock::time_point> store_answered_at;
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -41,6 +41,7 @@
     fleet_summary summary;
     std::uint64_t config_version = 0;
     std::uint64_t entries_version = 0;
+    std::uint64_t store_era = 0;
   };
 
   fleet_exchange(asio::any_io_executor executor, support::clock& time,
--- a/include/camphorlug/gateway/fleet_message.h
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -42,6 +42,8 @@
   std::uint64_t config_version = 0;
   /// Commit number of the newest target entry that can be fetched from the sender.
   std::uint64_t entries_version = 0;
+  /// The highest era of the store that the sender knows of.
+  std::uint64_t store_era = 0;
   /// Of the sender alone (request of an attached node), of all nodes but the receiver (response
   /// to it), or of the sender's section (between hubs).
   fleet_summary summary;
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -14,6 +14,7 @@
   std::size_t known_targets = 0;
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
+  std::uint64_t store_era = 0;
   bool leads = false;
 };
 
--- a/include/camphorlug/gateway/target_entry.h
+++ b/include/camphorlug/gateway/target_entry.h
@@ -34,6 +34,8 @@
   /// The model loaded in memory; empty if there is none.
   std::string model;
   std::optional<group_membership> membership;
+  /// Increases with each write of the entry since the target's start; 0 if not reported.
+  std::uint64_t sequence = 0;
 
   bool operator==(const target_entry&) const = default;
 };
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -26,7 +26,8 @@
 };
 
 /// In-memory copy of the target registry. Updates and deletions with an older
-/// version than the one held are ignored.
+/// version than the one held are ignored. After the store was restored from an older copy, rows
+/// that are older than what this process has seen change nothing but the version.
 class target_registry {
 public:
   /// Entries can expire in the store during an outage. Live targets register
@@ -77,14 +78,23 @@
 private:
   bool in_grace_period() const;
   void confirm_unchanged(registered_target& target, std::uint64_t version);
+  /// Returns whether a row of a later era was written before the last deletion of its target.
+  bool is_restored_after_removal(const std::string& id, std::uint64_t version,
+                                 const std::optional<target_entry>& entry) const;
   void erase(const std::string& id);
   void mark_changed();
 
   support::clock& time_;
   std::map<std::string, registered_target> targets_;
-  /// Versions of deletions, so that a delayed older read does not restore a
+  struct removal {
+    std::uint64_t version = 0;
+    /// The last entry's sequence.
+    std::uint64_t sequence = 0;
+    std::int64_t started_at_ms = 0;
+  };
+  /// Deletions, so that neither a delayed older read nor an older copy of the store restores a
   /// deleted target.
-  std::map<std::string, std::uint64_t> removed_;
+  std::map<std::string, removal> removed_;
   std::optional<support::clock::time_point> store_recovered_at_;
   std::uint64_t revision_ = 0;
   std::uint64_t newest_version_ = 0;
--- a/include/camphorlug/groups/lease.h
+++ b/include/camphorlug/groups/lease.h
@@ -32,9 +32,13 @@
   virtual bool held() const = 0;
 
   /// Returns the sequence number of this acquisition, which is larger than that of
-  /// every earlier one. It forms the high bits of the fencing numbers of orders.
+  /// every earlier one, also of those that the store lost. It forms the high bits of the fencing
+  /// numbers of orders.
   virtual std::uint64_t number() const = 0;
 
+  /// Returns whether no node had held the lease before this acquisition.
+  virtual bool is_first_term() const = 0;
+
   /// Returns a transaction check that fails once another node has acquired the
   /// lease.
   virtual table::row_check ownership_check() const = 0;
--- a/include/camphorlug/table/row_mirror.h
+++ b/include/camphorlug/table/row_mirror.h
@@ -12,18 +12,19 @@
 namespace camphorlug::table {
 
 /// A copy of one table as this node has read it, served to peers that cannot reach
-/// the store. A row's version never decreases.
+/// the store. A row's version never decreases; that of a later era is larger.
 class row_mirror {
 public:
   /// Number of tombstones kept; a reader that lacks older deletions gets a snapshot.
   static constexpr std::size_t max_tombstones = 1000;
 
-  /// Applies a batch of the feed. If `is_snapshot`, rows that are absent from the batch and
-  /// not newer than it are deleted.
+  /// Applies a batch of the feed; ignores one of an earlier era. If `is_snapshot`, rows that are
+  /// absent from the batch and not newer than it are deleted.
   void apply(const feed_batch& batch, bool is_snapshot);
 
   /// Returns the rows that changed after `since`. If tombstones newer than `since`
-  /// were dropped, returns a snapshot instead and sets `history_truncated`.
+  /// were dropped or `since` belongs to an earlier era, returns a snapshot instead and sets
+  /// `history_truncated`.
   feed_batch changes(std::uint64_t since) const;
 
   /// Returns all rows that exist, with `history_truncated` set.
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -14,7 +14,8 @@
 /// Keeps a node up to date with one table: reads a snapshot, follows the change
 /// feed, and rereads snapshots periodically, because a feed may stop reporting
 /// changes without failing. It pauses while its gate is closed. Responses older than the known
-/// version are ignored.
+/// version are ignored. After the store was restored from an older copy (a new era, see
+/// store_version.h) the whole table is read again.
 class table_follower {
 public:
   /// Receives each batch. If `is_snapshot`, rows that are absent from the batch did not
@@ -31,6 +32,10 @@
   /// Like `reread`, but reads the first snapshot at once; for a table whose feed is not followed.
   support::task<> poll();
 
+  /// Reads a snapshot at once, because the store is known to be in a new era, and further ones
+  /// while a call to the feed that began in an earlier era is still waiting.
+  support::task<> refresh();
+
   /// Sets the function that decides whether the store may be read now. By default it always may.
   void set_gate(std::function<bool()> may_read) { may_read_ = std::move(may_read); }
 
@@ -41,7 +46,8 @@
   /// When the store last responded, or nullopt if it never did.
   std::optional<support::clock::time_point> answered_at() const { return answered_at_; }
 
-  /// Sets the function to call when the store responds again after it was reported lost.
+  /// Sets the function to call when the store responds again after it was reported lost,
+  /// or for the first time in a new era.
   void on_reconnected(std::function<void()> action) { on_reconnected_ = std::move(action); }
 
   /// Makes the next answer of the store count as its return from an outage.
@@ -49,6 +55,8 @@
 
 private:
   support::task<bool> read_snapshot();
+  /// Whether the call to the feed that is in progress began in an earlier era.
+  bool polls_earlier_era() const;
   void record_success();
   void record_failure(const std::string& reason);
 
@@ -61,6 +69,8 @@
   std::function<void()> on_reconnected_;
   std::function<bool()> may_read_ = [] { return true; };
   std::uint64_t version_ = 0;
+  /// The version from which the call to the feed in progress asks for changes.
+  std::optional<std::uint64_t> polled_since_;
   std::optional<support::clock::time_point> answered_at_;
   bool needs_snapshot_ = true;
   bool expects_reconnection_ = false;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -6,6 +6,7 @@
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 #include <algorithm>
 #include <charconv>
@@ -128,6 +129,9 @@
 }
 
 void edge_node::apply_target_rows(const table::feed_batch& batch, bool is_full_table) {
+  // An answer or a peer's rows from before the store was restored.
+  if (table::era_of(batch.version) < table::era_of(target_rows_.version()))
+    return;
   target_rows_.apply(batch, is_full_table);
   std::set<std::string> present;
   for (const table::feed_row& row : batch.rows) {
@@ -159,10 +163,12 @@
 
 /// Registers this node when it begins to read the store, so that nodes whose seeds are gone find
 /// one that knows the others. Waits a moment, since an isolated node may find others at once.
+/// Registers again in each era of the store, since the row may be lost.
 support::task<> edge_node::register_self() {
   for (;;) {
     co_await context_.time.sleep_for(registration_retry_interval);
-    if (!reading_.is_active())
+    const bool is_registered = registered_in_era_ && *registered_in_era_ >= store_era_;
+    if (is_registered || !reading_.is_active())
       continue;
     table::transaction change;
     const nlohmann::json value{{"peer_address", settings_.peer_address}};
@@ -170,7 +176,7 @@
     try {
       const table::commit_result result = co_await context_.store.commit(std::move(change));
       if (result.committed)
-        co_return;
+        registered_in_era_ = table::era_of(result.version);
     } catch (const table::store_error& error) {
       support::log_event(support::log_level::warning, "registration_failed",
                          {{"error", error.what()}});
@@ -246,8 +252,25 @@
   return context_.time.now() - *behind_peers_since_ >= peer_fetch_delay;
 }
 
+void edge_node::observe_store_era(std::uint64_t era) {
+  if (era <= store_era_)
+    return;
+  const std::uint64_t before = std::exchange(store_era_, era);
+  lease_.observe_era(era);
+  // A node that starts has read nothing yet that the store may have lost.
+  if (target_rows_.version() == 0 && !config_.current())
+    return;
+  support::log_event(support::log_level::warning, "store_era_changed",
+                     {{"era", std::to_string(era)}, {"before", std::to_string(before)}});
+  if (!reading_.is_active())
+    return;
+  support::spawn(context_.executor, "refresh_config", config_follower_.refresh());
+  support::spawn(context_.executor, "refresh_targets", target_follower_.refresh());
+}
+
 void edge_node::apply_peer_message(const gateway::fleet_message& message) {
   const std::string& peer = message.sender.peer_address;
+  observe_store_era(message.store_era);
   if (message.summary.store_recovery_age &&
       *message.summary.store_recovery_age < gateway::target_registry::outage_grace_period)
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
@@ -297,6 +320,8 @@
 support::task<> edge_node::run_housekeeping() {
   for (;;) {
     registry_.expire();
+    observe_store_era(context_.store.era());
+    observe_store_era(table::era_of(target_rows_.version()));
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
@@ -345,6 +370,7 @@
   report.status = status();
   report.config_version = config_version();
   report.entries_version = target_rows_.newest_row_version();
+  report.store_era = store_era_;
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -430,6 +456,7 @@
                                    suspicions_,
                                    retries_,
                                    lease_,
+                                   store_era_,
                                    slot_queue_.waiting(),
                                    target_follower_.answered_at()};
     net::send_json(writer, 200, make_state_report(state).dump());
@@ -473,6 +500,7 @@
   gauges.known_targets = registry_.all().size();
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
+  gauges.store_era = store_era_;
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -124,6 +124,7 @@
                       {"reads_store", state.roles.is_reader(state.self.id)},
                       {"waiting_requests", state.waiting_requests},
                       {"store_answered_ms_ago", store_answer_age_ms(state)},
+                      {"store_era", state.store_era},
                       {"lease",
                        {{"held_here", state.lease.held()},
                         {"number", state.lease.number()},
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -41,6 +41,7 @@
   message.sequence = ++sequence_;
   message.config_version = report.config_version;
   message.entries_version = report.entries_version;
+  message.store_era = report.store_era;
   return message;
 }
 
--- a/lib/gateway/fleet_message.cpp
+++ b/lib/gateway/fleet_message.cpp
@@ -30,6 +30,8 @@
                        {"ent", entries_version}, {"sum", summary},  {"have", stamps}};
   if (attaches)
     value["attach"] = true;
+  if (store_era > 0)
+    value["era"] = store_era;
   if (!sections.empty())
     value["sec"] = to_list(sections);
   for (const auto& [owner, age] : owners)
@@ -45,6 +47,7 @@
   value.at("seq").get_to(message.sequence);
   value.at("cfg").get_to(message.config_version);
   value.at("ent").get_to(message.entries_version);
+  message.store_era = value.value("era", std::uint64_t{0});
   value.at("sum").get_to(message.summary);
   for (const auto& [owner, stamp] : value.at("have").items())
     message.known[owner] = {stamp.at(0), stamp.at(1)};
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -79,6 +79,7 @@
   set("known_targets", static_cast<double>(gauges.known_targets));
   set("live_peers", static_cast<double>(gauges.live_peers));
   set("config_version", static_cast<double>(gauges.config_version));
+  set("store_era", static_cast<double>(gauges.store_era));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/gateway/target_registry.h"
 
 #include "camphorlug/support/log.h"
+#include "camphorlug/table/store_version.h"
 
 namespace camphorlug::gateway {
 
@@ -25,24 +26,54 @@
                      {{"target", id}, {"version", std::to_string(version)}});
 }
 
+/// Returns whether a row of a later era is an older state of the target than the one held. The
+/// target will write its present state again.
+static bool is_older_copy(const registered_target& held, std::uint64_t version,
+                          const std::optional<target_entry>& entry) {
+  return entry && table::era_of(version) > table::era_of(held.version) &&
+         entry->started_at_ms == held.entry.started_at_ms && entry->sequence < held.entry.sequence;
+}
+
+bool target_registry::is_restored_after_removal(const std::string& id, std::uint64_t version,
+                                                const std::optional<target_entry>& entry) const {
+  const auto found = removed_.find(id);
+  if (found == removed_.end() || !entry)
+    return false;
+  const removal& last = found->second;
+  return table::era_of(version) > table::era_of(last.version) &&
+         entry->started_at_ms == last.started_at_ms && last.sequence != 0 &&
+         entry->sequence <= last.sequence;
+}
+
 void target_registry::update(const std::string& id, std::uint64_t version,
                              std::optional<target_entry> entry) {
   newest_version_ = std::max(newest_version_, version);
   const auto removed = removed_.find(id);
-  if (removed != removed_.end() && version <= removed->second)
+  if (removed != removed_.end() && version <= removed->second.version)
     return;
   const auto held = targets_.find(id);
   if (held != targets_.end() && version < held->second.version)
     return;
+  if (held == targets_.end() && is_restored_after_removal(id, version, entry))
+    return;
+  if (held != targets_.end() && is_older_copy(held->second, version, entry)) {
+    confirm_unchanged(held->second, version);
+    return;
+  }
   if (!entry) {
     if (held != targets_.end())
       log_target("target_unusable", id, version);
     erase(id);
     return;
   }
-  if (held != targets_.end() && (version == held->second.version || *entry == held->second.entry)) {
-    confirm_unchanged(held->second, version);
-    return;
+  if (held != targets_.end()) {
+    const bool was_read = version == held->second.version;
+    if (!was_read)
+      held->second.entry.sequence = entry->sequence;
+    if (was_read || *entry == held->second.entry) {
+      confirm_unchanged(held->second, version);
+      return;
+    }
   }
   if (held == targets_.end())
     log_target("target_added", id, version);
@@ -79,10 +110,15 @@
 
 void target_registry::remove(const std::string& id, std::uint64_t version) {
   newest_version_ = std::max(newest_version_, version);
-  std::uint64_t& removed = removed_[id];
-  removed = std::max(removed, version);
+  removal& removed = removed_[id];
   const auto held = targets_.find(id);
-  if (held == targets_.end() || held->second.version > version)
+  const bool is_current = held != targets_.end() && held->second.version <= version;
+  if (is_current) {
+    removed.sequence = held->second.entry.sequence;
+    removed.started_at_ms = held->second.entry.started_at_ms;
+  }
+  removed.version = std::max(removed.version, version);
+  if (!is_current)
     return;
   if (in_grace_period() && !held->second.entry.draining) {
     held->second.missing_since = time_.now();
--- a/lib/groups/table_lease.cpp
+++ b/lib/groups/table_lease.cpp
@@ -2,17 +2,29 @@
 
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::groups {
 
-static std::string holder_key(const std::string& pool) {
-  return "pool/" + pool + "/holder";
+/// Era of a store that was never restored, at most; stores may count from 0 or 1.
+static constexpr std::uint64_t max_initial_era = 1;
+/// Bits of a lease number below the era.
+static constexpr unsigned term_bits = 20;
+
+static std::string row_prefix(const std::string& pool, std::uint64_t era) {
+  const std::string prefix = "pool/" + pool + "/";
+  return era == 0 ? prefix : prefix + "era-" + std::to_string(era) + "/";
+}
+
+static std::string holder_key(const std::string& pool, std::uint64_t era) {
+  return row_prefix(pool, era) + "holder";
 }
 
-static std::string renewal_key(const std::string& pool) {
-  return "pool/" + pool + "/renewal";
+static std::string renewal_key(const std::string& pool, std::uint64_t era) {
+  return row_prefix(pool, era) + "renewal";
 }
 
 namespace {
@@ -41,9 +53,15 @@
 } // namespace
 
 struct table_lease::lease_rows {
+  /// The era of the store, to which the following rows belong.
+  std::uint64_t era = 0;
   holder_row holder;
   std::uint64_t holder_version = 0;
   std::uint64_t renewal_version = 0;
+  /// The highest number in the holder rows of all eras; 0 if there are none.
+  std::uint64_t highest_number = 0;
+  /// Keys of rows of earlier eras.
+  std::vector<std::string> outdated_keys;
 };
 
 table_lease::table_lease(table::table_store& store, support::clock& time,
@@ -57,36 +75,75 @@
 }
 
 table::row_check table_lease::ownership_check() const {
-  return {holder_key(pool_), holder_version_};
+  return {holder_key(pool_, table::era_of(holder_version_)), holder_version_};
+}
+
+void table_lease::observe_era(std::uint64_t era) {
+  if (era_ && era <= *era_)
+    return;
+  if (era_) {
+    has_seen_new_era_ = true;
+    // The holder in the earlier era, if any, last renewed its term before the store was restored.
+    renewal_unchanged_since_ = time_.now();
+    seen_renewal_version_ = 0;
+  }
+  era_ = era;
+}
+
+bool table_lease::is_in_new_era() const {
+  return std::max(store_.era(), era_.value_or(0)) > table::era_of(holder_version_);
 }
 
 support::task<table_lease::lease_rows> table_lease::read_rows() {
   lease_rows rows;
-  const auto found = co_await store_.scan("pool/" + pool_ + "/");
+  const auto found = co_await store_.scan(row_prefix(pool_, 0));
+  observe_era(store_.era());
+  rows.era = *era_;
+  const std::string own_holder_key = holder_key(pool_, rows.era);
+  const std::string own_renewal_key = renewal_key(pool_, rows.era);
   for (const table::row& row : found) {
-    if (row.key == holder_key(pool_)) {
+    if (table::era_of(row.version) != rows.era)
+      throw table::store_error("the answer is from an earlier era", /*may_have_committed=*/false);
+    if (row.key.ends_with("/holder")) {
+      const holder_row holder = holder_row::from_json(row.value);
+      rows.highest_number = std::max(rows.highest_number, holder.number);
+      last_holder_ = holder.node;
+    }
+    if (row.key == own_holder_key) {
       rows.holder = holder_row::from_json(row.value);
       rows.holder_version = row.version;
-    }
-    if (row.key == renewal_key(pool_))
+    } else if (row.key == own_renewal_key) {
       rows.renewal_version = row.version;
+    } else if (row.key.ends_with("/holder") || row.key.ends_with("/renewal")) {
+      rows.outdated_keys.push_back(row.key);
+    }
   }
-  last_holder_ = rows.holder.node;
+  if (rows.holder_version != 0)
+    last_holder_ = rows.holder.node;
   co_return rows;
 }
 
+bool table_lease::is_first(const lease_rows& rows) const {
+  return rows.era <= max_initial_era && !has_seen_new_era_ && rows.highest_number == 0 &&
+         number_ == 0;
+}
+
+/// Without a row of this era, a row of an earlier one may have been lost.
+bool table_lease::is_free(const lease_rows& rows) const {
+  return rows.holder_version != 0 ? rows.holder.released : is_first(rows);
+}
+
 support::task<bool> table_lease::try_acquire() {
   is_holder_ = false;
   const auto read_at = time_.now();
   try {
     const lease_rows rows = co_await read_rows();
-    const bool is_free = rows.holder_version == 0 || rows.holder.released;
     if (!renewal_unchanged_since_ || rows.renewal_version != seen_renewal_version_) {
       seen_renewal_version_ = rows.renewal_version;
       renewal_unchanged_since_ = time_.now();
     }
     // The row is known to be unchanged only up to the time the read was sent.
-    if (!is_free && read_at - *renewal_unchanged_since_ < timing_.term)
+    if (!is_free(rows) && read_at - *renewal_unchanged_since_ < timing_.term)
       co_return false;
     co_return co_await take_over(rows);
   } catch (const table::store_error&) {
@@ -95,17 +152,25 @@
 }
 
 support::task<bool> table_lease::take_over(lease_rows rows) {
-  const holder_row new_row{node_, rows.holder.number + 1, random_.identifier(), false};
+  const std::uint64_t highest_number = std::max(rows.highest_number, number_);
+  const bool first = is_first(rows);
+  const std::uint64_t number = std::max(highest_number, rows.era << term_bits) + 1;
+  const holder_row new_row{node_, number, random_.identifier(), false};
+  const std::string holder = holder_key(pool_, rows.era);
+  const std::string renewal = renewal_key(pool_, rows.era);
   table::transaction change;
-  change.checks.push_back({holder_key(pool_), rows.holder_version});
-  change.checks.push_back({renewal_key(pool_), rows.renewal_version});
-  change.writes.push_back({holder_key(pool_), new_row.to_json()});
-  change.writes.push_back({renewal_key(pool_), new_row.attempt});
+  change.checks.push_back({holder, rows.holder_version});
+  change.checks.push_back({renewal, rows.renewal_version});
+  change.writes.push_back({holder, new_row.to_json()});
+  change.writes.push_back({renewal, new_row.attempt});
+  for (const std::string& key : rows.outdated_keys)
+    change.writes.push_back({key, std::nullopt});
   const auto sent_at = time_.now();
   bool answer_lost = false;
   try {
     const table::commit_result result = co_await store_.commit(std::move(change));
-    if (!result.committed)
+    // Rows of an earlier era than the store's give no right.
+    if (!result.committed || table::era_of(result.version) != rows.era)
       co_return false;
     number_ = new_row.number;
     start_term(sent_at, result.version);
@@ -119,6 +184,7 @@
     if (!confirmed)
       co_return false;
   }
+  is_first_term_ = first;
   last_holder_ = node_;
   support::log_event(support::log_level::info, "lease_taken",
                      {{"pool", pool_}, {"number", std::to_string(number_)}});
@@ -142,20 +208,41 @@
   renewal_unchanged_since_.reset();
 }
 
+support::task<> table_lease::take_in_new_era() {
+  try {
+    const lease_rows rows = co_await read_rows();
+    // Another node may have taken the lease once this node's term was over.
+    if (!held() || rows.holder_version != 0) {
+      is_holder_ = false;
+      co_return;
+    }
+    co_await take_over(rows);
+  } catch (const table::store_error&) {
+    // The lease of the earlier era stays valid for the rest of its term.
+  }
+}
+
 support::task<> table_lease::renew() {
+  if (is_in_new_era()) {
+    co_await take_in_new_era();
+    co_return;
+  }
   table::transaction change;
   change.checks.push_back(ownership_check());
-  change.writes.push_back({renewal_key(pool_), random_.identifier()});
+  change.writes.push_back(
+      {renewal_key(pool_, table::era_of(holder_version_)), random_.identifier()});
   const auto sent_at = time_.now();
   try {
     const table::commit_result result = co_await store_.commit(std::move(change));
     if (result.committed)
       term_started_at_ = std::max(term_started_at_, sent_at);
-    else
+    else if (!is_in_new_era())
       is_holder_ = false;
   } catch (const table::store_error&) {
     // The term still counts from the last renewal that is known to be written.
   }
+  if (is_in_new_era())
+    co_await take_in_new_era();
 }
 
 support::task<> table_lease::release() {
@@ -164,7 +251,8 @@
   const holder_row released_row{node_, number_, random_.identifier(), true};
   table::transaction change;
   change.checks.push_back(ownership_check());
-  change.writes.push_back({holder_key(pool_), released_row.to_json()});
+  change.writes.push_back(
+      {holder_key(pool_, table::era_of(holder_version_)), released_row.to_json()});
   try {
     co_await store_.commit(std::move(change));
   } catch (const table::store_error&) {
--- a/lib/replicas/replica_controller.cpp
+++ b/lib/replicas/replica_controller.cpp
@@ -57,7 +57,7 @@
     if (created)
       planner = std::make_unique<replica_planner>(context_.time, name);
     if (new_term || created)
-      planner->begin_term(term, term == 1);
+      planner->begin_term(term, context_.lease.is_first_term());
     probe_suspect_instances(name, *planner);
     for (replica_order& order : planner->plan(make_planning_input(service))) {
       const std::string task_name = "order " + order.target;
--- a/lib/table/row_mirror.cpp
+++ b/lib/table/row_mirror.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/table/row_mirror.h"
 
+#include "camphorlug/table/store_version.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -7,6 +9,8 @@
 namespace camphorlug::table {
 
 void row_mirror::apply(const feed_batch& batch, bool is_snapshot) {
+  if (era_of(batch.version) < era_of(version_))
+    return;
   for (const feed_row& row : batch.rows)
     apply(row);
   if (is_snapshot) {
@@ -49,7 +53,8 @@
 }
 
 feed_batch row_mirror::changes(std::uint64_t since) const {
-  if (since < newest_dropped_tombstone_)
+  // A reader from an earlier era may have rows that were lost before this node saw them.
+  if (since < newest_dropped_tombstone_ || era_of(since) < era_of(version_))
     return snapshot();
   feed_batch batch;
   batch.version = version_;
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,8 @@
 static constexpr std::chrono::milliseconds max_backoff{800};
 /// Interval at which a follower whose gate is closed checks it again.
 static constexpr std::chrono::milliseconds gate_check_interval{50};
+/// Interval of snapshots while the feed cannot report changes of the new era.
+static constexpr std::chrono::milliseconds refresh_interval{300};
 /// Consecutive failures after which the store is reported as lost.
 static constexpr int lost_after_failures = 2;
 
@@ -50,6 +53,9 @@
     record_success();
     if (batch.version < version_)
       co_return false;
+    // Entries that were written again just now may be missing, as after an outage.
+    if (version_ != 0 && era_of(batch.version) > era_of(version_) && on_reconnected_)
+      on_reconnected_();
     version_ = batch.version;
     on_batch_(batch, true);
     co_return true;
@@ -75,10 +81,14 @@
       std::string reason;
       try {
         const std::uint64_t since = version_;
+        polled_since_ = since;
         const feed_batch batch = co_await feed_.changes(table_, since, long_poll_timeout);
+        polled_since_.reset();
         record_success();
         needs_snapshot_ = batch.history_truncated;
-        if (!batch.history_truncated && batch.version >= since) {
+        // A snapshot of a later era may have been read meanwhile.
+        const bool is_outdated = era_of(batch.version) < era_of(version_);
+        if (!batch.history_truncated && !is_outdated && batch.version >= since) {
           on_batch_(batch, false);
           version_ = std::max(version_, batch.version);
         }
@@ -88,6 +98,7 @@
         reason = error.what();
         healthy = false;
       }
+      polled_since_.reset();
       if (!healthy)
         record_failure(reason);
     }
@@ -99,6 +110,19 @@
   }
 }
 
+bool table_follower::polls_earlier_era() const {
+  return polled_since_ && era_of(*polled_since_) < era_of(version_);
+}
+
+support::task<> table_follower::refresh() {
+  do {
+    if (!may_read_())
+      co_return;
+    co_await read_snapshot();
+    co_await time_.sleep_for(refresh_interval);
+  } while (polls_earlier_era());
+}
+
 support::task<> table_follower::reread() {
   for (;;) {
     co_await time_.sleep_for(std::chrono::duration_cast<std::chrono::nanoseconds>(
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -77,7 +77,8 @@
                   std::to_string(state["config"]["routes"].size()) + " routes");
   print_wrapped(state["store_answered_ms_ago"].is_null()
                     ? "no response from the store so far"
-                    : "store responded " + to_text(state["store_answered_ms_ago"]) + " ms ago");
+                    : "store responded " + to_text(state["store_answered_ms_ago"]) +
+                          " ms ago, era " + to_text(state["store_era"]));
   print_wrapped(state["lease"]["held_here"].get<bool>()
                     ? "plans groups under lease number " + to_text(state["lease"]["number"])
                     : "groups planned by " + to_text(state["lease"]["last_holder"]));
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -134,6 +134,41 @@
   tables.put(target_table, id, "shop " + id);
 }
 
+support::task<> edge_cluster::write_again(std::string table, table::feed_row lost,
+                                          std::chrono::milliseconds delay) {
+  const auto restored = tables.tables[table].find(lost.key);
+  const std::uint64_t version =
+      restored == tables.tables[table].end() ? 0 : restored->second.version;
+  const std::uint64_t era = tables.era;
+  co_await clock.sleep_for(delay);
+  const auto found = tables.tables[table].find(lost.key);
+  const std::uint64_t present = found == tables.tables[table].end() ? 0 : found->second.version;
+  // A further restoration writes again what it has lost itself.
+  if (present != version && tables.era == era)
+    co_return;
+  if (lost.deleted)
+    tables.remove(table, lost.key);
+  else
+    tables.put(table, lost.key, lost.value);
+}
+
+void edge_cluster::restore_store(store_copy copy, std::chrono::milliseconds rewrite_delay) {
+  const table_contents lost = tables.copy();
+  const table_contents restored = copy.tables;
+  own_rows.restore(std::move(copy.own_rows));
+  tables.restore(std::move(copy.tables));
+  for (const char* table : {config_table, target_table}) {
+    const auto before = lost.tables.find(table);
+    if (before == lost.tables.end())
+      continue;
+    for (const auto& [key, row] : before->second) {
+      if (row.version > restored.version)
+        support::spawn(context.get_executor(), "write_again",
+                       write_again(table, row, rewrite_delay));
+    }
+  }
+}
+
 void edge_cluster::cut_store(std::size_t index, bool cut) {
   edges[index]->store->cut = cut;
   edges[index]->feed->cut = cut;
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -75,6 +75,12 @@
   std::unique_ptr<edge::edge_node> node;
 };
 
+/// What the store holds at one moment.
+struct store_copy {
+  standins::row_table own_rows;
+  table_contents tables;
+};
+
 /// Simulates edge nodes and the platform in one process and in virtual time.
 class edge_cluster {
 public:
@@ -88,6 +94,11 @@
   void set_config(std::uint64_t version);
   void add_target(const std::string& id);
 
+  store_copy copy_store() const { return {own_rows.rows, tables.copy()}; }
+  /// Simulates that the store is restored from an older copy. What the operator and the targets
+  /// wrote since is written again after `rewrite_delay`.
+  void restore_store(store_copy copy, std::chrono::milliseconds rewrite_delay);
+
   /// Disconnects a node from the store and the change feed, or reconnects it.
   void cut_store(std::size_t index, bool cut);
   /// Simulates that a node's process is killed. Its address becomes unreachable.
@@ -119,7 +130,9 @@
   std::vector<std::unique_ptr<running_edge>> retired;
 
 private:
-  void mirror_own_rows();
+  /// Writes a row again unless a newer write has come first.
+  support::task<> write_again(std::string table, table::feed_row lost,
+                              std::chrono::milliseconds delay);
 };
 
 } // namespace camphorlug::fakes
--- a/unittests/fakes/emulated_pool.cpp
+++ b/unittests/fakes/emulated_pool.cpp
@@ -42,7 +42,16 @@
                  : std::chrono::nanoseconds(model(name).load_time) / load_speedup_without_traffic;
 }
 
+void emulated_pool::check_epoch(const replica_order& order) {
+  if (order.kind != order_kind::join)
+    return;
+  const auto [known, is_new] = members_by_epoch_.try_emplace(order.epoch, order.members);
+  if (!is_new && known->second != order.members)
+    violations_.push_back("epoch " + std::to_string(order.epoch) + " is given out again");
+}
+
 order_result emulated_pool::submit(const replica_order& order) {
+  check_epoch(order);
   const bool late = std::uniform_real_distribution<>(0, 1)(random_) < late_order_probability;
   if (late) {
     delayed_orders_.push_back(
--- a/unittests/fakes/emulated_pool.h
+++ b/unittests/fakes/emulated_pool.h
@@ -42,8 +42,8 @@
 /// Emulates how engine instances carry out orders, including the time that
 /// this takes. Records a violation if a group opens with a wrong number of
 /// members or before all of them were ready, or if a member joins another group
-/// while the head of its current group is open. Together these detect a group that
-/// serves while it must not and an instance that is taken from a serving head.
+/// while the head of its current group is open, or if an epoch is given out twice. Together these
+/// detect a group that serves while it must not and an instance that is taken from a serving head.
 /// Orders may be delayed (`late_order_probability`).
 class emulated_pool {
 public:
@@ -91,6 +91,7 @@
   replicas::order_result open(emulated_instance& runner, const replicas::replica_order& order);
   const gateway::model_profile& model(const std::string& name) const;
   std::chrono::nanoseconds load_time(const std::string& name) const;
+  void check_epoch(const replicas::replica_order& order);
   void check_join(const emulated_instance& runner, const replicas::replica_order& order);
   void check_open(const emulated_instance& head);
 
@@ -102,6 +103,8 @@
   std::vector<delayed_order> delayed_orders_;
   /// Members that have been ready at some time, as GROUP/EPOCH/ID.
   std::set<std::string> ever_ready_;
+  /// The members for which each epoch was first given out.
+  std::map<std::uint64_t, std::vector<std::string>> members_by_epoch_;
   std::vector<std::string> violations_;
   std::vector<support::clock::time_point> loads_;
   std::size_t slow_joins_ = 0;
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -1,8 +1,11 @@
 #include "camphorlug/gateway/target_registry.h"
 
 #include "camphorlug/support/virtual_clock.h"
+#include "camphorlug/table/store_version.h"
 
 #include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace camphorlug;
@@ -122,3 +125,53 @@
   BOOST_TEST(changes == 2);
   BOOST_TEST(!registry.all().at("a").missing_since.has_value());
 }
+
+namespace {
+
+struct restored_row {
+  const char* what;
+  std::uint64_t sequence;
+  bool draining;
+  bool expected_draining;
+};
+
+std::ostream& operator<<(std::ostream& out, const restored_row& each) {
+  return out << each.what;
+}
+
+const restored_row restored_rows[] = {
+    {"older state of the target", 4, false, true},
+    {"the state that was held", 5, true, true},
+    {"state written since", 6, false, false},
+};
+
+gateway::target_entry written_entry(std::uint64_t sequence, bool draining) {
+  gateway::target_entry entry;
+  entry.id = "a";
+  entry.sequence = sequence;
+  entry.draining = draining;
+  return entry;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(older_copy_does_not_undo_what_a_target_reported,
+                     boost::unit_test::data::make(restored_rows), each) {
+  registry_fixture world;
+  world.registry.update("a", table::make_version(1, 100), written_entry(5, true));
+  const std::uint64_t restored = table::make_version(2, 40);
+  world.registry.update("a", restored, written_entry(each.sequence, each.draining));
+  BOOST_TEST(world.registry.find("a")->draining == each.expected_draining);
+  BOOST_TEST(world.registry.all().at("a").version == restored);
+  world.registry.update("a", table::make_version(2, 41), written_entry(7, false));
+  BOOST_TEST(!world.registry.find("a")->draining);
+}
+
+BOOST_FIXTURE_TEST_CASE(removed_target_returns_only_after_it_has_written_again, registry_fixture) {
+  registry.update("a", table::make_version(1, 100), written_entry(5, false));
+  registry.remove("a", table::make_version(1, 101));
+  registry.update("a", table::make_version(2, 40), written_entry(4, false));
+  BOOST_TEST(!registry.find("a"));
+  registry.update("a", table::make_version(2, 41), written_entry(6, false));
+  BOOST_TEST(registry.find("a"));
+}
--- a/unittests/replicas/replica_controller_test.cpp
+++ b/unittests/replicas/replica_controller_test.cpp
@@ -103,6 +103,19 @@
   }
 }
 
+/// Restores the store's rows as they are now after 0.1 to 10 s; at times twice.
+void inject_older_copy(fakes::controller_cluster& world) {
+  auto restore = [](fakes::controller_cluster& cluster,
+                    std::chrono::milliseconds age) -> support::task<> {
+    standins::row_table copy = cluster.table.rows;
+    co_await cluster.clock.sleep_for(age);
+    cluster.table.restore(std::move(copy));
+  };
+  for (std::uint64_t times = 1 + world.random() % 2; times > 0; --times)
+    support::spawn(world.context.get_executor(), "restore",
+                   restore(world, std::chrono::milliseconds(100 + world.random() % 9900)));
+}
+
 void clear_faults(fakes::controller_cluster& world) {
   world.table.down = false;
   world.table.commit_answers_to_drop = 0;
@@ -120,13 +133,14 @@
 
 /// Injects random faults. Returns whether no invariant was violated and groups of both models
 /// serve again after the faults are cleared.
-bool random_history_holds_invariants(std::uint64_t seed) {
+bool random_history_holds_invariants(std::uint64_t seed, bool with_older_copies = false) {
   fakes::controller_cluster world(seed);
   world.run_for(6s);
   world.pool.traffic = true;
   for (int i = 0; i < faults_per_history && world.violations().empty(); ++i) {
-    const auto kind = world.random() % 3;
-    kind == 0   ? inject_instance_fault(world)
+    const auto kind = world.random() % (with_older_copies ? 4 : 3);
+    kind == 3   ? inject_older_copy(world)
+    : kind == 0 ? inject_instance_fault(world)
     : kind == 1 ? inject_platform_fault(world)
                 : inject_node_fault(world);
     world.run_for(std::chrono::milliseconds(world.random() % 2500));
@@ -238,3 +252,27 @@
       RC_ASSERT(random_history_holds_invariants(*rc::gen::arbitrary<std::uint64_t>()));
   }));
 }
+
+BOOST_AUTO_TEST_CASE(controller_invariants_hold_when_the_store_returns_from_older_copies) {
+  BOOST_TEST(rc::check("one lease holder, epochs given out once, and recovery", [] {
+    for (int i = 0; i < histories_per_run; ++i)
+      RC_ASSERT(random_history_holds_invariants(*rc::gen::arbitrary<std::uint64_t>(), true));
+  }));
+}
+
+// Orders of the term before are under way when the store returns.
+BOOST_DATA_TEST_CASE(groups_serve_on_when_the_store_returns_from_an_older_copy,
+                     data::make({100, 1000, 3000, 10000}), copy_age_ms) {
+  fakes::controller_cluster world(1);
+  world.run_for(8s);
+  world.pool.traffic = true;
+  const std::size_t groups = serving(world);
+  const standins::row_table copy = world.table.rows;
+  world.run_for(std::chrono::milliseconds(copy_age_ms));
+  const auto* leader = world.leader();
+  world.pool.kill("i0");
+  world.table.restore(copy);
+  BOOST_TEST(world.run_until([&] { return serving(world) == groups; }, 10s));
+  BOOST_TEST(world.leader() == leader);
+  check_no_violations(world);
+}
--- a/unittests/table/row_mirror_test.cpp
+++ b/unittests/table/row_mirror_test.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/table/row_mirror.h"
 
+#include "camphorlug/table/store_version.h"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -93,3 +95,34 @@
   BOOST_TEST(!mirror.changes(version - 3).history_truncated);
   BOOST_TEST(mirror.changes(version - 3).rows.size() == 3);
 }
+
+BOOST_AUTO_TEST_CASE(rows_of_an_earlier_era_are_replaced_and_never_return) {
+  const auto version = [](std::uint64_t era, std::uint64_t number) {
+    return table::make_version(era, number);
+  };
+  table::row_mirror mirror;
+  table::feed_batch before;
+  before.version = version(1, 100);
+  before.rows = {{"kept", "new", version(1, 90), false}, {"lost", "x", version(1, 100), false}};
+  mirror.apply(before, true);
+  table::feed_batch after;
+  after.version = version(2, 50);
+  after.rows = {{"kept", "old", version(2, 40), false}};
+  mirror.apply(after, true);
+  mirror.apply(before, true);
+  const table::feed_batch whole = mirror.snapshot();
+  BOOST_TEST(whole.version == version(2, 50));
+  BOOST_REQUIRE(whole.rows.size() == 1);
+  BOOST_TEST(whole.rows[0].value == "old");
+}
+
+// The reader may hold rows that this mirror never saw before they were lost.
+BOOST_AUTO_TEST_CASE(reader_from_an_earlier_era_gets_a_snapshot) {
+  table::row_mirror mirror;
+  table::feed_batch batch;
+  batch.version = table::make_version(2, 50);
+  batch.rows = {{"a", "x", table::make_version(2, 40), false}};
+  mirror.apply(batch, true);
+  BOOST_TEST(mirror.changes(table::make_version(1, 60)).history_truncated);
+  BOOST_TEST(!mirror.changes(table::make_version(2, 30)).history_truncated);
+}
--- a/unittests/table/table_follower_test.cpp
+++ b/unittests/table/table_follower_test.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorlug/support/virtual_clock.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -24,13 +25,15 @@
     if (is_down)
       throw table::store_error("down", false);
     table::feed_batch batch;
-    batch.version = serve_stale_snapshot ? 1 : version;
+    const std::uint64_t answer_era = era;
+    batch.version = table::make_version(answer_era, serve_stale_snapshot ? 1 : version);
     if (!serve_stale_snapshot) {
       for (const auto& [key, row] : rows) {
         if (!row.deleted)
-          batch.rows.push_back(row);
+          batch.rows.push_back({row.key, row.value, table::make_version(answer_era, row.version)});
       }
     }
+    co_await time_.sleep_for(answer_delay);
     co_return batch;
   }
 
@@ -42,11 +45,13 @@
       if (is_down)
         throw table::store_error("down", false);
       table::feed_batch batch;
-      batch.version = version;
-      batch.history_truncated = since < oldest_kept_version;
+      batch.version = table::make_version(era, version);
+      batch.history_truncated =
+          table::era_of(since) != era || table::number_of(since) < oldest_kept_version;
       for (const auto& [key, row] : rows) {
-        if (row.version > since && !suppress_changes)
-          batch.rows.push_back(row);
+        if (row.version > table::number_of(since) && !suppress_changes)
+          batch.rows.push_back(
+              {row.key, row.value, table::make_version(era, row.version), row.deleted});
       }
       if (batch.history_truncated || !batch.rows.empty() || time_.now() >= until) {
         if (suppress_changes)
@@ -60,8 +65,17 @@
     rows[key] = {key, "value", ++version, deleted};
   }
 
+  /// Restores the empty table, of which later versions are given out again.
+  void restore_empty() {
+    rows.clear();
+    version = 10;
+    ++era;
+  }
+
   std::map<std::string, table::feed_row> rows;
   std::uint64_t version = 10;
+  std::uint64_t era = 0;
+  std::chrono::milliseconds answer_delay{0};
   std::uint64_t oldest_kept_version = 0;
   std::size_t reads = 0;
   bool is_down = false;
@@ -156,3 +170,37 @@
   BOOST_TEST(applied_versions.contains("a"));
   BOOST_TEST(regained == 1);
 }
+
+BOOST_FIXTURE_TEST_CASE(table_is_read_again_when_the_store_returns_from_an_older_copy,
+                        follower_fixture) {
+  bool returned = false;
+  follower.on_reconnected([&] { returned = true; });
+  for (const char* key : {"a", "b", "c"})
+    feed.put(key);
+  clock.run_for(300ms);
+  BOOST_TEST(applied_versions.size() == 3);
+  feed.restore_empty();
+  // The same version numbers as before, for another row.
+  feed.put("d");
+  feed.put("d");
+  clock.run_for(300ms);
+  BOOST_TEST(applied_versions.size() == 1);
+  BOOST_TEST(applied_versions.contains("d"));
+  BOOST_TEST(returned);
+  feed.put("e");
+  clock.run_for(300ms);
+  BOOST_TEST(applied_versions.contains("e"));
+}
+
+BOOST_FIXTURE_TEST_CASE(late_answer_of_an_earlier_era_is_ignored, follower_fixture) {
+  clock.run_for(300ms);
+  feed.put("a");
+  clock.run_for(300ms);
+  feed.answer_delay = 2s;
+  support::spawn(context.get_executor(), "late", follower.refresh());
+  clock.run_for(10ms);
+  feed.answer_delay = 0ms;
+  feed.restore_empty();
+  clock.run_for(3s);
+  BOOST_TEST(!applied_versions.contains("a"));
+}
