--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """Plays one seed of the soak and prints one line with what was seen."""
 import argparse
 import collections
+import os
 import pathlib
 import shutil
 import sys
@@ -116,7 +117,9 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--callers", type=int, default=12)
-    parser.add_argument("--port", type=int, default=29500)
+    # Beside the ports of the process tests, which differ between work trees.
+    parser.add_argument("--port", type=int,
+                        default=int(os.environ.get("CAMPHORLUG_TEST_PORT", "28500")) + 1000)
     parser.add_argument("--keep", action="store_true")
     soak = Soak(parser.parse_args())
     try:
