Estimate a request's duration only on a node that is shutting down

request_gateway looked up the mean durations of a route's pools for each request, although only a shutdown uses them, and computed the time limit and the pool's model a second time beside request_forwarder. Both now call caller_request::time_limit_within and routing_config::selecting_model. No change of behaviour.

--- a/include/camphorlug/gateway/caller_request.h
+++ b/include/camphorlug/gateway/caller_request.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/net/header_list.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -30,6 +31,11 @@
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> resume_after;
   std::size_t header_bytes = 0;
+
+  /// Longest time until the final response on a route with that timeout.
+  std::chrono::milliseconds time_limit_within(std::chrono::milliseconds timeout) const {
+    return std::min(time_limit.value_or(timeout), timeout);
+  }
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/routing_config.h
+++ b/include/camphorlug/gateway/routing_config.h
@@ -37,6 +37,12 @@
   /// single instances.
   bool serves_in_groups(const std::string& service) const;
 
+  /// Returns the model that selects among the targets of the service: the requested one, or none
+  /// for a service without groups.
+  std::string selecting_model(const std::string& service, const std::string& requested) const {
+    return serves_in_groups(service) ? requested : "";
+  }
+
   void add_route(route added);
   const std::vector<std::shared_ptr<const route>>& routes() const { return routes_; }
 
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -32,8 +32,7 @@
     : env_(environment), writer_(writer), route_(std::move(chosen)), priority_(priority),
       closes_connection_(closes_connection), arrived_at_(environment.time.now()),
       activity_(environment.time) {
-  const milliseconds time_limit = request.time_limit.value_or(route_->timeout);
-  const auto deadline = arrived_at_ + std::min(time_limit, route_->timeout);
+  const auto deadline = arrived_at_ + request.time_limit_within(route_->timeout);
   position_.last_event_id = request.resume_after;
   double sum = 0;
   for (const weighted_service& each : route_->services)
@@ -45,8 +44,7 @@
     if (pick < 0)
       break;
   }
-  const bool in_groups = env_.config.current()->serves_in_groups(service_);
-  pool_ = {service_, in_groups ? request.model : ""};
+  pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
   shared_ = std::make_shared<attempted_request>(
       attempted_request{std::move(request), route_, std::move(organisation), deadline});
 }
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -86,29 +86,33 @@
     priority = key_entry->second.priority.value_or(priority);
   }
   const shutdown_state shutdown = shutdown_();
-  const bool is_closed_to_streams =
-      shutdown.phase == shutdown_phase::closing && chosen->kind == request_kind::stream;
-  const std::chrono::nanoseconds time_limit =
-      std::min(request.time_limit.value_or(chosen->timeout), chosen->timeout);
-  if (is_closed_to_streams || shutdown.should_leave_to_others(env_.time.now(), time_limit,
-                                                              usual_duration(*chosen, request))) {
+  const bool is_shutting_down = shutdown.phase != shutdown_phase::none;
+  if (is_shutting_down && is_left_to_others(shutdown, *chosen, request)) {
     reject(request, writer, 503, "this node ends; connect to another one", other_node_retry_after);
     co_return;
   }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
-                              priority, shutdown.phase != shutdown_phase::none);
+                              priority, is_shutting_down);
   const in_progress_entry entry(in_progress_, forwarder);
   co_await forwarder.run();
 }
 
+bool request_gateway::is_left_to_others(const shutdown_state& shutdown, const route& chosen,
+                                        const caller_request& request) const {
+  if (shutdown.phase == shutdown_phase::closing && chosen.kind == request_kind::stream)
+    return true;
+  return shutdown.should_leave_to_others(env_.time.now(), request.time_limit_within(chosen.timeout),
+                                         usual_duration(chosen, request));
+}
+
 /// Returns the mean time for which requests of the route's slowest pool have used a slot; zero if
 /// none is known.
 std::chrono::nanoseconds request_gateway::usual_duration(const route& chosen,
                                                          const caller_request& request) const {
   std::chrono::nanoseconds longest{0};
   for (const weighted_service& each : chosen.services) {
-    const bool in_groups = env_.config.current()->serves_in_groups(each.service);
-    const target_pool pool{each.service, in_groups ? request.model : ""};
+    const target_pool pool{each.service,
+                           env_.config.current()->selecting_model(each.service, request.model)};
     longest = std::max(longest, env_.queue.mean_hold(pool).value_or(longest));
   }
   return longest;
