Add failing tests of a deadly prompt part

Sound requests that share all other parts, and losses of a domain, of all targets, in series and of connections alone, are played too. The parts of a prompt are decoded; nothing uses them yet.

--- a/include/camphorlug/gateway/caller_request.h
+++ b/include/camphorlug/gateway/caller_request.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorlug::gateway {
 
@@ -28,6 +29,9 @@
   std::optional<std::chrono::milliseconds> time_limit;
   /// Requested model; empty for a service without groups.
   std::string model;
+  /// Ids of the parts of the prompt in order, without the last one, which belongs to this request
+  /// or its session alone. Callers choose them; requests with the same part share an id.
+  std::vector<std::string> prompt_parts;
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> resume_after;
   std::size_t header_bytes = 0;
--- /dev/null
+++ b/unittests/edge/deadly_part_test.cpp
@@ -0,0 +1,326 @@
+#include "fakes/crashing_targets.h"
+#include "fakes/edge_cluster.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace camphorlug;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// From this time after the fifth crash on, all nodes must know the part.
+constexpr auto learning_time = 3s;
+constexpr std::size_t crashes_that_count = 5;
+constexpr std::size_t max_sent_later = 3;
+constexpr auto time_until_target_is_back = 3s;
+
+/// A fleet before targets that crash, and its callers.
+struct tainted_fleet : fakes::edge_cluster {
+  tainted_fleet(std::size_t nodes, std::size_t targets) : edge_cluster(nodes), side(clock) {
+    target_client = &side;
+    orders.is_alive = [this](const std::string& id) { return !side.is_down(id); };
+    side.on_crash = [this](const std::string& id) {
+      support::spawn(context.get_executor(), "replace", replace(id));
+    };
+    set_config(1);
+    for (std::size_t i = 0; i < targets; ++i)
+      add_target("t" + std::to_string(i));
+    run_for(3s);
+  }
+
+  /// Ends the requests, which refer to members.
+  ~tainted_fleet() { clock.shut_down(); }
+  tainted_fleet(const tainted_fleet&) = delete;
+  tainted_fleet& operator=(const tainted_fleet&) = delete;
+
+  /// The target comes back as another instance.
+  support::task<> replace(std::string id) {
+    co_await clock.sleep_for(time_until_target_is_back);
+    tables.remove("targets", id);
+    add_target(id + "+");
+  }
+
+  struct caller {
+    fakes::recording_writer writer;
+    support::clock::time_point sent_at;
+    bool deadly = false;
+  };
+
+  void send(std::size_t node, const std::string& parts) {
+    auto added = std::make_unique<caller>();
+    added->sent_at = clock.now();
+    added->deadly = parts.find(deadly) != std::string::npos;
+    net::server_request request;
+    request.method = "POST";
+    request.path = "/stream/x";
+    request.headers.add("Host", "example");
+    request.headers.add("Id", "r" + std::to_string(callers.size()));
+    request.headers.add("Parts", parts);
+    support::spawn(context.get_executor(), "call",
+                   edges[node]->node->handle_caller(std::move(request), added->writer));
+    callers.push_back(std::move(added));
+  }
+
+  /// Sends requests to random nodes for `span`, each hundredth to twentieth with the deadly part.
+  /// All share the first part, and all with the deadly part share a topic with sound ones.
+  void send_requests(std::chrono::milliseconds span, bool deadly_first) {
+    for (auto sent = 0ms; sent < span; sent += interval) {
+      const std::string topic = "topic" + std::to_string(random.below(topics));
+      const bool harms = random.uniform_real() < deadly_share;
+      const std::string common = "system " + topic;
+      const std::string harmful = deadly_first ? deadly + (" " + common) : common + " " + deadly;
+      send(random.below(edges.size()), harms ? harmful : common);
+      run_for(interval);
+    }
+  }
+
+  std::size_t banned(std::size_t node) { return state(node)["banned_parts"].size(); }
+
+  std::size_t deadly_arrivals_after(support::clock::time_point start) const {
+    return std::count_if(side.arrivals.begin(), side.arrivals.end(), [&](const auto& each) {
+      return each.at > start && each.parts.find(deadly) != std::string::npos;
+    });
+  }
+
+  /// Fraction of sound requests sent after `start` that were answered.
+  double served_after(support::clock::time_point start) const {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    for (const auto& each : callers) {
+      if (each->deadly || each->sent_at < start)
+        continue;
+      ++sent;
+      served += each->writer.status == 200 && each->writer.finished ? 1 : 0;
+    }
+    return static_cast<double>(served) / static_cast<double>(std::max<std::size_t>(sent, 1));
+  }
+
+  void play_until_banned() {
+    side.deadly_part = deadly;
+    for (int i = 0; i < 8 && banned(0) == 0; ++i) {
+      send(i % edges.size(), "system topic1 " + deadly);
+      send(i % edges.size(), "system topic1");
+      run_for(1s);
+    }
+  }
+
+  static constexpr auto interval = 20ms;
+  static constexpr std::size_t topics = 4;
+  static constexpr double deadly_share = 0.06;
+  const std::string deadly = "deadly";
+  fakes::crashing_targets side;
+  std::vector<std::unique_ptr<caller>> callers;
+};
+
+struct fleet_size {
+  std::size_t nodes;
+  std::size_t targets;
+  bool deadly_first;
+};
+
+std::ostream& operator<<(std::ostream& out, const fleet_size& each) {
+  return out << each.nodes << " nodes, " << each.targets << " targets, deadly part "
+             << (each.deadly_first ? "first" : "in the middle");
+}
+
+const std::vector<fleet_size> small_fleets = {{6, 20, false}, {6, 20, true}, {6, 8, false}};
+const std::vector<fleet_size> large_fleets = {{300, 60, false}};
+
+void expect_deadly_requests_are_stopped(const fleet_size& size) {
+  tainted_fleet fleet(size.nodes, size.targets);
+  fleet.side.deadly_part = fleet.deadly;
+  fleet.send_requests(14s, size.deadly_first);
+  fleet.run_for(2s);
+  const auto& crashes = fleet.side.deadly_crashes;
+  BOOST_REQUIRE(!crashes.empty());
+  const auto counted = crashes[std::min(crashes.size(), crashes_that_count) - 1];
+  BOOST_TEST(fleet.deadly_arrivals_after(counted + learning_time) <= max_sent_later);
+  BOOST_TEST(fleet.served_after(counted + 2 * learning_time) > 0.9);
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(deadly_prompt_part_stops_reaching_targets, data::make(small_fleets), each) {
+  expect_deadly_requests_are_stopped(each);
+}
+
+BOOST_DATA_TEST_CASE(three_hundred_nodes_stop_a_deadly_prompt_part, data::make(large_fleets),
+                     each) {
+  expect_deadly_requests_are_stopped(each);
+}
+
+namespace {
+
+struct return_case {
+  const char* name;
+  void (*play)(tainted_fleet&);
+};
+
+std::ostream& operator<<(std::ostream& out, const return_case& each) {
+  return out << each.name;
+}
+
+const std::vector<return_case> returns = {
+    {"one node restarts",
+     [](tainted_fleet& fleet) {
+       fleet.kill(2);
+       fleet.start(2);
+     }},
+    {"a node starts at another address",
+     [](tainted_fleet& fleet) {
+       fleet.kill(2);
+       fleet.start(2, "peer-new");
+     }},
+    {"all nodes restart",
+     [](tainted_fleet& fleet) {
+       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+         fleet.kill(i);
+       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+         fleet.start(i);
+     }},
+    {"a node restarts without the store",
+     [](tainted_fleet& fleet) {
+       fleet.kill(2);
+       fleet.start(2);
+       fleet.cut_store(2, true);
+     }},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(node_that_starts_knows_a_banned_part_before_it_serves, data::make(returns),
+                     each) {
+  tainted_fleet fleet(4, 12);
+  fleet.play_until_banned();
+  fleet.run_for(4s);
+  each.play(fleet);
+  for (int i = 0; i < 500 && !fleet.edges[2]->node->ready(); ++i)
+    fleet.run_for(10ms);
+  BOOST_REQUIRE(fleet.edges[2]->node->ready());
+  const auto crashes = fleet.side.deadly_crashes.size();
+  fleet.send(2, "system topic1 deadly");
+  fleet.run_for(1s);
+  BOOST_TEST(fleet.callers.back()->writer.status == 503);
+  BOOST_TEST(fleet.side.deadly_crashes.size() == crashes);
+  fleet.send(2, "system topic1");
+  fleet.run_for(1s);
+  BOOST_TEST(fleet.callers.back()->writer.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(node_that_was_cut_off_learns_a_banned_part) {
+  tainted_fleet fleet(4, 12);
+  fleet.network.cut.insert(fleet.edges[3]->peer_address);
+  fleet.cut_store(3, true);
+  fleet.run_for(2s);
+  fleet.play_until_banned();
+  BOOST_TEST(fleet.banned(3) == 0);
+  fleet.network.cut.erase(fleet.edges[3]->peer_address);
+  fleet.run_for(2s);
+  BOOST_TEST(fleet.banned(3) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(request_with_a_banned_part_is_told_that_it_was_not_run) {
+  tainted_fleet fleet(4, 12);
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  fleet.send(1, "system topic1 deadly");
+  fleet.run_for(1ms);
+  const fakes::recording_writer& answer = fleet.callers.back()->writer;
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(answer.body.find("deadly") != std::string::npos);
+  BOOST_TEST(std::stoll(answer.headers.find("Retry-After-Ms").value_or("0")) >= 10'000);
+}
+
+BOOST_AUTO_TEST_CASE(lifted_ban_ends_at_all_nodes_and_counts_anew) {
+  tainted_fleet fleet(4, 12);
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  fleet.side.deadly_part = "";
+  fakes::recording_writer writer;
+  net::server_request request;
+  request.method = "POST";
+  request.path = "/camphorlug/v1/crashes/lift";
+  request.query = "service=shop&part=deadly";
+  support::spawn(fleet.context.get_executor(), "lift",
+                 fleet.edges[1]->node->handle_peer(std::move(request), writer));
+  fleet.run_for(2s);
+  BOOST_TEST(writer.status == 200);
+  for (std::size_t i = 0; i < 4; ++i) {
+    BOOST_TEST(fleet.banned(i) == 0);
+    fleet.send(i, "system topic1 deadly");
+    fleet.run_for(1s);
+    BOOST_TEST(fleet.callers.back()->writer.status == 200);
+  }
+}
+
+namespace {
+
+struct loss_case {
+  const char* name;
+  /// Called every 20 ms.
+  void (*harm)(tainted_fleet&, int step);
+};
+
+std::ostream& operator<<(std::ostream& out, const loss_case& each) {
+  return out << each.name;
+}
+
+void crash_live_targets(tainted_fleet& fleet, std::size_t count) {
+  std::vector<std::string> live;
+  for (const auto& [id, row] : fleet.tables.tables["targets"]) {
+    if (!row.deleted && !fleet.side.is_down(id))
+      live.push_back(id);
+  }
+  for (std::size_t i = 0; i < std::min(count, live.size()); ++i)
+    fleet.side.crash(live[(i * 7 + fleet.random.below(live.size())) % live.size()]);
+}
+
+const std::vector<loss_case> losses = {
+    {"a domain of half of the targets",
+     [](tainted_fleet& fleet, int step) {
+       if (step == 100)
+         crash_live_targets(fleet, 10);
+     }},
+    {"all targets at once",
+     [](tainted_fleet& fleet, int step) {
+       if (step == 100)
+         crash_live_targets(fleet, 20);
+     }},
+    {"all targets, again and again",
+     [](tainted_fleet& fleet, int step) {
+       if (step > 0 && step % 200 == 0)
+         crash_live_targets(fleet, 20);
+     }},
+    {"one target after the other",
+     [](tainted_fleet& fleet, int step) {
+       if (step % 25 == 0)
+         crash_live_targets(fleet, 1);
+     }},
+    {"connections are reset and targets go on",
+     [](tainted_fleet& fleet, int step) {
+       if (step % 5 == 0)
+         fleet.side.reset_connections("t" + std::to_string(fleet.random.below(20)));
+     }},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(ordinary_losses_ban_no_prompt_part, data::make(losses), each) {
+  tainted_fleet fleet(6, 20);
+  for (int step = 0; step < 800; ++step) {
+    each.harm(fleet, step);
+    // Most topics are rare, so that few answers speak for them.
+    const std::string topic = "rare" + std::to_string(fleet.random.below(200));
+    fleet.send(fleet.random.below(6), "system " + topic);
+    fleet.run_for(20ms);
+    if (step % 50 == 49)
+      BOOST_REQUIRE_MESSAGE(fleet.banned(0) == 0, fleet.state(0)["banned_parts"].dump());
+  }
+  for (std::size_t i = 0; i < 6; ++i)
+    BOOST_TEST(fleet.banned(i) == 0);
+}
--- /dev/null
+++ b/unittests/fakes/crashing_targets.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "camphorlug/net/http_client.h"
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorlug::fakes {
+
+/// Targets that answer each request with a short stream, and crash when they begin to answer a
+/// request with a deadly prompt part. Addresses equal ids.
+class crashing_targets final : public net::http_client {
+public:
+  /// Time from the arrival of a request to the first event of its answer.
+  static constexpr std::chrono::milliseconds time_to_answer{150};
+
+  struct arrival {
+    support::clock::time_point at;
+    std::string target;
+    /// Separated by spaces.
+    std::string parts;
+  };
+
+  explicit crashing_targets(support::clock& time) : time_(time) {}
+
+  std::unique_ptr<net::http_exchange> open(net::client_request request) override;
+
+  /// Ends the target and resets its connections. It does not come back; calls `on_crash`.
+  void crash(const std::string& target);
+  /// Resets the connections of the target, which goes on.
+  void reset_connections(const std::string& target);
+  bool is_down(const std::string& target) const { return down_.contains(target); }
+
+  std::string deadly_part;
+  /// Requests that reached a target, in order of arrival.
+  std::vector<arrival> arrivals;
+  /// When targets crashed under requests with the deadly part.
+  std::vector<support::clock::time_point> deadly_crashes;
+  std::function<void(const std::string& target)> on_crash;
+
+private:
+  class exchange;
+
+  support::clock& time_;
+  std::set<std::string> down_;
+  std::map<std::string, std::set<exchange*>> open_;
+};
+
+} // namespace camphorlug::fakes
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -30,6 +30,12 @@
   route.kind = gateway::request_kind::idempotent;
   route.services = {{"shop", 1}};
   config->add_route(route);
+  route.name = "stream";
+  route.path_prefix = "/stream/";
+  route.kind = gateway::request_kind::stream;
+  route.resumable = true;
+  route.attempts = 2;
+  config->add_route(route);
   config->services["shop"].name = "shop";
   return config;
 }
@@ -48,8 +54,8 @@
   co_return replicas::order_result::not_sent;
 }
 
-support::task<bool> null_instance_client::probe(gateway::target_entry) {
-  co_return true;
+support::task<bool> null_instance_client::probe(gateway::target_entry entry) {
+  co_return !is_alive || is_alive(entry.id);
 }
 
 namespace {
@@ -108,7 +114,7 @@
 std::unique_ptr<net::http_exchange> node_client::open(net::client_request request) {
   if (request.address.starts_with("peer"))
     return std::make_unique<peer_exchange>(time_, network_, self_, std::move(request));
-  return targets_.open(std::move(request));
+  return targets_->open(std::move(request));
 }
 
 edge_cluster::edge_cluster(std::size_t count) {
@@ -187,7 +193,7 @@
   edge->peer_address = address.empty() ? "peer-" + std::to_string(index) : address;
   edge->store = std::make_unique<fake_store>(clock, own_rows);
   edge->feed = std::make_unique<fake_change_feed>(clock, tables);
-  edge->client = std::make_unique<node_client>(clock, network, targets, edge->peer_address);
+  edge->client = std::make_unique<node_client>(clock, network, target_client, edge->peer_address);
   edge::edge_settings settings;
   settings.id = edge->id;
   settings.data_centre = index % 2 == 0 ? "east" : "west";
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -21,7 +21,7 @@
 namespace camphorlug::fakes {
 
 /// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the single route `/plain/`, `SERVICE ADDRESS` for a target.
+/// configuration with the routes `/plain/` and `/stream/`, `SERVICE ADDRESS` for a target.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -36,6 +36,9 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
+
+  /// Decides which instances answer a probe; all do if it is empty.
+  std::function<bool(const std::string& id)> is_alive;
 };
 
 /// The network between nodes: maps each peer address to its request handler.
@@ -49,10 +52,10 @@
 };
 
 /// One node's HTTP client. Addresses that start with `peer` lead to other nodes, all others to
-/// scripted targets.
+/// targets.
 class node_client final : public net::http_client {
 public:
-  node_client(support::clock& time, peer_network& network, scripted_client& targets,
+  node_client(support::clock& time, peer_network& network, net::http_client*& targets,
               std::string self)
       : time_(time), network_(network), targets_(targets), self_(std::move(self)) {}
 
@@ -61,7 +64,7 @@
 private:
   support::clock& time_;
   peer_network& network_;
-  scripted_client& targets_;
+  net::http_client*& targets_;
   std::string self_;
 };
 
@@ -122,6 +125,8 @@
   fake_platform_tables tables;
   peer_network network;
   scripted_client targets{clock};
+  /// Receives the nodes' requests to targets; the scripted ones unless a test replaces them.
+  net::http_client* target_client = &targets;
   minimal_protocol protocol;
   minimal_row_decoder decoder;
   null_instance_client orders;
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -1,5 +1,7 @@
 #include "fakes/minimal_protocol.h"
 
+#include <sstream>
+
 namespace camphorlug::fakes {
 
 gateway::caller_request minimal_protocol::parse_request(net::server_request request) const {
@@ -10,6 +12,9 @@
   read.id = request.headers.find("Id").value_or("");
   read.key = request.headers.find("Key");
   read.model = request.headers.find("Model").value_or("");
+  std::istringstream parts(request.headers.find("Parts").value_or(""));
+  for (std::string part; parts >> part;)
+    read.prompt_parts.push_back(part);
   if (const auto after = request.headers.find("After"))
     read.resume_after = std::stoull(*after);
   if (const auto patience = request.headers.find("Patience"))
@@ -25,6 +30,11 @@
   outgoing.headers.add("Id", request.id);
   outgoing.headers.add("Organisation", details.organisation);
   outgoing.headers.add("Left", std::to_string(details.time_left.count()));
+  std::string parts;
+  for (const std::string& part : request.prompt_parts)
+    parts += (parts.empty() ? "" : " ") + part;
+  if (!parts.empty())
+    outgoing.headers.add("Parts", parts);
   if (details.resume_after)
     outgoing.headers.add("After", std::to_string(*details.resume_after));
   return outgoing;
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -202,3 +202,32 @@
   BOOST_TEST(headers.find("Retry-After").value_or("") == "0.250");
   BOOST_TEST(!protocol.local_response_headers({}, std::nullopt).find("Retry-After"));
 }
+
+namespace {
+
+struct prompt_case {
+  const char* header;
+  std::vector<std::string> parts;
+};
+
+std::ostream& operator<<(std::ostream& out, const prompt_case& each) {
+  return out << each.header;
+}
+
+const std::vector<prompt_case> prompt_cases = {
+    {"", {}},
+    {"a1:40", {}},
+    {"a1:40,b2:7", {"a1"}},
+    {"a1:40,b2:7, c3:1,d4:9", {"a1", "b2", "c3"}},
+    {"a1,b2", {"a1"}},
+    {":40,,b2:7,c3:1", {"b2"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(prompt_parts_are_read_without_the_last, data::make(prompt_cases), each) {
+  net::server_request request = received_request();
+  request.headers.add("X-Prefix-Hash", each.header);
+  BOOST_TEST(protocol.parse_request(std::move(request)).prompt_parts == each.parts,
+             boost::test_tools::per_element());
+}
