Ban prompt parts that crash each target that begins to answer them

Callers saw: requests that share one part of their prompt ended one target after the other; sound requests of the model were refused or cut meanwhile.

Cause: a crash was held against the target alone. Nothing related it to what the request held, so that each such request ended as many targets as its route allows attempts, at every node anew.

Change: a node whose connection breaks before the target has begun to answer probes the target; if it is gone, the crash and the parts of the request (never the last) become evidence that all nodes share by digest and merge in any order. An answer with a part clears it of earlier crashes. Crashes count in a row only, each under a request sent after the crash before, so that targets lost together count once; three ban the part that explains the most of them, and a crash counts for one part. Requests with a banned part get 503 with a long Retry-After before they reach a target. Bans are kept in the store, so that a restart of all nodes keeps them; a node is ready when it knows them.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/edge/crash_evidence_keeper.h"
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/row_decoder.h"
 #include "camphorlug/edge/store_reader_duty.h"
@@ -148,11 +149,13 @@
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::notice_handler notices_;
+  gateway::harmful_part_list harmful_parts_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
   gateway::fleet_exchange exchange_;
   groups::table_lease lease_;
   replicas::replica_controller replica_controller_;
+  crash_evidence_keeper crash_keeper_;
   table::table_follower config_follower_;
   table::table_follower target_follower_;
   table::table_follower own_follower_;
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/edge/state_path.h"
 #include "camphorlug/gateway/active_config.h"
+#include "camphorlug/gateway/crash_evidence.h"
 #include "camphorlug/gateway/fleet_view.h"
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
@@ -30,6 +31,7 @@
   gateway::group_directory& groups;
   gateway::load_tracker& loads;
   const gateway::suspicion_list& suspicions;
+  const gateway::crash_evidence& crashes;
   const gateway::retry_limiter& retries;
   const groups::lease& lease;
   /// The highest era of the store that the node knows of.
@@ -39,8 +41,8 @@
   std::optional<support::clock::time_point> store_answered_at;
 };
 
-/// Returns the node's active configuration, groups, targets, peers, retry budgets, lease and
-/// number of waiting requests as JSON, with the age of the data in milliseconds.
+/// Returns the node's active configuration, groups, targets, peers, banned prompt parts, retry
+/// budgets, lease and number of waiting requests as JSON, with the age of the data in milliseconds.
 nlohmann::ordered_json make_state_report(const state_report_input& state);
 
 } // namespace camphorlug::edge
--- /dev/null
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "camphorlug/gateway/crash_record.h"
+#include "camphorlug/support/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace camphorlug::gateway {
+
+/// The crashes of targets that all nodes together have seen, and the prompt parts that may have
+/// caused them.
+///
+/// Nodes merge each other's evidence in any order and any number of times with the same result:
+/// records and suspects are only added, and a cleared suspect stays cleared. Its size is bounded,
+/// whatever callers name as parts of their prompts.
+class crash_evidence {
+public:
+  static constexpr std::size_t max_records = 64;
+  static constexpr std::size_t max_suspects_per_record = 64;
+  /// Crashes under requests with a part, each under a request that was sent after the crash before,
+  /// that show that the part causes them. Targets that fail together count as one, and a target
+  /// that fails by itself seldom does so three times in a row under one part that no other target
+  /// answers in between.
+  static constexpr std::size_t crashes_that_prove_cause = 3;
+
+  /// Merges a record. Returns whether the evidence has changed.
+  bool merge(const target_start& start, const crash_record& record);
+
+  /// Clears the part in the records of crashes before `answered_at`.
+  void clear(const prompt_part& part, support::clock::time_point answered_at);
+
+  const std::map<target_start, crash_record>& records() const { return records_; }
+
+  /// The parts that cause crashes, with the number of crashes that each of them explains. A crash
+  /// counts for one part only: the one that explains the most.
+  const std::map<prompt_part, std::size_t>& harmful_parts() const { return harmful_; }
+
+  /// Differs between two different states of the evidence; 0 if there is none.
+  std::uint64_t digest() const { return digest_; }
+
+  /// The records as of `now`, with ages in place of times. With `only`, just those that accuse
+  /// this part, without other suspects.
+  std::string to_json(support::clock::time_point now, const prompt_part* only = nullptr) const;
+  /// Merges records in that form. Returns whether the evidence has changed. Throws
+  /// nlohmann::json::exception if `text` is not valid.
+  bool merge_json(const std::string& text, support::clock::time_point now);
+
+private:
+  bool merge_without_update(const target_start& start, const crash_record& record);
+  void evict_if_full();
+  void update();
+
+  std::map<target_start, crash_record> records_;
+  std::map<prompt_part, std::size_t> harmful_;
+  std::uint64_t digest_ = 0;
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -23,6 +23,8 @@
 inline constexpr const char* config_path = "/camphorlug/v1/config";
 /// Path that serves the target entries that changed after commit number `since`.
 inline constexpr const char* entries_path = "/camphorlug/v1/entries";
+inline constexpr const char* crashes_path = "/camphorlug/v1/crashes";
+inline constexpr const char* lift_path = "/camphorlug/v1/crashes/lift";
 
 /// Exchanges messages with other nodes and keeps a `fleet_view` up to date: with one hub if this
 /// node is attached to it, with all hubs if it is one itself. Does not depend on the store.
@@ -42,6 +44,7 @@
     std::uint64_t config_version = 0;
     std::uint64_t entries_version = 0;
     std::uint64_t store_era = 0;
+    std::uint64_t crash_digest = 0;
   };
 
   fleet_exchange(asio::any_io_executor executor, support::clock& time,
--- a/include/camphorlug/gateway/fleet_message.h
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -44,6 +44,8 @@
   std::uint64_t entries_version = 0;
   /// The highest era of the store that the sender knows of.
   std::uint64_t store_era = 0;
+  /// Digest of the sender's crash evidence, which can be fetched from it; 0 if it has none.
+  std::uint64_t crash_digest = 0;
   /// Of the sender alone (request of an attached node), of all nodes but the receiver (response
   /// to it), or of the sender's section (between hubs).
   fleet_summary summary;
--- /dev/null
+++ b/include/camphorlug/gateway/harmful_part_list.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "camphorlug/gateway/crash_evidence.h"
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// Finds the prompt parts that crash each target that begins to answer a request with them, and
+/// bans them: their requests are rejected without reaching a target.
+///
+/// Answers the load pattern in which requests that share such a part arrive at any node, with no
+/// two alike, and end one target after the other. What a crash says is shared between nodes, since
+/// a single node sees too few of them. Performs no I/O.
+class harmful_part_list {
+public:
+  /// A crash is shared with the other nodes only after this time. Until then most of the parts
+  /// that did not cause it are cleared by an answer of another target.
+  static constexpr std::chrono::milliseconds publication_delay{500};
+  /// A loss that was not confirmed as a crash within this time is dropped.
+  static constexpr std::chrono::milliseconds confirmation_timeout{5000};
+  /// Number of parts whose latest answers are remembered, at the least.
+  static constexpr std::size_t remembered_answers = 2048;
+
+  explicit harmful_part_list(support::clock& time) : time_(time) {}
+
+  /// Records that a target has begun to answer a request with these parts.
+  void record_answer(const std::string& service, const std::vector<std::string>& parts);
+
+  /// Records that a connection broke before the target had begun to answer. The target may have
+  /// crashed; see `take_unconfirmed`.
+  void record_loss(const std::string& service, const std::vector<std::string>& parts,
+                   const target_start& start, support::clock::time_point sent_at);
+
+  /// Returns the targets that may have crashed and for which this was not asked before. The caller
+  /// finds out whether they did and calls `confirm`.
+  std::vector<target_start> take_unconfirmed();
+  void confirm(const target_start& start, bool crashed);
+
+  /// Publishes confirmed crashes. Call it several times a second.
+  void update();
+
+  /// Returns the first of the parts that is banned.
+  std::optional<std::string> find_banned(const std::string& service,
+                                         const std::vector<std::string>& parts) const;
+
+  /// Ends a ban: what is known against the part no longer counts, at any node.
+  void lift(const prompt_part& part);
+
+  const crash_evidence& evidence() const { return evidence_; }
+  /// Merges the evidence of another node, or evidence that was stored. Throws
+  /// nlohmann::json::exception.
+  bool merge_json(const std::string& text);
+  std::string to_json(const prompt_part* only = nullptr) const {
+    return evidence_.to_json(time_.now(), only);
+  }
+
+private:
+  struct pending_crash {
+    crash_record record;
+    bool asked = false;
+    bool confirmed = false;
+  };
+
+  void add_suspects(crash_record& record, const std::vector<std::string>& parts,
+                    support::clock::time_point sent_at) const;
+  std::optional<support::clock::time_point> last_answer(const prompt_part& part) const;
+  /// Clears the parts of shared records that targets have answered at this node since.
+  void clear_answered();
+  void log_changes();
+
+  support::clock& time_;
+  std::map<target_start, pending_crash> pending_;
+  crash_evidence evidence_;
+  /// Two generations of latest answers by part; the older one is dropped when the newer is full.
+  std::map<prompt_part, support::clock::time_point> answers_;
+  std::map<prompt_part, support::clock::time_point> older_answers_;
+  /// The bans that were logged.
+  std::map<prompt_part, std::size_t> logged_;
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -65,6 +65,11 @@
   bool has_attempts_left() const;
   /// Records why no further target is tried. Returns false.
   bool give_up(std::string_view reason);
+  /// The first part of the prompt that crashes targets, if it has one.
+  std::optional<std::string> banned_part() const {
+    return env_.harmful_parts.find_banned(service_, shared_->request.prompt_parts);
+  }
+  void reject_banned_request();
   void send_refusal(std::string reason, std::chrono::nanoseconds expected_wait);
   void finish_failed_request(attempt_result last);
   void send_local_response(int status, std::string_view reason,
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -17,6 +17,7 @@
 struct attempted_request {
   caller_request request;
   std::shared_ptr<const route> chosen;
+  std::string service;
   /// Empty when requests need no API key.
   std::string organisation;
   /// Time of the final response at the latest.
@@ -108,6 +109,8 @@
   /// Whether the target still accepts requests; sets `withheld_` if not.
   bool may_send();
   void record_progress();
+  void record_answer();
+  void record_loss();
   support::task<bool> wait_until_queue_is_drained();
   bool is_stream() const;
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
@@ -127,6 +130,8 @@
 
   bool closed_ = false;
   bool has_progressed_ = false;
+  /// The target has sent an event, or a complete response that is not a stream.
+  bool has_answered_ = false;
   bool target_stalled_ = false;
   /// The request was not sent, because the target no longer accepts requests.
   bool withheld_ = false;
--- /dev/null
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -0,0 +1,160 @@
+#include "camphorlug/edge/crash_evidence_keeper.h"
+
+#include "camphorlug/gateway/fleet_exchange.h"
+#include "camphorlug/net/problem.h"
+#include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/log.h"
+#include "camphorlug/table/store_error.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorlug::edge {
+
+static constexpr const char* ban_prefix = "ban/";
+static constexpr std::chrono::milliseconds store_interval{500};
+static constexpr std::chrono::milliseconds fetch_timeout{500};
+
+static std::string ban_key(const gateway::prompt_part& part) {
+  return ban_prefix + part.service + "/" + part.id;
+}
+
+crash_evidence_keeper::crash_evidence_keeper(context dependencies)
+    : context_(std::move(dependencies)), started_at_(context_.time.now()) {}
+
+void crash_evidence_keeper::update() {
+  for (const gateway::target_start& start : context_.parts.take_unconfirmed())
+    support::spawn(context_.executor, "confirm " + start.target, confirm(start));
+  context_.parts.update();
+}
+
+/// A target that is gone from the registry, started anew or answers no probe has crashed.
+support::task<> crash_evidence_keeper::confirm(gateway::target_start start) {
+  bool is_alive = false;
+  const gateway::target_entry* entry = context_.registry.find(start.target);
+  if (entry && entry->started_at_ms == start.started_at_ms)
+    is_alive = co_await context_.prober.probe(*entry);
+  context_.parts.confirm(start, !is_alive);
+}
+
+void crash_evidence_keeper::apply_peer_message(const gateway::fleet_message& message) {
+  const std::uint64_t digest = message.crash_digest;
+  const std::string& peer = message.sender.peer_address;
+  if (digest == 0 || digest == context_.parts.evidence().digest()) {
+    knows_bans_ = knows_bans_ || message.sender.ready;
+    return;
+  }
+  // Evidence that this node fetched before only lacks what this node knows itself.
+  const auto fetched = fetched_.find(peer);
+  if ((fetched != fetched_.end() && fetched->second == digest) || std::exchange(fetching_, true))
+    return;
+  support::spawn(context_.executor, "fetch_crashes", fetch(peer, digest, message.sender.ready));
+}
+
+support::task<> crash_evidence_keeper::fetch(std::string peer, std::uint64_t digest, bool serves) {
+  net::client_request request;
+  request.address = peer;
+  request.target = gateway::crashes_path;
+  request.connection = net::connection_use::pooled;
+  std::string failure;
+  try {
+    const net::client_response response =
+        co_await context_.client.fetch(std::move(request), fetch_timeout);
+    context_.parts.merge_json(response.body);
+    fetched_[peer] = digest;
+    knows_bans_ = knows_bans_ || serves;
+  } catch (const net::transport_error& error) {
+    failure = error.what();
+  } catch (const nlohmann::json::exception& error) {
+    failure = error.what();
+  }
+  fetching_ = false;
+  if (!failure.empty())
+    support::log_event(support::log_level::warning, "crashes_fetch_failed",
+                       {{"peer", peer}, {"error", failure}});
+}
+
+void crash_evidence_keeper::apply_stored(const table::feed_batch& batch) {
+  for (const table::feed_row& row : batch.rows) {
+    if (!row.key.starts_with(ban_prefix) || lifted_.contains(row.key))
+      continue;
+    if (row.deleted) {
+      stored_.erase(row.key);
+      continue;
+    }
+    stored_.insert(row.key);
+    try {
+      context_.parts.merge_json(row.value);
+    } catch (const nlohmann::json::exception& error) {
+      support::log_event(support::log_level::warning, "ban_row_unreadable",
+                         {{"key", row.key}, {"error", error.what()}});
+    }
+  }
+  knows_bans_ = true;
+}
+
+support::task<> crash_evidence_keeper::write(std::string key, std::optional<std::string> value) {
+  const bool keeps = value.has_value();
+  table::transaction change;
+  change.writes.push_back({key, std::move(value)});
+  try {
+    const table::commit_result result = co_await context_.store.commit(std::move(change));
+    if (!result.committed)
+      co_return;
+    lifted_.erase(key);
+    if (keeps)
+      stored_.insert(key);
+    else
+      stored_.erase(key);
+  } catch (const table::store_error& error) {
+    support::log_event(support::log_level::warning, "ban_not_stored",
+                       {{"key", key}, {"error", error.what()}});
+  }
+}
+
+support::task<> crash_evidence_keeper::store_bans() {
+  for (;;) {
+    co_await context_.time.sleep_for(store_interval);
+    std::map<std::string, std::optional<std::string>> changes;
+    for (const std::string& key : lifted_)
+      changes[key] = std::nullopt;
+    if (context_.writes_bans()) {
+      for (const std::string& key : stored_)
+        changes[key] = std::nullopt;
+      for (const auto& [part, crashes] : context_.parts.evidence().harmful_parts()) {
+        const std::string key = ban_key(part);
+        if (stored_.contains(key))
+          changes.erase(key);
+        else
+          changes[key] = context_.parts.to_json(&part);
+      }
+    }
+    for (auto& [key, value] : changes)
+      co_await write(key, std::move(value));
+  }
+}
+
+void crash_evidence_keeper::lift(const net::server_request& request, net::response_writer& writer) {
+  const auto service = request.query_value("service");
+  const auto id = request.query_value("part");
+  if (request.method != "POST" || !service || !id) {
+    net::send_problem(writer, {400, "bad-lift", "POST with the parameters service and part"});
+    return;
+  }
+  const gateway::prompt_part part{*service, *id};
+  if (!context_.parts.evidence().harmful_parts().contains(part)) {
+    net::send_problem(writer, {404, "not-banned", "see banned_parts in the state report"});
+    return;
+  }
+  context_.parts.lift(part);
+  lifted_.insert(ban_key(part));
+  support::log_event(support::log_level::info, "prompt_part_ban_lifted",
+                     {{"service", part.service}, {"part", part.id}});
+  net::send_json(writer, 200, "{}");
+}
+
+bool crash_evidence_keeper::knows_bans() const {
+  return knows_bans_ || context_.time.now() - started_at_ >= max_wait_for_bans;
+}
+
+} // namespace camphorlug::edge
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -57,9 +57,10 @@
       slot_queue_(context_.time, chooser_, loads_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time), notices_(registry_, pauses_, metrics_),
+      harmful_parts_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
-                 registry_, slot_queue_, suspicions_, notices_, retries_, stalls_, demand_,
-                 metrics_},
+                 registry_, slot_queue_, suspicions_, notices_, harmful_parts_, retries_, stalls_,
+                 demand_, metrics_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       exchange_(context_.executor, context_.time, context_.random, context_.client, fleet_,
@@ -71,6 +72,9 @@
            context_.prober, [this] { return traffic_since_.has_value(); },
            [this] { return !may_plan() || fleet_.leader_heard_within(planner_status_max_age); },
            [this] { return total_demand(); }, [this] { return all_stalled_heads(); }}),
+      crash_keeper_({context_.executor, context_.time, context_.client, context_.store,
+                     context_.prober, registry_, harmful_parts_,
+                     [this] { return replica_controller_.leads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread_interval,
                        [this](const table::feed_batch& batch, bool) {
@@ -110,6 +114,7 @@
   support::spawn(executor, "peers", exchange_.run());
   support::spawn(executor, "lease", replica_controller_.keep_lease());
   support::spawn(executor, "replicas", replica_controller_.run());
+  support::spawn(executor, "store_bans", crash_keeper_.store_bans());
   support::spawn(executor, "housekeeping", run_housekeeping());
 }
 
@@ -155,6 +160,7 @@
 }
 
 void edge_node::apply_own_rows(const table::feed_batch& batch) {
+  crash_keeper_.apply_stored(batch);
   for (const table::feed_row& row : batch.rows) {
     if (!row.key.starts_with(node_prefix) || row.deleted)
       continue;
@@ -285,6 +291,7 @@
     registry_.mark_leaving(target, started_at_ms);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
+  crash_keeper_.apply_peer_message(message);
   const bool is_ahead = message.entries_version > target_rows_.newest_row_version();
   if (is_ahead && needs_rows_of_peers() && !std::exchange(fetching_target_rows_, true))
     support::spawn(context_.executor, "fetch_entries", fetch_target_rows(peer));
@@ -335,6 +342,7 @@
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
+    crash_keeper_.update();
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     slot_queue_.assign_free_slots();
@@ -349,7 +357,7 @@
 }
 
 bool edge_node::ready() const {
-  return !is_leaving() && config_.current() && registry_.was_read();
+  return !is_leaving() && config_.current() && registry_.was_read() && crash_keeper_.knows_bans();
 }
 
 const gateway::node_status& edge_node::status() {
@@ -381,6 +389,7 @@
   report.config_version = config_version();
   report.entries_version = target_rows_.newest_row_version();
   report.store_era = store_era_;
+  report.crash_digest = harmful_parts_.evidence().digest();
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -454,6 +463,14 @@
         table::to_json(since == 0 ? target_rows_.snapshot() : target_rows_.changes(since)));
     co_return;
   }
+  if (request.path == gateway::crashes_path) {
+    net::send_json(writer, 200, harmful_parts_.to_json());
+    co_return;
+  }
+  if (request.path == gateway::lift_path) {
+    crash_keeper_.lift(request, writer);
+    co_return;
+  }
   if (request.path == state_path) {
     const state_report_input state{context_.time,
                                    status(),
@@ -465,6 +482,7 @@
                                    groups_,
                                    loads_,
                                    suspicions_,
+                                   harmful_parts_.evidence(),
                                    retries_,
                                    lease_,
                                    store_era_,
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -112,6 +112,30 @@
   return budgets;
 }
 
+/// The bans with the crashes that speak for each, oldest first.
+static ordered_json banned_parts_to_json(const state_report_input& state) {
+  ordered_json bans = ordered_json::array();
+  for (const auto& [part, crashes] : state.crashes.harmful_parts()) {
+    ordered_json targets = ordered_json::array();
+    for (const auto& [start, record] : state.crashes.records()) {
+      const auto suspect = record.suspects.find(part.id);
+      if (record.service == part.service && suspect != record.suspects.end() &&
+          !suspect->second.cleared)
+        targets.push_back(
+            {{"target", start.target}, {"age_ms", age_ms(state.time, record.crashed_at)}});
+    }
+    std::sort(targets.begin(), targets.end(), [](const ordered_json& left, const auto& right) {
+      return left["age_ms"].template get<std::int64_t>() >
+             right["age_ms"].template get<std::int64_t>();
+    });
+    bans.push_back({{"service", part.service},
+                    {"part", part.id},
+                    {"crashes", crashes},
+                    {"targets", std::move(targets)}});
+  }
+  return bans;
+}
+
 ordered_json make_state_report(const state_report_input& state) {
   ordered_json targets = ordered_json::array();
   for (const auto& [id, target] : state.registry.all())
@@ -133,6 +157,7 @@
                       {"groups", groups_to_json(state)},
                       {"targets", std::move(targets)},
                       {"peers", peers_to_json(state)},
+                      {"banned_parts", banned_parts_to_json(state)},
                       {"retries", retries_to_json(state)}};
   return report;
 }
--- /dev/null
+++ b/lib/gateway/crash_evidence.cpp
@@ -0,0 +1,193 @@
+#include "camphorlug/gateway/crash_evidence.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+#include <xxhash.h>
+
+namespace camphorlug::gateway {
+
+using std::chrono::milliseconds;
+using record_entry = std::pair<const target_start, crash_record>;
+
+static bool merge_suspect(crash_suspect& held, const crash_suspect& other) {
+  const crash_suspect before = held;
+  held.position = std::max(held.position, other.position);
+  held.waited = std::min(held.waited, other.waited);
+  held.cleared = held.cleared || other.cleared;
+  return held != before;
+}
+
+bool crash_evidence::merge_without_update(const target_start& start, const crash_record& record) {
+  const auto [held, is_new] = records_.try_emplace(start, crash_record{record.service, {}, {}});
+  if (is_new)
+    held->second.crashed_at = record.crashed_at;
+  bool changed = is_new;
+  for (const auto& [part, suspect] : record.suspects) {
+    const auto known = held->second.suspects.find(part);
+    if (known != held->second.suspects.end()) {
+      changed = merge_suspect(known->second, suspect) || changed;
+    } else if (held->second.suspects.size() < max_suspects_per_record) {
+      held->second.suspects.emplace(part, suspect);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+bool crash_evidence::merge(const target_start& start, const crash_record& record) {
+  const bool changed = merge_without_update(start, record);
+  if (changed)
+    update();
+  return changed;
+}
+
+void crash_evidence::clear(const prompt_part& part, support::clock::time_point answered_at) {
+  bool changed = false;
+  for (auto& [start, record] : records_) {
+    if (record.service != part.service || record.crashed_at >= answered_at)
+      continue;
+    const auto suspect = record.suspects.find(part.id);
+    if (suspect != record.suspects.end() && !std::exchange(suspect->second.cleared, true))
+      changed = true;
+  }
+  if (changed)
+    update();
+}
+
+static bool accuses(const crash_record& record, const prompt_part& part) {
+  if (record.service != part.service)
+    return false;
+  const auto suspect = record.suspects.find(part.id);
+  return suspect != record.suspects.end() && !suspect->second.cleared;
+}
+
+namespace {
+
+/// What the crashes seen so far say against one part.
+struct accusation {
+  std::size_t crashes = 0;
+  std::size_t position = 0;
+  support::clock::time_point last_crash_at = support::clock::time_point::min();
+
+  void add(const crash_record& record, const crash_suspect& suspect) {
+    position = std::max(position, suspect.position);
+    if (record.crashed_at - suspect.waited <= last_crash_at)
+      return;
+    ++crashes;
+    last_crash_at = record.crashed_at;
+  }
+
+  /// Of parts that explain the same crashes, the one that fewer requests share is the cause more
+  /// probably, and a ban of it does less harm.
+  bool is_stronger_than(const accusation& other) const {
+    return std::tie(crashes, position) > std::tie(other.crashes, other.position);
+  }
+};
+
+} // namespace
+
+/// Returns the part with the most crashes, if they prove that it is the cause.
+static std::optional<std::pair<prompt_part, std::size_t>>
+find_strongest(const std::vector<const crash_record*>& by_time) {
+  std::map<prompt_part, accusation> accusations;
+  for (const crash_record* record : by_time) {
+    for (const auto& [part, suspect] : record->suspects) {
+      if (!suspect.cleared)
+        accusations[{record->service, part}].add(*record, suspect);
+    }
+  }
+  const auto strongest = std::max_element(accusations.begin(), accusations.end(),
+                                          [](const auto& left, const auto& right) {
+                                            return right.second.is_stronger_than(left.second);
+                                          });
+  if (strongest == accusations.end() ||
+      strongest->second.crashes < crash_evidence::crashes_that_prove_cause)
+    return std::nullopt;
+  return std::pair(strongest->first, strongest->second.crashes);
+}
+
+static std::map<prompt_part, std::size_t>
+find_harmful_parts(const std::map<target_start, crash_record>& records) {
+  std::vector<const crash_record*> unexplained;
+  for (const auto& [start, record] : records)
+    unexplained.push_back(&record);
+  std::sort(unexplained.begin(), unexplained.end(),
+            [](const crash_record* left, const crash_record* right) {
+              return left->crashed_at < right->crashed_at;
+            });
+  std::map<prompt_part, std::size_t> harmful;
+  while (const auto found = find_strongest(unexplained)) {
+    harmful.insert(*found);
+    std::erase_if(unexplained,
+                  [&](const crash_record* each) { return accuses(*each, found->first); });
+  }
+  return harmful;
+}
+
+/// Drops the oldest record that supports no ban, or the oldest one if all do.
+void crash_evidence::evict_if_full() {
+  while (records_.size() > max_records) {
+    const auto rank = [&](const record_entry& entry) {
+      const bool supports_ban =
+          std::any_of(harmful_.begin(), harmful_.end(),
+                      [&](const auto& each) { return accuses(entry.second, each.first); });
+      return std::pair(supports_ban, entry.second.crashed_at);
+    };
+    records_.erase(std::min_element(
+        records_.begin(), records_.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
+  }
+}
+
+static std::uint64_t digest_of(const target_start& start, const crash_record& record) {
+  std::string text = start.target + " " + std::to_string(start.started_at_ms);
+  for (const auto& [part, suspect] : record.suspects)
+    text += " " + part + (suspect.cleared ? "-" : "+") + std::to_string(suspect.position) + "," +
+            std::to_string(suspect.waited.count());
+  return XXH3_64bits(text.data(), text.size());
+}
+
+void crash_evidence::update() {
+  harmful_ = find_harmful_parts(records_);
+  evict_if_full();
+  digest_ = 0;
+  for (const auto& [start, record] : records_)
+    digest_ += digest_of(start, record);
+}
+
+std::string crash_evidence::to_json(support::clock::time_point now, const prompt_part* only) const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [start, record] : records_) {
+    if (only && !accuses(record, *only))
+      continue;
+    nlohmann::json suspects = nlohmann::json::object();
+    for (const auto& [part, suspect] : record.suspects) {
+      if (!only || part == only->id)
+        suspects[part] = {suspect.position, suspect.waited.count(), suspect.cleared};
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(now - record.crashed_at);
+    list.push_back({start.target, start.started_at_ms, record.service, age.count(), suspects});
+  }
+  return list.dump();
+}
+
+bool crash_evidence::merge_json(const std::string& text, support::clock::time_point now) {
+  const auto list = nlohmann::json::parse(text);
+  bool changed = false;
+  for (const auto& entry : list) {
+    const target_start start{entry.at(0), entry.at(1)};
+    crash_record record{entry.at(2), now - milliseconds(entry.at(3).get<std::int64_t>()), {}};
+    for (const auto& [part, suspect] : entry.at(4).items())
+      record.suspects[part] = {suspect.at(0), milliseconds(suspect.at(1).get<std::int64_t>()),
+                               suspect.at(2)};
+    changed = merge_without_update(start, record) || changed;
+  }
+  if (changed)
+    update();
+  return changed;
+}
+
+} // namespace camphorlug::gateway
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -42,6 +42,7 @@
   message.config_version = report.config_version;
   message.entries_version = report.entries_version;
   message.store_era = report.store_era;
+  message.crash_digest = report.crash_digest;
   return message;
 }
 
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -19,6 +19,8 @@
 /// Interval at which a request whose targets are silent looks for a replacement.
 static constexpr milliseconds replacement_check_interval{50};
 static constexpr milliseconds min_retry_after{100};
+/// A ban ends only when its cause is gone, so an earlier return would be in vain.
+static constexpr milliseconds banned_retry_after{60'000};
 /// Callers accept a Retry-After of up to a third of their remaining time.
 static constexpr double max_retry_after_fraction = 0.3;
 
@@ -46,7 +48,7 @@
   }
   pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
   shared_ = std::make_shared<attempted_request>(
-      attempted_request{std::move(request), route_, std::move(organisation), deadline});
+      attempted_request{std::move(request), route_, service_, std::move(organisation), deadline});
 }
 
 request_forwarder::~request_forwarder() {
@@ -60,6 +62,10 @@
     activity_.notify();
   });
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  if (banned_part()) {
+    reject_banned_request();
+    co_return;
+  }
   env_.retries.count_request(service_);
   env_.demand.count_arrival(pool());
   bool finished = false;
@@ -92,6 +98,14 @@
   std::optional<slot_guard> slot = co_await wait_for_slot();
   if (caller_gone_)
     co_return true;
+  // The part may have been banned while the request waited.
+  if (banned_part()) {
+    if (attempts_ > 0)
+      finish_failed_request(last_result_);
+    else
+      reject_banned_request();
+    co_return false;
+  }
   if (slot) {
     start_attempt(std::move(*slot), executor);
     co_return true;
@@ -125,8 +139,9 @@
   const bool all_silent = std::all_of(open_.begin(), open_.end(), [](const open_attempt& each) {
     return each.attempt->is_silent();
   });
-  if (open_.empty() || !all_silent || !route_->repeatable() || !has_attempts_left() ||
-      !env_.retries.can_retry(service_) || !env_.queue.has_alternative(pool(), tried_targets_))
+  if (open_.empty() || !all_silent || banned_part() || !route_->repeatable() ||
+      !has_attempts_left() || !env_.retries.can_retry(service_) ||
+      !env_.queue.has_alternative(pool(), tried_targets_))
     return;
   std::optional<slot_guard> slot =
       env_.queue.try_acquire({pool(), rank(), tried_targets_, &caller_gone_});
@@ -290,6 +305,8 @@
   const bool repeatable = route_->repeatable() || last == attempt_result::not_run;
   if (!repeatable)
     return give_up("the request may not run again");
+  if (banned_part())
+    return give_up("a part of its prompt crashes targets");
   if (attempts_ >= route_->attempts)
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
@@ -338,6 +355,13 @@
                                 std::to_string(wait / milliseconds(1)) + " ms");
 }
 
+void request_forwarder::reject_banned_request() {
+  const std::string reason = "not run: part " + banned_part().value_or("") +
+                             " of the prompt has crashed the instances that began to answer it";
+  send_local_response(503, reason, banned_retry_after);
+  record_outcome("rejected", reason);
+}
+
 void request_forwarder::send_target_failure() {
   writer_.send(target_failure_->status, with_connection_header(target_failure_->forwarded_headers),
                std::move(target_failure_body_));
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -180,8 +180,22 @@
   co_return result;
 }
 
+/// Records that the connection ended before the target had begun to answer.
+void target_attempt::record_loss() {
+  if (!has_answered_)
+    env_.harmful_parts.record_loss(shared_->service, shared_->request.prompt_parts,
+                                   {target_.id, target_.started_at_ms}, started_at_);
+}
+
+void target_attempt::record_answer() {
+  if (!std::exchange(has_answered_, true))
+    env_.harmful_parts.record_answer(shared_->service, shared_->request.prompt_parts);
+}
+
 void target_attempt::count_transport_failure(const net::transport_error& error) {
   const bool sent = error.progress() == net::request_progress::may_have_been_read;
+  if (!closed_ && sent && !error.timed_out())
+    record_loss();
   const bool only_slow = sent && error.timed_out() && env_.stalls.is_writing(target_.id);
   if (closed_ || only_slow)
     return;
@@ -230,6 +244,7 @@
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
   }
+  record_answer();
   env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
@@ -277,6 +292,7 @@
       if (!position_.is_followed_by(*event))
         co_return fail(attempt_result::unknown, "event out of order",
                        "it sent an event out of order");
+      record_answer();
       position_.advance(*event);
       queued_bytes_ += event->bytes.size();
       events_.push_back(std::move(*event));
@@ -284,9 +300,11 @@
     if (has_event() && on_change_)
       on_change_();
   }
-  if (splitter.has_partial_event() || position_.events == 0)
+  if (splitter.has_partial_event() || position_.events == 0) {
+    record_loss();
     co_return fail(attempt_result::unknown, "ended within an event",
                    "its stream ended within an event");
+  }
   env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
