--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/edge/edge_node.h"
 
+#include "camphorlug/edge/lift_path.h"
 #include "camphorlug/edge/state_report.h"
 #include "camphorlug/gateway/gateway_selection.h"
 #include "camphorlug/net/problem.h"
@@ -467,7 +468,7 @@
     net::send_json(writer, 200, harmful_parts_.to_json());
     co_return;
   }
-  if (request.path == gateway::lift_path) {
+  if (request.path == lift_path) {
     crash_keeper_.lift(request, writer);
     co_return;
   }
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -1,5 +1,6 @@
 #include "edge_commands.h"
 
+#include "camphorlug/edge/lift_path.h"
 #include "camphorlug/edge/state_path.h"
 #include "camphorlug/net/transport_error.h"
 
@@ -65,6 +66,14 @@
                 to_text(budget["bound"]) + " for " + to_text(budget["requests"]) + " requests");
 }
 
+static void print_banned_part(const ordered_json& ban) {
+  std::string targets;
+  for (const ordered_json& each : ban["targets"])
+    targets += " " + to_text(each["target"]) + " " + to_text(each["age_ms"]) + " ms ago";
+  print_wrapped(to_text(ban["service"]) + " " + to_text(ban["part"]) + ", " +
+                to_text(ban["crashes"]) + " crashes in a row:" + targets);
+}
+
 static void print_overview(const ordered_json& state) {
   print_wrapped(to_text(state["node"]) + " in " + to_text(state["data_centre"]) +
                 (state["ready"].get<bool>() ? " serves" : " does not serve") +
@@ -86,16 +95,18 @@
                 std::to_string(state["targets"].size()) + " targets, " +
                 std::to_string(state["peers"].size()) + " peers, " +
                 to_text(state["waiting_requests"]) + " requests queued");
+  if (state.contains("banned_parts") && !state["banned_parts"].empty())
+    print_wrapped(std::to_string(state["banned_parts"].size()) +
+                  " BANNED prompt parts; see: edge banned_parts");
 }
 
 using line_printer = void (*)(const ordered_json&);
 
 static const std::map<std::string, line_printer>& part_printers() {
-  static const std::map<std::string, line_printer> printers{{"routes", print_route},
-                                                            {"groups", print_group},
-                                                            {"targets", print_target},
-                                                            {"peers", print_peer},
-                                                            {"retries", print_retry_budget}};
+  static const std::map<std::string, line_printer> printers{
+      {"routes", print_route},         {"groups", print_group},
+      {"targets", print_target},       {"peers", print_peer},
+      {"retries", print_retry_budget}, {"banned_parts", print_banned_part}};
   return printers;
 }
 
@@ -117,6 +128,24 @@
   return exit_ok;
 }
 
+support::task<int> lift_ban(net::http_client& client, std::string address, std::string service,
+                            std::string part) {
+  net::client_request request;
+  request.method = "POST";
+  request.address = std::move(address);
+  request.target = std::string(edge::lift_path) + "?service=" + service + "&part=" + part;
+  try {
+    const net::client_response response = co_await client.fetch(std::move(request), state_timeout);
+    print_wrapped(response.status == 200
+                      ? "Lifted " + part + " of " + service
+                      : "Refused (" + std::to_string(response.status) + "): " + response.body);
+    co_return response.status == 200 ? exit_ok : exit_refused;
+  } catch (const net::transport_error& error) {
+    print_wrapped(std::string("The outcome is not known: ") + error.what());
+    co_return exit_unknown;
+  }
+}
+
 support::task<int> show_edge(net::http_client& client, std::string address, std::string part,
                              output_options output) {
   net::client_request request;
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -42,6 +42,9 @@
  request PATH      send a request
  edge              an edge node's own view
  edge routes|groups|targets|peers|retries
+ edge banned_parts
+ edge lift S PART   end the ban of a prompt
+                   part of service S
  explain ID        trace of a request, from
                    log lines on stdin
  service list
@@ -115,6 +118,8 @@
     co_return co_await explain_group(node_client, arguments[1], output);
   if (verb == "explain" && has_argument)
     co_return explain_request(std::cin, arguments[1], output);
+  if (verb == "edge" && arguments.size() == 4 && arguments[1] == "lift")
+    co_return co_await lift_ban(client, FLAGS_node, arguments[2], arguments[3]);
   if (verb == "edge" && arguments.size() <= 2) {
     const std::string part = has_argument ? arguments[1] : "";
     co_return co_await show_edge(client, FLAGS_node, part, output);
--- /dev/null
+++ b/unittests/gateway/crash_evidence_test.cpp
@@ -0,0 +1,146 @@
+#include "camphorlug/gateway/harmful_part_list.h"
+#include "camphorlug/support/virtual_clock.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace camphorlug;
+using namespace camphorlug::gateway;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr const char* service = "shop";
+
+support::clock::time_point at(std::chrono::milliseconds time) {
+  return support::clock::time_point(time);
+}
+
+/// A crash under one request, sent `waited` before.
+struct crash {
+  std::chrono::milliseconds time;
+  std::vector<std::string> parts;
+  std::chrono::milliseconds waited = 150ms;
+};
+
+void add(crash_evidence& evidence, std::size_t number, const crash& each) {
+  crash_record record{service, at(each.time), {}};
+  for (std::size_t i = 0; i < each.parts.size(); ++i)
+    record.suspects[each.parts[i]] = {i, each.waited, false};
+  evidence.merge({"t" + std::to_string(number), 1}, record);
+}
+
+std::vector<std::string> ids(const crash_evidence& evidence) {
+  std::vector<std::string> found;
+  for (const auto& [part, crashes] : evidence.harmful_parts())
+    found.push_back(part.id);
+  return found;
+}
+
+struct verdict {
+  const char* name;
+  std::vector<crash> crashes;
+  std::vector<std::string> harmful;
+};
+
+std::ostream& operator<<(std::ostream& out, const verdict& each) {
+  return out << each.name;
+}
+
+const std::vector<verdict> verdicts = {
+    {"two crashes prove nothing", {{1s, {"a"}}, {2s, {"a"}}}, {}},
+    {"three in a row", {{1s, {"a"}}, {2s, {"a"}}, {3s, {"a"}}}, {"a"}},
+    {"three at once", {{1s, {"a"}}, {1010ms, {"a"}}, {1020ms, {"a"}}}, {}},
+    {"the common part", {{1s, {"a", "x"}}, {2s, {"b", "x"}}, {3s, {"c", "x"}}}, {"x"}},
+    {"the more specific of two that are always together",
+     {{1s, {"a", "x"}}, {2s, {"a", "x"}}, {3s, {"a", "x"}}},
+     {"x"}},
+    {"the one that explains more",
+     {{1s, {"a", "x"}}, {2s, {"a", "x"}}, {3s, {"a", "x"}}, {4s, {"a", "y"}}},
+     {"a"}},
+    {"a crash counts for one part",
+     {{1s, {"a", "x"}}, {2s, {"a", "x"}}, {3s, {"b", "x"}}, {4s, {"a"}}, {5s, {"c"}}},
+     {"x"}},
+    {"two parts",
+     {{1s, {"x"}}, {2s, {"y"}}, {3s, {"x"}}, {4s, {"y"}}, {5s, {"x"}}, {6s, {"y"}}},
+     {"x", "y"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(crashes_in_a_row_prove_the_cause, data::make(verdicts), each) {
+  crash_evidence forward;
+  crash_evidence backward;
+  for (std::size_t i = 0; i < each.crashes.size(); ++i) {
+    add(forward, i, each.crashes[i]);
+    const std::size_t last = each.crashes.size() - 1 - i;
+    add(backward, last, each.crashes[last]);
+  }
+  BOOST_TEST(ids(forward) == each.harmful, boost::test_tools::per_element());
+  BOOST_TEST(ids(backward) == each.harmful, boost::test_tools::per_element());
+  BOOST_TEST(forward.digest() == backward.digest());
+}
+
+BOOST_AUTO_TEST_CASE(answer_clears_only_earlier_crashes) {
+  crash_evidence evidence;
+  for (std::size_t i = 0; i < 4; ++i)
+    add(evidence, i, {std::chrono::seconds(i + 1), {"a"}});
+  evidence.clear({service, "a"}, at(1500ms));
+  BOOST_TEST(ids(evidence).size() == 1);
+  evidence.clear({service, "a"}, at(2500ms));
+  BOOST_TEST(ids(evidence).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cleared_suspect_stays_cleared_when_evidence_is_merged) {
+  crash_evidence cleared;
+  crash_evidence accusing;
+  for (std::size_t i = 0; i < 3; ++i) {
+    add(cleared, i, {std::chrono::seconds(i + 1), {"a"}});
+    add(accusing, i, {std::chrono::seconds(i + 1), {"a"}});
+  }
+  cleared.clear({service, "a"}, at(5s));
+  BOOST_TEST(accusing.merge_json(cleared.to_json(at(6s)), at(6s)));
+  BOOST_TEST(ids(accusing).empty());
+  BOOST_TEST(!cleared.merge_json(accusing.to_json(at(7s)), at(7s)));
+  BOOST_TEST(cleared.digest() == accusing.digest());
+}
+
+BOOST_AUTO_TEST_CASE(flood_of_crashes_evicts_no_ban) {
+  crash_evidence evidence;
+  for (std::size_t i = 0; i < 3; ++i)
+    add(evidence, i, {std::chrono::seconds(i + 1), {"a"}});
+  for (std::size_t i = 10; i < 500; ++i)
+    add(evidence, i, {std::chrono::seconds(i), {"flood" + std::to_string(i)}});
+  BOOST_TEST(evidence.records().size() == crash_evidence::max_records);
+  BOOST_TEST(ids(evidence) == std::vector<std::string>{"a"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(record_holds_a_bounded_number_of_suspects) {
+  crash_evidence evidence;
+  std::vector<std::string> parts;
+  for (int i = 0; i < 1000; ++i)
+    parts.push_back("part" + std::to_string(i));
+  add(evidence, 1, {1s, parts});
+  BOOST_TEST(evidence.records().begin()->second.suspects.size() ==
+             crash_evidence::max_suspects_per_record);
+}
+
+BOOST_AUTO_TEST_CASE(broken_connection_to_a_live_target_is_no_crash) {
+  asio::io_context context;
+  support::virtual_clock clock(context);
+  harmful_part_list parts(clock);
+  for (int i = 0; i < 5; ++i) {
+    parts.record_loss(service, {"a"}, {"t1", i}, clock.now());
+    clock.run_for(300ms);
+    for (const target_start& each : parts.take_unconfirmed())
+      parts.confirm(each, false);
+    clock.run_for(700ms);
+    parts.update();
+  }
+  BOOST_TEST(parts.evidence().records().empty());
+  BOOST_TEST(!parts.find_banned(service, {"a"}));
+}
