--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -1,4 +1,4 @@
-#include "fakes/crashing_targets.h"
+#include "fakes/faulty_targets.h"
 #include "fakes/edge_cluster.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -113,7 +113,7 @@
   static constexpr std::size_t topics = 4;
   static constexpr double deadly_share = 0.06;
   const std::string deadly = "deadly";
-  fakes::crashing_targets side;
+  fakes::faulty_targets side;
   std::vector<std::unique_ptr<caller>> callers;
 };
 
--- a/unittests/fakes/crashing_targets.cpp
+++ b/unittests/fakes/faulty_targets.cpp
@@ -1,4 +1,4 @@
-#include "fakes/crashing_targets.h"
+#include "fakes/faulty_targets.h"
 
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/notification.h"
@@ -19,9 +19,9 @@
   return false;
 }
 
-class crashing_targets::exchange final : public net::http_exchange {
+class faulty_targets::exchange final : public net::http_exchange {
 public:
-  exchange(crashing_targets& targets, net::client_request request)
+  exchange(faulty_targets& targets, net::client_request request)
       : targets_(targets), request_(std::move(request)), ended_(targets.time_),
         parts_(request_.headers.find("Parts").value_or("")),
         is_deadly_(contains_part(parts_, targets.deadly_part)),
@@ -76,7 +76,7 @@
       throw_reset();
   }
 
-  crashing_targets& targets_;
+  faulty_targets& targets_;
   net::client_request request_;
   support::notification ended_;
   std::string parts_;
@@ -86,16 +86,16 @@
   int read_ = 0;
 };
 
-std::unique_ptr<net::http_exchange> crashing_targets::open(net::client_request request) {
+std::unique_ptr<net::http_exchange> faulty_targets::open(net::client_request request) {
   return std::make_unique<exchange>(*this, std::move(request));
 }
 
-void crashing_targets::reset_connections(const std::string& target) {
+void faulty_targets::reset_connections(const std::string& target) {
   for (exchange* each : open_[target])
     each->reset();
 }
 
-void crashing_targets::crash(const std::string& target) {
+void faulty_targets::crash(const std::string& target) {
   down_.insert(target);
   reset_connections(target);
   if (on_crash)
--- a/unittests/fakes/crashing_targets.h
+++ b/unittests/fakes/faulty_targets.h
@@ -15,7 +15,7 @@
 
 /// Targets that answer each request with a short stream, and crash when they begin to answer a
 /// request with a deadly prompt part. Addresses equal ids.
-class crashing_targets final : public net::http_client {
+class faulty_targets final : public net::http_client {
 public:
   /// Time from the arrival of a request to the first event of its answer.
   static constexpr std::chrono::milliseconds time_to_answer{150};
@@ -27,7 +27,7 @@
     std::string parts;
   };
 
-  explicit crashing_targets(support::clock& time) : time_(time) {}
+  explicit faulty_targets(support::clock& time) : time_(time) {}
 
   std::unique_ptr<net::http_exchange> open(net::client_request request) override;
 
