--- a/include/camphorlug/gateway/target_notice.h
+++ b/include/camphorlug/gateway/target_notice.h
@@ -11,6 +11,9 @@
   bool leaving = false;
   /// It has no capacity now and wants no requests from this node for this long.
   std::optional<std::chrono::nanoseconds> retry_after;
+  /// Requests a second that it takes from all nodes together, for as long as it says so; nothing
+  /// if it names no limit.
+  std::optional<double> request_limit;
 };
 
 } // namespace camphorlug::gateway
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -114,6 +114,7 @@
 std::unique_ptr<net::http_exchange> node_client::open(net::client_request request) {
   if (request.address.starts_with("peer"))
     return std::make_unique<peer_exchange>(time_, network_, self_, std::move(request));
+  request.headers.add("Node", self_);
   return targets_->open(std::move(request));
 }
 
--- a/unittests/fakes/faulty_targets.cpp
+++ b/unittests/fakes/faulty_targets.cpp
@@ -31,7 +31,7 @@
       return;
     }
     targets_.open_[request_.address].insert(this);
-    targets_.arrivals.push_back({targets_.time_.now(), request_.address, parts_});
+    targets_.arrivals.push_back({targets_.time_.now(), request_.address, node(), parts_});
   }
 
   ~exchange() override { targets_.open_[request_.address].erase(this); }
@@ -48,6 +48,10 @@
     net::response_head head;
     head.status = 200;
     head.headers.add("Id", request_.headers.find("Id").value_or(""));
+    if (const auto limit = targets_.limits.find(request_.address); limit != targets_.limits.end()) {
+      head.headers.add("Limit", std::to_string(limit->second));
+      targets_.told[request_.address].try_emplace(node(), targets_.time_.now());
+    }
     co_return head;
   }
 
@@ -65,6 +69,8 @@
   }
 
 private:
+  std::string node() const { return request_.headers.find("Node").value_or(""); }
+
   static void throw_reset() {
     throw transport_error(request_progress::may_have_been_read, false, "reset");
   }
--- a/unittests/fakes/faulty_targets.h
+++ b/unittests/fakes/faulty_targets.h
@@ -13,8 +13,8 @@
 
 namespace camphorlug::fakes {
 
-/// Targets that answer each request with a short stream, and crash when they begin to answer a
-/// request with a deadly prompt part. Addresses equal ids.
+/// Targets that answer each request with a short stream. They crash when they begin to answer a
+/// request with a deadly prompt part, and may name a limit. Addresses equal ids.
 class faulty_targets final : public net::http_client {
 public:
   /// Time from the arrival of a request to the first event of its answer.
@@ -23,6 +23,8 @@
   struct arrival {
     support::clock::time_point at;
     std::string target;
+    /// Peer address of the node that sent it.
+    std::string node;
     /// Separated by spaces.
     std::string parts;
   };
@@ -37,6 +39,11 @@
   void reset_connections(const std::string& target);
   bool is_down(const std::string& target) const { return down_.contains(target); }
 
+  /// Requests a second that targets say they take from all nodes together.
+  std::map<std::string, double> limits;
+  /// When each node was told a limit first, by target and peer address.
+  std::map<std::string, std::map<std::string, support::clock::time_point>> told;
+
   std::string deadly_part;
   /// Requests that reached a target, in order of arrival.
   std::vector<arrival> arrivals;
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -51,6 +51,8 @@
   answer.notice.leaving = head.headers.find("Leaving").has_value();
   if (const auto pause = head.headers.find("Pause-Ms"))
     answer.notice.retry_after = std::chrono::milliseconds(std::stoll(*pause));
+  if (const auto limit = head.headers.find("Limit"))
+    answer.notice.request_limit = std::stod(*limit);
   answer.forwarded_headers = head.headers;
   return answer;
 }
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -231,3 +231,38 @@
   BOOST_TEST(protocol.parse_request(std::move(request)).prompt_parts == each.parts,
              boost::test_tools::per_element());
 }
+
+namespace {
+
+struct limit_case {
+  const char* text;
+  std::optional<double> expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const limit_case& each) {
+  return out << each.text;
+}
+
+const std::vector<limit_case> limit_cases = {
+    {"2.5", 2.5},
+    {"40", 40.0},
+    {"0", 0.0},
+    {"0.05", 0.05},
+    {"", std::nullopt},
+    {"-1", std::nullopt},
+    {"many", std::nullopt},
+    {"2.5/s", std::nullopt},
+    {"inf", std::nullopt},
+    {"nan", std::nullopt},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(request_limits_of_targets_are_decoded, data::make(limit_cases), each) {
+  gateway::caller_request request;
+  request.id = "id1";
+  const auto response =
+      protocol.parse_response_head(request, head_of(200, {{"Server-Limit", each.text}}));
+  BOOST_TEST((response.notice.request_limit == each.expected));
+  BOOST_TEST(!protocol.parse_response_head(request, head_of(200, {})).notice.request_limit);
+}
