Keep the limits that targets name over all nodes together

Callers saw nothing; targets in need got far more requests than they can take.

Cause: nothing read the header, so that arrivals did not change when a target named a limit. Class: a bound on what the fleet does that no node knows of.

Change: each node tells the others what targets said about their limits, and the newest report counts. A few nodes, derived from the list of live nodes alone, own a target's limit and send it evenly spaced requests, three quarters of the limit together, which leaves room for the time in which two nodes have different lists. All sendings count, also retries and resumed streams. The other nodes send the target nothing until an answer names no limit or the target starts anew. A request that no target can take now is refused at once.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -94,6 +94,7 @@
   void update_reading();
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
+  void update_limits();
   void detect_first_traffic();
   support::task<> register_self();
   support::task<> run_housekeeping();
@@ -142,6 +143,7 @@
   gateway::load_tracker loads_;
   gateway::suspicion_list suspicions_;
   gateway::target_pauses pauses_;
+  gateway::target_limits limits_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/load_tracker.h"
+#include "camphorlug/gateway/target_limits.h"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,9 @@
   /// Targets that said in a response that they are shutting down, with their start; see
   /// `target_entry::started_at_ms`.
   std::map<std::string, std::int64_t> leaving;
+  /// What targets said about their limits. Nodes also report what they learned from others, so
+  /// that a limit outlives the nodes that it was told.
+  reported_limits limits;
   /// Id of the node that plans the groups; empty if none of these nodes does.
   std::string leader;
   /// Whether any of the nodes has handled a request since it started.
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/queue_rank.h"
 #include "camphorlug/gateway/slot_guard.h"
 #include "camphorlug/gateway/target_chooser.h"
+#include "camphorlug/gateway/target_limits.h"
 #include "camphorlug/support/clock.h"
 #include "camphorlug/support/notification.h"
 
@@ -28,8 +29,9 @@
     const bool* cancelled = nullptr;
   };
 
-  slot_queue(support::clock& time, target_chooser& chooser, load_tracker& loads)
-      : time_(time), chooser_(chooser), loads_(loads) {}
+  slot_queue(support::clock& time, target_chooser& chooser, load_tracker& loads,
+             target_limits& limits)
+      : time_(time), chooser_(chooser), loads_(loads), limits_(limits) {}
 
   /// Waits for a slot. Returns nothing if none is assigned by `until` or the request is cancelled.
   support::task<std::optional<slot_guard>> acquire(slot_request request,
@@ -89,12 +91,15 @@
     queue::iterator position;
   };
 
+  /// Chooses a target and counts the request that will be sent to it.
+  std::optional<chosen_target> take_slot(const slot_request& request);
   slot_guard make_guard(chosen_target target);
   void assign_free_slots(queue& waiters);
 
   support::clock& time_;
   target_chooser& chooser_;
   load_tracker& loads_;
+  target_limits& limits_;
   std::map<target_pool, queue> queues_;
   std::map<target_pool, std::chrono::duration<double>> mean_hold_;
 };
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/gateway/target_limits.h"
 #include "camphorlug/gateway/target_pauses.h"
 #include "camphorlug/support/random_source.h"
 
@@ -26,7 +27,8 @@
 
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
-/// are excluded, suspected targets are used only as a last resort, and pausing ones never.
+/// are excluded, suspected targets are used only as a last resort, and never those that pause
+/// or whose limit leaves nothing to this node.
 ///
 /// With many nodes, the sums of loads are older than the time between two choices of the fleet. If
 /// each node took the target with the lowest load, they would all take the same one. Then, and in
@@ -36,9 +38,10 @@
 public:
   target_chooser(const target_registry& registry, group_directory& groups, load_tracker& loads,
                  const suspicion_list& suspicions, const target_pauses& pauses,
-                 support::random_source& random, std::string data_centre)
+                 const target_limits& limits, support::random_source& random,
+                 std::string data_centre)
       : registry_(registry), groups_(groups), loads_(loads), suspicions_(suspicions),
-        pauses_(pauses), random_(random), data_centre_(std::move(data_centre)) {}
+        pauses_(pauses), limits_(limits), random_(random), data_centre_(std::move(data_centre)) {}
 
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
@@ -49,8 +52,9 @@
 
   /// Whether a target that was chosen earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const;
-  /// If each target of the pool outside `avoided` pauses, and any target at all does: the time at
-  /// which the first of these pauses ends; the maximum if all targets are in `avoided`.
+  /// If each target of the pool outside `avoided` pauses or its limit leaves nothing to this node
+  /// now, and that is so for any target at all: the time at which the first of them takes a
+  /// request; the maximum if all targets are in `avoided`.
   std::optional<support::clock::time_point> paused_until(const target_pool& pool,
                                                          const std::set<std::string>& avoided);
   /// Total slots of the targets of the pool that accept requests.
@@ -85,9 +89,12 @@
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
-  bool paused(const candidate& each) const {
-    return pauses_.end(each.target.id, each.target.started_at_ms).has_value();
+  /// When the target takes a further request of this node, if it does not now.
+  std::optional<support::clock::time_point> paused_until(const candidate& each) const {
+    return std::max(pauses_.end(each.target.id, each.target.started_at_ms),
+                    limits_.next_at(each.target.id, each.target.started_at_ms));
   }
+  bool paused(const candidate& each) const { return paused_until(each).has_value(); }
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
@@ -100,6 +107,7 @@
   load_tracker& loads_;
   const suspicion_list& suspicions_;
   const target_pauses& pauses_;
+  const target_limits& limits_;
   support::random_source& random_;
   std::string data_centre_;
   std::size_t node_count_ = 1;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -53,12 +53,13 @@
       incarnation_(support::make_incarnation(context_.time)),
       reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
       groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      pauses_(context_.time), chooser_(registry_, groups_, loads_, suspicions_, pauses_,
-                                       context_.random, settings_.data_centre),
-      slot_queue_(context_.time, chooser_, loads_),
+      pauses_(context_.time), limits_(context_.time),
+      chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, context_.random,
+               settings_.data_centre),
+      slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
-      stalls_(context_.time), demand_(context_.time), notices_(registry_, pauses_, metrics_),
-      harmful_parts_(context_.time),
+      stalls_(context_.time), demand_(context_.time),
+      notices_(registry_, pauses_, limits_, metrics_), harmful_parts_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
                  registry_, slot_queue_, suspicions_, notices_, harmful_parts_, retries_, stalls_,
                  demand_, metrics_},
@@ -290,6 +291,7 @@
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
+  limits_.merge(message.summary.limits);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   crash_keeper_.apply_peer_message(message);
@@ -344,6 +346,7 @@
     update_reading();
     chooser_.set_node_count(live_node_count());
     crash_keeper_.update();
+    update_limits();
     for (const std::string& target : stalls_.check())
       suspicions_.suspect(target, "it stands still");
     slot_queue_.assign_free_slots();
@@ -352,6 +355,17 @@
   }
 }
 
+void edge_node::update_limits() {
+  if (limits_.empty())
+    return;
+  std::vector<std::string> serving;
+  for (const auto& [id, other] : fleet_.others()) {
+    if (other.status.ready && !other.status.leaving)
+      serving.push_back(id);
+  }
+  limits_.update(serving, settings_.id);
+}
+
 void edge_node::detect_first_traffic() {
   if (!traffic_since_ && (requests_.handled() > 0 || fleet_.others_summary().has_served))
     traffic_since_ = context_.time.now();
@@ -399,6 +413,7 @@
   for (const std::string& target : suspicions_.own())
     summary.suspects[target] = 1;
   summary.leaving = registry_.leaving();
+  summary.limits = limits_.known();
   if (replica_controller_.leads())
     summary.leader = settings_.id;
   summary.has_served = requests_.handled() > 0;
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 #include <xxhash.h>
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -34,6 +34,7 @@
     std::int64_t& latest = leaving[target];
     latest = std::max(latest, started_at_ms);
   }
+  keep_newest(limits, other.limits, elapsed);
   if (leader.empty())
     leader = other.leader;
   has_served = has_served || other.has_served;
@@ -79,6 +80,8 @@
     value["sus"] = summary.suspects;
   if (!summary.leaving.empty())
     value["leave"] = summary.leaving;
+  if (!summary.limits.empty())
+    value["lim"] = summary.limits;
   if (!summary.leader.empty())
     value["lead"] = summary.leader;
   write_age(value, "store", summary.store_answer_age);
@@ -96,6 +99,8 @@
     suspects->get_to(summary.suspects);
   if (const auto leaving = value.find("leave"); leaving != value.end())
     leaving->get_to(summary.leaving);
+  if (const auto limits = value.find("lim"); limits != value.end())
+    limits->get_to(summary.limits);
   summary.leader = value.value("lead", "");
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
--- a/lib/gateway/notice_handler.cpp
+++ b/lib/gateway/notice_handler.cpp
@@ -10,6 +10,15 @@
     pauses_.pause(target, started_at_ms, *notice.retry_after);
     metrics_.count_notice("retry_after");
   }
+  if (notice.request_limit)
+    limits_.observe(target, started_at_ms, notice.request_limit);
+}
+
+void notice_handler::apply_response(const std::string& target, std::int64_t started_at_ms,
+                                    const target_notice& notice) {
+  apply(target, started_at_ms, notice);
+  if (!notice.request_limit)
+    limits_.observe(target, started_at_ms, std::nullopt);
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -23,13 +23,20 @@
 bool slot_queue::waiter::has_usable_slot() {
   if (assigned_target && !owner.chooser_.accepts_requests(*assigned_target)) {
     owner.loads_.remove(assigned_target->id);
-    assigned_target = owner.chooser_.choose(request.pool, request.avoided);
-    if (assigned_target)
-      owner.loads_.add(assigned_target->id);
+    assigned_target = owner.take_slot(request);
   }
   return assigned_target.has_value();
 }
 
+std::optional<chosen_target> slot_queue::take_slot(const slot_request& request) {
+  std::optional<chosen_target> target = chooser_.choose(request.pool, request.avoided);
+  if (target) {
+    loads_.add(target->id);
+    limits_.count(target->id, target->started_at_ms);
+  }
+  return target;
+}
+
 slot_guard slot_queue::make_guard(chosen_target target) {
   return {std::move(target), [this](const std::string& id) {
             loads_.remove(id);
@@ -42,10 +49,9 @@
   const bool goes_first = waiters.empty() || request.rank < waiters.begin()->first;
   if (!goes_first)
     return std::nullopt;
-  auto target = chooser_.choose(request.pool, request.avoided);
+  auto target = take_slot(request);
   if (!target)
     return std::nullopt;
-  loads_.add(target->id);
   return make_guard(std::move(*target));
 }
 
@@ -79,13 +85,12 @@
   for (auto& [rank, each] : waiters) {
     if (each->assigned_target)
       continue;
-    auto target = chooser_.choose(each->request.pool, each->request.avoided);
+    auto target = take_slot(each->request);
     if (!target) {
       if (++failures == max_failed_choices)
         return;
       continue;
     }
-    loads_.add(target->id);
     each->assigned_target = std::move(target);
     each->wake_up.notify();
   }
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -218,7 +218,7 @@
     failure_ += " (wrong instance)";
     return attempt_result::not_run;
   }
-  env_.notices.apply(target_.id, target_.started_at_ms, response_.notice);
+  env_.notices.apply_response(target_.id, target_.started_at_ms, response_.notice);
   if (response_.not_run && response_.notice.retry_after) {
     // The pause takes the place of a suspicion, which other nodes would heed too.
     failure_ += " (refused " + std::to_string(response_.status) + ", pauses)";
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -124,12 +124,12 @@
 
 std::optional<support::clock::time_point>
 target_chooser::paused_until(const target_pool& pool, const std::set<std::string>& avoided) {
-  if (pauses_.empty())
+  if (pauses_.empty() && limits_.empty())
     return std::nullopt;
   auto earliest = support::clock::time_point::max();
   bool any_pauses = false;
   for (const candidate& each : view_of(pool).candidates) {
-    const auto end = pauses_.end(each.target.id, each.target.started_at_ms);
+    const auto end = paused_until(each);
     any_pauses = any_pauses || end;
     if (avoided.contains(each.target.id))
       continue;
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -44,13 +44,15 @@
   gateway::load_tracker loads{clock};
   gateway::suspicion_list suspicions{clock};
   gateway::target_pauses pauses{clock};
-  gateway::target_chooser chooser{registry, groups, loads, suspicions, pauses, random, "here"};
-  gateway::slot_queue queue{clock, chooser, loads};
+  gateway::target_limits limits{clock};
+  gateway::target_chooser chooser{registry, groups, loads,  suspicions,
+                                  pauses,   limits, random, "here"};
+  gateway::slot_queue queue{clock, chooser, loads, limits};
   gateway::retry_limiter retries{clock, {}, [] { return std::size_t{1}; }};
   gateway::stall_detector stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
-  gateway::notice_handler notices{registry, pauses, metrics};
+  gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::harmful_part_list harmful_parts{clock};
   gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
