Give up responses whose events or bodies never end

Cause: the splitter kept an incomplete event of any size, and its bytes counted as progress, so that neither silence nor the stall detector saw it. A body of a response that is no stream was kept without bound too.

Change: an event beyond 256 KB or a body beyond 32 MB fails the attempt, which goes on at another target; only complete events are progress; the splitter drops what it handed out.

Before: stream_whose_event_never_ends_resumes_at_another_target fails (3 of 6 events after 500 ms). After: passes. Heads without end are given up by libcurl already; a test holds that. Not run with processes yet.

--- a/include/camphorlug/gateway/event_splitter.h
+++ b/include/camphorlug/gateway/event_splitter.h
@@ -17,7 +17,7 @@
 /// Splits an event stream into complete events without changing their bytes.
 class event_splitter {
 public:
-  void append(std::string_view bytes) { buffer_ += bytes; }
+  void append(std::string_view bytes);
 
   /// Returns the next complete event, or nothing if more bytes are needed.
   std::optional<raw_event> next();
@@ -25,6 +25,9 @@
   /// Whether the buffer holds the bytes of an incomplete event.
   bool has_partial_event() const { return begin_ < buffer_.size(); }
 
+  /// Size of the incomplete event so far.
+  std::size_t partial_event_size() const { return buffer_.size() - begin_; }
+
 private:
   std::string buffer_;
   std::size_t begin_ = 0;
--- a/lib/gateway/event_splitter.cpp
+++ b/lib/gateway/event_splitter.cpp
@@ -24,6 +24,12 @@
   return std::nullopt;
 }
 
+void event_splitter::append(std::string_view bytes) {
+  buffer_.erase(0, begin_);
+  begin_ = 0;
+  buffer_ += bytes;
+}
+
 std::optional<raw_event> event_splitter::next() {
   std::size_t end = buffer_.find("\n\n", begin_);
   std::size_t length = 2;
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -20,6 +20,11 @@
 static constexpr double silent_time_fraction = 0.4;
 /// Reading pauses while the caller has this much of a stream still to take.
 static constexpr std::size_t max_queued_bytes = 64 * 1024;
+/// An event holds a few tokens. A target that sends more without completing it is broken.
+static constexpr std::size_t max_event_bytes = 256 * 1024;
+/// A response that is not a stream is held until it is complete, so a body without end would take
+/// all memory of the node.
+static constexpr std::size_t max_body_bytes = 32 * 1024 * 1024;
 
 static nanoseconds scaled(nanoseconds span, double factor) {
   return std::chrono::duration_cast<nanoseconds>(span * factor);
@@ -239,6 +244,10 @@
     if (!piece)
       break;
     body_ += *piece;
+    if (body_.size() > max_body_bytes) {
+      body_ = {};
+      co_return fail(attempt_result::unknown, "body too large", "it sent a body without end");
+    }
   }
   if (!response_.success() && response_.status >= 500) {
     failure_ += " (failed " + std::to_string(response_.status) + ")";
@@ -286,9 +295,10 @@
     std::optional<std::string> piece = co_await exchange.read(remaining_time());
     if (!piece)
       break;
-    record_progress();
     splitter.append(*piece);
     while (auto event = splitter.next()) {
+      // Bytes of an event that is never completed are no progress.
+      record_progress();
       if (!position_.is_followed_by(*event))
         co_return fail(attempt_result::unknown, "event out of order",
                        "it sent an event out of order");
@@ -299,6 +309,8 @@
     }
     if (has_event() && on_change_)
       on_change_();
+    if (splitter.partial_event_size() > max_event_bytes)
+      co_return fail(attempt_result::unknown, "event too large", "it sent an event without end");
   }
   if (splitter.has_partial_event() || position_.events == 0) {
     record_loss();
--- /dev/null
+++ b/unittests/gateway/endless_response_test.cpp
@@ -0,0 +1,56 @@
+#include "fakes/gateway_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace camphorlug;
+using namespace camphorlug::fakes;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// Far more than any event or body that a target sends by intention.
+constexpr std::size_t pieces_without_end = 400;
+constexpr std::size_t piece_size = 160'000;
+
+/// An answer that goes on with the same bytes until its connection is closed.
+scripted_answer with_endless_tail(scripted_answer script) {
+  for (std::size_t i = 0; i < pieces_without_end; ++i)
+    script.pieces.emplace_back(piece_size, 'k');
+  script.end = answer_ending::silence;
+  script.pause = 1ms;
+  return script;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(stream_whose_event_never_ends_resumes_at_another_target) {
+  gateway_fixture world;
+  world.add_target("one");
+  world.answer("one", with_endless_tail(events(1, 3)));
+  recording_writer writer;
+  world.begin("/stream/x", writer);
+  world.add_target("two");
+  world.answer("two", events(4, 6));
+  world.clock.run_for(500ms);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(writer.last_id() == "6");
+}
+
+BOOST_AUTO_TEST_CASE(body_that_never_ends_is_replaced_by_that_of_another_target) {
+  gateway_fixture world;
+  world.add_target("one");
+  scripted_answer endless = complete_answer();
+  world.answer("one", with_endless_tail(endless));
+  recording_writer writer;
+  world.begin("/plain/x", writer);
+  world.add_target("two");
+  world.answer("two", complete_answer());
+  world.clock.run_for(500ms);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.body == "whole body");
+}
--- a/unittests/net/curl_client_test.cpp
+++ b/unittests/net/curl_client_test.cpp
@@ -65,6 +65,35 @@
   bool answers_first_;
 };
 
+/// Server that answers with a head that never ends.
+class endless_head_server {
+public:
+  endless_head_server(asio::io_context& context, std::string piece)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}), piece_(std::move(piece)) {
+    support::spawn(context.get_executor(), "accept", accept());
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  std::size_t sent = 0;
+
+private:
+  support::task<> accept() {
+    asio::ip::tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+    const std::string start = "HTTP/1.1 200 OK\r\nX-A: ";
+    asio::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    co_await asio::async_write(socket, asio::buffer(start), token);
+    while (!error)
+      sent += co_await asio::async_write(socket, asio::buffer(piece_), token);
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::string piece_;
+};
+
 struct client_fixture {
   client_fixture() : clock(context), client(context, clock) {}
 
@@ -128,6 +157,17 @@
   BOOST_TEST(server.requests == before + 1);
 }
 
+BOOST_DATA_TEST_CASE(response_head_without_end_is_given_up,
+                     data::make({std::string("x\r\nX-B: "), std::string(1000, 'x')}), piece) {
+  client_fixture fixture;
+  endless_head_server server(fixture.context, piece);
+  fixture.run(post_to(server.address()));
+  BOOST_REQUIRE(fixture.failure);
+  BOOST_TEST(!fixture.failure->timed_out());
+  // What the sockets hold may have been sent beyond what was read.
+  BOOST_TEST(server.sent < 16U * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_CASE(request_is_not_sent_when_send_if_returns_false) {
   client_fixture fixture;
   closing_server server(fixture.context, true);
