Send suspected targets no overflow while another target is sound

Cause: a suspected target was used as a last resort whenever no other one had a free slot. A target that fails each request at once always has free slots, so it got all the overflow, and the retries ran out. It was not its health answer that made it sound again.

Change: suspected targets are used only if no unsuspected one outside those tried is left, full or not; otherwise requests wait.

Before: requests_wait_for_a_sound_target_beside_one_that_fails_at_once fails, 6 of 8 requests reach the broken target. After: passes.

--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -98,6 +98,9 @@
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
+  /// Whether a target outside `avoided` is neither suspected nor paused, with or without a free
+  /// slot.
+  bool has_unsuspected(const pool_view& view, const std::set<std::string>& avoided);
   /// Compares a few random candidates without suspected ones.
   selection sample(const pool_view& view, const std::set<std::string>& avoided);
   const candidate& random_candidate(const pool_view& view, bool local_only);
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -104,16 +104,27 @@
   return chosen;
 }
 
+bool target_chooser::has_unsuspected(const pool_view& view, const std::set<std::string>& avoided) {
+  return std::any_of(view.candidates.begin(), view.candidates.end(), [&](const candidate& each) {
+    return !avoided.contains(each.target.id) && !paused(each) &&
+           !suspicions_.suspected(each.target.id);
+  });
+}
+
 std::optional<chosen_target> target_chooser::choose(const target_pool& pool,
                                                     const std::set<std::string>& avoided) {
   const pool_view& view = view_of(pool);
   selection chosen = sample(view, avoided);
-  for (const bool with_suspects : {false, true}) {
-    if (chosen.best)
-      return chosen.best->target;
+  const auto scan = [&](bool with_suspects) {
     for (const candidate& each : view.candidates)
       update_selection(each, avoided, with_suspects, chosen);
-  }
+  };
+  if (!chosen.best)
+    scan(/*with_suspects=*/false);
+  // A target that fails each request at once always has free slots. If it got the requests for
+  // which the others have none, nearly all of them would fail.
+  if (!chosen.best && !has_unsuspected(view, avoided))
+    scan(/*with_suspects=*/true);
   return chosen.best ? std::optional(chosen.best->target) : std::nullopt;
 }
 
--- a/unittests/gateway/endless_response_test.cpp
+++ b/unittests/gateway/endless_response_test.cpp
@@ -54,3 +54,29 @@
   BOOST_TEST(writer.status == 200);
   BOOST_TEST(writer.body == "whole body");
 }
+
+// A target that fails each request at once always has free slots. It must not attract the requests
+// for which the other targets have none.
+BOOST_AUTO_TEST_CASE(requests_wait_for_a_sound_target_beside_one_that_fails_at_once) {
+  gateway_fixture world;
+  world.add_target("broken");
+  world.add_target("sound", 1);
+  scripted_answer garbage = complete_answer();
+  garbage.headers = {};
+  scripted_answer slow = complete_answer();
+  slow.delay = 60ms;
+  for (int i = 0; i < 500; ++i) {
+    world.answer("broken", garbage);
+    world.answer("sound", slow);
+  }
+  world.suspicions.suspect("broken", "test");
+  std::vector<std::unique_ptr<recording_writer>> writers;
+  for (int i = 0; i < 8; ++i) {
+    writers.push_back(std::make_unique<recording_writer>());
+    world.begin("/plain/x", *writers.back());
+    world.clock.run_for(55ms);
+  }
+  const auto reached = std::count_if(world.client.received.begin(), world.client.received.end(),
+                                     [](const auto& each) { return each.address == "broken"; });
+  BOOST_TEST(reached == 0);
+}
