--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -1,5 +1,5 @@
-#include "fakes/faulty_targets.h"
 #include "fakes/edge_cluster.h"
+#include "fakes/faulty_targets.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -228,8 +228,8 @@
 BOOST_DATA_TEST_CASE(prompt_parts_are_read_without_the_last, data::make(prompt_cases), each) {
   net::server_request request = received_request();
   request.headers.add("X-Prefix-Hash", each.header);
-  BOOST_TEST(protocol.parse_request(std::move(request)).prompt_parts == each.parts,
-             boost::test_tools::per_element());
+  const gateway::caller_request read = protocol.parse_request(std::move(request));
+  BOOST_TEST(read.prompt_parts == each.parts, boost::test_tools::per_element());
 }
 
 namespace {
