Let a new leader read the entries before it plans

Change: at the start of each term the leader reads the table of entries from the store and plans only when it has answered. Costs one read a term.

A directed test that starves one process of entries passed without the change too and is not kept.

--- a/include/camphorlug/replicas/replica_controller.h
+++ b/include/camphorlug/replicas/replica_controller.h
@@ -35,6 +35,8 @@
   std::function<gateway::slot_demand()> demand;
   /// Returns the heads of groups that any node has recently seen stalled.
   std::function<std::vector<std::string>()> stalled_heads;
+  /// Reads the entries of all targets from the store. Returns whether it answered.
+  std::function<support::task<bool>()> refresh_entries;
 };
 
 /// Forms and repairs the groups of all engine services while this node holds the lease.
@@ -54,6 +56,8 @@
 private:
   /// Runs one planning pass for each engine service and sends the resulting orders.
   void plan_services();
+  /// Reads the entries until the store has answered once in this term.
+  support::task<> refresh_entries(std::uint64_t term);
   planning_input make_planning_input(const gateway::service_spec& service) const;
   /// Probes the members of stalled groups and the instances that did not answer their last
   /// probe, to find out which are gone.
@@ -65,6 +69,12 @@
   std::map<std::string, std::unique_ptr<replica_planner>> planners_;
   /// Number of the lease acquisition for which the planners were last reset.
   std::uint64_t term_ = 0;
+  /// The latest term for which `refresh_entries` was started.
+  std::uint64_t refreshing_in_term_ = 0;
+  /// The latest term in which the entries were read from the store. The entries held before may be
+  /// older than the last orders of the previous leader: a process that stood still or was cut off
+  /// from the store holds those of seconds ago.
+  std::uint64_t current_in_term_ = 0;
   /// When each instance was last probed.
   std::map<std::string, support::clock::time_point> probed_at_;
   bool stepping_down_ = false;
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -36,6 +36,10 @@
   /// while a call to the feed that began in an earlier era is still waiting.
   support::task<> refresh();
 
+  /// Reads a snapshot now, whether or not the store may be read otherwise. Returns whether the
+  /// store answered.
+  support::task<bool> read_now() { return read_snapshot(); }
+
   /// Sets the function that decides whether the store may be read now. By default it always may.
   void set_gate(std::function<bool()> may_read) { may_read_ = std::move(may_read); }
 
--- a/lib/replicas/replica_controller.cpp
+++ b/lib/replicas/replica_controller.cpp
@@ -48,6 +48,11 @@
   if (!config || !context_.registry.was_read() || stepping_down_)
     return;
   const std::uint64_t term = context_.lease.number();
+  if (current_in_term_ != term) {
+    if (std::exchange(refreshing_in_term_, term) != term)
+      support::spawn(context_.executor, "refresh_entries", refresh_entries(term));
+    return;
+  }
   const bool new_term = std::exchange(term_, term) != term;
   for (const auto& [name, service] : config->services) {
     if (!service.engine)
@@ -66,6 +71,17 @@
   }
 }
 
+support::task<> replica_controller::refresh_entries(std::uint64_t term) {
+  while (context_.lease.held() && context_.lease.number() == term) {
+    const bool answered = co_await context_.refresh_entries();
+    if (answered) {
+      current_in_term_ = std::max(current_in_term_, term);
+      co_return;
+    }
+    co_await context_.time.sleep_for(planning_interval);
+  }
+}
+
 planning_input replica_controller::make_planning_input(const gateway::service_spec& service) const {
   planning_input input{*service.engine, context_.registry.all(), context_.traffic_started(), {}};
   const gateway::slot_demand demand = context_.demand();
--- a/unittests/fakes/controller_cluster.cpp
+++ b/unittests/fakes/controller_cluster.cpp
@@ -12,6 +12,8 @@
 static constexpr std::size_t controllers = 3;
 static constexpr auto observation_interval = 20ms;
 static constexpr auto reading_interval = 60ms;
+/// Time that the store takes for an answer that a controller waits for.
+static constexpr auto entry_read_time = 20ms;
 static constexpr auto permanent_suspension = 24h * 365;
 /// Same values as in lib/edge/edge_node.cpp.
 static constexpr groups::lease_timing timing{2000ms, 300ms};
@@ -115,7 +117,8 @@
       std::make_unique<replicas::replica_controller>(replicas::replica_controller_context{
           context.get_executor(), node.process, node.config, node.registry, *node.lease,
           node.client, node.client, [this] { return pool.traffic; }, sees_other_leader,
-          [] { return gateway::slot_demand{}; }, [] { return std::vector<std::string>{}; }});
+          [] { return gateway::slot_demand{}; }, [] { return std::vector<std::string>{}; },
+          [this, &node] { return read_entries(node, entry_read_time); }});
   support::spawn(context.get_executor(), "entries", follow_entries(node));
   support::spawn(context.get_executor(), "lease", node.controller->keep_lease());
   support::spawn(context.get_executor(), "replicas", node.controller->run());
@@ -128,21 +131,28 @@
   nodes[index] = make_process();
 }
 
+support::task<bool> controller_cluster::read_entries(controller_process& node,
+                                                     std::chrono::milliseconds delay) {
+  if (node.connection.cut || table.down)
+    co_return false;
+  const auto entries = pool.entries();
+  co_await node.process.sleep_for(delay);
+  std::set<std::string> present;
+  std::uint64_t newest = 0;
+  for (const auto& [id, target] : entries) {
+    present.insert(id);
+    newest = std::max(newest, target.version);
+    node.registry.update(id, target.version, target.entry);
+  }
+  node.registry.retain(present, newest);
+  co_return true;
+}
+
 support::task<> controller_cluster::follow_entries(controller_process& node) {
   for (;;) {
-    if (!node.connection.cut && !table.down) {
-      const auto entries = pool.entries();
-      // The store's answer arrives late, so the controller may see outdated entries.
-      co_await node.process.sleep_for(std::chrono::milliseconds(random() % 150));
-      std::set<std::string> present;
-      std::uint64_t newest = 0;
-      for (const auto& [id, target] : entries) {
-        present.insert(id);
-        newest = std::max(newest, target.version);
-        node.registry.update(id, target.version, target.entry);
-      }
-      node.registry.retain(present, newest);
-    }
+    // The store's answer arrives late, so the controller may see outdated entries.
+    const std::chrono::milliseconds delay(random() % 150);
+    co_await read_entries(node, delay);
     node.registry.expire();
     co_await node.process.sleep_for(reading_interval);
   }
--- a/unittests/fakes/controller_cluster.h
+++ b/unittests/fakes/controller_cluster.h
@@ -118,6 +118,8 @@
 
 private:
   std::unique_ptr<controller_process> make_process();
+  /// Applies the entries as they are now after `delay`. Returns whether the store answered.
+  support::task<bool> read_entries(controller_process& node, std::chrono::milliseconds delay);
   support::task<> follow_entries(controller_process& node);
   support::task<> observe();
 
