Drop the limits of targets that are gone

A limit stayed in each message between nodes after its target was gone for good, since targets come back under new ids. limits_of_targets_that_are_gone_are_dropped fails to compile without the change, which adds the function; unit tests of gateway and edge pass.

--- a/include/camphorlug/gateway/target_limits.h
+++ b/include/camphorlug/gateway/target_limits.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -65,6 +66,10 @@
   /// The latest reports known, to be sent to peers.
   reported_limits known() const;
 
+  /// Drops the limits of targets that are gone or started anew, as `is_current` tells.
+  void retain(
+      const std::function<bool(const std::string& target, std::int64_t started_at_ms)>& is_current);
+
   /// Derives the shares of the node `self` from the ids of all other live nodes that serve. Call
   /// it several times a second.
   void update(const std::vector<std::string>& others, const std::string& self);
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -364,6 +364,10 @@
     if (other.status.ready && !other.status.leaving)
       serving.push_back(id);
   }
+  limits_.retain([this](const std::string& target, std::int64_t started_at_ms) {
+    const gateway::target_entry* entry = registry_.find(target);
+    return entry && entry->started_at_ms == started_at_ms;
+  });
   limits_.update(serving, settings_.id);
 }
 
--- a/lib/gateway/target_limits.cpp
+++ b/lib/gateway/target_limits.cpp
@@ -88,6 +88,13 @@
   return reports;
 }
 
+void target_limits::retain(
+    const std::function<bool(const std::string& target, std::int64_t started_at_ms)>& is_current) {
+  std::erase_if(records_, [&](const auto& each) {
+    return !is_current(each.first, each.second.started_at_ms);
+  });
+}
+
 static std::uint64_t hash(const std::string& text) {
   return XXH3_64bits(text.data(), text.size());
 }
--- a/unittests/gateway/target_limits_test.cpp
+++ b/unittests/gateway/target_limits_test.cpp
@@ -105,6 +105,17 @@
   BOOST_TEST(world.nodes[0]->allows("t", started_at_ms));
 }
 
+// Targets come back under new ids, and each report is in every message between nodes.
+BOOST_AUTO_TEST_CASE(limits_of_targets_that_are_gone_are_dropped) {
+  nodes_before_target world(1);
+  for (int i = 0; i < 100; ++i)
+    world.nodes[0]->observe("t" + std::to_string(i), started_at_ms, 1.0);
+  world.nodes[0]->retain([](const std::string& target, std::int64_t) { return target == "t7"; });
+  BOOST_TEST(world.nodes[0]->known().size() == 1U);
+  world.update();
+  BOOST_TEST(!world.nodes[0]->allows("t7", started_at_ms));
+}
+
 BOOST_AUTO_TEST_CASE(report_survives_its_encoding) {
   const reported_limits reports{{"a", {3, 1.5, 40ms}}, {"b", {4, std::nullopt, 5s}}};
   const auto read = nlohmann::json::parse(nlohmann::json(reports).dump()).get<reported_limits>();
