--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -66,7 +66,7 @@
     callers.push_back(std::move(added));
   }
 
-  /// Sends requests to random nodes for `span`, each hundredth to twentieth with the deadly part.
+  /// Sends requests to random nodes for `span`, a share of them with the deadly part.
   /// All share the first part, and all with the deadly part share a topic with sound ones.
   void send_requests(std::chrono::milliseconds span, bool deadly_first) {
     for (auto sent = 0ms; sent < span; sent += interval) {
