--- a/include/camphorlug/gateway/crash_record.h
+++ b/include/camphorlug/gateway/crash_record.h
@@ -46,6 +46,9 @@
   support::clock::time_point crashed_at;
   /// By id of the part.
   std::map<std::string, crash_suspect> suspects;
+
+  /// Whether the part is a suspect that has not been cleared.
+  bool accuses(const prompt_part& part) const;
 };
 
 } // namespace camphorlug::gateway
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -118,9 +118,7 @@
   for (const auto& [part, crashes] : state.crashes.harmful_parts()) {
     ordered_json targets = ordered_json::array();
     for (const auto& [start, record] : state.crashes.records()) {
-      const auto suspect = record.suspects.find(part.id);
-      if (record.service == part.service && suspect != record.suspects.end() &&
-          !suspect->second.cleared)
+      if (record.accuses(part))
         targets.push_back(
             {{"target", start.target}, {"age_ms", age_ms(state.time, record.crashed_at)}});
     }
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -58,13 +58,6 @@
     update();
 }
 
-static bool accuses(const crash_record& record, const prompt_part& part) {
-  if (record.service != part.service)
-    return false;
-  const auto suspect = record.suspects.find(part.id);
-  return suspect != record.suspects.end() && !suspect->second.cleared;
-}
-
 namespace {
 
 /// What the crashes seen so far say against one part.
@@ -123,7 +116,7 @@
   while (const auto found = find_strongest(unexplained)) {
     harmful.insert(*found);
     std::erase_if(unexplained,
-                  [&](const crash_record* each) { return accuses(*each, found->first); });
+                  [&](const crash_record* each) { return each->accuses(found->first); });
   }
   return harmful;
 }
@@ -134,7 +127,7 @@
     const auto rank = [&](const record_entry& entry) {
       const bool supports_ban =
           std::any_of(harmful_.begin(), harmful_.end(),
-                      [&](const auto& each) { return accuses(entry.second, each.first); });
+                      [&](const auto& each) { return entry.second.accuses(each.first); });
       return std::pair(supports_ban, entry.second.crashed_at);
     };
     records_.erase(std::min_element(
@@ -162,7 +155,7 @@
 std::string crash_evidence::to_json(support::clock::time_point now, const prompt_part* only) const {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [start, record] : records_) {
-    if (only && !accuses(record, *only))
+    if (only && !record.accuses(*only))
       continue;
     nlohmann::json suspects = nlohmann::json::object();
     for (const auto& [part, suspect] : record.suspects) {
