Fence the members of an adopted group before it opens

What callers saw: streams of an open group stall, because one of its members joins another group (rule TWO).

Cause: a trace of all orders by time, fence and result shows the same in the three histories. A term sends joins that arrive seconds late. A later term finds the group of an earlier one ready, adopts and opens it, which reaches the head alone. The other members have accepted nothing newer than the late join, whose epoch is higher than their group's, and take it. Two changes of the lease within the delay of an order suffice; older copies of the store make them more frequent.

Change: a group of an earlier term opens only after each member has accepted an order of this term. Members that have not are ordered to join their group again; PROTOCOL.md answers 200 where the state already holds, and the fence counts. A group that was open before needs nothing: its members were fenced before it opened, and a later term that planned with them has read that it is open.

Ruled out: two holders of the lease (the histories report none), epochs given out twice (none), stale entries at the start of a term.

--- a/include/camphorlug/replicas/planned_group.h
+++ b/include/camphorlug/replicas/planned_group.h
@@ -46,6 +46,8 @@
   /// The group never opens. It exists only so that its single member loads the model into
   /// memory.
   bool warmup_only = false;
+  /// The group was formed by a planner of an earlier term.
+  bool adopted = false;
   /// A member's entry disappeared while the group was serving. The member may be leaving
   /// without having announced it, in which case it keeps working for a while.
   bool member_entry_lost = false;
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -70,6 +70,9 @@
     bool unresponsive = false;
     /// Whether the instance is a member of a planned group.
     bool assigned = false;
+    /// Whether the instance has accepted an order of this term. It rejects orders of earlier terms
+    /// that arrive late since then.
+    bool accepted_order = false;
 
     const gateway::target_entry& entry() const { return target->entry; }
     /// Whether the instance may be selected for a group or to stage weights.
@@ -118,6 +121,7 @@
                        std::vector<replica_order>& orders);
   void advance_forming(planned_group& group, const planning_input& input,
                        std::vector<replica_order>& orders);
+  bool reject_earlier_terms(const planned_group& group, std::vector<replica_order>& orders);
   void advance_dissolving(planned_group& group, std::vector<replica_order>& orders);
   void release_orphans(std::vector<replica_order>& orders);
   void form_missing_groups(const planning_input& input, std::vector<replica_order>& orders);
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -63,6 +63,7 @@
     std::tie(group.group, group.epoch) = group_key;
     group.model = model->name;
     group.fabric_domain = head->fabric_domain;
+    group.adopted = true;
     for (const auto& [rank, entry] : ranks)
       group.members.push_back({entry->id, entry->started_at_ms, false});
     group.phase = head->membership->state == membership_state::open ? group_phase::serving
@@ -146,6 +147,15 @@
   return order;
 }
 
+static replica_order make_join_order(const planned_group& group, const target_entry& entry) {
+  std::vector<std::string> ids;
+  for (const planned_member& member : group.members)
+    ids.push_back(member.id);
+  return {order_kind::join, entry.id,    entry.address,
+          group.group,      group.epoch, group.model,
+          std::move(ids),   false,       "the group is being formed"};
+}
+
 void replica_planner::advance_phase(planned_group& group, const planning_input& input,
                                     std::vector<replica_order>& orders) {
   const auto in_phase = time_.now() - group.phase_since;
@@ -160,7 +170,8 @@
       enter_phase(group, group_phase::serving, "the head is open");
     else if (in_phase > opening_timeout)
       enter_phase(group, group_phase::dissolving, "the head did not open the group in time");
-    else if (head_in && head->entry.membership->state == membership_state::ready)
+    else if (reject_earlier_terms(group, orders) && head_in &&
+             head->entry.membership->state == membership_state::ready)
       add_order(orders,
                 make_group_order(group, order_kind::open, head->entry, "all members are ready"));
     return;
@@ -192,6 +203,24 @@
               make_group_order(group, order_kind::close, head->entry, "the group is being closed"));
 }
 
+/// Returns whether no order of an earlier term that arrives late can take a member out of the
+/// group. Orders the members of an adopted group that may still accept one to join again, which
+/// changes nothing but the earliest term from which they accept orders.
+bool replica_planner::reject_earlier_terms(const planned_group& group,
+                                           std::vector<replica_order>& orders) {
+  if (!group.adopted)
+    return true;
+  bool all_reject = true;
+  for (const planned_member& member : group.members) {
+    const tracked_instance& instance = instances_by_id_.at(member.id);
+    if (instance.accepted_order)
+      continue;
+    all_reject = false;
+    add_order(orders, make_join_order(group, instance.entry()));
+  }
+  return all_reject;
+}
+
 void replica_planner::advance_forming(planned_group& group, const planning_input& input,
                                       std::vector<replica_order>& orders) {
   const model_profile* model = input.engine.find(group.model);
@@ -200,17 +229,12 @@
                 "the group did not become ready in time or its model is no longer configured");
     return;
   }
-  std::vector<std::string> ids;
-  for (const planned_member& member : group.members)
-    ids.push_back(member.id);
   bool all_ready = true;
   for (const planned_member& member : group.members) {
     all_ready = all_ready && member.was_ready;
     const target_entry& entry = find_registered_target(member.id)->entry;
-    if (is_member_of(entry, group))
-      continue;
-    add_order(orders, {order_kind::join, entry.id, entry.address, group.group, group.epoch,
-                       group.model, ids, false, "the group is being formed"});
+    if (!is_member_of(entry, group))
+      add_order(orders, make_join_order(group, entry));
   }
   if (all_ready && group.warmup_only)
     enter_phase(group, group_phase::dissolving, "the spare has the model in memory");
--- a/lib/replicas/replica_planner_instances.cpp
+++ b/lib/replicas/replica_planner_instances.cpp
@@ -148,6 +148,7 @@
     return;
   tracked_instance& instance = found->second;
   const bool accepted = result == order_result::begun || result == order_result::done;
+  instance.accepted_order = instance.accepted_order || accepted;
   const auto pending = instance.pending.find(order.kind);
   if (pending != instance.pending.end() && pending->second.epoch == order.epoch && !accepted)
     pending->second.loads = false;
--- a/unittests/replicas/replica_controller_test.cpp
+++ b/unittests/replicas/replica_controller_test.cpp
@@ -259,6 +259,13 @@
   BOOST_TEST(random_history_holds_invariants(seed));
 }
 
+BOOST_DATA_TEST_CASE(controller_invariants_hold_in_recorded_histories_with_older_copies,
+                     data::make({std::uint64_t{1822050817054462}, std::uint64_t{16621326122527143},
+                                 std::uint64_t{221059}}),
+                     seed) {
+  BOOST_TEST(random_history_holds_invariants(seed, true));
+}
+
 BOOST_AUTO_TEST_CASE(controller_invariants_hold_when_the_store_returns_from_older_copies) {
   BOOST_TEST(rc::check("one lease holder, epochs given out once, and recovery", [] {
     for (int i = 0; i < histories_per_run; ++i)
--- a/unittests/replicas/replica_planner_test.cpp
+++ b/unittests/replicas/replica_planner_test.cpp
@@ -250,6 +250,28 @@
   BOOST_TEST(world.pool.violations().empty());
 }
 
+/// Guards against a join of an earlier term that arrives late at a member of an open group, which
+/// has accepted no newer order: the open group would lose the member.
+BOOST_AUTO_TEST_CASE(adopted_group_opens_after_all_members_reject_late_orders_of_earlier_terms) {
+  planner_world world;
+  world.run_for(1s);
+  BOOST_REQUIRE(world.serving("large") == 0);
+  std::map<std::string, std::uint64_t> newest_fences;
+  for (const auto& [id, runner] : world.pool.runners()) {
+    if (runner.membership)
+      newest_fences[id] = runner.newest_fence;
+  }
+  BOOST_REQUIRE(!newest_fences.empty());
+  // No weights are staged any more, so that no other orders reach the members.
+  world.pool.traffic = true;
+  world.begin_next_term(false);
+  world.run_for(5s);
+  BOOST_TEST(world.serving("large") > 0);
+  BOOST_TEST(world.serving("small") > 0);
+  for (const auto& [id, fence] : newest_fences)
+    BOOST_TEST(world.pool.runners().at(id).newest_fence > fence, id);
+}
+
 BOOST_AUTO_TEST_CASE(demand_moves_instances_between_models) {
   planner_world world;
   world.run_for(8s);
