--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -23,6 +23,9 @@
   std::unique_ptr<net::http_exchange> open(net::client_request request) override {
     fakes::scripted_answer answer;
     answer.refused = refuses;
+    answer.connect_delay = std::min(connect_delay, request.connect_timeout);
+    if (connect_delay > request.connect_timeout)
+      request.send_if = [] { return false; };
     const auto pause = std::chrono::ceil<std::chrono::milliseconds>(resumes_at - time_.now());
     answer.delay = std::max(pause, 1ms);
     answer.pause = 1ms;
@@ -33,6 +36,8 @@
 
   support::clock::time_point resumes_at;
   bool refuses = false;
+  /// Time until a connection is established; attempts with less time fail to connect.
+  std::chrono::milliseconds connect_delay{0};
 
 private:
   support::clock& time_;
@@ -87,3 +92,17 @@
   BOOST_TEST(!fixture.probe());
   BOOST_TEST((fixture.took <= 20ms));
 }
+
+BOOST_AUTO_TEST_CASE(lost_host_that_accepts_no_connection_is_known_after_two_short_attempts) {
+  probe_fixture fixture;
+  fixture.instance.connect_delay = 1h;
+  BOOST_TEST(!fixture.probe());
+  BOOST_TEST((fixture.took <= 520ms));
+}
+
+BOOST_AUTO_TEST_CASE(probe_of_an_instance_that_never_answers_ends) {
+  probe_fixture fixture;
+  fixture.instance.resumes_at = fixture.clock.now() + 1h;
+  BOOST_TEST(!fixture.probe());
+  BOOST_TEST((fixture.took <= 1s));
+}
