Process tests of banned parts and of limits

Real processes and sockets: a part that crashes its targets is banned at all nodes, also after all of them were killed, until an operator lifts it; three nodes together send no more than a target says it takes.

The processes are ended also when the set-up fails; they kept the ports for all later runs.

--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -157,7 +157,7 @@
             return f"r{os.getpid()}-{self.requests}"
 
     def call(self, path, gateway=0, events=20, model="large", identity=None, limit_ms=8000,
-             address=None):
+             address=None, parts=None):
         """Sends a request. `whole` of the response is False if the connection closed early."""
         connection = http.client.HTTPConnection(
             address or self.gateways[gateway].addresses["http"], timeout=15)
@@ -165,6 +165,8 @@
                    "X-Request-Id": identity or self.next_id()}
         if path.startswith("/chat/"):
             headers.update({"X-Model": model, "X-Token-Counts": f"10,{events}"})
+        if parts:
+            headers["X-Prefix-Hash"] = ",".join(f"{part}:100" for part in parts)
         try:
             connection.request("POST", path, body="x", headers=headers)
             response = connection.getresponse()
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -21,13 +21,11 @@
 def setUpModule():
     global cluster
     cluster = PlatformCluster(PORT, ROOT / "build" / "platform-tests")
+    # Runs if the set-up fails, too: processes that stay would keep the ports.
+    unittest.addModuleCleanup(cluster.close)
     cluster.wait_for_groups()
 
 
-def tearDownModule():
-    cluster.close()
-
-
 class PlatformTest(unittest.TestCase):
     """Restores three ready gateways after each test and checks that no rule was violated."""
 
@@ -342,6 +340,91 @@
         self.assertTrue(any(at - runner.refused_at >= wait_s for at in runner.arrivals))
 
 
+class IncidentTests(PlatformTest):
+    """What took groups of users out of service: see docs/incidents."""
+
+    @staticmethod
+    def restart_runners():
+        for runner in cluster.standins.runners.values():
+            if not runner.alive:
+                cluster.standins.run_coroutine(runner.restart())
+
+    @staticmethod
+    def stored_bans():
+        return [key for (_, key), row in cluster.standins.store.rows.items()
+                if "ban/" in key and not row.get("deleted")]
+
+    def play_until_banned(self, part):
+        """Sends requests until all nodes list the part; targets restart after each crash."""
+        for number in range(12):
+            cluster.call("/read/x", number % 3, parts=["system", "topic", part, "own"])
+            self.restart_runners()
+            wait_until(lambda: cluster.call("/read/x").status == 200, "the targets are back")
+            if all(gateway.state()["banned_parts"] for gateway in cluster.gateways):
+                return
+        self.fail("the part is not banned")
+
+    def check_refused(self, gateway, part):
+        response = cluster.call("/read/x", gateway, parts=["system", "topic", part, "own"])
+        self.assertEqual(response.status, 503)
+        self.assertGreaterEqual(float(response.headers["Retry-After"]), 10)
+
+    def test_part_that_crashes_targets_is_banned_until_it_is_lifted(self):
+        part = "deadly"
+        cluster.standins.deadly_part = part
+        try:
+            self.play_until_banned(part)
+            for number in range(9):
+                self.check_refused(number % 3, part)
+            self.assertTrue(all(runner.alive for runner in cluster.standins.runners.values()))
+            for number in range(3):
+                sound = cluster.call("/read/x", number, parts=["system", "topic", "other", "own"])
+                self.assertEqual(sound.status, 200)
+            wait_until(self.stored_bans, "the ban is stored")
+            for gateway in cluster.gateways:
+                gateway.kill()
+            for gateway in cluster.gateways:
+                gateway.start()
+            cluster.wait_for_groups()
+            for number in range(3):
+                self.check_refused(number, part)
+            self.assertTrue(all(runner.alive for runner in cluster.standins.runners.values()))
+        finally:
+            cluster.standins.deadly_part = None
+        lifted = cluster.ctl("edge", "lift", "shop", part)
+        self.assertEqual(lifted.returncode, 0, lifted.stderr)
+        for number in range(3):
+            wait_until(lambda: cluster.call("/read/x", number, parts=[part, "own"]).status == 200,
+                       "the part is served again")
+        wait_until(lambda: not self.stored_bans(), "the stored ban is deleted")
+
+    def test_nodes_together_send_no_more_than_a_target_takes(self):
+        limit, window_s, told_s = 5, 4, 1
+        runner = next(runner for runner in cluster.standins.runners.values()
+                      if runner.service == "shop")
+        runner.request_limit = limit
+        start = time.monotonic()
+        callers = [threading.Thread(target=self.call_until, args=(start + 8, number % 3))
+                   for number in range(9)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        counted = [at for at in runner.arrivals if at >= start + told_s]
+        worst = max(sum(1 for at in counted if end - window_s < at <= end) for end in counted)
+        # The limit holds for the sum of all nodes in each window.
+        self.assertLessEqual(worst, limit * window_s)
+        # It still takes a part of its limit.
+        self.assertGreaterEqual(len(counted), limit)
+        runner.request_limit = None
+
+    @staticmethod
+    def call_until(end, gateway):
+        while time.monotonic() < end:
+            cluster.call("/read/x", gateway)
+            time.sleep(0.02)
+
+
 class OperatorTests(PlatformTest):
     def change_settings(self, gateway, **changes):
         before = len(gateway.log_lines("settings_reloaded")) + len(
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -192,6 +192,8 @@
         # Seconds in Retry-After of the next refusal.
         self.refuse_for = 0
         self.refused_at = None
+        # Requests a second that it takes from all nodes together, as said in its responses.
+        self.request_limit = None
         # When each request arrived.
         self.arrivals = []
         self.fence = 0
@@ -297,6 +299,9 @@
         if self.domain and self.group["state"] != "open":
             return connection.send(503, headers=refused)
         self.arrivals.append(time.monotonic())
+        if self.standins.deadly_part in self.prompt_parts(request):
+            self.kill()
+            return False
         if self.refuse_for:
             refused["Retry-After"] = str(self.refuse_for)
             self.refuse_for = 0
@@ -307,6 +312,8 @@
                             "X-Response-Seal": "s"}
         if self.leaving:
             response_headers["Server-Leaving"] = "1"
+        if self.request_limit is not None:
+            response_headers["Server-Limit"] = str(self.request_limit)
         if self.domain:
             return await self.stream(request, connection, response_headers)
         await asyncio.sleep(EVENT_S)
@@ -316,6 +323,11 @@
         body = b"y" * self.answer_bytes or request.headers["x-request-id"].encode()
         return connection.send(200, body, response_headers)
 
+    @staticmethod
+    def prompt_parts(request):
+        parts = request.headers.get("x-prefix-hash", "").split(",")
+        return [part.partition(":")[0] for part in parts if part]
+
     async def stream(self, request, connection, response_headers):
         connection.start({**response_headers, "Content-Type": "text/event-stream"})
         first = int(request.headers.get("last-event-id", "0")) + 1
@@ -366,6 +378,8 @@
         self.disconnects = {}
         self.ready_members = set()
         self.violations = []
+        # A runner crashes when it receives a request with this part in its prompt.
+        self.deadly_part = None
         self.versions = 0
         self.run_coroutine(self.open())
 
