Add failing tests of a request that crashes each target

One request (path, caller and body) is repeated at random nodes, one or several at once, for plain requests and streams, crashing early or late, beside sound requests; bounds are those of the rule, three arrivals later than 3 s after the third crash, at 6 and 300 nodes. Nodes that return must know the verdict; ordinary losses beside popular equal requests must ban nothing.

The fleet of deadly_part_test moves to fakes/tainted_fleet so that both tests use it; bodies of its requests now differ, since equal requests are a case of their own.

--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -1,5 +1,4 @@
-#include "fakes/edge_cluster.h"
-#include "fakes/faulty_targets.h"
+#include "fakes/tainted_fleet.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -9,6 +8,7 @@
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
+using fakes::tainted_fleet;
 namespace data = boost::unit_test::data;
 
 namespace {
@@ -17,105 +17,6 @@
 constexpr auto learning_time = 3s;
 constexpr std::size_t crashes_that_count = 5;
 constexpr std::size_t max_sent_later = 3;
-constexpr auto time_until_target_is_back = 3s;
-
-/// A fleet before targets that crash, and its callers.
-struct tainted_fleet : fakes::edge_cluster {
-  tainted_fleet(std::size_t nodes, std::size_t targets) : edge_cluster(nodes), side(clock) {
-    target_client = &side;
-    orders.is_alive = [this](const std::string& id) { return !side.is_down(id); };
-    side.on_crash = [this](const std::string& id) {
-      support::spawn(context.get_executor(), "replace", replace(id));
-    };
-    set_config(1);
-    for (std::size_t i = 0; i < targets; ++i)
-      add_target("t" + std::to_string(i));
-    run_for(3s);
-  }
-
-  /// Ends the requests, which refer to members.
-  ~tainted_fleet() { clock.shut_down(); }
-  tainted_fleet(const tainted_fleet&) = delete;
-  tainted_fleet& operator=(const tainted_fleet&) = delete;
-
-  /// The target comes back as another instance.
-  support::task<> replace(std::string id) {
-    co_await clock.sleep_for(time_until_target_is_back);
-    tables.remove("targets", id);
-    add_target(id + "+");
-  }
-
-  struct caller {
-    fakes::recording_writer writer;
-    support::clock::time_point sent_at;
-    bool deadly = false;
-  };
-
-  void send(std::size_t node, const std::string& parts) {
-    auto added = std::make_unique<caller>();
-    added->sent_at = clock.now();
-    added->deadly = parts.find(deadly) != std::string::npos;
-    net::server_request request;
-    request.method = "POST";
-    request.path = "/stream/x";
-    request.headers.add("Host", "example");
-    request.headers.add("Id", "r" + std::to_string(callers.size()));
-    request.headers.add("Parts", parts);
-    support::spawn(context.get_executor(), "call",
-                   edges[node]->node->handle_caller(std::move(request), added->writer));
-    callers.push_back(std::move(added));
-  }
-
-  /// Sends requests to random nodes for `span`, a share of them with the deadly part.
-  /// All share the first part, and all with the deadly part share a topic with sound ones.
-  void send_requests(std::chrono::milliseconds span, bool deadly_first) {
-    for (auto sent = 0ms; sent < span; sent += interval) {
-      const std::string topic = "topic" + std::to_string(random.below(topics));
-      const bool harms = random.uniform_real() < deadly_share;
-      const std::string common = "system " + topic;
-      const std::string harmful = deadly_first ? deadly + (" " + common) : common + " " + deadly;
-      send(random.below(edges.size()), harms ? harmful : common);
-      run_for(interval);
-    }
-  }
-
-  std::size_t banned(std::size_t node) { return state(node)["banned_parts"].size(); }
-
-  std::size_t deadly_arrivals_after(support::clock::time_point start) const {
-    return std::count_if(side.arrivals.begin(), side.arrivals.end(), [&](const auto& each) {
-      return each.at > start && each.parts.find(deadly) != std::string::npos;
-    });
-  }
-
-  /// Fraction of sound requests sent after `start` that were answered.
-  double served_after(support::clock::time_point start) const {
-    std::size_t sent = 0;
-    std::size_t served = 0;
-    for (const auto& each : callers) {
-      if (each->deadly || each->sent_at < start)
-        continue;
-      ++sent;
-      served += each->writer.status == 200 && each->writer.finished ? 1 : 0;
-    }
-    return static_cast<double>(served) / static_cast<double>(std::max<std::size_t>(sent, 1));
-  }
-
-  void play_until_banned() {
-    side.deadly_part = deadly;
-    for (int i = 0; i < 8 && banned(0) == 0; ++i) {
-      send(i % edges.size(), "system topic1 " + deadly);
-      send(i % edges.size(), "system topic1");
-      run_for(1s);
-    }
-  }
-
-  static constexpr auto interval = 20ms;
-  static constexpr std::size_t topics = 4;
-  static constexpr double deadly_share = 0.06;
-  const std::string deadly = "deadly";
-  fakes::faulty_targets side;
-  std::vector<std::unique_ptr<caller>> callers;
-};
 
 struct fleet_size {
   std::size_t nodes;
@@ -270,36 +171,26 @@
   return out << each.name;
 }
 
-void crash_live_targets(tainted_fleet& fleet, std::size_t count) {
-  std::vector<std::string> live;
-  for (const auto& [id, row] : fleet.tables.tables["targets"]) {
-    if (!row.deleted && !fleet.side.is_down(id))
-      live.push_back(id);
-  }
-  for (std::size_t i = 0; i < std::min(count, live.size()); ++i)
-    fleet.side.crash(live[(i * 7 + fleet.random.below(live.size())) % live.size()]);
-}
-
 const std::vector<loss_case> losses = {
     {"a domain of half of the targets",
      [](tainted_fleet& fleet, int step) {
        if (step == 100)
-         crash_live_targets(fleet, 10);
+         fleet.crash_live_targets(10);
      }},
     {"all targets at once",
      [](tainted_fleet& fleet, int step) {
        if (step == 100)
-         crash_live_targets(fleet, 20);
+         fleet.crash_live_targets(20);
      }},
     {"all targets, again and again",
      [](tainted_fleet& fleet, int step) {
        if (step > 0 && step % 200 == 0)
-         crash_live_targets(fleet, 20);
+         fleet.crash_live_targets(20);
      }},
     {"one target after the other",
      [](tainted_fleet& fleet, int step) {
        if (step % 25 == 0)
-         crash_live_targets(fleet, 1);
+         fleet.crash_live_targets(1);
      }},
     {"connections are reset and targets go on",
      [](tainted_fleet& fleet, int step) {
--- a/unittests/fakes/faulty_targets.cpp
+++ b/unittests/fakes/faulty_targets.cpp
@@ -24,14 +24,16 @@
   exchange(faulty_targets& targets, net::client_request request)
       : targets_(targets), request_(std::move(request)), ended_(targets.time_),
         parts_(request_.headers.find("Parts").value_or("")),
-        is_deadly_(contains_part(parts_, targets.deadly_part)),
+        is_deadly_(contains_part(parts_, targets.deadly_part) ||
+                   targets.deadly_bodies.contains(request_.body)),
         refused_(targets.is_down(request_.address)) {
     if (refused_ || (request_.send_if && !request_.send_if())) {
       refused_ = true;
       return;
     }
     targets_.open_[request_.address].insert(this);
-    targets_.arrivals.push_back({targets_.time_.now(), request_.address, node(), parts_});
+    targets_.arrivals.push_back(
+        {targets_.time_.now(), request_.address, node(), parts_, is_deadly_});
   }
 
   ~exchange() override { targets_.open_[request_.address].erase(this); }
@@ -40,11 +42,8 @@
     if (refused_)
       throw transport_error(request_progress::not_sent, false, "refused");
     co_await pass(time_to_answer);
-    if (is_deadly_) {
-      targets_.deadly_crashes.push_back(targets_.time_.now());
-      targets_.crash(request_.address);
-      throw_reset();
-    }
+    if (is_deadly_ && !targets_.crashes_late)
+      crash();
     net::response_head head;
     head.status = 200;
     head.headers.add("Id", request_.headers.find("Id").value_or(""));
@@ -59,6 +58,8 @@
     if (++read_ > 2)
       co_return std::nullopt;
     co_await pass(std::chrono::milliseconds(10));
+    if (is_deadly_ && read_ > 1)
+      crash();
     co_return "id: " + std::to_string(read_) + "\ndata: x\n\n";
   }
 
@@ -71,6 +72,12 @@
 private:
   std::string node() const { return request_.headers.find("Node").value_or(""); }
 
+  void crash() {
+    targets_.deadly_crashes.push_back(targets_.time_.now());
+    targets_.crash(request_.address);
+    throw_reset();
+  }
+
   static void throw_reset() {
     throw transport_error(request_progress::may_have_been_read, false, "reset");
   }
--- a/unittests/fakes/faulty_targets.h
+++ b/unittests/fakes/faulty_targets.h
@@ -14,7 +14,7 @@
 namespace camphorlug::fakes {
 
 /// Targets that answer each request with a short stream. They crash when they begin to answer a
-/// request with a deadly prompt part, and may name a limit. Addresses equal ids.
+/// request with a deadly prompt part or body, and may name a limit. Addresses equal ids.
 class faulty_targets final : public net::http_client {
 public:
   /// Time from the arrival of a request to the first event of its answer.
@@ -27,6 +27,7 @@
     std::string node;
     /// Separated by spaces.
     std::string parts;
+    bool is_deadly = false;
   };
 
   explicit faulty_targets(support::clock& time) : time_(time) {}
@@ -45,9 +46,12 @@
   std::map<std::string, std::map<std::string, support::clock::time_point>> told;
 
   std::string deadly_part;
+  std::set<std::string> deadly_bodies;
+  /// Targets crash only after the first event of the answer to a deadly request.
+  bool crashes_late = false;
   /// Requests that reached a target, in order of arrival.
   std::vector<arrival> arrivals;
-  /// When targets crashed under requests with the deadly part.
+  /// When targets crashed under deadly requests.
   std::vector<support::clock::time_point> deadly_crashes;
   std::function<void(const std::string& target)> on_crash;
 
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -8,6 +8,8 @@
   gateway::caller_request read;
   read.method = request.method;
   read.path = request.path;
+  read.request_target = request.target;
+  read.body = std::move(request.body);
   read.host = request.headers.find("Host").value_or("");
   read.id = request.headers.find("Id").value_or("");
   read.key = request.headers.find("Key");
@@ -27,6 +29,9 @@
                                        const gateway::send_attempt& details) const {
   net::client_request outgoing;
   outgoing.address = details.address;
+  outgoing.method = request.method;
+  outgoing.target = request.request_target;
+  outgoing.body = request.body;
   outgoing.headers.add("Id", request.id);
   outgoing.headers.add("Organisation", details.organisation);
   outgoing.headers.add("Left", std::to_string(details.time_left.count()));
