--- a/include/camphorlug/edge/crash_evidence_keeper.h
+++ b/include/camphorlug/edge/crash_evidence_keeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "camphorlug/gateway/crash_cause_list.h"
 #include "camphorlug/gateway/fleet_message.h"
-#include "camphorlug/gateway/harmful_part_list.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/net/http_client.h"
 #include "camphorlug/net/response_writer.h"
@@ -34,7 +34,7 @@
     table::table_store& store;
     replicas::instance_prober& prober;
     const gateway::target_registry& registry;
-    gateway::harmful_part_list& parts;
+    gateway::crash_cause_list& causes;
     /// Whether this node writes the bans to the store.
     std::function<bool()> writes_bans;
   };
--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -151,7 +151,7 @@
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::notice_handler notices_;
-  gateway::harmful_part_list harmful_parts_;
+  gateway::crash_cause_list crash_causes_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
   gateway::fleet_exchange exchange_;
--- a/include/camphorlug/gateway/harmful_part_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -18,7 +18,7 @@
 /// Answers the load pattern in which requests that share such a part arrive at any node, with no
 /// two alike, and end one target after the other. What a crash says is shared between nodes, since
 /// a single node sees too few of them. Performs no I/O.
-class harmful_part_list {
+class crash_cause_list {
 public:
   /// A crash is shared with the other nodes only after this time. Until then most of the parts
   /// that did not cause it are cleared by an answer of another target.
@@ -28,7 +28,7 @@
   /// Number of parts whose latest answers are remembered, at the least.
   static constexpr std::size_t remembered_answers = 2048;
 
-  explicit harmful_part_list(support::clock& time) : time_(time) {}
+  explicit crash_cause_list(support::clock& time) : time_(time) {}
 
   /// Records that a target has begun to answer a request with these parts.
   void record_answer(const std::string& service, const std::vector<std::string>& parts);
@@ -51,13 +51,13 @@
                                          const std::vector<std::string>& parts) const;
 
   /// Ends a ban: what is known against the part no longer counts, at any node.
-  void lift(const prompt_part& part);
+  void lift(const crash_cause& part);
 
   const crash_evidence& evidence() const { return evidence_; }
   /// Merges the evidence of another node, or evidence that was stored. Throws
   /// nlohmann::json::exception.
   bool merge_json(const std::string& text);
-  std::string to_json(const prompt_part* only = nullptr) const {
+  std::string to_json(const crash_cause* only = nullptr) const {
     return evidence_.to_json(time_.now(), only);
   }
 
@@ -70,7 +70,7 @@
 
   void add_suspects(crash_record& record, const std::vector<std::string>& parts,
                     support::clock::time_point sent_at) const;
-  std::optional<support::clock::time_point> last_answer(const prompt_part& part) const;
+  std::optional<support::clock::time_point> last_answer(const crash_cause& part) const;
   /// Clears the parts of shared records that targets have answered at this node since.
   void clear_answered();
   void log_changes();
@@ -79,10 +79,10 @@
   std::map<target_start, pending_crash> pending_;
   crash_evidence evidence_;
   /// Two generations of latest answers by part; the older one is dropped when the newer is full.
-  std::map<prompt_part, support::clock::time_point> answers_;
-  std::map<prompt_part, support::clock::time_point> older_answers_;
+  std::map<crash_cause, support::clock::time_point> answers_;
+  std::map<crash_cause, support::clock::time_point> older_answers_;
   /// The bans that were logged.
-  std::map<prompt_part, std::size_t> logged_;
+  std::map<crash_cause, std::size_t> logged_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -30,13 +30,13 @@
   bool merge(const target_start& start, const crash_record& record);
 
   /// Clears the part in the records of crashes before `answered_at`.
-  void clear(const prompt_part& part, support::clock::time_point answered_at);
+  void clear(const crash_cause& part, support::clock::time_point answered_at);
 
   const std::map<target_start, crash_record>& records() const { return records_; }
 
   /// The parts that cause crashes, with the number of crashes that each of them explains. A crash
   /// counts for one part only: the one that explains the most.
-  const std::map<prompt_part, std::size_t>& harmful_parts() const { return harmful_; }
+  const std::map<crash_cause, std::size_t>& proven_causes() const { return proven_; }
 
   /// Differs between two different states of the evidence; 0 if there is none.
   std::uint64_t digest() const { return digest_; }
@@ -44,7 +44,7 @@
   /// The records as of `now`, with ages in microseconds in place of times: a retry can crash a
   /// second target within a millisecond, and the order of crashes decides. With `only`, just the
   /// records that accuse this part, without other suspects.
-  std::string to_json(support::clock::time_point now, const prompt_part* only = nullptr) const;
+  std::string to_json(support::clock::time_point now, const crash_cause* only = nullptr) const;
   /// Merges records in that form. Returns whether the evidence has changed. Throws
   /// nlohmann::json::exception if `text` is not valid.
   bool merge_json(const std::string& text, support::clock::time_point now);
@@ -55,7 +55,7 @@
   void update();
 
   std::map<target_start, crash_record> records_;
-  std::map<prompt_part, std::size_t> harmful_;
+  std::map<crash_cause, std::size_t> proven_;
   std::uint64_t digest_ = 0;
 };
 
--- a/include/camphorlug/gateway/crash_record.h
+++ b/include/camphorlug/gateway/crash_record.h
@@ -21,11 +21,11 @@
 };
 
 /// A part of a prompt, as named by callers, in the requests for one service.
-struct prompt_part {
+struct crash_cause {
   std::string service;
   std::string id;
 
-  auto operator<=>(const prompt_part&) const = default;
+  auto operator<=>(const crash_cause&) const = default;
 };
 
 /// A prompt part of requests that a target had received, but not begun to answer, when it crashed.
@@ -48,7 +48,7 @@
   std::map<std::string, crash_suspect> suspects;
 
   /// Whether the part is a suspect that has not been cleared.
-  bool accuses(const prompt_part& part) const;
+  bool accuses(const crash_cause& part) const;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -2,9 +2,9 @@
 
 #include "camphorlug/gateway/active_config.h"
 #include "camphorlug/gateway/caller_protocol.h"
+#include "camphorlug/gateway/crash_cause_list.h"
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/gateway_metrics.h"
-#include "camphorlug/gateway/harmful_part_list.h"
 #include "camphorlug/gateway/notice_handler.h"
 #include "camphorlug/gateway/retry_limiter.h"
 #include "camphorlug/gateway/slot_queue.h"
@@ -28,7 +28,7 @@
   slot_queue& queue;
   suspicion_list& suspicions;
   notice_handler& notices;
-  harmful_part_list& harmful_parts;
+  crash_cause_list& crash_causes;
   retry_limiter& retries;
   stall_detector& stalls;
   demand_meter& demand;
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -67,7 +67,7 @@
   bool give_up(std::string_view reason);
   /// The first part of the prompt that crashes targets, if it has one.
   std::optional<std::string> banned_part() const {
-    return env_.harmful_parts.find_banned(service_, shared_->request.prompt_parts);
+    return env_.crash_causes.find_banned(service_, shared_->request.prompt_parts);
   }
   void reject_banned_request();
   void send_refusal(std::string reason, std::chrono::nanoseconds expected_wait);
--- a/lib/edge/crash_evidence_keeper.cpp
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -15,7 +15,7 @@
 static constexpr std::chrono::milliseconds store_interval{500};
 static constexpr std::chrono::milliseconds fetch_timeout{500};
 
-static std::string ban_key(const gateway::prompt_part& part) {
+static std::string ban_key(const gateway::crash_cause& part) {
   return ban_prefix + part.service + "/" + part.id;
 }
 
@@ -23,9 +23,9 @@
     : context_(std::move(dependencies)), started_at_(context_.time.now()) {}
 
 void crash_evidence_keeper::update() {
-  for (const gateway::target_start& start : context_.parts.take_unconfirmed())
+  for (const gateway::target_start& start : context_.causes.take_unconfirmed())
     support::spawn(context_.executor, "confirm " + start.target, confirm(start));
-  context_.parts.update();
+  context_.causes.update();
 }
 
 /// A target that is gone from the registry, started anew or answers no probe has crashed.
@@ -34,13 +34,13 @@
   const gateway::target_entry* entry = context_.registry.find(start.target);
   if (entry && entry->started_at_ms == start.started_at_ms)
     is_alive = co_await context_.prober.probe(*entry);
-  context_.parts.confirm(start, !is_alive);
+  context_.causes.confirm(start, !is_alive);
 }
 
 void crash_evidence_keeper::apply_peer_message(const gateway::fleet_message& message) {
   const std::uint64_t digest = message.crash_digest;
   const std::string& peer = message.sender.peer_address;
-  if (digest == 0 || digest == context_.parts.evidence().digest()) {
+  if (digest == 0 || digest == context_.causes.evidence().digest()) {
     knows_bans_ = knows_bans_ || message.sender.ready;
     return;
   }
@@ -60,7 +60,7 @@
   try {
     const net::client_response response =
         co_await context_.client.fetch(std::move(request), fetch_timeout);
-    context_.parts.merge_json(response.body);
+    context_.causes.merge_json(response.body);
     fetched_[peer] = digest;
     knows_bans_ = knows_bans_ || serves;
   } catch (const net::transport_error& error) {
@@ -84,7 +84,7 @@
     }
     stored_.insert(row.key);
     try {
-      context_.parts.merge_json(row.value);
+      context_.causes.merge_json(row.value);
     } catch (const nlohmann::json::exception& error) {
       support::log_event(support::log_level::warning, "ban_row_unreadable",
                          {{"key", row.key}, {"error", error.what()}});
@@ -121,12 +121,12 @@
     if (context_.writes_bans()) {
       for (const std::string& key : stored_)
         changes[key] = std::nullopt;
-      for (const auto& [part, crashes] : context_.parts.evidence().harmful_parts()) {
+      for (const auto& [part, crashes] : context_.causes.evidence().proven_causes()) {
         const std::string key = ban_key(part);
         if (stored_.contains(key))
           changes.erase(key);
         else
-          changes[key] = context_.parts.to_json(&part);
+          changes[key] = context_.causes.to_json(&part);
       }
     }
     for (auto& [key, value] : changes)
@@ -141,12 +141,12 @@
     net::send_problem(writer, {400, "bad-lift", "POST with the parameters service and part"});
     return;
   }
-  const gateway::prompt_part part{*service, *id};
-  if (!context_.parts.evidence().harmful_parts().contains(part)) {
+  const gateway::crash_cause part{*service, *id};
+  if (!context_.causes.evidence().proven_causes().contains(part)) {
     net::send_problem(writer, {404, "not-banned", "see banned_parts in the state report"});
     return;
   }
-  context_.parts.lift(part);
+  context_.causes.lift(part);
   lifted_.insert(ban_key(part));
   support::log_event(support::log_level::info, "prompt_part_ban_lifted",
                      {{"service", part.service}, {"part", part.id}});
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -59,9 +59,9 @@
       slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time),
-      notices_(registry_, pauses_, limits_, metrics_), harmful_parts_(context_.time),
+      notices_(registry_, pauses_, limits_, metrics_), crash_causes_(context_.time),
       requests_({context_.time, context_.random, context_.client, context_.protocol, config_,
-                 registry_, slot_queue_, suspicions_, notices_, harmful_parts_, retries_, stalls_,
+                 registry_, slot_queue_, suspicions_, notices_, crash_causes_, retries_, stalls_,
                  demand_, metrics_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
@@ -76,7 +76,7 @@
            [this] { return total_demand(); }, [this] { return all_stalled_heads(); },
            [this] { return target_follower_.read_now(); }}),
       crash_keeper_({context_.executor, context_.time, context_.client, context_.store,
-                     context_.prober, registry_, harmful_parts_,
+                     context_.prober, registry_, crash_causes_,
                      [this] { return replica_controller_.leads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread_interval,
@@ -409,7 +409,7 @@
   report.config_version = config_version();
   report.entries_version = target_rows_.newest_row_version();
   report.store_era = store_era_;
-  report.crash_digest = harmful_parts_.evidence().digest();
+  report.crash_digest = crash_causes_.evidence().digest();
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -485,7 +485,7 @@
     co_return;
   }
   if (request.path == gateway::crashes_path) {
-    net::send_json(writer, 200, harmful_parts_.to_json());
+    net::send_json(writer, 200, crash_causes_.to_json());
     co_return;
   }
   if (request.path == lift_path) {
@@ -503,7 +503,7 @@
                                    groups_,
                                    loads_,
                                    suspicions_,
-                                   harmful_parts_.evidence(),
+                                   crash_causes_.evidence(),
                                    retries_,
                                    lease_,
                                    store_era_,
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -115,7 +115,7 @@
 /// The bans with the crashes that speak for each, oldest first.
 static ordered_json banned_parts_to_json(const state_report_input& state) {
   ordered_json bans = ordered_json::array();
-  for (const auto& [part, crashes] : state.crashes.harmful_parts()) {
+  for (const auto& [part, crashes] : state.crashes.proven_causes()) {
     ordered_json targets = ordered_json::array();
     for (const auto& [start, record] : state.crashes.records()) {
       if (record.accuses(part))
--- a/lib/gateway/harmful_part_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -1,4 +1,4 @@
-#include "camphorlug/gateway/harmful_part_list.h"
+#include "camphorlug/gateway/crash_cause_list.h"
 
 #include "camphorlug/support/log.h"
 
@@ -7,8 +7,8 @@
 
 namespace camphorlug::gateway {
 
-void harmful_part_list::record_answer(const std::string& service,
-                                      const std::vector<std::string>& parts) {
+void crash_cause_list::record_answer(const std::string& service,
+                                     const std::vector<std::string>& parts) {
   const auto now = time_.now();
   if (answers_.size() >= remembered_answers)
     older_answers_ = std::exchange(answers_, {});
@@ -19,7 +19,7 @@
 }
 
 std::optional<support::clock::time_point>
-harmful_part_list::last_answer(const prompt_part& part) const {
+crash_cause_list::last_answer(const crash_cause& part) const {
   for (const auto* generation : {&answers_, &older_answers_}) {
     if (const auto found = generation->find(part); found != generation->end())
       return found->second;
@@ -27,8 +27,8 @@
   return std::nullopt;
 }
 
-void harmful_part_list::add_suspects(crash_record& record, const std::vector<std::string>& parts,
-                                     support::clock::time_point sent_at) const {
+void crash_cause_list::add_suspects(crash_record& record, const std::vector<std::string>& parts,
+                                    support::clock::time_point sent_at) const {
   const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(time_.now() - sent_at);
   for (std::size_t i = 0; i < parts.size(); ++i) {
     const auto [suspect, is_new] =
@@ -38,9 +38,9 @@
   }
 }
 
-void harmful_part_list::record_loss(const std::string& service,
-                                    const std::vector<std::string>& parts,
-                                    const target_start& start, support::clock::time_point sent_at) {
+void crash_cause_list::record_loss(const std::string& service,
+                                   const std::vector<std::string>& parts, const target_start& start,
+                                   support::clock::time_point sent_at) {
   if (parts.empty())
     return;
   const auto [pending, is_new] =
@@ -48,7 +48,7 @@
   add_suspects(pending->second.record, parts, sent_at);
 }
 
-std::vector<target_start> harmful_part_list::take_unconfirmed() {
+std::vector<target_start> crash_cause_list::take_unconfirmed() {
   std::vector<target_start> starts;
   for (auto& [start, pending] : pending_) {
     if (!std::exchange(pending.asked, true))
@@ -57,7 +57,7 @@
   return starts;
 }
 
-void harmful_part_list::confirm(const target_start& start, bool crashed) {
+void crash_cause_list::confirm(const target_start& start, bool crashed) {
   const auto pending = pending_.find(start);
   if (pending == pending_.end())
     return;
@@ -67,7 +67,7 @@
     pending_.erase(pending);
 }
 
-void harmful_part_list::update() {
+void crash_cause_list::update() {
   for (auto each = pending_.begin(); each != pending_.end();) {
     auto& [start, pending] = *each;
     const auto age = time_.now() - pending.record.crashed_at;
@@ -92,19 +92,19 @@
   }
 }
 
-void harmful_part_list::clear_answered() {
-  std::map<prompt_part, support::clock::time_point> answered;
+void crash_cause_list::clear_answered() {
+  std::map<crash_cause, support::clock::time_point> answered;
   for (const auto& [start, record] : evidence_.records()) {
     for (const auto& [part, suspect] : record.suspects) {
       if (const auto answered_at = last_answer({record.service, part}))
-        answered.emplace(prompt_part{record.service, part}, *answered_at);
+        answered.emplace(crash_cause{record.service, part}, *answered_at);
     }
   }
   for (const auto& [part, answered_at] : answered)
     evidence_.clear(part, answered_at);
 }
 
-bool harmful_part_list::merge_json(const std::string& text) {
+bool crash_cause_list::merge_json(const std::string& text) {
   const bool changed = evidence_.merge_json(text, time_.now());
   if (changed) {
     clear_answered();
@@ -113,7 +113,7 @@
   return changed;
 }
 
-void harmful_part_list::lift(const prompt_part& part) {
+void crash_cause_list::lift(const crash_cause& part) {
   for (auto& [start, pending] : pending_) {
     if (pending.record.service == part.service)
       pending.record.suspects.erase(part.id);
@@ -123,9 +123,9 @@
 }
 
 std::optional<std::string>
-harmful_part_list::find_banned(const std::string& service,
-                               const std::vector<std::string>& parts) const {
-  const auto& harmful = evidence_.harmful_parts();
+crash_cause_list::find_banned(const std::string& service,
+                              const std::vector<std::string>& parts) const {
+  const auto& harmful = evidence_.proven_causes();
   if (harmful.empty())
     return std::nullopt;
   const auto banned = std::find_if(parts.begin(), parts.end(), [&](const std::string& part) {
@@ -134,8 +134,8 @@
   return banned == parts.end() ? std::nullopt : std::optional(*banned);
 }
 
-void harmful_part_list::log_changes() {
-  const auto& harmful = evidence_.harmful_parts();
+void crash_cause_list::log_changes() {
+  const auto& harmful = evidence_.proven_causes();
   const auto log_each = [](const auto& from, const auto& absent_in, std::string_view event) {
     for (const auto& [part, crashes] : from) {
       if (!absent_in.contains(part))
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -46,7 +46,7 @@
   return changed;
 }
 
-void crash_evidence::clear(const prompt_part& part, support::clock::time_point answered_at) {
+void crash_evidence::clear(const crash_cause& part, support::clock::time_point answered_at) {
   bool changed = false;
   for (auto& [start, record] : records_) {
     if (record.service != part.service || record.crashed_at >= answered_at)
@@ -85,9 +85,9 @@
 } // namespace
 
 /// Returns the part with the most crashes, if they prove that it is the cause.
-static std::optional<std::pair<prompt_part, std::size_t>>
+static std::optional<std::pair<crash_cause, std::size_t>>
 find_strongest(const std::vector<const crash_record*>& by_time) {
-  std::map<prompt_part, accusation> accusations;
+  std::map<crash_cause, accusation> accusations;
   for (const crash_record* record : by_time) {
     for (const auto& [part, suspect] : record->suspects) {
       if (!suspect.cleared)
@@ -104,8 +104,8 @@
   return std::pair(strongest->first, strongest->second.crashes);
 }
 
-static std::map<prompt_part, std::size_t>
-find_harmful_parts(const std::map<target_start, crash_record>& records) {
+static std::map<crash_cause, std::size_t>
+find_proven_causes(const std::map<target_start, crash_record>& records) {
   std::vector<const crash_record*> unexplained;
   for (const auto& [start, record] : records)
     unexplained.push_back(&record);
@@ -113,7 +113,7 @@
             [](const crash_record* left, const crash_record* right) {
               return left->crashed_at < right->crashed_at;
             });
-  std::map<prompt_part, std::size_t> harmful;
+  std::map<crash_cause, std::size_t> harmful;
   while (const auto found = find_strongest(unexplained)) {
     harmful.insert(*found);
     std::erase_if(unexplained,
@@ -126,9 +126,9 @@
 void crash_evidence::evict_if_full() {
   while (records_.size() > max_records) {
     const auto rank = [&](const record_entry& entry) {
-      const bool supports_ban =
-          std::any_of(harmful_.begin(), harmful_.end(),
-                      [&](const auto& each) { return entry.second.accuses(each.first); });
+      const bool supports_ban = std::any_of(proven_.begin(), proven_.end(), [&](const auto& each) {
+        return entry.second.accuses(each.first);
+      });
       return std::pair(supports_ban, entry.second.crashed_at);
     };
     records_.erase(std::min_element(
@@ -146,14 +146,14 @@
 }
 
 void crash_evidence::update() {
-  harmful_ = find_harmful_parts(records_);
+  proven_ = find_proven_causes(records_);
   evict_if_full();
   digest_ = 0;
   for (const auto& [start, record] : records_)
     digest_ += digest_of(start, record);
 }
 
-std::string crash_evidence::to_json(support::clock::time_point now, const prompt_part* only) const {
+std::string crash_evidence::to_json(support::clock::time_point now, const crash_cause* only) const {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [start, record] : records_) {
     if (only && !record.accuses(*only))
--- a/lib/gateway/crash_record.cpp
+++ b/lib/gateway/crash_record.cpp
@@ -2,7 +2,7 @@
 
 namespace camphorlug::gateway {
 
-bool crash_record::accuses(const prompt_part& part) const {
+bool crash_record::accuses(const crash_cause& part) const {
   if (service != part.service)
     return false;
   const auto suspect = suspects.find(part.id);
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -188,13 +188,13 @@
 /// Records that the connection ended before the target had begun to answer.
 void target_attempt::record_loss() {
   if (!has_answered_)
-    env_.harmful_parts.record_loss(shared_->service, shared_->request.prompt_parts,
-                                   {target_.id, target_.started_at_ms}, started_at_);
+    env_.crash_causes.record_loss(shared_->service, shared_->request.prompt_parts,
+                                  {target_.id, target_.started_at_ms}, started_at_);
 }
 
 void target_attempt::record_answer() {
   if (!std::exchange(has_answered_, true))
-    env_.harmful_parts.record_answer(shared_->service, shared_->request.prompt_parts);
+    env_.crash_causes.record_answer(shared_->service, shared_->request.prompt_parts);
 }
 
 void target_attempt::count_transport_failure(const net::transport_error& error) {
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -53,7 +53,7 @@
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
   gateway::notice_handler notices{registry, pauses, limits, metrics};
-  gateway::harmful_part_list harmful_parts{clock};
+  gateway::crash_cause_list crash_causes{clock};
   gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
--- a/unittests/gateway/crash_evidence_test.cpp
+++ b/unittests/gateway/crash_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "camphorlug/gateway/harmful_part_list.h"
+#include "camphorlug/gateway/crash_cause_list.h"
 #include "camphorlug/support/virtual_clock.h"
 
 #include <asio/io_context.hpp>
@@ -36,7 +36,7 @@
 
 std::vector<std::string> ids(const crash_evidence& evidence) {
   std::vector<std::string> found;
-  for (const auto& [part, crashes] : evidence.harmful_parts())
+  for (const auto& [part, crashes] : evidence.proven_causes())
     found.push_back(part.id);
   return found;
 }
@@ -116,7 +116,7 @@
   for (std::size_t i = 0; i < 3; ++i)
     add(evidence, i, {1s + i * 700us, {"a"}, 300us});
   BOOST_REQUIRE(ids(evidence).size() == 1);
-  const prompt_part banned{service, "a"};
+  const crash_cause banned{service, "a"};
   const auto written_at = at(2s + std::chrono::microseconds(phase_us));
   crash_evidence read;
   read.merge_json(evidence.to_json(written_at, &banned), at(60s));
@@ -159,7 +159,7 @@
 BOOST_AUTO_TEST_CASE(broken_connection_to_a_live_target_is_no_crash) {
   asio::io_context context;
   support::virtual_clock clock(context);
-  harmful_part_list parts(clock);
+  crash_cause_list parts(clock);
   for (int i = 0; i < 5; ++i) {
     parts.record_loss(service, {"a"}, {"t1", i}, clock.now());
     clock.run_for(300ms);
