Ban requests that crash each target that runs them

What callers saw: one request (path, caller, body) was repeated at any node and crashed each target that began to run it; a service of three plain targets was gone for most of 50 s and sound callers got 502 and 503.

Cause: what a crash is held against was the parts of the prompt but the last, so a request without parts left no evidence, and a target that had begun to answer before it ended none either.

Change: each request has an identity, a cryptographic digest of organisation, method, target and body, that is a suspect beside the prompt parts, in the same records, relay and store rows. It stays a suspect until the answer is complete, and only a complete answer to an equal request clears it. It counts for all services, since the configuration decides where a request goes. Of causes that explain the same crashes the request goes first; a part has to explain two crashes more, so that one crash never bans both and a further target that fails by itself accuses no shared part. A crash that supports published evidence is published at once.

--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -12,30 +12,35 @@
 
 namespace camphorlug::gateway {
 
-/// Finds the prompt parts that crash each target that begins to answer a request with them, and
-/// bans them: their requests are rejected without reaching a target.
+/// Finds the prompt parts that crash each target that begins to answer a request with them, and the
+/// requests that crash each target that runs them, and bans both: such requests are rejected
+/// without reaching a target.
 ///
-/// Answers the load pattern in which requests that share such a part arrive at any node, with no
-/// two alike, and end one target after the other. What a crash says is shared between nodes, since
-/// a single node sees too few of them. Performs no I/O.
+/// Answers two load patterns: requests that share such a part arrive at any node, with no two
+/// alike; and one request is repeated at any node. Either ends one target after the other. What a
+/// crash says is shared between nodes, since a single node sees too few of them. Performs no I/O.
+///
+/// Suspects are named by their ids, see `crash_suspects_of`.
 class crash_cause_list {
 public:
-  /// A crash is shared with the other nodes only after this time. Until then most of the parts
-  /// that did not cause it are cleared by an answer of another target.
+  /// A crash is shared with the other nodes only after this time, unless it supports what earlier
+  /// crashes say. Until then most of the suspects that did not cause it are cleared by an answer of
+  /// another target.
   static constexpr std::chrono::milliseconds publication_delay{500};
   /// A loss that was not confirmed as a crash within this time is dropped.
   static constexpr std::chrono::milliseconds confirmation_timeout{5000};
-  /// Number of parts whose latest answers are remembered, at the least.
+  /// Number of suspects whose latest answers are remembered, at the least.
   static constexpr std::size_t remembered_answers = 2048;
 
   explicit crash_cause_list(support::clock& time) : time_(time) {}
 
-  /// Records that a target has begun to answer a request with these parts.
-  void record_answer(const std::string& service, const std::vector<std::string>& parts);
+  /// Records that a target has answered and not crashed: has begun to, for parts of a prompt, or
+  /// has completed its answer, for a whole request.
+  void record_answer(const std::string& service, const std::vector<std::string>& suspects);
 
-  /// Records that a connection broke before the target had begun to answer. The target may have
-  /// crashed; see `take_unconfirmed`.
-  void record_loss(const std::string& service, const std::vector<std::string>& parts,
+  /// Records that a connection broke before the target had answered. The target may have crashed;
+  /// see `take_unconfirmed`.
+  void record_loss(const std::string& service, const std::vector<std::string>& suspects,
                    const target_start& start, support::clock::time_point sent_at);
 
   /// Returns the targets that may have crashed and for which this was not asked before. The caller
@@ -46,12 +51,12 @@
   /// Publishes confirmed crashes. Call it several times a second.
   void update();
 
-  /// Returns the first of the parts that is banned.
+  /// Returns the first of the suspects that is banned.
   std::optional<std::string> find_banned(const std::string& service,
-                                         const std::vector<std::string>& parts) const;
+                                         const std::vector<std::string>& suspects) const;
 
-  /// Ends a ban: what is known against the part no longer counts, at any node.
-  void lift(const crash_cause& part);
+  /// Ends a ban: what is known against the cause no longer counts, at any node.
+  void lift(const crash_cause& cause);
 
   const crash_evidence& evidence() const { return evidence_; }
   /// Merges the evidence of another node, or evidence that was stored. Throws
@@ -68,17 +73,19 @@
     bool confirmed = false;
   };
 
-  void add_suspects(crash_record& record, const std::vector<std::string>& parts,
+  void add_suspects(crash_record& record, const std::vector<std::string>& suspects,
                     support::clock::time_point sent_at) const;
-  std::optional<support::clock::time_point> last_answer(const crash_cause& part) const;
-  /// Clears the parts of shared records that targets have answered at this node since.
+  std::optional<support::clock::time_point> last_answer(const crash_cause& cause) const;
+  /// Whether published crashes accuse one of the record's suspects.
+  bool supports_evidence(const crash_record& record) const;
+  /// Clears the suspects of shared records that targets have answered at this node since.
   void clear_answered();
   void log_changes();
 
   support::clock& time_;
   std::map<target_start, pending_crash> pending_;
   crash_evidence evidence_;
-  /// Two generations of latest answers by part; the older one is dropped when the newer is full.
+  /// Two generations of latest answers by suspect; the older one is dropped when the newer is full.
   std::map<crash_cause, support::clock::time_point> answers_;
   std::map<crash_cause, support::clock::time_point> older_answers_;
   /// The bans that were logged.
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -10,8 +10,8 @@
 
 namespace camphorlug::gateway {
 
-/// The crashes of targets that all nodes together have seen, and the prompt parts that may have
-/// caused them.
+/// The crashes of targets that all nodes together have seen, and the prompt parts and whole
+/// requests that may have caused them.
 ///
 /// Nodes merge each other's evidence in any order and any number of times with the same result:
 /// records and suspects are only added, and a cleared suspect stays cleared. Its size is bounded,
@@ -19,23 +19,23 @@
 class crash_evidence {
 public:
   static constexpr std::size_t max_records = 64;
-  static constexpr std::size_t max_suspects_per_record = 64;
-  /// Crashes under requests with a part, each under a request that was sent after the crash before,
-  /// that show that the part causes them. Targets that fail together count as one, and a target
-  /// that fails by itself seldom does so three times in a row under one part that no other target
-  /// answers in between.
+  static constexpr std::size_t max_suspects_per_record = 128;
+  /// Crashes under requests with a suspect, each under a request that was sent after the crash
+  /// before, that show that the suspect causes them. Targets that fail together count as one, and a
+  /// target that fails by itself seldom does so three times in a row under one suspect that no
+  /// other target answers in between.
   static constexpr std::size_t crashes_that_prove_cause = 3;
 
   /// Merges a record. Returns whether the evidence has changed.
   bool merge(const target_start& start, const crash_record& record);
 
-  /// Clears the part in the records of crashes before `answered_at`.
-  void clear(const crash_cause& part, support::clock::time_point answered_at);
+  /// Clears the suspect in the records of crashes before `answered_at`.
+  void clear(const crash_cause& cause, support::clock::time_point answered_at);
 
   const std::map<target_start, crash_record>& records() const { return records_; }
 
-  /// The parts that cause crashes, with the number of crashes that each of them explains. A crash
-  /// counts for one part only: the one that explains the most.
+  /// The parts and requests that cause crashes, with the number of crashes that each of them
+  /// explains. A crash counts for one cause only: the one that explains the most.
   const std::map<crash_cause, std::size_t>& proven_causes() const { return proven_; }
 
   /// Differs between two different states of the evidence; 0 if there is none.
@@ -43,7 +43,7 @@
 
   /// The records as of `now`, with ages in microseconds in place of times: a retry can crash a
   /// second target within a millisecond, and the order of crashes decides. With `only`, just the
-  /// records that accuse this part, without other suspects.
+  /// records that accuse this cause, without other suspects.
   std::string to_json(support::clock::time_point now, const crash_cause* only = nullptr) const;
   /// Merges records in that form. Returns whether the evidence has changed. Throws
   /// nlohmann::json::exception if `text` is not valid.
--- a/include/camphorlug/gateway/crash_record.h
+++ b/include/camphorlug/gateway/crash_record.h
@@ -20,21 +20,29 @@
   auto operator<=>(const target_start&) const = default;
 };
 
-/// A part of a prompt, as named by callers, in the requests for one service.
+/// What requests that crash targets may have in common: a part of their prompt, in the requests for
+/// one service, or all that the caller sent.
 struct crash_cause {
+  /// Empty for a whole request: which service it is sent to depends on the configuration.
   std::string service;
+  /// Id of the part as named by callers, or of the whole request.
   std::string id;
 
   auto operator<=>(const crash_cause&) const = default;
 };
 
-/// A prompt part of requests that a target had received, but not begun to answer, when it crashed.
+/// Returns the cause that a suspect's id names in the requests for `service`.
+crash_cause make_cause(const std::string& service, const std::string& id);
+
+/// A prompt part of requests that a target had received, but not begun to answer, when it crashed,
+/// or a whole request that it had not answered completely.
 struct crash_suspect {
-  /// Index in the prompt. Fewer requests share the later parts.
+  /// Index in the prompt, or the number of its parts for a whole request. Fewer requests share the
+  /// later parts.
   std::size_t position = 0;
   /// Time from the sending of the latest of these requests to the crash.
   std::chrono::microseconds waited{0};
-  /// A target has answered a request with this part since, so that the part is not the cause.
+  /// A target has answered such a request since, so that the suspect is not the cause.
   bool cleared = false;
 
   bool operator==(const crash_suspect&) const = default;
@@ -44,11 +52,12 @@
 struct crash_record {
   std::string service;
   support::clock::time_point crashed_at;
-  /// By id of the part.
+  /// By id of the cause.
   std::map<std::string, crash_suspect> suspects;
 
-  /// Whether the part is a suspect that has not been cleared.
-  bool accuses(const crash_cause& part) const;
+  crash_cause cause(const std::string& id) const { return make_cause(service, id); }
+  /// Whether the cause is a suspect that has not been cleared.
+  bool accuses(const crash_cause& accused) const;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -65,9 +65,9 @@
   bool has_attempts_left() const;
   /// Records why no further target is tried. Returns false.
   bool give_up(std::string_view reason);
-  /// The first part of the prompt that crashes targets, if it has one.
-  std::optional<std::string> banned_part() const {
-    return env_.crash_causes.find_banned(service_, shared_->request.prompt_parts);
+  /// The id of the part of the prompt that crashes targets, or of the request if it does so itself.
+  std::optional<std::string> banned_cause() const {
+    return env_.crash_causes.find_banned(service_, shared_->crash_suspects);
   }
   void reject_banned_request();
   void send_refusal(std::string reason, std::chrono::nanoseconds expected_wait);
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorlug::gateway {
 
@@ -20,6 +21,8 @@
   std::string service;
   /// Empty when requests need no API key.
   std::string organisation;
+  /// See `crash_suspects_of`.
+  std::vector<std::string> crash_suspects;
   /// Time of the final response at the latest.
   support::clock::time_point deadline;
 };
@@ -110,6 +113,7 @@
   bool may_send();
   void record_progress();
   void record_answer();
+  void record_completion();
   void record_loss();
   support::task<bool> wait_until_queue_is_drained();
   bool is_stream() const;
--- a/lib/edge/crash_evidence_keeper.cpp
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -15,8 +15,8 @@
 static constexpr std::chrono::milliseconds store_interval{500};
 static constexpr std::chrono::milliseconds fetch_timeout{500};
 
-static std::string ban_key(const gateway::crash_cause& part) {
-  return ban_prefix + part.service + "/" + part.id;
+static std::string ban_key(const gateway::crash_cause& cause) {
+  return ban_prefix + cause.service + "/" + cause.id;
 }
 
 crash_evidence_keeper::crash_evidence_keeper(context dependencies)
--- a/lib/gateway/crash_cause_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -8,44 +8,43 @@
 namespace camphorlug::gateway {
 
 void crash_cause_list::record_answer(const std::string& service,
-                                     const std::vector<std::string>& parts) {
+                                     const std::vector<std::string>& suspects) {
   const auto now = time_.now();
   if (answers_.size() >= remembered_answers)
     older_answers_ = std::exchange(answers_, {});
-  for (const std::string& part : parts) {
-    answers_[{service, part}] = now;
-    evidence_.clear({service, part}, now);
+  for (const std::string& id : suspects) {
+    const crash_cause cause = make_cause(service, id);
+    answers_[cause] = now;
+    evidence_.clear(cause, now);
   }
 }
 
 std::optional<support::clock::time_point>
-crash_cause_list::last_answer(const crash_cause& part) const {
+crash_cause_list::last_answer(const crash_cause& cause) const {
   for (const auto* generation : {&answers_, &older_answers_}) {
-    if (const auto found = generation->find(part); found != generation->end())
+    if (const auto found = generation->find(cause); found != generation->end())
       return found->second;
   }
   return std::nullopt;
 }
 
-void crash_cause_list::add_suspects(crash_record& record, const std::vector<std::string>& parts,
+void crash_cause_list::add_suspects(crash_record& record, const std::vector<std::string>& suspects,
                                     support::clock::time_point sent_at) const {
   const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(time_.now() - sent_at);
-  for (std::size_t i = 0; i < parts.size(); ++i) {
+  for (std::size_t i = 0; i < suspects.size(); ++i) {
     const auto [suspect, is_new] =
-        record.suspects.try_emplace(parts[i], crash_suspect{i, waited, false});
+        record.suspects.try_emplace(suspects[i], crash_suspect{i, waited, false});
     if (!is_new)
       suspect->second.waited = std::min(suspect->second.waited, waited);
   }
 }
 
 void crash_cause_list::record_loss(const std::string& service,
-                                   const std::vector<std::string>& parts, const target_start& start,
-                                   support::clock::time_point sent_at) {
-  if (parts.empty())
-    return;
+                                   const std::vector<std::string>& suspects,
+                                   const target_start& start, support::clock::time_point sent_at) {
   const auto [pending, is_new] =
       pending_.try_emplace(start, pending_crash{{service, time_.now(), {}}});
-  add_suspects(pending->second.record, parts, sent_at);
+  add_suspects(pending->second.record, suspects, sent_at);
 }
 
 std::vector<target_start> crash_cause_list::take_unconfirmed() {
@@ -70,15 +69,17 @@
 void crash_cause_list::update() {
   for (auto each = pending_.begin(); each != pending_.end();) {
     auto& [start, pending] = *each;
+    std::erase_if(pending.record.suspects, [&, &record = pending.record](const auto& suspect) {
+      const auto answered_at = last_answer(record.cause(suspect.first));
+      return answered_at && *answered_at > record.crashed_at;
+    });
     const auto age = time_.now() - pending.record.crashed_at;
-    if (age < (pending.confirmed ? publication_delay : confirmation_timeout)) {
+    const bool publishes_now =
+        age >= publication_delay || (pending.confirmed && supports_evidence(pending.record));
+    if (!(pending.confirmed ? publishes_now : age >= confirmation_timeout)) {
       ++each;
       continue;
     }
-    std::erase_if(pending.record.suspects, [&, &record = pending.record](const auto& suspect) {
-      const auto answered_at = last_answer({record.service, suspect.first});
-      return answered_at && *answered_at > record.crashed_at;
-    });
     if (pending.confirmed && !pending.record.suspects.empty()) {
       std::string parts;
       for (const auto& [part, suspect] : pending.record.suspects)
@@ -95,13 +96,13 @@
 void crash_cause_list::clear_answered() {
   std::map<crash_cause, support::clock::time_point> answered;
   for (const auto& [start, record] : evidence_.records()) {
-    for (const auto& [part, suspect] : record.suspects) {
-      if (const auto answered_at = last_answer({record.service, part}))
-        answered.emplace(crash_cause{record.service, part}, *answered_at);
+    for (const auto& [id, suspect] : record.suspects) {
+      if (const auto answered_at = last_answer(record.cause(id)))
+        answered.emplace(record.cause(id), *answered_at);
     }
   }
-  for (const auto& [part, answered_at] : answered)
-    evidence_.clear(part, answered_at);
+  for (const auto& [cause, answered_at] : answered)
+    evidence_.clear(cause, answered_at);
 }
 
 bool crash_cause_list::merge_json(const std::string& text) {
@@ -113,40 +114,48 @@
   return changed;
 }
 
-void crash_cause_list::lift(const crash_cause& part) {
+bool crash_cause_list::supports_evidence(const crash_record& record) const {
+  return std::any_of(evidence_.records().begin(), evidence_.records().end(), [&](const auto& each) {
+    return std::any_of(record.suspects.begin(), record.suspects.end(), [&](const auto& suspect) {
+      return each.second.accuses(record.cause(suspect.first));
+    });
+  });
+}
+
+void crash_cause_list::lift(const crash_cause& cause) {
   for (auto& [start, pending] : pending_) {
-    if (pending.record.service == part.service)
-      pending.record.suspects.erase(part.id);
+    if (pending.record.cause(cause.id) == cause)
+      pending.record.suspects.erase(cause.id);
   }
-  evidence_.clear(part, support::clock::time_point::max());
+  evidence_.clear(cause, support::clock::time_point::max());
   log_changes();
 }
 
 std::optional<std::string>
 crash_cause_list::find_banned(const std::string& service,
-                              const std::vector<std::string>& parts) const {
-  const auto& harmful = evidence_.proven_causes();
-  if (harmful.empty())
+                              const std::vector<std::string>& suspects) const {
+  const auto& causes = evidence_.proven_causes();
+  if (causes.empty())
     return std::nullopt;
-  const auto banned = std::find_if(parts.begin(), parts.end(), [&](const std::string& part) {
-    return harmful.contains({service, part});
+  const auto banned = std::find_if(suspects.begin(), suspects.end(), [&](const std::string& id) {
+    return causes.contains(make_cause(service, id));
   });
-  return banned == parts.end() ? std::nullopt : std::optional(*banned);
+  return banned == suspects.end() ? std::nullopt : std::optional(*banned);
 }
 
 void crash_cause_list::log_changes() {
-  const auto& harmful = evidence_.proven_causes();
+  const auto& causes = evidence_.proven_causes();
   const auto log_each = [](const auto& from, const auto& absent_in, std::string_view event) {
-    for (const auto& [part, crashes] : from) {
-      if (!absent_in.contains(part))
+    for (const auto& [cause, crashes] : from) {
+      if (!absent_in.contains(cause))
         support::log_event(
             support::log_level::warning, event,
-            {{"service", part.service}, {"part", part.id}, {"crashes", std::to_string(crashes)}});
+            {{"service", cause.service}, {"part", cause.id}, {"crashes", std::to_string(crashes)}});
     }
   };
-  log_each(harmful, logged_, "prompt_part_banned");
-  log_each(logged_, harmful, "prompt_part_ban_ended");
-  logged_ = harmful;
+  log_each(causes, logged_, "prompt_part_banned");
+  log_each(logged_, causes, "prompt_part_ban_ended");
+  logged_ = causes;
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -1,9 +1,10 @@
 #include "camphorlug/gateway/crash_evidence.h"
 
+#include "camphorlug/gateway/request_identity.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <tuple>
 #include <utility>
 #include <vector>
 #include <xxhash.h>
@@ -27,12 +28,12 @@
   // Evidence that took long on its way here makes a crash seem younger than it is.
   bool changed = is_new || record.crashed_at < held->second.crashed_at;
   held->second.crashed_at = std::min(held->second.crashed_at, record.crashed_at);
-  for (const auto& [part, suspect] : record.suspects) {
-    const auto known = held->second.suspects.find(part);
+  for (const auto& [id, suspect] : record.suspects) {
+    const auto known = held->second.suspects.find(id);
     if (known != held->second.suspects.end()) {
       changed = merge_suspect(known->second, suspect) || changed;
     } else if (held->second.suspects.size() < max_suspects_per_record) {
-      held->second.suspects.emplace(part, suspect);
+      held->second.suspects.emplace(id, suspect);
       changed = true;
     }
   }
@@ -46,12 +47,12 @@
   return changed;
 }
 
-void crash_evidence::clear(const crash_cause& part, support::clock::time_point answered_at) {
+void crash_evidence::clear(const crash_cause& cause, support::clock::time_point answered_at) {
   bool changed = false;
   for (auto& [start, record] : records_) {
-    if (record.service != part.service || record.crashed_at >= answered_at)
+    if (record.cause(cause.id) != cause || record.crashed_at >= answered_at)
       continue;
-    const auto suspect = record.suspects.find(part.id);
+    const auto suspect = record.suspects.find(cause.id);
     if (suspect != record.suspects.end() && !std::exchange(suspect->second.cleared, true))
       changed = true;
   }
@@ -61,8 +62,9 @@
 
 namespace {
 
-/// What the crashes seen so far say against one part.
+/// What the crashes seen so far say against one suspect.
 struct accusation {
+  bool is_whole_request = false;
   std::size_t crashes = 0;
   std::size_t position = 0;
   support::clock::time_point last_crash_at = support::clock::time_point::min();
@@ -75,31 +77,40 @@
     last_crash_at = record.crashed_at;
   }
 
-  /// Of parts that explain the same crashes, the one that fewer requests share is the cause more
+  /// Crashes that count in a comparison. A part has to explain two crashes more than a whole
+  /// request, since one further target may have failed by itself.
+  std::size_t weight() const { return crashes + (is_whole_request ? 1 : 0); }
+
+  /// Of suspects that explain the same crashes, the one that fewer requests share is the cause more
   /// probably, and a ban of it does less harm.
   bool is_stronger_than(const accusation& other) const {
-    return std::tie(crashes, position) > std::tie(other.crashes, other.position);
+    return std::pair(weight(), position) > std::pair(other.weight(), other.position);
   }
 };
 
 } // namespace
 
-/// Returns the part with the most crashes, if they prove that it is the cause.
+/// Returns the suspect with the most crashes of those that are proved to be a cause.
 static std::optional<std::pair<crash_cause, std::size_t>>
 find_strongest(const std::vector<const crash_record*>& by_time) {
   std::map<crash_cause, accusation> accusations;
   for (const crash_record* record : by_time) {
-    for (const auto& [part, suspect] : record->suspects) {
-      if (!suspect.cleared)
-        accusations[{record->service, part}].add(*record, suspect);
+    for (const auto& [id, suspect] : record->suspects) {
+      if (suspect.cleared)
+        continue;
+      accusation& against = accusations[record->cause(id)];
+      against.is_whole_request = is_request_identity(id);
+      against.add(*record, suspect);
     }
   }
+  std::erase_if(accusations, [](const auto& each) {
+    return each.second.crashes < crash_evidence::crashes_that_prove_cause;
+  });
   const auto strongest = std::max_element(accusations.begin(), accusations.end(),
                                           [](const auto& left, const auto& right) {
                                             return right.second.is_stronger_than(left.second);
                                           });
-  if (strongest == accusations.end() ||
-      strongest->second.crashes < crash_evidence::crashes_that_prove_cause)
+  if (strongest == accusations.end())
     return std::nullopt;
   return std::pair(strongest->first, strongest->second.crashes);
 }
@@ -113,13 +124,13 @@
             [](const crash_record* left, const crash_record* right) {
               return left->crashed_at < right->crashed_at;
             });
-  std::map<crash_cause, std::size_t> harmful;
+  std::map<crash_cause, std::size_t> causes;
   while (const auto found = find_strongest(unexplained)) {
-    harmful.insert(*found);
+    causes.insert(*found);
     std::erase_if(unexplained,
                   [&](const crash_record* each) { return each->accuses(found->first); });
   }
-  return harmful;
+  return causes;
 }
 
 /// Drops the oldest record that supports no ban, or the oldest one if all do.
@@ -139,8 +150,8 @@
 
 static std::uint64_t digest_of(const target_start& start, const crash_record& record) {
   std::string text = start.target + " " + std::to_string(start.started_at_ms);
-  for (const auto& [part, suspect] : record.suspects)
-    text += " " + part + (suspect.cleared ? "-" : "+") + std::to_string(suspect.position) + "," +
+  for (const auto& [id, suspect] : record.suspects)
+    text += " " + id + (suspect.cleared ? "-" : "+") + std::to_string(suspect.position) + "," +
             std::to_string(suspect.waited.count());
   return XXH3_64bits(text.data(), text.size());
 }
@@ -159,9 +170,9 @@
     if (only && !record.accuses(*only))
       continue;
     nlohmann::json suspects = nlohmann::json::object();
-    for (const auto& [part, suspect] : record.suspects) {
-      if (!only || part == only->id)
-        suspects[part] = {suspect.position, suspect.waited.count(), suspect.cleared};
+    for (const auto& [id, suspect] : record.suspects) {
+      if (!only || id == only->id)
+        suspects[id] = {suspect.position, suspect.waited.count(), suspect.cleared};
     }
     const auto age = std::chrono::duration_cast<microseconds>(now - record.crashed_at);
     list.push_back({start.target, start.started_at_ms, record.service, age.count(), suspects});
@@ -175,9 +186,9 @@
   for (const auto& entry : list) {
     const target_start start{entry.at(0), entry.at(1)};
     crash_record record{entry.at(2), now - microseconds(entry.at(3).get<std::int64_t>()), {}};
-    for (const auto& [part, suspect] : entry.at(4).items())
-      record.suspects[part] = {suspect.at(0), microseconds(suspect.at(1).get<std::int64_t>()),
-                               suspect.at(2)};
+    for (const auto& [id, suspect] : entry.at(4).items())
+      record.suspects[id] = {suspect.at(0), microseconds(suspect.at(1).get<std::int64_t>()),
+                             suspect.at(2)};
     changed = merge_without_update(start, record) || changed;
   }
   if (changed)
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/gateway/request_forwarder.h"
 
+#include "camphorlug/gateway/request_identity.h"
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
@@ -47,8 +48,10 @@
       break;
   }
   pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
-  shared_ = std::make_shared<attempted_request>(
-      attempted_request{std::move(request), route_, service_, std::move(organisation), deadline});
+  std::vector<std::string> suspects = crash_suspects_of(request, organisation);
+  shared_ = std::make_shared<attempted_request>(attempted_request{std::move(request), route_,
+                                                                  service_, std::move(organisation),
+                                                                  std::move(suspects), deadline});
 }
 
 request_forwarder::~request_forwarder() {
@@ -62,7 +65,7 @@
     activity_.notify();
   });
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
-  if (banned_part()) {
+  if (banned_cause()) {
     reject_banned_request();
     co_return;
   }
@@ -98,8 +101,8 @@
   std::optional<slot_guard> slot = co_await wait_for_slot();
   if (caller_gone_)
     co_return true;
-  // The part may have been banned while the request waited.
-  if (banned_part()) {
+  // The request may have been banned while it waited.
+  if (banned_cause()) {
     if (attempts_ > 0)
       finish_failed_request(last_result_);
     else
@@ -139,7 +142,7 @@
   const bool all_silent = std::all_of(open_.begin(), open_.end(), [](const open_attempt& each) {
     return each.attempt->is_silent();
   });
-  if (open_.empty() || !all_silent || banned_part() || !route_->repeatable() ||
+  if (open_.empty() || !all_silent || banned_cause() || !route_->repeatable() ||
       !has_attempts_left() || !env_.retries.can_retry(service_) ||
       !env_.queue.has_alternative(pool(), tried_targets_))
     return;
@@ -305,8 +308,8 @@
   const bool repeatable = route_->repeatable() || last == attempt_result::not_run;
   if (!repeatable)
     return give_up("the request may not run again");
-  if (banned_part())
-    return give_up("a part of its prompt crashes targets");
+  if (banned_cause())
+    return give_up("it or a part of its prompt crashes targets");
   if (attempts_ >= route_->attempts)
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
@@ -356,8 +359,12 @@
 }
 
 void request_forwarder::reject_banned_request() {
-  const std::string reason = "not run: part " + banned_part().value_or("") +
-                             " of the prompt has crashed the instances that began to answer it";
+  const std::string cause = banned_cause().value_or("");
+  const std::string reason =
+      is_request_identity(cause)
+          ? "not run: this request has crashed the instances that ran it (" + cause + ")"
+          : "not run: part " + cause +
+                " of the prompt has crashed the instances that began to answer it";
   send_local_response(503, reason, banned_retry_after);
   record_outcome("rejected", reason);
 }
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -185,16 +185,23 @@
   co_return result;
 }
 
-/// Records that the connection ended before the target had begun to answer.
+/// Records that the connection ended before the target had completed its answer. A target that has
+/// begun to answer has read the prompt, so that no part of it can be the cause.
 void target_attempt::record_loss() {
-  if (!has_answered_)
-    env_.crash_causes.record_loss(shared_->service, shared_->request.prompt_parts,
-                                  {target_.id, target_.started_at_ms}, started_at_);
+  const std::vector<std::string>& all = shared_->crash_suspects;
+  env_.crash_causes.record_loss(shared_->service, has_answered_ ? std::vector{all.back()} : all,
+                                {target_.id, target_.started_at_ms}, started_at_);
 }
 
 void target_attempt::record_answer() {
+  const std::vector<std::string>& all = shared_->crash_suspects;
   if (!std::exchange(has_answered_, true))
-    env_.crash_causes.record_answer(shared_->service, shared_->request.prompt_parts);
+    env_.crash_causes.record_answer(shared_->service, {all.begin(), all.end() - 1});
+}
+
+void target_attempt::record_completion() {
+  record_answer();
+  env_.crash_causes.record_answer(shared_->service, {shared_->crash_suspects.back()});
 }
 
 void target_attempt::count_transport_failure(const net::transport_error& error) {
@@ -253,7 +260,7 @@
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
   }
-  record_answer();
+  record_completion();
   env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
@@ -317,6 +324,7 @@
     co_return fail(attempt_result::unknown, "ended within an event",
                    "its stream ended within an event");
   }
+  record_completion();
   env_.suspicions.count_success(target_.id);
   co_return attempt_result::answered;
 }
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -70,7 +70,8 @@
   std::string targets;
   for (const ordered_json& each : ban["targets"])
     targets += " " + to_text(each["target"]) + " " + to_text(each["age_ms"]) + " ms ago";
-  print_wrapped(to_text(ban["service"]) + " " + to_text(ban["part"]) + ", " +
+  const std::string service = to_text(ban["service"]);
+  print_wrapped((service.empty() ? "" : service + " ") + to_text(ban["part"]) + ", " +
                 to_text(ban["crashes"]) + " crashes in a row:" + targets);
 }
 
@@ -97,7 +98,7 @@
                 to_text(state["waiting_requests"]) + " requests queued");
   if (state.contains("banned_parts") && !state["banned_parts"].empty())
     print_wrapped(std::to_string(state["banned_parts"].size()) +
-                  " BANNED prompt parts; see: edge banned_parts");
+                  " BANNED parts or requests; see: edge banned_parts");
 }
 
 using line_printer = void (*)(const ordered_json&);
@@ -137,7 +138,7 @@
   try {
     const net::client_response response = co_await client.fetch(std::move(request), state_timeout);
     print_wrapped(response.status == 200
-                      ? "Lifted " + part + " of " + service
+                      ? "Lifted " + part + (service.empty() ? "" : " of " + service)
                       : "Refused (" + std::to_string(response.status) + "): " + response.body);
     co_return response.status == 200 ? exit_ok : exit_refused;
   } catch (const net::transport_error& error) {
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -43,6 +43,7 @@
  edge              an edge node's own view
  edge routes|groups|targets|peers|retries
  edge banned_parts
+ edge lift REQUEST  end a request's ban
  edge lift S PART   end the ban of a prompt
                    part of service S
  explain ID        trace of a request, from
@@ -118,6 +119,8 @@
     co_return co_await explain_group(node_client, arguments[1], output);
   if (verb == "explain" && has_argument)
     co_return explain_request(std::cin, arguments[1], output);
+  if (verb == "edge" && arguments.size() == 3 && arguments[1] == "lift")
+    co_return co_await lift_ban(client, FLAGS_node, "", arguments[2]);
   if (verb == "edge" && arguments.size() == 4 && arguments[1] == "lift")
     co_return co_await lift_ban(client, FLAGS_node, arguments[2], arguments[3]);
   if (verb == "edge" && arguments.size() <= 2) {
