--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -36,6 +36,12 @@
   route.resumable = true;
   route.attempts = 2;
   config->add_route(route);
+  route.name = "once";
+  route.path_prefix = "/once/";
+  route.kind = gateway::request_kind::non_idempotent;
+  route.resumable = false;
+  route.attempts = 1;
+  config->add_route(route);
   config->services["shop"].name = "shop";
   return config;
 }
@@ -79,16 +85,22 @@
     co_await time_.sleep_for(network_delay);
     if (!reachable())
       throw transport_error(request_progress::may_have_been_read, false, "reset");
+    if (request_.send_if && !request_.send_if())
+      throw transport_error(request_progress::not_sent, false, "withheld");
     net::server_request request;
     request.method = request_.method;
+    request.target = request_.target;
+    request.headers = request_.headers;
     const std::size_t query_start = request_.target.find('?');
     request.path = request_.target.substr(0, query_start);
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
-    ++network_.requests[request.path];
+    ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
     request.body = request_.body;
     co_await network_.nodes.at(request_.address)(std::move(request), answer_);
     co_await time_.sleep_for(network_delay);
+    if (answer_.aborted)
+      throw transport_error(request_progress::may_have_been_read, false, "reset");
     co_return net::response_head{answer_.status, answer_.headers};
   }
 
@@ -101,6 +113,9 @@
   void cancel() override {}
 
 private:
+  /// What follows in a path are parameters.
+  static constexpr std::size_t path_length_counted = std::string_view("/camphorlug/v1/").size();
+
   support::clock& time_;
   peer_network& network_;
   std::string self_;
@@ -114,7 +129,14 @@
 std::unique_ptr<net::http_exchange> node_client::open(net::client_request request) {
   if (request.address.starts_with("peer"))
     return std::make_unique<peer_exchange>(time_, network_, self_, std::move(request));
-  request.headers.add("Node", self_);
+  // A relayed request names the node that sent it first.
+  net::header_list headers;
+  headers.add("Node", self_);
+  for (const net::header& each : request.headers) {
+    if (!net::same_header_name(each.name, "Node"))
+      headers.add(each.name, each.value);
+  }
+  request.headers = std::move(headers);
   return targets_->open(std::move(request));
 }
 
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -21,7 +21,8 @@
 namespace camphorlug::fakes {
 
 /// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/` and `/stream/`, `SERVICE ADDRESS` for a target.
+/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS` for a
+/// target.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
--- a/unittests/fakes/faulty_targets.cpp
+++ b/unittests/fakes/faulty_targets.cpp
@@ -26,7 +26,9 @@
         parts_(request_.headers.find("Parts").value_or("")),
         is_deadly_(contains_part(parts_, targets.deadly_part) ||
                    targets.deadly_bodies.contains(request_.body)),
-        refused_(targets.is_down(request_.address)) {
+        refused_(targets.is_down(request_.address) || is_refused_by_cut()) {
+    if (is_hanging())
+      return;
     if (refused_ || (request_.send_if && !request_.send_if())) {
       refused_ = true;
       return;
@@ -38,10 +40,14 @@
 
   ~exchange() override { targets_.open_[request_.address].erase(this); }
 
-  support::task<net::response_head> head(std::chrono::nanoseconds) override {
+  support::task<net::response_head> head(std::chrono::nanoseconds timeout) override {
     if (refused_)
       throw transport_error(request_progress::not_sent, false, "refused");
-    co_await pass(time_to_answer);
+    if (is_hanging() && request_.connection == net::connection_use::fresh) {
+      co_await pass(request_.connect_timeout, timeout);
+      throw transport_error(request_progress::not_sent, true, "no connection");
+    }
+    co_await pass(time_to_answer, timeout);
     if (is_deadly_ && !targets_.crashes_late)
       crash();
     net::response_head head;
@@ -54,15 +60,17 @@
     co_return head;
   }
 
-  support::task<std::optional<std::string>> read(std::chrono::nanoseconds) override {
+  support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) override {
     if (++read_ > 2)
       co_return std::nullopt;
-    co_await pass(std::chrono::milliseconds(10));
+    co_await pass(std::chrono::milliseconds(10), timeout);
     if (is_deadly_ && read_ > 1)
       crash();
     co_return "id: " + std::to_string(read_) + "\ndata: x\n\n";
   }
 
+  std::string node() const { return request_.headers.find("Node").value_or(""); }
+
   void cancel() override { reset(); }
   void reset() {
     is_reset_ = true;
@@ -70,8 +78,6 @@
   }
 
 private:
-  std::string node() const { return request_.headers.find("Node").value_or(""); }
-
   void crash() {
     targets_.deadly_crashes.push_back(targets_.time_.now());
     targets_.crash(request_.address);
@@ -82,13 +88,34 @@
     throw transport_error(request_progress::may_have_been_read, false, "reset");
   }
 
-  support::task<> pass(std::chrono::nanoseconds span) {
+  bool is_cut(cut_kind kind) const {
+    const auto cut = targets_.cuts_.find(node());
+    return cut != targets_.cuts_.end() && cut->second == kind;
+  }
+  bool is_hanging() const { return is_cut(cut_kind::hang); }
+  bool is_refused_by_cut() const {
+    return is_cut(cut_kind::reset) ||
+           (is_cut(cut_kind::refuse_new) && request_.connection == net::connection_use::fresh);
+  }
+
+  /// Waits for `span`, and longer while the target is silent or the connection hangs.
+  support::task<> pass(std::chrono::nanoseconds span, std::chrono::nanoseconds timeout) {
+    const auto gives_up_at = targets_.time_.now() + timeout;
     if (!is_reset_)
-      co_await ended_.wait_for(span);
+      co_await ended_.wait_for(std::min(span, timeout));
+    const bool was_hanging = is_hanging();
+    while (!is_reset_ && (was_hanging || targets_.time_.now() < targets_.silent_until)) {
+      const auto left = gives_up_at - targets_.time_.now();
+      if (left <= std::chrono::nanoseconds(0))
+        throw transport_error(request_progress::may_have_been_read, true, "no answer");
+      co_await ended_.wait_for(std::min<std::chrono::nanoseconds>(left, poll_interval));
+    }
     if (is_reset_)
       throw_reset();
   }
 
+  static constexpr std::chrono::milliseconds poll_interval{10};
+
   faulty_targets& targets_;
   net::client_request request_;
   support::notification ended_;
@@ -108,6 +135,18 @@
     each->reset();
 }
 
+void faulty_targets::cut_off(const std::string& node, cut_kind kind) {
+  cuts_[node] = kind;
+  if (kind != cut_kind::reset)
+    return;
+  for (auto& [target, exchanges] : open_) {
+    for (exchange* each : exchanges) {
+      if (each->node() == node)
+        each->reset();
+    }
+  }
+}
+
 void faulty_targets::crash(const std::string& target) {
   down_.insert(target);
   reset_connections(target);
--- a/unittests/fakes/faulty_targets.h
+++ b/unittests/fakes/faulty_targets.h
@@ -30,6 +30,16 @@
     bool is_deadly = false;
   };
 
+  /// How a node is cut off from all targets.
+  enum class cut_kind {
+    /// Nothing gets through, and new connections are not established.
+    hang,
+    /// Connections are reset, new ones too.
+    reset,
+    /// Connections live on, and new ones are refused.
+    refuse_new,
+  };
+
   explicit faulty_targets(support::clock& time) : time_(time) {}
 
   std::unique_ptr<net::http_exchange> open(net::client_request request) override;
@@ -38,8 +48,16 @@
   void crash(const std::string& target);
   /// Resets the connections of the target, which goes on.
   void reset_connections(const std::string& target);
+  /// Cuts the node with this peer address off from all targets, or reconnects it.
+  void cut_off(const std::string& node, cut_kind kind);
+  void reconnect(const std::string& node) { cuts_.erase(node); }
+  bool is_cut_off(const std::string& node) const { return cuts_.contains(node); }
+
   bool is_down(const std::string& target) const { return down_.contains(target); }
 
+  /// Until then, no target sends anything.
+  support::clock::time_point silent_until;
+
   /// Requests a second that targets say they take from all nodes together.
   std::map<std::string, double> limits;
   /// When each node was told a limit first, by target and peer address.
@@ -60,6 +78,7 @@
 
   support::clock& time_;
   std::set<std::string> down_;
+  std::map<std::string, cut_kind> cuts_;
   std::map<std::string, std::set<exchange*>> open_;
 };
 
