--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -7,6 +7,7 @@
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/node_status.h"
+#include "camphorlug/gateway/path_monitor.h"
 #include "camphorlug/gateway/retry_limiter.h"
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_registry.h"
@@ -32,6 +33,7 @@
   gateway::load_tracker& loads;
   const gateway::suspicion_list& suspicions;
   const gateway::crash_evidence& crashes;
+  const gateway::path_monitor& paths;
   const gateway::retry_limiter& retries;
   const groups::lease& lease;
   /// The highest era of the store that the node knows of.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -557,6 +557,7 @@
                                    loads_,
                                    suspicions_,
                                    crash_causes_.evidence(),
+                                   paths_,
                                    retries_,
                                    lease_,
                                    store_era_,
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -156,6 +156,7 @@
                       {"targets", std::move(targets)},
                       {"peers", peers_to_json(state)},
                       {"banned_parts", banned_parts_to_json(state)},
+                      {"unreachable_services", state.paths.lost_services()},
                       {"retries", retries_to_json(state)}};
   return report;
 }
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -1,4 +1,5 @@
 """Process tests of the gateway against platform stand-ins: real signals and sockets."""
+import http.client
 import json
 import os
 import pathlib
@@ -398,6 +399,34 @@
                        "the part is served again")
         wait_until(lambda: not self.stored_bans(), "the stored ban is deleted")
 
+    def relay(self, gateway, runner, path, time_left_ms=3000, address=None):
+        """Sends a request through a node as another one does that reaches no target."""
+        connection = http.client.HTTPConnection(
+            cluster.gateways[gateway].addresses["control"], timeout=15)
+        address = address or f"127.0.0.1:{runner.port}"
+        connection.request(
+            "POST", f"/camphorlug/v1/relay/{address}/{runner.id}/{runner.born}/POST/pooled/"
+            f"{time_left_ms}{path}", body="x",
+            headers={"Host": "example", "X-Request-Id": cluster.next_id(),
+                     "X-Deadline-Ms": str(time_left_ms), "X-Expect-Instance": runner.id})
+        response = connection.getresponse()
+        body = response.read()
+        connection.close()
+        return response, body
+
+    def test_node_relays_a_request_of_another_one_to_the_named_target(self):
+        runner = next(runner for runner in cluster.standins.runners.values()
+                      if runner.service == "shop" and runner.alive)
+        direct = cluster.call("/read/x?q=1")
+        response, body = self.relay(1, runner, "/read/x?q=1")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(body), len(direct.body))
+        self.assertIsNotNone(response.headers["X-Response-Seal"])
+        self.assertIsNone(response.headers["Camphorlug-Relay-Failure"])
+        # Only to a target that the node itself knows at that address.
+        response, _ = self.relay(1, runner, "/read/x", address=cluster.gateways[0].addresses["http"])
+        self.assertEqual(response.headers["Camphorlug-Relay-Failure"], "not-sent")
+
     def test_nodes_together_send_no_more_than_a_target_takes(self):
         limit, window_s, told_s = 5, 4, 1
         runner = next(runner for runner in cluster.standins.runners.values()
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -96,6 +96,10 @@
                 std::to_string(state["targets"].size()) + " targets, " +
                 std::to_string(state["peers"].size()) + " peers, " +
                 to_text(state["waiting_requests"]) + " requests queued");
+  if (state.contains("unreachable_services")) {
+    for (const ordered_json& service : state["unreachable_services"])
+      print_wrapped("CANNOT REACH targets of " + to_text(service) + "; peers relay");
+  }
   if (state.contains("banned_parts") && !state["banned_parts"].empty())
     print_wrapped(std::to_string(state["banned_parts"].size()) +
                   " BANNED parts or requests; see: edge banned_parts");
