Confirm a silence by a probe before it counts as a lost way

Found on reading: a node with few requests under overload could take two slow targets for a lost way, and end requests that wait in their queues. A service that is silent for 1.2 s is probed now, and only a failed probe proves the loss.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -107,6 +107,9 @@
   bool is_cut_off_from_targets() { return paths_.has_lost_all() && sender_.has_relay(); }
   /// Finds out when this node's own connections to targets work again.
   support::task<> probe_lost_services();
+  support::task<> confirm_silence(std::string service);
+  /// Probes a random target of the service on a connection of this node.
+  support::task<bool> probe_any_target(std::string service);
   support::task<std::optional<std::string>> fetch_from_peer(net::client_request request,
                                                             std::chrono::milliseconds timeout,
                                                             std::string_view event);
--- a/include/camphorlug/gateway/path_monitor.h
+++ b/include/camphorlug/gateway/path_monitor.h
@@ -24,9 +24,10 @@
   static constexpr std::size_t failed_targets_that_prove_loss = 2;
   /// Failures further apart are not related.
   static constexpr std::chrono::milliseconds failure_memory{3000};
-  /// A connection fails if it waits for this long while no target of its service sends anything.
-  /// Sound targets may pause for a second.
-  static constexpr std::chrono::milliseconds silence_limit{1500};
+  /// A service is silent if requests have waited for several of its targets for this long while
+  /// none of them sent anything. Sound targets may pause for a second, or be overloaded, so a probe
+  /// has to confirm that the way is lost.
+  static constexpr std::chrono::milliseconds silence_limit{1200};
   /// Without any answer for this long, what fails at this node may fail because of its own
   /// connections; sooner, the targets fail.
   static constexpr std::chrono::milliseconds doubt_after{300};
@@ -63,8 +64,13 @@
   void record_failure(const std::string& service, const std::string& target);
   /// Records the result of a probe while the way to the service is lost.
   void record_probe(const std::string& service, bool answered);
-  /// Finds waiting requests that have become too old. Call it several times a second.
+  /// Ends waits that have become pointless. Call it several times a second.
   void check();
+  /// Returns the services that are silent and for which this was not asked within
+  /// `silence_limit`. The caller probes a target of each and calls `record_silence` if it does not
+  /// answer.
+  std::vector<std::string> take_silent_services();
+  void record_silence(const std::string& service);
 
   /// Whether requests for the service should take another way. A service that was not used since
   /// the way to another one was lost is thought to be lost with it.
@@ -85,6 +91,7 @@
   };
 
   void record_answer(const std::string& service);
+  bool is_silent(const std::string& service) const;
   void begin_loss(const std::string& service);
   /// Ends waits that keep slots of targets occupied although nothing can arrive.
   void abandon_silent_waits();
@@ -97,6 +104,8 @@
   std::map<std::string, support::clock::time_point> answers_;
   support::clock::time_point last_answer_;
   std::map<std::string, loss> losses_;
+  /// When the silence of each service was last reported.
+  std::map<std::string, support::clock::time_point> silence_taken_;
 };
 
 } // namespace camphorlug::gateway
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -358,6 +358,8 @@
     chooser_.set_node_count(live_node_count());
     crash_keeper_.update();
     paths_.check();
+    for (const std::string& service : paths_.take_silent_services())
+      support::spawn(context_.executor, "confirm_silence", confirm_silence(service));
     update_limits();
     for (const std::string& target : stalls_.check()) {
       if (!paths_.is_in_doubt())
@@ -383,20 +385,30 @@
   for (;;) {
     co_await context_.time.sleep_for(lost_service_probe_interval);
     for (const std::string& service : paths_.lost_services()) {
-      std::vector<gateway::target_entry> targets;
-      for (const auto& [id, target] : registry_.all()) {
-        if (target.entry.service == service && !target.entry.draining)
-          targets.push_back(target.entry);
-      }
-      if (targets.empty())
-        continue;
-      gateway::target_entry& probed = targets[context_.random.below(targets.size())];
-      const bool answered = co_await context_.prober.probe(std::move(probed));
+      const bool answered = co_await probe_any_target(service);
       paths_.record_probe(service, answered);
     }
   }
 }
 
+support::task<> edge_node::confirm_silence(std::string service) {
+  const bool answered = co_await probe_any_target(service);
+  if (!answered)
+    paths_.record_silence(service);
+}
+
+support::task<bool> edge_node::probe_any_target(std::string service) {
+  std::vector<gateway::target_entry> targets;
+  for (const auto& [id, target] : registry_.all()) {
+    if (target.entry.service == service && !target.entry.draining)
+      targets.push_back(target.entry);
+  }
+  if (targets.empty())
+    co_return false;
+  gateway::target_entry probed = targets[context_.random.below(targets.size())];
+  co_return co_await context_.prober.probe(std::move(probed));
+}
+
 void edge_node::update_limits() {
   if (limits_.empty())
     return;
--- a/lib/gateway/path_monitor.cpp
+++ b/lib/gateway/path_monitor.cpp
@@ -90,17 +90,44 @@
 }
 
 void path_monitor::check() {
+  abandon_silent_waits();
+}
+
+bool path_monitor::is_silent(const std::string& service) const {
   const auto now = time_.now();
-  std::vector<std::pair<std::string, std::string>> silent;
+  const auto answered_at = last_answer(service);
+  if (answered_at && now - *answered_at < silence_limit)
+    return false;
+  std::set<std::string> targets;
   for (const wait* each : waits_) {
-    const auto answered_at = last_answer(each->service_);
-    if (now - each->last_answer_ >= silence_limit &&
-        (!answered_at || now - *answered_at >= silence_limit))
-      silent.emplace_back(each->service_, each->target_);
+    if (each->service_ == service && now - each->last_answer_ >= silence_limit)
+      targets.insert(each->target_);
   }
-  for (const auto& [service, target] : silent)
-    record_failure(service, target);
-  abandon_silent_waits();
+  return targets.size() >= failed_targets_that_prove_loss;
+}
+
+std::vector<std::string> path_monitor::take_silent_services() {
+  std::set<std::string> services;
+  for (const wait* each : waits_)
+    services.insert(each->service_);
+  std::vector<std::string> silent;
+  for (const std::string& service : services) {
+    const auto [taken_at, is_new] = silence_taken_.try_emplace(service, time_.now());
+    const bool is_due = is_new || time_.now() - taken_at->second >= silence_limit;
+    if (!is_due || losses_.contains(service) || !is_silent(service)) {
+      if (is_new)
+        silence_taken_.erase(taken_at);
+      continue;
+    }
+    taken_at->second = time_.now();
+    silent.push_back(service);
+  }
+  return silent;
+}
+
+void path_monitor::record_silence(const std::string& service) {
+  if (!losses_.contains(service) && is_silent(service))
+    begin_loss(service);
 }
 
 bool path_monitor::has_lost(const std::string& service) const {
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -140,6 +140,7 @@
       wait_->record_answer();
     else
       wait_.reset();
+    failed_on_lost_path_ = abandoned_;
   }
   if (!head_)
     throw transport_error(*failure_);
