--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -76,6 +76,9 @@
   /// is over.
   support::clock::time_point exits_at() const { return exits_at_; }
 
+  /// Number of requests that this node relays for others.
+  std::size_t relaying() const { return relay_.in_progress(); }
+
   /// Logs each caller's request that has no complete response yet.
   void log_unfinished_requests() const { requests_.log_unfinished_requests(); }
 
--- a/include/camphorlug/gateway/path_monitor.h
+++ b/include/camphorlug/gateway/path_monitor.h
@@ -4,10 +4,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -41,7 +41,7 @@
     /// target is silent.
     wait(path_monitor& monitor, std::string service, std::string target,
          std::function<void()> abandon);
-    ~wait() { monitor_.waits_.erase(this); }
+    ~wait() { monitor_.waits_.erase(number_); }
     wait(const wait&) = delete;
     wait& operator=(const wait&) = delete;
 
@@ -51,6 +51,7 @@
   private:
     friend path_monitor;
     path_monitor& monitor_;
+    std::uint64_t number_;
     std::string service_;
     std::string target_;
     std::function<void()> abandon_;
@@ -98,7 +99,9 @@
   std::optional<support::clock::time_point> last_answer(const std::string& service) const;
 
   support::clock& time_;
-  std::set<wait*> waits_;
+  /// In the order of their beginning.
+  std::map<std::uint64_t, const wait*> waits_;
+  std::uint64_t last_wait_ = 0;
   /// Failed targets by service, with the time of the failure.
   std::map<std::string, std::map<std::string, support::clock::time_point>> failures_;
   std::map<std::string, support::clock::time_point> answers_;
--- a/include/camphorlug/gateway/request_relay.h
+++ b/include/camphorlug/gateway/request_relay.h
@@ -26,6 +26,8 @@
                 const target_registry& registry, const slot_queue& queue, path_monitor& paths,
                 double cores);
 
+  std::size_t in_progress() const { return in_progress_; }
+
   static bool handles(const net::server_request& request) {
     return request.path.starts_with(relay_prefix);
   }
--- a/lib/gateway/path_monitor.cpp
+++ b/lib/gateway/path_monitor.cpp
@@ -3,15 +3,16 @@
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorlug::gateway {
 
 path_monitor::wait::wait(path_monitor& monitor, std::string service, std::string target,
                          std::function<void()> abandon)
-    : monitor_(monitor), service_(std::move(service)), target_(std::move(target)),
-      abandon_(std::move(abandon)), last_answer_(monitor.time_.now()) {
-  monitor_.waits_.insert(this);
+    : monitor_(monitor), number_(++monitor.last_wait_), service_(std::move(service)),
+      target_(std::move(target)), abandon_(std::move(abandon)), last_answer_(monitor.time_.now()) {
+  monitor_.waits_.emplace(number_, this);
 }
 
 void path_monitor::wait::record_answer() {
@@ -60,7 +61,7 @@
 void path_monitor::abandon_silent_waits() {
   // The callbacks may end other waits.
   std::vector<std::function<void()>> abandoned;
-  for (const wait* each : waits_) {
+  for (const auto& [number, each] : waits_) {
     const auto lost = losses_.find(each->service_);
     if (lost == losses_.end() || time_.now() - each->last_answer_ < doubt_after)
       continue;
@@ -99,7 +100,7 @@
   if (answered_at && now - *answered_at < silence_limit)
     return false;
   std::set<std::string> targets;
-  for (const wait* each : waits_) {
+  for (const auto& [number, each] : waits_) {
     if (each->service_ == service && now - each->last_answer_ >= silence_limit)
       targets.insert(each->target_);
   }
@@ -108,7 +109,7 @@
 
 std::vector<std::string> path_monitor::take_silent_services() {
   std::set<std::string> services;
-  for (const wait* each : waits_)
+  for (const auto& [number, each] : waits_)
     services.insert(each->service_);
   std::vector<std::string> silent;
   for (const std::string& service : services) {
