Share the ways in which a node returns between two tests

The tables of deadly_part_test and deadly_request_test were copies. Both now play all five, so the test of parts has one case more.

--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -55,53 +55,13 @@
   expect_deadly_requests_are_stopped(each);
 }
 
-namespace {
-
-struct return_case {
-  const char* name;
-  void (*play)(tainted_fleet&);
-};
-
-std::ostream& operator<<(std::ostream& out, const return_case& each) {
-  return out << each.name;
-}
-
-const std::vector<return_case> returns = {
-    {"one node restarts",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2);
-     }},
-    {"a node starts at another address",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2, "peer-new");
-     }},
-    {"all nodes restart",
-     [](tainted_fleet& fleet) {
-       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
-         fleet.kill(i);
-       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
-         fleet.start(i);
-     }},
-    {"a node restarts without the store",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2);
-       fleet.cut_store(2, true);
-     }},
-};
-
-} // namespace
-
-BOOST_DATA_TEST_CASE(node_that_starts_knows_a_banned_part_before_it_serves, data::make(returns),
-                     each) {
+BOOST_DATA_TEST_CASE(node_that_starts_knows_a_banned_part_before_it_serves,
+                     data::make(fakes::node_returns()), each) {
   tainted_fleet fleet(4, 12);
   fleet.play_until_banned();
   fleet.run_for(4s);
   each.play(fleet);
-  for (int i = 0; i < 500 && !fleet.edges[2]->node->ready(); ++i)
-    fleet.run_for(10ms);
+  fleet.wait_until_ready(2);
   BOOST_REQUIRE(fleet.edges[2]->node->ready());
   const auto crashes = fleet.side.deadly_crashes.size();
   fleet.send(2, "system topic1 deadly");
--- a/unittests/edge/deadly_request_test.cpp
+++ b/unittests/edge/deadly_request_test.cpp
@@ -125,60 +125,15 @@
   }
 }
 
-struct return_case {
-  const char* name;
-  void (*play)(tainted_fleet&);
-};
-
-std::ostream& operator<<(std::ostream& out, const return_case& each) {
-  return out << each.name;
-}
-
-const std::vector<return_case> returns = {
-    {"one node restarts",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2);
-     }},
-    {"a node starts at another address",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2, "peer-new");
-     }},
-    {"all nodes restart",
-     [](tainted_fleet& fleet) {
-       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
-         fleet.kill(i);
-       for (std::size_t i = 0; i < fleet.edges.size(); ++i)
-         fleet.start(i);
-     }},
-    {"a node restarts without the store",
-     [](tainted_fleet& fleet) {
-       fleet.kill(2);
-       fleet.start(2);
-       fleet.cut_store(2, true);
-     }},
-    {"a node was cut off",
-     [](tainted_fleet& fleet) {
-       fleet.network.cut.insert(fleet.edges[2]->peer_address);
-       fleet.cut_store(2, true);
-       fleet.run_for(5s);
-       fleet.network.cut.erase(fleet.edges[2]->peer_address);
-       fleet.cut_store(2, false);
-       fleet.run_for(2s);
-     }},
-};
-
 } // namespace
 
-BOOST_DATA_TEST_CASE(node_that_returns_knows_a_banned_request_before_it_serves, data::make(returns),
-                     each) {
+BOOST_DATA_TEST_CASE(node_that_returns_knows_a_banned_request_before_it_serves,
+                     data::make(fakes::node_returns()), each) {
   tainted_fleet fleet(4, 12);
   play_until_request_is_banned(fleet);
   fleet.run_for(4s);
   each.play(fleet);
-  for (int i = 0; i < 500 && !fleet.edges[2]->node->ready(); ++i)
-    fleet.run_for(10ms);
+  fleet.wait_until_ready(2);
   BOOST_REQUIRE(fleet.edges[2]->node->ready());
   const auto crashes = fleet.side.deadly_crashes.size();
   fleet.send(2, make_request("/plain/x", deadly_body), true);
--- a/unittests/fakes/tainted_fleet.cpp
+++ b/unittests/fakes/tainted_fleet.cpp
@@ -72,6 +72,11 @@
   }
 }
 
+void tainted_fleet::wait_until_ready(std::size_t node) {
+  for (int i = 0; i < 500 && !edges[node]->node->ready(); ++i)
+    run_for(10ms);
+}
+
 void tainted_fleet::crash_live_targets(std::size_t count) {
   std::vector<std::string> live;
   for (const auto& [id, row] : tables.tables["targets"]) {
@@ -99,4 +104,46 @@
   return static_cast<double>(served) / static_cast<double>(std::max<std::size_t>(sent, 1));
 }
 
+std::ostream& operator<<(std::ostream& out, const node_return& each) {
+  return out << each.name;
+}
+
+const std::vector<node_return>& node_returns() {
+  static const std::vector<node_return> all{
+      {"one node restarts",
+       [](tainted_fleet& fleet) {
+         fleet.kill(2);
+         fleet.start(2);
+       }},
+      {"a node starts at another address",
+       [](tainted_fleet& fleet) {
+         fleet.kill(2);
+         fleet.start(2, "peer-new");
+       }},
+      {"all nodes restart",
+       [](tainted_fleet& fleet) {
+         for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+           fleet.kill(i);
+         for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+           fleet.start(i);
+       }},
+      {"a node restarts without the store",
+       [](tainted_fleet& fleet) {
+         fleet.kill(2);
+         fleet.start(2);
+         fleet.cut_store(2, true);
+       }},
+      {"a node was cut off",
+       [](tainted_fleet& fleet) {
+         fleet.network.cut.insert(fleet.edges[2]->peer_address);
+         fleet.cut_store(2, true);
+         fleet.run_for(5s);
+         fleet.network.cut.erase(fleet.edges[2]->peer_address);
+         fleet.cut_store(2, false);
+         fleet.run_for(2s);
+       }},
+  };
+  return all;
+}
+
 } // namespace camphorlug::fakes
--- a/unittests/fakes/tainted_fleet.h
+++ b/unittests/fakes/tainted_fleet.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
   /// Sends requests with and without the deadly part until the first node bans the part.
   void play_until_banned();
 
+  /// Runs the clock until the node is ready, for five seconds at the most.
+  void wait_until_ready(std::size_t node);
+
   /// Crashes `count` random targets.
   void crash_live_targets(std::size_t count);
 
@@ -61,4 +65,14 @@
   support::task<> replace(std::string id);
 };
 
+/// A way in which node 2 leaves the fleet and comes back.
+struct node_return {
+  const char* name;
+  void (*play)(tainted_fleet&);
+};
+
+std::ostream& operator<<(std::ostream& out, const node_return& each);
+
+const std::vector<node_return>& node_returns();
+
 } // namespace camphorlug::fakes
