Keep the order of exchanges in faulty_targets

Exchanges were kept by address, so the order of resets, and with it the outcome of a seed, depended on the heap: a case of deadly_request_test passed alone and failed after others with one and the same program. No assertion is changed.

--- a/unittests/fakes/faulty_targets.cpp
+++ b/unittests/fakes/faulty_targets.cpp
@@ -22,8 +22,8 @@
 class faulty_targets::exchange final : public net::http_exchange {
 public:
   exchange(faulty_targets& targets, net::client_request request)
-      : targets_(targets), request_(std::move(request)), ended_(targets.time_),
-        parts_(request_.headers.find("Parts").value_or("")),
+      : targets_(targets), number_(++targets.last_exchange_), request_(std::move(request)),
+        ended_(targets.time_), parts_(request_.headers.find("Parts").value_or("")),
         is_deadly_(contains_part(parts_, targets.deadly_part) ||
                    targets.deadly_bodies.contains(request_.body)),
         refused_(targets.is_down(request_.address) || is_refused_by_cut()) {
@@ -33,12 +33,12 @@
       refused_ = true;
       return;
     }
-    targets_.open_[request_.address].insert(this);
+    targets_.open_[request_.address].emplace(number_, this);
     targets_.arrivals.push_back(
         {targets_.time_.now(), request_.address, node(), parts_, is_deadly_});
   }
 
-  ~exchange() override { targets_.open_[request_.address].erase(this); }
+  ~exchange() override { targets_.open_[request_.address].erase(number_); }
 
   support::task<net::response_head> head(std::chrono::nanoseconds timeout) override {
     if (refused_)
@@ -118,6 +118,7 @@
   static constexpr std::chrono::milliseconds poll_interval{10};
 
   faulty_targets& targets_;
+  std::size_t number_;
   net::client_request request_;
   support::notification ended_;
   std::string parts_;
@@ -132,7 +133,7 @@
 }
 
 void faulty_targets::reset_connections(const std::string& target) {
-  for (exchange* each : open_[target])
+  for (const auto& [number, each] : open_[target])
     each->reset();
 }
 
@@ -141,7 +142,7 @@
   if (kind != cut_kind::reset)
     return;
   for (auto& [target, exchanges] : open_) {
-    for (exchange* each : exchanges) {
+    for (const auto& [number, each] : exchanges) {
       if (each->node() == node)
         each->reset();
     }
--- a/unittests/fakes/faulty_targets.h
+++ b/unittests/fakes/faulty_targets.h
@@ -79,7 +79,9 @@
   support::clock& time_;
   std::set<std::string> down_;
   std::map<std::string, cut_kind> cuts_;
-  std::map<std::string, std::set<exchange*>> open_;
+  /// By target and in the order of their beginning, so that a seed has the same outcome each time.
+  std::map<std::string, std::map<std::size_t, exchange*>> open_;
+  std::size_t last_exchange_ = 0;
 };
 
 } // namespace camphorlug::fakes
