--- a/unittests/edge/cut_from_targets_test.cpp
+++ b/unittests/edge/cut_from_targets_test.cpp
@@ -28,6 +28,7 @@
   std::size_t cut;
   cut_kind kind;
   std::chrono::milliseconds interval = 10ms;
+  std::uint64_t seed = 1;
 };
 
 std::ostream& operator<<(std::ostream& out, const cut_case& each) {
@@ -43,6 +44,7 @@
     {"three nodes get no new connections", 6, 20, 3, cut_kind::refuse_new},
     {"one node hangs, few requests", 6, 20, 1, cut_kind::hang, 100ms},
     {"three nodes hang before few targets", 6, 3, 3, cut_kind::hang, 50ms},
+    {"three nodes get no new connections, seed 2", 6, 20, 3, cut_kind::refuse_new, 10ms, 2},
 };
 
 const std::vector<cut_case> large_cuts = {
@@ -62,7 +64,7 @@
 /// A fleet of which the first nodes are cut off from all targets.
 struct cut_fleet : tainted_fleet {
   explicit cut_fleet(const cut_case& each)
-      : tainted_fleet(each.nodes, each.targets), settings(each) {}
+      : tainted_fleet(each.nodes, each.targets, each.seed), settings(each) {}
 
   void send_to_random_node() {
     const char* paths[] = {"/plain/x", "/stream/x", "/once/x"};
--- a/unittests/edge/deadly_request_test.cpp
+++ b/unittests/edge/deadly_request_test.cpp
@@ -42,6 +42,7 @@
   bool crashes_late = false;
   const char* parts = "";
   std::size_t deadly_requests = 1;
+  std::uint64_t seed = 1;
 };
 
 std::ostream& operator<<(std::ostream& out, const repeat_case& each) {
@@ -61,6 +62,8 @@
     {"at all nodes at once, few targets", 6, 3, "/stream/x", 200ms, 6},
     {"seldom", 6, 20, "/plain/x", 4000ms},
     {"two such requests", 6, 20, "/plain/x", 400ms, 1, false, "", 2},
+    {"at three nodes at once, few targets, seed 3", 6, 3, "/plain/x", 400ms, 3, false, "", 1, 3},
+    {"at all nodes at once, few targets, seed 6", 6, 3, "/stream/x", 200ms, 6, false, "", 1, 6},
 };
 
 const std::vector<repeat_case> large_repeats = {
@@ -95,7 +98,7 @@
 }
 
 void expect_deadly_request_is_stopped(const repeat_case& each) {
-  tainted_fleet fleet(each.nodes, each.targets);
+  tainted_fleet fleet(each.nodes, each.targets, each.seed);
   play_repeats(fleet, each);
   const auto& crashes = fleet.side.deadly_crashes;
   const std::size_t counted = crashes_that_count * each.deadly_requests;
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -146,7 +146,7 @@
   return targets_->open(std::move(request));
 }
 
-edge_cluster::edge_cluster(std::size_t count) {
+edge_cluster::edge_cluster(std::size_t count, std::uint64_t random_seed) : random(random_seed) {
   edges.resize(count);
   for (std::size_t i = 0; i < count; ++i)
     start(i);
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -104,7 +104,8 @@
 class edge_cluster {
 public:
   /// Starts `count` nodes in two data centres. The first node's address is the seed of all nodes.
-  explicit edge_cluster(std::size_t count);
+  /// `random_seed` is that of the draws.
+  explicit edge_cluster(std::size_t count, std::uint64_t random_seed = 1);
   ~edge_cluster();
   edge_cluster(const edge_cluster&) = delete;
   edge_cluster& operator=(const edge_cluster&) = delete;
@@ -136,7 +137,7 @@
 
   asio::io_context context;
   support::virtual_clock clock{context};
-  support::random_source random{1};
+  support::random_source random;
   shared_table own_rows;
   fake_platform_tables tables;
   peer_network network;
--- a/unittests/fakes/tainted_fleet.cpp
+++ b/unittests/fakes/tainted_fleet.cpp
@@ -6,8 +6,8 @@
 
 using namespace std::chrono_literals;
 
-tainted_fleet::tainted_fleet(std::size_t nodes, std::size_t targets)
-    : edge_cluster(nodes), side(clock) {
+tainted_fleet::tainted_fleet(std::size_t nodes, std::size_t targets, std::uint64_t random_seed)
+    : edge_cluster(nodes, random_seed), side(clock) {
   target_client = &side;
   orders.is_alive = [this](const std::string& id) { return !side.is_down(id); };
   orders.is_cut_off = [this](const std::string& node) { return side.is_cut_off(node); };
--- a/unittests/fakes/tainted_fleet.h
+++ b/unittests/fakes/tainted_fleet.h
@@ -4,6 +4,7 @@
 #include "fakes/faulty_targets.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -25,7 +26,7 @@
   static constexpr std::size_t topics = 4;
   static constexpr double deadly_share = 0.06;
 
-  tainted_fleet(std::size_t nodes, std::size_t targets);
+  tainted_fleet(std::size_t nodes, std::size_t targets, std::uint64_t random_seed = 1);
   /// Ends the requests, which refer to members.
   ~tainted_fleet();
   tainted_fleet(const tainted_fleet&) = delete;
