--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -13,6 +13,9 @@
 #include "camphorlug/gateway/target_sender.h"
 #include "camphorlug/groups/table_lease.h"
 #include "camphorlug/replicas/replica_controller.h"
+#include "camphorlug/scheduling/scheduler_assignment.h"
+#include "camphorlug/scheduling/scheduler_client.h"
+#include "camphorlug/scheduling/scheduler_service.h"
 #include "camphorlug/table/row_mirror.h"
 #include "camphorlug/table/table_follower.h"
 #include "camphorlug/table/table_store.h"
@@ -101,6 +104,7 @@
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
   void update_limits();
+  void update_schedulers();
   void detect_first_traffic();
   support::task<> register_self();
   support::task<> run_housekeeping();
@@ -165,6 +169,7 @@
   gateway::stall_detector stalls_;
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
+  gateway::usual_time_limits usual_limits_;
   gateway::notice_handler notices_;
   gateway::crash_cause_list crash_causes_;
   gateway::path_monitor paths_;
@@ -173,6 +178,9 @@
   gateway::request_relay relay_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
+  scheduling::scheduler_assignment schedulers_;
+  scheduling::scheduler_service scheduler_service_;
+  scheduling::scheduler_client scheduler_client_;
   gateway::fleet_exchange exchange_;
   groups::table_lease lease_;
   replicas::replica_controller replica_controller_;
--- a/include/camphorlug/gateway/caller_request.h
+++ b/include/camphorlug/gateway/caller_request.h
@@ -32,6 +32,8 @@
   /// Ids of the parts of the prompt in order, without the last one, which belongs to this request
   /// or its session alone. Callers choose them; requests with the same part share an id.
   std::vector<std::string> prompt_parts;
+  /// Number of tokens of the prompt; 0 if the caller does not say it.
+  double prompt_tokens = 0;
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> resume_after;
   std::size_t header_bytes = 0;
--- a/include/camphorlug/gateway/engine_profile.h
+++ b/include/camphorlug/gateway/engine_profile.h
@@ -15,8 +15,13 @@
   double loads_per_second = 1;
   /// Number of concurrent loads beyond which each load takes longer.
   std::size_t concurrent_loads = 1;
+  /// Prompt tokens that a group of a model without time factor reads a second; 0 if unknown.
+  double reading_tokens_per_second = 0;
   std::vector<model_profile> models;
 
+  /// Prompt tokens that a group of the model reads a second; 0 if unknown.
+  double reading_rate(const std::string& model) const;
+
   /// Returns the model with that name, or null.
   const model_profile* find(const std::string& model) const;
 };
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -12,6 +12,7 @@
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/gateway/target_sender.h"
+#include "camphorlug/gateway/usual_time_limits.h"
 #include "camphorlug/support/clock.h"
 #include "camphorlug/support/random_source.h"
 
@@ -33,6 +34,7 @@
   stall_detector& stalls;
   demand_meter& demand;
   gateway_metrics& metrics;
+  usual_time_limits& usual_limits;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/model_profile.h
+++ b/include/camphorlug/gateway/model_profile.h
@@ -13,7 +13,7 @@
   std::size_t size = 1;
   /// Expected initial share of the service's load.
   double share = 1;
-  /// Multiplier for the durations of a group. It is decoded but not used.
+  /// Multiplier for the durations of a group.
   double time_factor = 1;
   /// Time to load the weights from the weight store.
   std::chrono::milliseconds load_time{0};
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -6,6 +6,9 @@
 
 namespace camphorlug::gateway {
 
+/// Version of the messages between nodes from which on a node asks schedulers for slots.
+inline constexpr int scheduling_protocol = 1;
+
 /// What a node tells all other nodes about itself. It changes rarely; what changes with each
 /// request is in `fleet_summary`.
 struct node_status {
@@ -30,6 +33,10 @@
   /// Whether the node's own connections to targets work.
   bool reaches_targets = true;
 
+  /// Version of the messages between nodes that the node knows; 0 for nodes of an earlier version,
+  /// which do not report it.
+  int protocol = scheduling_protocol;
+
   bool operator==(const node_status&) const = default;
 
   /// Whether this status replaces `other` of the same node.
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -58,8 +58,10 @@
   void end_attempt(const open_attempt& ended);
   void note(const open_attempt& each, std::string_view text);
 
-  support::task<std::optional<slot_guard>> wait_for_slot();
-  support::clock::time_point slot_deadline() const;
+  support::task<slot_queue::slot_result> wait_for_slot();
+  /// The wait that a refusal reports.
+  std::chrono::nanoseconds wait_after_refusal();
+  support::clock::time_point slot_deadline();
   bool may_retry(attempt_result last);
   /// Whether the route allows another attempt and the time suffices for it.
   bool has_attempts_left() const;
@@ -83,6 +85,7 @@
 
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
   const target_pool& pool() const { return pool_; }
+  slot_request make_slot_request() const;
   queue_rank rank() const { return {priority_, arrived_at_ + route_->objective}; }
 
   gateway_environment& env_;
@@ -94,6 +97,8 @@
   std::string service_;
   target_pool pool_;
   support::clock::time_point arrived_at_;
+  /// How long the caller has waited before, in earlier attempts.
+  std::chrono::nanoseconds time_since_first_attempt_{0};
   std::optional<support::clock::time_point> first_byte_at_;
 
   bool caller_gone_ = false;
@@ -113,6 +118,8 @@
   /// Tried targets and what happened to them, each as `ID (REASON)...`; parsed by
   /// diagnosis/target_attempt.
   std::vector<std::string> trail_;
+  /// When the scheduler expects to have a slot, if it refused the last wait.
+  std::optional<std::chrono::nanoseconds> scheduled_retry_after_;
   /// Why no further target was tried; empty while the request may still be answered.
   std::string give_up_reason_;
 };
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "camphorlug/gateway/load_tracker.h"
-#include "camphorlug/gateway/queue_rank.h"
 #include "camphorlug/gateway/slot_guard.h"
+#include "camphorlug/gateway/slot_request.h"
+#include "camphorlug/gateway/slot_scheduler.h"
 #include "camphorlug/gateway/target_chooser.h"
 #include "camphorlug/gateway/target_limits.h"
 #include "camphorlug/support/clock.h"
@@ -18,24 +19,30 @@
 namespace camphorlug::gateway {
 
 /// Assigns slots of targets to requests, and queues requests in rank order while no slot is free.
+/// For the pools that a scheduler serves, it passes the requests on to that.
 class slot_queue {
 public:
-  /// A request for one slot.
-  struct slot_request {
-    target_pool pool;
-    queue_rank rank;
-    std::set<std::string> avoided;
-    /// The wait ends without a slot once this is true; checked every 50 ms.
-    const bool* cancelled = nullptr;
+  using slot_request = gateway::slot_request;
+
+  /// Result of a wait for a slot.
+  struct slot_result {
+    std::optional<slot_guard> slot;
+    /// When a later request is expected to get a slot, if a scheduler refused this one.
+    std::optional<std::chrono::nanoseconds> retry_after;
+
+    explicit operator bool() const { return slot.has_value(); }
   };
 
   slot_queue(support::clock& time, target_chooser& chooser, load_tracker& loads,
              target_limits& limits)
       : time_(time), chooser_(chooser), loads_(loads), limits_(limits) {}
 
-  /// Waits for a slot. Returns nothing if none is assigned by `until` or the request is cancelled.
-  support::task<std::optional<slot_guard>> acquire(slot_request request,
-                                                   support::clock::time_point until);
+  /// Sets the scheduler that assigns slots in place of this queue, for the pools that it schedules.
+  void set_scheduler(slot_scheduler* scheduler) { scheduler_ = scheduler; }
+  bool is_scheduled(const target_pool& pool) { return scheduler_ && scheduler_->schedules(pool); }
+
+  /// Waits for a slot. Returns none if none is assigned by `until` or the request is cancelled.
+  support::task<slot_result> acquire(slot_request request, support::clock::time_point until);
 
   /// Returns a slot if one is free and no request with a better rank waits for it.
   std::optional<slot_guard> try_acquire(const slot_request& request);
@@ -49,6 +56,12 @@
   /// Updates the mean hold time of the pool with one more slot use.
   void update_hold_estimate(const target_pool& pool, std::chrono::nanoseconds held);
 
+  /// Updates the mean time from a slot to the first part of a response.
+  void update_first_part_estimate(const target_pool& pool, std::chrono::nanoseconds span);
+  /// How long a request may wait for a slot and still meet `objective`.
+  std::chrono::nanoseconds usable_wait(const target_pool& pool,
+                                       std::chrono::nanoseconds objective) const;
+
   /// Mean hold time of the pool, if a slot of it has been used.
   std::optional<std::chrono::nanoseconds> mean_hold(const target_pool& pool) const;
 
@@ -94,14 +107,19 @@
   /// Chooses a target and counts the request that will be sent to it.
   std::optional<chosen_target> take_slot(const slot_request& request);
   slot_guard make_guard(chosen_target target);
+  /// Asks the scheduler. Returns nothing if this node has to decide by itself.
+  support::task<std::optional<slot_result>> acquire_scheduled(slot_request request,
+                                                              support::clock::time_point until);
   void assign_free_slots(queue& waiters);
 
   support::clock& time_;
   target_chooser& chooser_;
   load_tracker& loads_;
   target_limits& limits_;
+  slot_scheduler* scheduler_ = nullptr;
   std::map<target_pool, queue> queues_;
   std::map<target_pool, std::chrono::duration<double>> mean_hold_;
+  std::map<target_pool, std::chrono::duration<double>> mean_first_part_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -6,6 +6,7 @@
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_limits.h"
 #include "camphorlug/gateway/target_pauses.h"
+#include "camphorlug/gateway/target_pool.h"
 #include "camphorlug/support/random_source.h"
 
 #include <map>
@@ -16,15 +17,6 @@
 
 namespace camphorlug::gateway {
 
-/// Identifies the targets that can serve the same requests.
-struct target_pool {
-  std::string service;
-  /// Empty for a service without groups.
-  std::string model;
-
-  auto operator<=>(const target_pool&) const = default;
-};
-
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
 /// are excluded, suspected targets are used only as a last resort, and never those that pause
@@ -46,10 +38,25 @@
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
 
+  /// A target of a pool with what its choice depends on.
+  struct candidate {
+    chosen_target target;
+    std::string data_centre;
+    bool is_local = false;
+    bool warming_up = false;
+  };
+
   /// Returns nothing if no target of the pool outside `avoided` has a free slot.
   std::optional<chosen_target> choose(const target_pool& pool,
                                       const std::set<std::string>& avoided);
 
+  /// The targets of the pool that accept requests and are neither suspected nor paused.
+  std::vector<candidate> usable(const target_pool& pool);
+  /// Ids of all targets of the pool.
+  std::vector<std::string> ids(const target_pool& pool);
+  /// The target of the pool with that id if it accepts requests of this node now.
+  std::optional<chosen_target> find_usable(const target_pool& pool, const std::string& id);
+
   /// Whether a target that was chosen earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const;
   /// If each target of the pool outside `avoided` pauses or its limit leaves nothing to this node
@@ -65,11 +72,6 @@
   bool has_unsuspected_slot(const target_pool& pool, const std::set<std::string>& avoided);
 
 private:
-  struct candidate {
-    chosen_target target;
-    bool is_local = false;
-    bool warming_up = false;
-  };
   /// Cached targets of a pool, valid while neither entries nor groups change.
   struct pool_view {
     std::uint64_t revision = 0;
--- a/include/camphorlug/gateway/target_limits.h
+++ b/include/camphorlug/gateway/target_limits.h
@@ -74,6 +74,10 @@
   /// it several times a second.
   void update(const std::vector<std::string>& others, const std::string& self);
 
+  /// Whether the target has named a limit.
+  bool is_limited(const std::string& target, std::int64_t started_at_ms) const {
+    return find_limited(target, started_at_ms) != nullptr;
+  }
   /// Whether this node may send the target a request now.
   bool allows(const std::string& target, std::int64_t started_at_ms) const {
     return !next_at(target, started_at_ms);
--- a/include/camphorlug/replicas/planning_input.h
+++ b/include/camphorlug/replicas/planning_input.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/target_registry.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace camphorlug::replicas {
@@ -17,6 +18,8 @@
   bool traffic_started = false;
   /// Slots that the requests for each model need; empty until the demand is known.
   std::map<std::string, double> slots_needed;
+  /// Data centres in which no group may serve.
+  std::set<std::string> evacuated_data_centres{};
 };
 
 } // namespace camphorlug::replicas
--- /dev/null
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "camphorlug/gateway/load_tracker.h"
+#include "camphorlug/gateway/slot_scheduler.h"
+#include "camphorlug/scheduling/fair_order.h"
+#include "camphorlug/scheduling/schedulable_target.h"
+#include "camphorlug/scheduling/slot_ask.h"
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorlug::scheduling {
+
+/// Assigns the slots of one pool's targets to the requests of all nodes. Performs no I/O.
+///
+/// Answers the load pattern in which many nodes compete for slots at a peak. What a node knows of
+/// the others is older than the time in which a slot changes hands, so nodes that choose by
+/// themselves send some targets far more than they have slots while others stay free, and requests
+/// wait at targets, where no order reaches them. One scheduler knows each slot that it has
+/// assigned. It keeps the wait of all nodes in one fair order, leaves no slot free while a request
+/// waits, and refuses at once what would wait in vain. Requests that can still meet their objective
+/// go before those that cannot, so that returns of refused requests don't make the next ones late.
+class pool_scheduler {
+public:
+  using decision = gateway::scheduled_slot;
+  /// Called once with the decision on an ask that has waited.
+  using decision_handler = std::function<void(const decision&)>;
+
+  /// The slots of a node that has sent nothing for this long are free again.
+  static constexpr std::chrono::milliseconds node_timeout{2500};
+  /// A node's report of its slots may cross with grants that are younger than this.
+  static constexpr std::chrono::milliseconds report_grace{300};
+  /// Fraction of the starts that a cold target tolerates which the scheduler uses. The rest is left
+  /// to nodes that do not reach it.
+  static constexpr double cold_fraction = 0.6;
+
+  explicit pool_scheduler(support::clock& time) : time_(time), arrivals_at_(time.now()) {}
+
+  /// Sets the targets that can take requests now, and how many prompt tokens each of them reads a
+  /// second; 0 if that is not known.
+  void set_targets(const std::vector<schedulable_target>& targets, double tokens_per_second);
+
+  /// Decides on an ask, or keeps it and calls `decide` later. Returns the ask's number in that
+  /// case, otherwise 0; `decide` has then been called.
+  std::uint64_t submit(slot_ask ask, decision_handler decide);
+  /// Refuses a waiting ask.
+  void end_wait(std::uint64_t number);
+  /// Drops a waiting ask without a decision.
+  void cancel(std::uint64_t number);
+
+  /// Gives back a slot of the node.
+  void release(const std::string& node, const std::string& target);
+  /// Applies the number of requests that a node has at each target.
+  void report_held(const std::string& node, const gateway::target_loads& held);
+
+  /// Ends waits that are in vain and drops nodes that have gone. Call it several times a second.
+  void expire();
+
+  std::size_t waiting() const { return waiting_.size(); }
+  std::size_t in_flight(const std::string& target) const;
+  std::size_t total_in_flight() const;
+  /// Slots of all targets.
+  std::size_t slots() const;
+
+private:
+  struct target_state {
+    schedulable_target info;
+    std::size_t in_flight = 0;
+    /// Prompt tokens that the target has not read yet, as of `tokens_at`.
+    double unread_tokens = 0;
+    support::clock::time_point tokens_at;
+    /// Starts that a cold target may still get, as of `starts_at`.
+    double starts_left = 1;
+    support::clock::time_point starts_at;
+    bool usable = false;
+  };
+  struct held_slots {
+    std::size_t count = 0;
+    support::clock::time_point granted_at;
+    /// Times of the grants whose slots are in use, oldest first.
+    std::vector<support::clock::time_point> starts;
+  };
+  struct node_state {
+    std::map<std::string, held_slots> targets;
+    support::clock::time_point heard_at;
+  };
+  struct waiting_ask {
+    slot_ask ask;
+    decision_handler decide;
+  };
+
+  target_state* choose(const slot_ask& ask);
+  double cost(const target_state& each, const slot_ask& ask) const;
+  double unread_tokens(const target_state& each) const;
+  void refill_starts(target_state& each) const;
+  void assign();
+  decision grant(const slot_ask& ask, target_state& chosen);
+  bool is_overdue(const slot_ask& ask) const { return ask.in_time_until <= time_.now(); }
+  /// Slots that become free in a second while all are in use.
+  double drain_rate() const;
+  /// The part of it that the requests in time leave to the others.
+  double spare_rate() const;
+  std::chrono::nanoseconds expected_wait(const slot_ask& ask) const;
+  std::chrono::nanoseconds expected_wait_of_overdue() const;
+  /// Whether the ask gets a slot while that is of use.
+  bool can_be_served(const slot_ask& ask) const;
+  decision refuse(const slot_ask& ask);
+  void record_hold(std::chrono::nanoseconds held);
+  void set_count(held_slots& held, target_state& target, std::size_t count);
+
+  support::clock& time_;
+  std::map<std::string, target_state> targets_;
+  std::map<std::string, node_state> nodes_;
+  /// By number, in the order of arrival.
+  std::map<std::uint64_t, waiting_ask> waiting_;
+  fair_order order_;
+  std::uint64_t last_number_ = 0;
+  double tokens_per_second_ = 0;
+  std::chrono::duration<double> mean_hold_{0.5};
+  /// Asks in time a second, exponentially averaged, as of `arrivals_at_`.
+  double arrival_rate_ = 0;
+  support::clock::time_point arrivals_at_;
+  /// Until then, places are promised to the callers of refused requests.
+  support::clock::time_point next_return_;
+};
+
+} // namespace camphorlug::scheduling
--- /dev/null
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "camphorlug/gateway/load_tracker.h"
+#include "camphorlug/gateway/slot_scheduler.h"
+#include "camphorlug/gateway/target_pool.h"
+#include "camphorlug/scheduling/slot_ask.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorlug::scheduling {
+
+/// Path on the port for peers that receives the messages of nodes to a scheduler.
+inline constexpr const char* slots_path = "/camphorlug/v1/slots";
+
+/// A message of a node to the scheduler of a pool. Fields that are unknown to the reader are
+/// ignored.
+struct scheduler_message {
+  std::string node;
+  gateway::target_pool pool;
+  /// Targets of which the node gives back a slot each.
+  std::vector<std::string> released;
+  /// The number of requests that the node has at each target of the pool.
+  std::optional<gateway::target_loads> held;
+  /// `latest_start` is relative to the clock of the reader.
+  std::optional<slot_ask> ask;
+
+  std::string to_json(support::clock::time_point now) const;
+  /// Throws nlohmann::json::exception if `text` is not a valid message.
+  static scheduler_message from_json(const std::string& text, support::clock::time_point now);
+};
+
+/// The answer to a message with an ask.
+std::string to_json(const gateway::scheduled_slot& answer);
+/// Throws nlohmann::json::exception if `text` is not a valid answer. Of a granted target, only the
+/// id is set.
+gateway::scheduled_slot answer_from_json(const std::string& text);
+
+} // namespace camphorlug::scheduling
--- /dev/null
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "camphorlug/gateway/active_config.h"
+#include "camphorlug/gateway/target_chooser.h"
+#include "camphorlug/net/response_writer.h"
+#include "camphorlug/net/server_request.h"
+#include "camphorlug/scheduling/pool_scheduler.h"
+#include "camphorlug/scheduling/scheduler_assignment.h"
+#include "camphorlug/scheduling/scheduler_message.h"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace camphorlug::scheduling {
+
+/// Schedules the pools that are assigned to this node, for other nodes and for itself.
+class scheduler_service {
+public:
+  scheduler_service(support::clock& time, gateway::target_chooser& chooser,
+                    const gateway::active_config& config, std::string self)
+      : time_(time), chooser_(chooser), config_(config), self_(std::move(self)) {}
+
+  /// Takes over and gives up pools, and follows their targets. Call it several times a second.
+  void update(const scheduler_assignment& assignment);
+  /// Follows changes of targets at once.
+  void update_targets();
+
+  /// Applies a message and returns the answer to its ask, if it has one. The message's ask is
+  /// dropped once `cancelled` is true.
+  support::task<gateway::scheduled_slot> apply(scheduler_message message, const bool& cancelled);
+
+  /// The same for a message of another node.
+  support::task<> handle(net::server_request request, net::response_writer& writer);
+
+  /// What the schedulers hold, for operators.
+  nlohmann::ordered_json state() const;
+  std::size_t waiting() const;
+
+private:
+  void update_targets(const gateway::target_pool& pool, pool_scheduler& scheduler);
+
+  support::clock& time_;
+  gateway::target_chooser& chooser_;
+  const gateway::active_config& config_;
+  std::string self_;
+  std::map<gateway::target_pool, std::shared_ptr<pool_scheduler>> schedulers_;
+};
+
+} // namespace camphorlug::scheduling
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -62,7 +62,7 @@
                settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
-      stalls_(context_.time), demand_(context_.time),
+      stalls_(context_.time), demand_(context_.time), usual_limits_(context_.time),
       notices_(registry_, pauses_, limits_, metrics_), crash_causes_(context_.time),
       paths_(context_.time),
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
@@ -71,9 +71,12 @@
              settings_.cores),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
                  slot_queue_, suspicions_, notices_, crash_causes_, retries_, stalls_, demand_,
-                 metrics_},
+                 metrics_, usual_limits_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
+      scheduler_service_(context_.time, chooser_, config_, settings_.id),
+      scheduler_client_({context_.executor, context_.time, context_.client, chooser_, loads_,
+                         schedulers_, scheduler_service_, settings_.id, settings_.data_centre}),
       exchange_(context_.executor, context_.time, context_.random, context_.client, fleet_,
                 [this] { return report(); }),
       lease_(context_.store, context_.time, context_.random, lease_pool, settings_.id,
@@ -103,7 +106,11 @@
       own_follower_(context_.time, context_.random, context_.feed, context_.tables.own_table,
                     own_rows_reread_interval,
                     [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }) {
-  registry_.add_listener([this] { slot_queue_.assign_free_slots(); });
+  slot_queue_.set_scheduler(&scheduler_client_);
+  registry_.add_listener([this] {
+    scheduler_service_.update_targets();
+    slot_queue_.assign_free_slots();
+  });
   target_follower_.on_reconnected([this] { registry_.mark_store_recovered(); });
   for (table::table_follower* each : {&config_follower_, &target_follower_, &own_follower_})
     each->set_gate([this] { return reading_.is_active(); });
@@ -356,6 +363,7 @@
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
+    update_schedulers();
     crash_keeper_.update();
     paths_.check();
     for (const std::string& service : paths_.take_silent_services())
@@ -424,6 +432,17 @@
   limits_.update(serving, settings_.id);
 }
 
+void edge_node::update_schedulers() {
+  if (!config_.current())
+    return;
+  std::vector<const gateway::node_status*> live{&status()};
+  for (const auto& [id, other] : fleet_.others())
+    live.push_back(&other.status);
+  schedulers_.update(live, fleet_.roles(), *config_.current());
+  scheduler_service_.update(schedulers_);
+  scheduler_client_.update();
+}
+
 void edge_node::detect_first_traffic() {
   if (!traffic_since_ && (requests_.handled() > 0 || fleet_.others_summary().has_served))
     traffic_since_ = context_.time.now();
@@ -549,6 +568,10 @@
     co_await relay_.handle(std::move(request), writer);
     co_return;
   }
+  if (request.path == scheduling::slots_path) {
+    co_await scheduler_service_.handle(std::move(request), writer);
+    co_return;
+  }
   if (request.path.starts_with(probe_prefix)) {
     co_await prober_.handle(std::move(request), registry_, writer);
     co_return;
--- a/lib/gateway/node_status.cpp
+++ b/lib/gateway/node_status.cpp
@@ -9,7 +9,7 @@
   value = nlohmann::json::array({status.id, status.data_centre, status.public_address,
                                  status.peer_address, status.incarnation, status.revision,
                                  status.cores, status.ready, status.leaving, status.reaches_store,
-                                 status.reaches_targets});
+                                 status.reaches_targets, status.protocol});
 }
 
 void from_json(const nlohmann::json& value, node_status& status) {
@@ -24,6 +24,7 @@
   value.at(8).get_to(status.leaving);
   value.at(9).get_to(status.reaches_store);
   // Nodes of an earlier version do not report it.
+  status.protocol = value.size() < 12 ? 0 : value.at(11).get<int>();
   status.reaches_targets = value.size() < 11 || value.at(10).get<bool>();
 }
 
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -15,6 +15,10 @@
 /// Fraction of the objective that a request may wait for a slot. The rest is
 /// needed to produce the first part of the response.
 static constexpr double slot_wait_fraction = 0.6;
+/// Limits of the wait for a slot that a scheduler assigns, the first as a fraction of the remaining
+/// time. Callers expect the first part of a response within a few seconds.
+static constexpr double max_wait_fraction = 0.25;
+static constexpr milliseconds max_scheduled_wait{1000};
 /// A request is not sent to a target with less time than this before its deadline.
 static constexpr milliseconds min_remaining_time{5};
 /// Interval at which a request whose targets are silent looks for a replacement.
@@ -35,6 +39,7 @@
     : env_(environment), writer_(writer), route_(std::move(chosen)), priority_(priority),
       closes_connection_(closes_connection), arrived_at_(environment.time.now()),
       activity_(environment.time) {
+  time_since_first_attempt_ = env_.usual_limits.time_used(route_->name, request.time_limit);
   const auto deadline = arrived_at_ + request.time_limit_within(route_->timeout);
   position_.last_event_id = request.resume_after;
   double sum = 0;
@@ -98,7 +103,8 @@
     finish_failed_request(last_result_);
     co_return false;
   }
-  std::optional<slot_guard> slot = co_await wait_for_slot();
+  slot_queue::slot_result waited = co_await wait_for_slot();
+  scheduled_retry_after_ = waited.retry_after;
   if (caller_gone_)
     co_return true;
   // The request may have been banned while it waited.
@@ -109,15 +115,15 @@
       reject_banned_request();
     co_return false;
   }
-  if (slot) {
-    start_attempt(std::move(*slot), executor);
+  if (waited) {
+    start_attempt(std::move(*waited.slot), executor);
     co_return true;
   }
   give_up("no other target had a free slot in time");
   if (attempts_ > 0)
     finish_failed_request(last_result_);
   else
-    send_refusal("no free slot", env_.queue.expected_wait(pool(), {priority_, shared_->deadline}));
+    send_refusal("no free slot", wait_after_refusal());
   co_return false;
 }
 
@@ -146,8 +152,7 @@
       !has_attempts_left() || !env_.retries.can_retry(service_) ||
       !env_.queue.has_alternative(pool(), tried_targets_))
     return;
-  std::optional<slot_guard> slot =
-      env_.queue.try_acquire({pool(), rank(), tried_targets_, &caller_gone_});
+  std::optional<slot_guard> slot = env_.queue.try_acquire(make_slot_request());
   if (!slot || !env_.retries.try_acquire(service_))
     return;
   env_.metrics.count_retry("silent");
@@ -201,6 +206,8 @@
     if (!writer_.started()) {
       const target_response& response = attempt.response();
       first_byte_at_ = env_.time.now();
+      if (attempts_ == 1)
+        env_.queue.update_first_part_estimate(pool(), attempt.held());
       writer_.start(response.status, with_connection_header(response.forwarded_headers));
     }
     position_.advance(event);
@@ -283,24 +290,41 @@
   return text;
 }
 
-support::clock::time_point request_forwarder::slot_deadline() const {
+support::clock::time_point request_forwarder::slot_deadline() {
   // A stream that has begun is not given up while its caller waits for it.
   if (position_.events > 0)
     return shared_->deadline;
+  // A late answer is still of use, so the scheduler may let the request wait longer.
+  if (env_.queue.is_scheduled(pool()))
+    return env_.time.now() +
+           std::min<nanoseconds>(scaled(remaining_time(), max_wait_fraction), max_scheduled_wait);
   const auto wait = scaled(route_->objective, slot_wait_fraction);
   return std::min(shared_->deadline - min_remaining_time, env_.time.now() + wait);
 }
 
-support::task<std::optional<slot_guard>> request_forwarder::wait_for_slot() {
+slot_request request_forwarder::make_slot_request() const {
+  slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
+  request.organisation = shared_->organisation;
+  request.in_time_until =
+      arrived_at_ - time_since_first_attempt_ + env_.queue.usable_wait(pool(), route_->objective);
+  request.prompt_tokens = shared_->request.prompt_tokens;
+  return request;
+}
+
+nanoseconds request_forwarder::wait_after_refusal() {
+  return scheduled_retry_after_ ? *scheduled_retry_after_
+                                : env_.queue.expected_wait(pool(), {priority_, shared_->deadline});
+}
+
+support::task<slot_queue::slot_result> request_forwarder::wait_for_slot() {
   const auto until = slot_deadline();
-  const auto expected = env_.queue.expected_wait(pool(), rank());
   // The first attempt fails at once if the expected wait exceeds the limit.
-  if (env_.time.now() + expected > until && attempts_ == 0)
-    co_return std::nullopt;
-  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
-      resumes_at && *resumes_at > until)
-    co_return std::nullopt;
-  slot_queue::slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
+  const bool may_wait = attempts_ > 0 || env_.queue.is_scheduled(pool()) ||
+                        env_.time.now() + env_.queue.expected_wait(pool(), rank()) <= until;
+  const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+  if (!may_wait || (resumes_at && *resumes_at > until))
+    co_return slot_queue::slot_result{};
+  slot_request request = make_slot_request();
   co_return co_await env_.queue.acquire(std::move(request), until);
 }
 
@@ -386,8 +410,7 @@
     return;
   }
   if (!may_have_executed_) {
-    send_refusal("no target took the request",
-                 env_.queue.expected_wait(pool(), {priority_, shared_->deadline}));
+    send_refusal("no target took the request", wait_after_refusal());
     return;
   }
   const bool deadline_passed = remaining_time() < min_remaining_time;
--- a/lib/gateway/routing_config.cpp
+++ b/lib/gateway/routing_config.cpp
@@ -13,6 +13,11 @@
   return nullptr;
 }
 
+double engine_profile::reading_rate(const std::string& model) const {
+  const model_profile* profile = find(model);
+  return profile && profile->time_factor > 0 ? reading_tokens_per_second / profile->time_factor : 0;
+}
+
 /// Strips the port and converts to lower case, since host names are
 /// case-insensitive.
 static std::string normalise_host(std::string_view host) {
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -6,6 +6,11 @@
 static constexpr double hold_smoothing_factor = 0.05;
 /// Used until the first slot of a pool has been released.
 static constexpr std::chrono::duration<double> initial_hold_estimate{0.5};
+/// Bounds of the wait for a slot that still lets a response meet its objective, as fractions of it.
+static constexpr double min_wait_of_objective = 0.1;
+static constexpr double max_wait_of_objective = 0.6;
+/// The first part of most responses takes less than this multiple of the mean.
+static constexpr double first_part_margin = 1.25;
 /// Number of waiting requests that may fail to get a slot before a pass stops. It is above 1, so
 /// that requests that avoid a target don't block those behind them.
 static constexpr int max_failed_choices = 4;
@@ -55,10 +60,38 @@
   return make_guard(std::move(*target));
 }
 
-support::task<std::optional<slot_guard>> slot_queue::acquire(slot_request request,
-                                                             support::clock::time_point until) {
-  if (auto slot = try_acquire(request))
-    co_return std::move(slot);
+support::task<std::optional<slot_queue::slot_result>>
+slot_queue::acquire_scheduled(slot_request request, support::clock::time_point until) {
+  const target_pool pool = request.pool;
+  scheduled_slot answer = co_await scheduler_->acquire(std::move(request), until);
+  if (answer.result == scheduled_slot::outcome::unavailable)
+    co_return std::nullopt;
+  slot_result result;
+  if (answer.result == scheduled_slot::outcome::refused) {
+    result.retry_after = answer.retry_after;
+    co_return result;
+  }
+  loads_.add(answer.target.id);
+  result.slot.emplace(std::move(answer.target), [this, pool](const std::string& id) {
+    loads_.remove(id);
+    scheduler_->release(pool, id);
+    assign_free_slots();
+  });
+  co_return result;
+}
+
+support::task<slot_queue::slot_result> slot_queue::acquire(slot_request request,
+                                                           support::clock::time_point until) {
+  slot_result result;
+  if (is_scheduled(request.pool)) {
+    std::optional<slot_result> scheduled = co_await acquire_scheduled(request, until);
+    if (scheduled)
+      co_return std::move(*scheduled);
+  }
+  if (auto slot = try_acquire(request)) {
+    result.slot.emplace(std::move(*slot));
+    co_return result;
+  }
   queue& waiters = queues_[request.pool];
   waiter self(*this, waiters, std::move(request));
   while (!self.has_usable_slot() && !(self.request.cancelled && *self.request.cancelled)) {
@@ -69,10 +102,11 @@
         std::min<std::chrono::nanoseconds>(left, std::chrono::milliseconds(50)));
   }
   if (!self.assigned_target)
-    co_return std::nullopt;
+    co_return result;
   chosen_target target = std::move(*self.assigned_target);
   self.assigned_target.reset();
-  co_return make_guard(std::move(target));
+  result.slot.emplace(make_guard(std::move(target)));
+  co_return result;
 }
 
 void slot_queue::assign_free_slots() {
@@ -121,6 +155,25 @@
     found->second += (std::chrono::duration<double>(held) - found->second) * hold_smoothing_factor;
 }
 
+void slot_queue::update_first_part_estimate(const target_pool& pool,
+                                            std::chrono::nanoseconds span) {
+  auto [found, inserted] = mean_first_part_.emplace(pool, span);
+  if (!inserted)
+    found->second += (std::chrono::duration<double>(span) - found->second) * hold_smoothing_factor;
+}
+
+std::chrono::nanoseconds slot_queue::usable_wait(const target_pool& pool,
+                                                 std::chrono::nanoseconds objective) const {
+  using nanosecond_count = std::chrono::duration<double, std::nano>;
+  const nanosecond_count longest = objective * max_wait_of_objective;
+  const auto found = mean_first_part_.find(pool);
+  nanosecond_count wait = longest;
+  if (found != mean_first_part_.end())
+    wait = std::clamp<nanosecond_count>(objective - found->second * first_part_margin,
+                                        objective * min_wait_of_objective, longest);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
+}
+
 std::optional<std::chrono::nanoseconds> slot_queue::mean_hold(const target_pool& pool) const {
   const auto found = mean_hold_.find(pool);
   if (found == mean_hold_.end())
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -28,6 +28,7 @@
   std::vector<candidate> found;
   const auto add = [&](const target_entry& entry, std::uint64_t epoch) {
     found.push_back({{entry.id, entry.address, entry.slots, epoch, entry.started_at_ms},
+                     entry.data_centre,
                      entry.data_centre == data_centre_,
                      entry.warm_up_remaining > std::chrono::milliseconds(0)});
   };
@@ -128,6 +129,33 @@
   return chosen.best ? std::optional(chosen.best->target) : std::nullopt;
 }
 
+std::vector<target_chooser::candidate> target_chooser::usable(const target_pool& pool) {
+  std::vector<candidate> found;
+  for (const candidate& each : view_of(pool).candidates) {
+    // A limit is divided among the nodes, so each of them sends its share by itself.
+    const bool is_limited = limits_.is_limited(each.target.id, each.target.started_at_ms);
+    if (!is_limited && !paused(each) && !suspicions_.suspected(each.target.id))
+      found.push_back(each);
+  }
+  return found;
+}
+
+std::vector<std::string> target_chooser::ids(const target_pool& pool) {
+  std::vector<std::string> found;
+  for (const candidate& each : view_of(pool).candidates)
+    found.push_back(each.target.id);
+  return found;
+}
+
+std::optional<chosen_target> target_chooser::find_usable(const target_pool& pool,
+                                                         const std::string& id) {
+  for (const candidate& each : view_of(pool).candidates) {
+    if (each.target.id == id && !paused(each))
+      return each.target;
+  }
+  return std::nullopt;
+}
+
 bool target_chooser::accepts_requests(const chosen_target& chosen) const {
   const target_entry* entry = registry_.find(chosen.id);
   return entry && !entry->draining && !pauses_.end(chosen.id, chosen.started_at_ms);
--- /dev/null
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -0,0 +1,325 @@
+#include "camphorlug/scheduling/pool_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace camphorlug::scheduling {
+
+using std::chrono::duration;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// Cost, as a fraction of a target's slots, of a target in another data centre than the node.
+static constexpr double remote_cost = 0.1;
+/// A prompt that waits this long to be read costs as much as a target that is full.
+static constexpr duration<double> full_reading_time{0.4};
+/// Charge for the tokens that a request generates, whose number is not known before.
+static constexpr double generation_charge = 500;
+static constexpr double hold_smoothing_factor = 0.03;
+/// Cold targets get at most this many requests at once.
+static constexpr double cold_burst = 2;
+/// Overdue asks end their wait when it is expected to take longer than this.
+static constexpr milliseconds max_overdue_wait{1000};
+static constexpr duration<double> arrival_time_constant{1.0};
+/// At least this fraction of the slots is expected to be left to requests that are late already.
+static constexpr double min_spare_fraction = 0.02;
+/// Returns are not spread further than this, since callers do not wait longer.
+static constexpr milliseconds max_return_delay{5000};
+
+void pool_scheduler::set_targets(const std::vector<schedulable_target>& targets,
+                                 double tokens_per_second) {
+  tokens_per_second_ = tokens_per_second;
+  for (auto& [id, each] : targets_)
+    each.usable = false;
+  for (const schedulable_target& info : targets) {
+    const auto [found, is_new] = targets_.try_emplace(info.target.id);
+    target_state& each = found->second;
+    if (is_new)
+      each.starts_at = each.tokens_at = time_.now();
+    each.info = info;
+    each.usable = true;
+  }
+  std::erase_if(targets_,
+                [](const auto& each) { return !each.second.usable && each.second.in_flight == 0; });
+  assign();
+}
+
+std::size_t pool_scheduler::in_flight(const std::string& target) const {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? 0 : found->second.in_flight;
+}
+
+std::size_t pool_scheduler::total_in_flight() const {
+  std::size_t sum = 0;
+  for (const auto& [id, each] : targets_)
+    sum += each.in_flight;
+  return sum;
+}
+
+std::size_t pool_scheduler::slots() const {
+  std::size_t sum = 0;
+  for (const auto& [id, each] : targets_)
+    sum += each.usable ? each.info.target.slots : 0;
+  return sum;
+}
+
+double pool_scheduler::unread_tokens(const target_state& each) const {
+  const duration<double> elapsed = time_.now() - each.tokens_at;
+  return std::max(each.unread_tokens - elapsed.count() * tokens_per_second_, 0.0);
+}
+
+void pool_scheduler::refill_starts(target_state& each) const {
+  const duration<double> elapsed = time_.now() - each.starts_at;
+  const double rate = each.info.max_starts_per_second.value_or(0) * cold_fraction;
+  each.starts_left = std::min(each.starts_left + elapsed.count() * rate, cold_burst);
+  each.starts_at = time_.now();
+}
+
+double pool_scheduler::cost(const target_state& each, const slot_ask& ask) const {
+  const double load = static_cast<double>(each.in_flight) /
+                      static_cast<double>(std::max<std::size_t>(each.info.target.slots, 1));
+  const double reading = tokens_per_second_ > 0
+                             ? unread_tokens(each) / tokens_per_second_ / full_reading_time.count()
+                             : 0;
+  return load + reading + (each.info.data_centre == ask.data_centre ? 0 : remote_cost);
+}
+
+/// Returns the best target with a free slot, or null.
+pool_scheduler::target_state* pool_scheduler::choose(const slot_ask& ask) {
+  target_state* best = nullptr;
+  double lowest = 0;
+  for (auto& [id, each] : targets_) {
+    if (!each.usable || each.in_flight >= each.info.target.slots || ask.avoided.contains(id))
+      continue;
+    if (each.info.max_starts_per_second) {
+      refill_starts(each);
+      if (each.starts_left < 1)
+        continue;
+    }
+    const double each_cost = cost(each, ask);
+    if (!best || each_cost < lowest) {
+      best = &each;
+      lowest = each_cost;
+    }
+  }
+  return best;
+}
+
+pool_scheduler::decision pool_scheduler::grant(const slot_ask& ask, target_state& chosen) {
+  const auto now = time_.now();
+  ++chosen.in_flight;
+  chosen.unread_tokens = unread_tokens(chosen) + ask.prompt_tokens;
+  chosen.tokens_at = now;
+  if (chosen.info.max_starts_per_second)
+    chosen.starts_left -= 1;
+  held_slots& held = nodes_[ask.node].targets[chosen.info.target.id];
+  ++held.count;
+  held.granted_at = now;
+  held.starts.push_back(now);
+  order_.charge(ask.priority, ask.organisation, ask.prompt_tokens + generation_charge);
+  decision granted;
+  granted.result = decision::outcome::granted;
+  granted.target = chosen.info.target;
+  return granted;
+}
+
+double pool_scheduler::drain_rate() const {
+  return static_cast<double>(std::max<std::size_t>(slots(), 1)) / mean_hold_.count();
+}
+
+double pool_scheduler::spare_rate() const {
+  const duration<double> elapsed = time_.now() - arrivals_at_;
+  const double arrivals = arrival_rate_ * std::exp(-elapsed / arrival_time_constant);
+  return std::max(drain_rate() - arrivals, drain_rate() * min_spare_fraction);
+}
+
+/// Estimates the wait of a new ask behind those in time that wait already.
+nanoseconds pool_scheduler::expected_wait(const slot_ask& ask) const {
+  std::map<std::string, std::size_t> by_organisation;
+  for (const auto& [number, each] : waiting_) {
+    if (each.ask.priority <= ask.priority && !is_overdue(each.ask))
+      ++by_organisation[each.ask.organisation];
+  }
+  const std::size_t own = std::exchange(by_organisation[ask.organisation], 0);
+  std::size_t ahead = own;
+  // Organisations take turns, so that one with many requests does not go before all of this one's.
+  for (const auto& [organisation, count] : by_organisation)
+    ahead += std::min(count, own + 1);
+  return duration_cast<nanoseconds>(
+      duration<double>(static_cast<double>(ahead + 1) / drain_rate()));
+}
+
+nanoseconds pool_scheduler::expected_wait_of_overdue() const {
+  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [this](const auto& each) {
+    return is_overdue(each.second.ask);
+  });
+  return duration_cast<nanoseconds>(
+      duration<double>(static_cast<double>(ahead + 1) / spare_rate()));
+}
+
+bool pool_scheduler::can_be_served(const slot_ask& ask) const {
+  const auto now = time_.now();
+  if (!is_overdue(ask) && now + expected_wait(ask) <= ask.in_time_until)
+    return true;
+  return now + expected_wait_of_overdue() <= ask.latest_start;
+}
+
+/// Refuses an ask. The callers of refused requests return one after the other, at the rate that
+/// other requests leave to them.
+pool_scheduler::decision pool_scheduler::refuse(const slot_ask& ask) {
+  const auto now = time_.now();
+  const auto latest = now + max_return_delay;
+  next_return_ = std::clamp(next_return_, std::min(now + expected_wait(ask), latest), latest);
+  decision refused;
+  refused.result = decision::outcome::refused;
+  refused.retry_after = next_return_ - now;
+  next_return_ += duration_cast<nanoseconds>(duration<double>(1 / spare_rate()));
+  return refused;
+}
+
+std::uint64_t pool_scheduler::submit(slot_ask ask, decision_handler decide) {
+  const bool has_targets = std::any_of(targets_.begin(), targets_.end(),
+                                       [](const auto& each) { return each.second.usable; });
+  const auto now = time_.now();
+  nodes_[ask.node].heard_at = now;
+  if (!is_overdue(ask)) {
+    const duration<double> elapsed = now - std::exchange(arrivals_at_, now);
+    arrival_rate_ = arrival_rate_ * std::exp(-elapsed / arrival_time_constant) +
+                    1 / arrival_time_constant.count();
+  }
+  if (!has_targets) {
+    decide({});
+    return 0;
+  }
+  if (target_state* free = waiting_.empty() ? choose(ask) : nullptr) {
+    decide(grant(ask, *free));
+    return 0;
+  }
+  if (!can_be_served(ask)) {
+    decide(refuse(ask));
+    return 0;
+  }
+  const std::uint64_t number = ++last_number_;
+  waiting_.emplace(number, waiting_ask{std::move(ask), std::move(decide)});
+  assign();
+  return waiting_.contains(number) ? number : 0;
+}
+
+void pool_scheduler::end_wait(std::uint64_t number) {
+  const auto found = waiting_.find(number);
+  if (found == waiting_.end())
+    return;
+  const waiting_ask ended = std::move(found->second);
+  waiting_.erase(found);
+  ended.decide(refuse(ended.ask));
+}
+
+void pool_scheduler::cancel(std::uint64_t number) {
+  waiting_.erase(number);
+}
+
+void pool_scheduler::assign() {
+  std::set<std::uint64_t> skipped;
+  while (skipped.size() < waiting_.size()) {
+    auto best = waiting_.end();
+    std::pair<bool, fair_order::position> first;
+    for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
+      if (skipped.contains(each->first))
+        continue;
+      const slot_ask& ask = each->second.ask;
+      const std::pair position(is_overdue(ask), order_.next(ask.priority, ask.organisation));
+      if (best == waiting_.end() || position < first ||
+          (position == first && ask.in_time_until < best->second.ask.in_time_until)) {
+        best = each;
+        first = position;
+      }
+    }
+    target_state* free = choose(best->second.ask);
+    if (!free) {
+      // Others may avoid fewer targets.
+      if (best->second.ask.avoided.empty())
+        return;
+      skipped.insert(best->first);
+      continue;
+    }
+    waiting_ask chosen = std::move(best->second);
+    waiting_.erase(best);
+    chosen.decide(grant(chosen.ask, *free));
+  }
+}
+
+void pool_scheduler::record_hold(nanoseconds held) {
+  mean_hold_ += (duration<double>(held) - mean_hold_) * hold_smoothing_factor;
+}
+
+void pool_scheduler::release(const std::string& node, const std::string& target) {
+  node_state& owner = nodes_[node];
+  owner.heard_at = time_.now();
+  const auto found = owner.targets.find(target);
+  if (found == owner.targets.end())
+    return;
+  held_slots& held = found->second;
+  if (!held.starts.empty())
+    record_hold(time_.now() - held.starts.front());
+  set_count(held, targets_[target], held.count - 1);
+  if (held.count == 0)
+    owner.targets.erase(found);
+  assign();
+}
+
+void pool_scheduler::set_count(held_slots& held, target_state& target, std::size_t count) {
+  target.in_flight = target.in_flight + count - held.count;
+  held.count = count;
+  while (held.starts.size() > count)
+    held.starts.erase(held.starts.begin());
+}
+
+void pool_scheduler::report_held(const std::string& node, const gateway::target_loads& reported) {
+  node_state& owner = nodes_[node];
+  owner.heard_at = time_.now();
+  for (const auto& [target, count] : reported) {
+    held_slots& held = owner.targets[target];
+    const bool may_cross = time_.now() - held.granted_at < report_grace;
+    set_count(held, targets_[target], may_cross ? std::max(held.count, count) : count);
+  }
+  for (auto& [target, held] : owner.targets) {
+    if (!reported.contains(target) && time_.now() - held.granted_at >= report_grace)
+      set_count(held, targets_[target], 0);
+  }
+  std::erase_if(owner.targets, [](const auto& each) { return each.second.count == 0; });
+  assign();
+}
+
+void pool_scheduler::expire() {
+  const auto now = time_.now();
+  for (auto& [id, node] : nodes_) {
+    if (now - node.heard_at < node_timeout)
+      continue;
+    for (auto& [target, held] : node.targets)
+      set_count(held, targets_[target], 0);
+    node.targets.clear();
+  }
+  std::erase_if(nodes_,
+                [&](const auto& each) { return now - each.second.heard_at >= node_timeout; });
+  std::vector<waiting_ask> late;
+  for (auto each = waiting_.begin(); each != waiting_.end();) {
+    const slot_ask& ask = each->second.ask;
+    const bool is_hopeless = is_overdue(ask) && expected_wait_of_overdue() > max_overdue_wait;
+    if (ask.latest_start > now && !is_hopeless) {
+      ++each;
+      continue;
+    }
+    late.push_back(std::move(each->second));
+    each = waiting_.erase(each);
+  }
+  for (const waiting_ask& each : late)
+    each.decide(refuse(each.ask));
+  order_.forget_idle();
+  assign();
+}
+
+} // namespace camphorlug::scheduling
--- /dev/null
+++ b/lib/scheduling/scheduler_message.cpp
@@ -0,0 +1,83 @@
+#include "camphorlug/scheduling/scheduler_message.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorlug::scheduling {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+/// Longer waits are cut to this, so that a bad number cannot block a place in the queue.
+static constexpr milliseconds max_wait{60'000};
+
+// The keys are short, because nodes send several messages for each request.
+std::string scheduler_message::to_json(support::clock::time_point now) const {
+  json value{{"n", node}, {"s", pool.service}, {"m", pool.model}};
+  if (!released.empty())
+    value["rel"] = released;
+  if (held)
+    value["held"] = *held;
+  if (ask) {
+    const auto in_time = std::chrono::duration_cast<milliseconds>(ask->in_time_until - now);
+    const auto wait = std::chrono::duration_cast<milliseconds>(ask->latest_start - now);
+    value["ask"] = {{"d", ask->data_centre}, {"o", ask->organisation},
+                    {"p", ask->priority},    {"i", std::max<std::int64_t>(in_time.count(), 0)},
+                    {"w", wait.count()},     {"t", ask->prompt_tokens},
+                    {"x", ask->avoided}};
+  }
+  return value.dump();
+}
+
+scheduler_message scheduler_message::from_json(const std::string& text,
+                                               support::clock::time_point now) {
+  const json value = json::parse(text);
+  scheduler_message message;
+  value.at("n").get_to(message.node);
+  value.at("s").get_to(message.pool.service);
+  value.at("m").get_to(message.pool.model);
+  message.released = value.value("rel", std::vector<std::string>());
+  if (value.contains("held"))
+    message.held = value["held"].get<gateway::target_loads>();
+  if (const auto found = value.find("ask"); found != value.end()) {
+    slot_ask ask;
+    ask.node = message.node;
+    ask.data_centre = found->value("d", "");
+    ask.organisation = found->value("o", "");
+    ask.priority = found->value("p", ask.priority);
+    const auto read_time = [&](const char* name) {
+      return now + std::clamp(milliseconds(found->value(name, std::int64_t{0})), milliseconds(0),
+                              max_wait);
+    };
+    ask.in_time_until = read_time("i");
+    ask.latest_start = read_time("w");
+    ask.prompt_tokens = std::max(found->value("t", 0.0), 0.0);
+    ask.avoided = found->value("x", std::set<std::string>());
+    message.ask = std::move(ask);
+  }
+  return message;
+}
+
+std::string to_json(const gateway::scheduled_slot& answer) {
+  json value = json::object();
+  if (answer.result == gateway::scheduled_slot::outcome::granted)
+    value["t"] = answer.target.id;
+  else if (answer.result == gateway::scheduled_slot::outcome::refused)
+    value["wait"] = std::chrono::duration_cast<milliseconds>(answer.retry_after).count();
+  return value.dump();
+}
+
+gateway::scheduled_slot answer_from_json(const std::string& text) {
+  const json value = json::parse(text);
+  gateway::scheduled_slot answer;
+  if (value.contains("t")) {
+    answer.result = gateway::scheduled_slot::outcome::granted;
+    value["t"].get_to(answer.target.id);
+  } else if (value.contains("wait")) {
+    answer.result = gateway::scheduled_slot::outcome::refused;
+    answer.retry_after = milliseconds(value["wait"].get<std::int64_t>());
+  }
+  return answer;
+}
+
+} // namespace camphorlug::scheduling
--- /dev/null
+++ b/lib/scheduling/scheduler_service.cpp
@@ -0,0 +1,143 @@
+#include "camphorlug/scheduling/scheduler_service.h"
+
+#include "camphorlug/net/problem.h"
+#include "camphorlug/support/log.h"
+#include "camphorlug/support/notification.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorlug::scheduling {
+
+using gateway::scheduled_slot;
+
+/// Interval at which a waiting ask looks whether its caller is gone.
+static constexpr std::chrono::milliseconds cancellation_check_interval{20};
+
+void scheduler_service::update(const scheduler_assignment& assignment) {
+  for (const auto& [pool, node] : assignment.all()) {
+    auto& scheduler = schedulers_[pool];
+    if (scheduler || node.id != self_)
+      continue;
+    scheduler = std::make_shared<pool_scheduler>(time_);
+    support::log_event(support::log_level::info, "scheduler_started",
+                       {{"service", pool.service}, {"model", pool.model}});
+  }
+  std::erase_if(schedulers_, [&](const auto& each) {
+    const gateway::node_status* node = assignment.scheduler_of(each.first);
+    const bool is_assigned = node && node->id == self_;
+    // Asks that wait are decided first.
+    const bool ends = !each.second || (!is_assigned && each.second->waiting() == 0);
+    if (ends && each.second)
+      support::log_event(support::log_level::info, "scheduler_stopped",
+                         {{"service", each.first.service}, {"model", each.first.model}});
+    return ends;
+  });
+  update_targets();
+  for (const auto& [pool, scheduler] : schedulers_)
+    scheduler->expire();
+}
+
+void scheduler_service::update_targets() {
+  for (const auto& [pool, scheduler] : schedulers_)
+    update_targets(pool, *scheduler);
+}
+
+void scheduler_service::update_targets(const gateway::target_pool& pool,
+                                       pool_scheduler& scheduler) {
+  std::vector<schedulable_target> targets;
+  for (gateway::target_chooser::candidate& each : chooser_.usable(pool))
+    targets.push_back({std::move(each.target), std::move(each.data_centre), std::nullopt});
+  double reading_rate = 0;
+  if (const auto& config = config_.current()) {
+    const auto service = config->services.find(pool.service);
+    if (service != config->services.end() && service->second.engine)
+      reading_rate = service->second.engine->reading_rate(pool.model);
+  }
+  scheduler.set_targets(targets, reading_rate);
+}
+
+support::task<scheduled_slot> scheduler_service::apply(scheduler_message message,
+                                                       const bool& cancelled) {
+  const auto found = schedulers_.find(message.pool);
+  if (found == schedulers_.end())
+    co_return scheduled_slot{};
+  const std::shared_ptr<pool_scheduler> scheduler = found->second;
+  for (const std::string& target : message.released)
+    scheduler->release(message.node, target);
+  if (message.held)
+    scheduler->report_held(message.node, *message.held);
+  if (!message.ask)
+    co_return scheduled_slot{};
+  struct pending_decision {
+    explicit pending_decision(support::clock& time) : made(time) {}
+    std::optional<scheduled_slot> result;
+    support::notification made;
+  };
+  const auto pending = std::make_shared<pending_decision>(time_);
+  const auto latest_start = message.ask->latest_start;
+  const std::uint64_t number =
+      scheduler->submit(std::move(*message.ask), [pending](const scheduled_slot& result) {
+        pending->result = result;
+        pending->made.notify();
+      });
+  while (!pending->result && !cancelled) {
+    const std::chrono::nanoseconds left = latest_start - time_.now();
+    if (left <= std::chrono::nanoseconds(0))
+      scheduler->end_wait(number);
+    else
+      co_await pending->made.wait_for(
+          std::min<std::chrono::nanoseconds>(left, cancellation_check_interval));
+  }
+  if (pending->result)
+    co_return *pending->result;
+  scheduler->cancel(number);
+  co_return scheduled_slot{};
+}
+
+support::task<> scheduler_service::handle(net::server_request request,
+                                          net::response_writer& writer) {
+  scheduler_message message;
+  std::string error;
+  try {
+    message = scheduler_message::from_json(request.body, time_.now());
+  } catch (const nlohmann::json::exception& exception) {
+    error = exception.what();
+  }
+  if (!error.empty()) {
+    net::send_problem(writer, {400, "bad-message", error});
+    co_return;
+  }
+  const std::string node = message.node;
+  const gateway::target_pool pool = message.pool;
+  const auto gone = std::make_shared<bool>(false);
+  writer.on_disconnect([gone] { *gone = true; });
+  const scheduled_slot answer = co_await apply(std::move(message), *gone);
+  if (*gone && answer.result == scheduled_slot::outcome::granted) {
+    if (const auto found = schedulers_.find(pool); found != schedulers_.end())
+      found->second->release(node, answer.target.id);
+    co_return;
+  }
+  net::send_json(writer, 200, to_json(answer));
+}
+
+nlohmann::ordered_json scheduler_service::state() const {
+  nlohmann::ordered_json list = nlohmann::ordered_json::array();
+  for (const auto& [pool, scheduler] : schedulers_)
+    list.push_back({{"service", pool.service},
+                    {"model", pool.model},
+                    {"slots", scheduler->slots()},
+                    {"in_flight", scheduler->total_in_flight()},
+                    {"waiting", scheduler->waiting()}});
+  return list;
+}
+
+std::size_t scheduler_service::waiting() const {
+  std::size_t sum = 0;
+  for (const auto& [pool, scheduler] : schedulers_)
+    sum += scheduler->waiting();
+  return sum;
+}
+
+} // namespace camphorlug::scheduling
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -52,6 +52,7 @@
   gateway::stall_detector stalls{clock};
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
+  gateway::usual_time_limits usual_limits{clock};
   gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::crash_cause_list crash_causes{clock};
   gateway::path_monitor paths{clock};
