--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -49,6 +49,8 @@
   /// Decides on an ask, or keeps it and calls `decide` later. Returns the ask's number in that
   /// case, otherwise 0; `decide` has then been called.
   std::uint64_t submit(slot_ask ask, decision_handler decide);
+  /// Assigns what has become free with time, such as targets that have read their prompts.
+  void assign();
   /// Refuses a waiting ask.
   void end_wait(std::uint64_t number);
   /// Drops a waiting ask without a decision.
@@ -99,7 +101,8 @@
   double cost(const target_state& each, const slot_ask& ask) const;
   double unread_tokens(const target_state& each) const;
   void refill_starts(target_state& each) const;
-  void assign();
+  /// Whether the target has a free slot and few prompts to read.
+  bool has_room(const target_state& each) const;
   decision grant(const slot_ask& ask, target_state& chosen);
   bool is_overdue(const slot_ask& ask) const { return ask.in_time_until <= time_.now(); }
   /// Slots that become free in a second while all are in use.
@@ -122,6 +125,7 @@
   fair_order order_;
   std::uint64_t last_number_ = 0;
   double tokens_per_second_ = 0;
+  double mean_prompt_tokens_ = 0;
   std::chrono::duration<double> mean_hold_{0.5};
   /// Asks in time a second, exponentially averaged, as of `arrivals_at_`.
   double arrival_rate_ = 0;
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -19,6 +19,11 @@
 static constexpr duration<double> full_reading_time{0.4};
 /// Charge for the tokens that a request generates, whose number is not known before.
 static constexpr double generation_charge = 500;
+/// A target with prompts for this long to read gets no further one: it would wait there, out of
+/// reach of the order of waiting requests.
+static constexpr duration<double> max_reading_time{0.15};
+/// Fraction of its reading rate that a target reaches beside generation.
+static constexpr double reading_efficiency = 0.7;
 static constexpr double hold_smoothing_factor = 0.03;
 /// Cold targets get at most this many requests at once.
 static constexpr double cold_burst = 2;
@@ -32,7 +37,7 @@
 
 void pool_scheduler::set_targets(const std::vector<schedulable_target>& targets,
                                  double tokens_per_second) {
-  tokens_per_second_ = tokens_per_second;
+  tokens_per_second_ = tokens_per_second * reading_efficiency;
   for (auto& [id, each] : targets_)
     each.usable = false;
   for (const schedulable_target& info : targets) {
@@ -93,7 +98,7 @@
   target_state* best = nullptr;
   double lowest = 0;
   for (auto& [id, each] : targets_) {
-    if (!each.usable || each.in_flight >= each.info.target.slots || ask.avoided.contains(id))
+    if (!has_room(each) || ask.avoided.contains(id))
       continue;
     if (each.info.max_starts_per_second) {
       refill_starts(each);
@@ -120,6 +125,7 @@
   ++held.count;
   held.granted_at = now;
   held.starts.push_back(now);
+  mean_prompt_tokens_ += (ask.prompt_tokens - mean_prompt_tokens_) * hold_smoothing_factor;
   order_.charge(ask.priority, ask.organisation, ask.prompt_tokens + generation_charge);
   decision granted;
   granted.result = decision::outcome::granted;
@@ -128,7 +134,20 @@
 }
 
 double pool_scheduler::drain_rate() const {
-  return static_cast<double>(std::max<std::size_t>(slots(), 1)) / mean_hold_.count();
+  const double by_slots =
+      static_cast<double>(std::max<std::size_t>(slots(), 1)) / mean_hold_.count();
+  if (tokens_per_second_ <= 0 || mean_prompt_tokens_ <= 0)
+    return by_slots;
+  const auto readers = std::count_if(targets_.begin(), targets_.end(),
+                                     [](const auto& each) { return each.second.usable; });
+  const double by_reading = static_cast<double>(std::max<std::ptrdiff_t>(readers, 1)) *
+                            tokens_per_second_ / mean_prompt_tokens_;
+  return std::min(by_slots, by_reading);
+}
+
+bool pool_scheduler::has_room(const target_state& each) const {
+  return each.usable && each.in_flight < each.info.target.slots &&
+         unread_tokens(each) <= tokens_per_second_ * max_reading_time.count();
 }
 
 double pool_scheduler::spare_rate() const {
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -12,8 +12,8 @@
 
 using gateway::scheduled_slot;
 
-/// Interval at which a waiting ask looks whether its caller is gone.
-static constexpr std::chrono::milliseconds cancellation_check_interval{20};
+/// Interval at which a waiting ask looks whether its caller is gone or a target has room by now.
+static constexpr std::chrono::milliseconds poll_interval{20};
 
 void scheduler_service::update(const scheduler_assignment& assignment) {
   for (const auto& [pool, node] : assignment.all()) {
@@ -87,8 +87,8 @@
     if (left <= std::chrono::nanoseconds(0))
       scheduler->end_wait(number);
     else
-      co_await pending->made.wait_for(
-          std::min<std::chrono::nanoseconds>(left, cancellation_check_interval));
+      co_await pending->made.wait_for(std::min<std::chrono::nanoseconds>(left, poll_interval));
+    scheduler->assign();
   }
   if (pending->result)
     co_return *pending->result;
