--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -146,8 +146,9 @@
 }
 
 bool pool_scheduler::has_room(const target_state& each) const {
-  return each.usable && each.in_flight < each.info.target.slots &&
-         unread_tokens(each) <= tokens_per_second_ * max_reading_time.count();
+  const bool reads_soon = tokens_per_second_ <= 0 ||
+                          unread_tokens(each) <= tokens_per_second_ * max_reading_time.count();
+  return each.usable && each.in_flight < each.info.target.slots && reads_soon;
 }
 
 double pool_scheduler::spare_rate() const {
