--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -22,9 +22,10 @@
 /// A target with prompts for this long to read gets no further one: it would wait there, out of
 /// reach of the order of waiting requests.
 static constexpr duration<double> max_reading_time{0.15};
-/// Requests that are late already get a slot only on targets with at most this fraction of their
-/// slots and of that time in use, so that they don't slow down those that can be in time.
-static constexpr double overdue_share = 0.6;
+/// Requests that have been late for this long get a slot only on targets with at most a part of
+/// their slots and of that time in use, so that they don't slow down those that can be in time.
+static constexpr milliseconds certain_lateness{400};
+static constexpr double late_share = 0.8;
 /// Fraction of its reading rate that a target reaches beside generation.
 static constexpr double reading_efficiency = 0.7;
 static constexpr double hold_smoothing_factor = 0.03;
@@ -149,7 +150,8 @@
 }
 
 bool pool_scheduler::has_room(const target_state& each, const slot_ask& ask) const {
-  const double share = is_overdue(ask) ? overdue_share : 1;
+  const bool is_late = time_.now() - ask.in_time_until > certain_lateness;
+  const double share = is_late ? late_share : 1;
   const bool reads_soon =
       tokens_per_second_ <= 0 ||
       unread_tokens(each) <= tokens_per_second_ * max_reading_time.count() * share;
