--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -101,8 +101,8 @@
   double cost(const target_state& each, const slot_ask& ask) const;
   double unread_tokens(const target_state& each) const;
   void refill_starts(target_state& each) const;
-  /// Whether the target has a slot for the ask and few prompts to read.
-  bool has_room(const target_state& each, const slot_ask& ask) const;
+  /// Whether the target has a free slot and few prompts to read.
+  bool has_room(const target_state& each) const;
   decision grant(const slot_ask& ask, target_state& chosen);
   bool is_overdue(const slot_ask& ask) const { return ask.in_time_until <= time_.now(); }
   /// Slots that become free in a second while all are in use.
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -22,10 +22,6 @@
 /// A target with prompts for this long to read gets no further one: it would wait there, out of
 /// reach of the order of waiting requests.
 static constexpr duration<double> max_reading_time{0.15};
-/// Requests that have been late for this long get a slot only on targets with at most a part of
-/// their slots and of that time in use, so that they don't slow down those that can be in time.
-static constexpr milliseconds certain_lateness{400};
-static constexpr double late_share = 0.8;
 /// Fraction of its reading rate that a target reaches beside generation.
 static constexpr double reading_efficiency = 0.7;
 static constexpr double hold_smoothing_factor = 0.03;
@@ -102,7 +98,7 @@
   target_state* best = nullptr;
   double lowest = 0;
   for (auto& [id, each] : targets_) {
-    if (!has_room(each, ask) || ask.avoided.contains(id))
+    if (!has_room(each) || ask.avoided.contains(id))
       continue;
     if (each.info.max_starts_per_second) {
       refill_starts(each);
@@ -149,14 +145,10 @@
   return std::min(by_slots, by_reading);
 }
 
-bool pool_scheduler::has_room(const target_state& each, const slot_ask& ask) const {
-  const bool is_late = time_.now() - ask.in_time_until > certain_lateness;
-  const double share = is_late ? late_share : 1;
-  const bool reads_soon =
-      tokens_per_second_ <= 0 ||
-      unread_tokens(each) <= tokens_per_second_ * max_reading_time.count() * share;
-  return each.usable && reads_soon &&
-         static_cast<double>(each.in_flight) < static_cast<double>(each.info.target.slots) * share;
+bool pool_scheduler::has_room(const target_state& each) const {
+  const bool reads_soon = tokens_per_second_ <= 0 ||
+                          unread_tokens(each) <= tokens_per_second_ * max_reading_time.count();
+  return each.usable && each.in_flight < each.info.target.slots && reads_soon;
 }
 
 double pool_scheduler::spare_rate() const {
--- a/lib/scheduling/scheduler_message.cpp
+++ b/lib/scheduling/scheduler_message.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Longer waits and delays are cut to this, so that a bad number cannot block a place in the queue.
+/// Longer waits are cut to this, so that a bad number cannot block a place in the queue.
 static constexpr milliseconds max_wait{60'000};
 
 // The keys are short, because nodes send several messages for each request.
@@ -21,8 +21,9 @@
   if (ask) {
     const auto in_time = std::chrono::duration_cast<milliseconds>(ask->in_time_until - now);
     const auto wait = std::chrono::duration_cast<milliseconds>(ask->latest_start - now);
-    value["ask"] = {{"d", ask->data_centre}, {"o", ask->organisation}, {"p", ask->priority},
-                    {"i", in_time.count()},  {"w", wait.count()},      {"t", ask->prompt_tokens},
+    value["ask"] = {{"d", ask->data_centre}, {"o", ask->organisation},
+                    {"p", ask->priority},    {"i", std::max<std::int64_t>(in_time.count(), 0)},
+                    {"w", wait.count()},     {"t", ask->prompt_tokens},
                     {"x", ask->avoided}};
   }
   return value.dump();
@@ -45,8 +46,8 @@
     ask.organisation = found->value("o", "");
     ask.priority = found->value("p", ask.priority);
     const auto read_time = [&](const char* name) {
-      return now +
-             std::clamp(milliseconds(found->value(name, std::int64_t{0})), -max_wait, max_wait);
+      return now + std::clamp(milliseconds(found->value(name, std::int64_t{0})), milliseconds(0),
+                              max_wait);
     };
     ask.in_time_until = read_time("i");
     ask.latest_start = read_time("w");
