Cut numbers in messages to schedulers to sound ranges; test messages and order

Cause (found by reading): a count of held slots of -1 was read as 2^64-1 and blocked the target until the next report; a priority out of range made a class of its own for each number; a wait of 2^63 ms in an answer overflowed; a prompt of 1e300 tokens was never read. Callers choose the number of prompt tokens themselves. Change: numbers are cut on reading. Behaviour for sound messages is the same.

--- a/include/camphorlug/scheduling/fair_order.h
+++ b/include/camphorlug/scheduling/fair_order.h
@@ -18,6 +18,8 @@
   /// Factor between the shares of two neighbouring priorities. It keeps a share for the least
   /// urgent requests, so that they do not starve.
   static constexpr double priority_ratio = 4;
+  /// The least urgent priority. Priorities outside the range count as the nearest one in it.
+  static constexpr int max_priority = 9;
 
   /// Position of a waiting request; smaller ones come first.
   struct position {
@@ -36,6 +38,9 @@
   /// Drops organisations that are not ahead of the others.
   void forget_idle();
 
+  /// Number of priorities that have been charged.
+  std::size_t priorities() const { return classes_.size(); }
+
 private:
   struct priority_class {
     double finish = 0;
@@ -43,8 +48,6 @@
     std::map<std::string, double> finish_of_organisations;
   };
 
-  static double weight(int priority);
-
   std::map<int, priority_class> classes_;
   double virtual_time_ = 0;
 };
--- a/include/camphorlug/scheduling/scheduler_message.h
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -6,6 +6,7 @@
 #include "camphorlug/scheduling/slot_ask.h"
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +16,10 @@
 /// Path on the port for peers that receives the messages of nodes to a scheduler.
 inline constexpr const char* slots_path = "/camphorlug/v1/slots";
 
+/// Numbers in messages beyond these are cut to them, so that a wrong one does no lasting harm.
+inline constexpr double max_prompt_tokens = 1'000'000;
+inline constexpr std::size_t max_held_slots = 100'000;
+
 /// A message of a node to the scheduler of a pool. Fields that are unknown to the reader are
 /// ignored.
 struct scheduler_message {
--- a/lib/scheduling/fair_order.cpp
+++ b/lib/scheduling/fair_order.cpp
@@ -5,12 +5,16 @@
 
 namespace camphorlug::scheduling {
 
-double fair_order::weight(int priority) {
-  return std::pow(priority_ratio, -std::clamp(priority, 0, 9));
+static int in_range(int priority) {
+  return std::clamp(priority, 0, fair_order::max_priority);
+}
+
+static double weight(int priority) {
+  return std::pow(fair_order::priority_ratio, -priority);
 }
 
 fair_order::position fair_order::next(int priority, const std::string& organisation) const {
-  const auto found = classes_.find(priority);
+  const auto found = classes_.find(in_range(priority));
   if (found == classes_.end())
     return {virtual_time_, 0};
   const priority_class& own = found->second;
@@ -21,9 +25,9 @@
 
 void fair_order::charge(int priority, const std::string& organisation, double cost) {
   const position start = next(priority, organisation);
-  priority_class& own = classes_[priority];
+  priority_class& own = classes_[in_range(priority)];
   virtual_time_ = std::max(virtual_time_, start.class_start);
-  own.finish = start.class_start + cost / weight(priority);
+  own.finish = start.class_start + cost / weight(in_range(priority));
   own.virtual_time = std::max(own.virtual_time, start.organisation_start);
   own.finish_of_organisations[organisation] = start.organisation_start + cost;
 }
--- a/lib/scheduling/scheduler_message.cpp
+++ b/lib/scheduling/scheduler_message.cpp
@@ -1,6 +1,9 @@
 #include "camphorlug/scheduling/scheduler_message.h"
 
+#include "camphorlug/scheduling/fair_order.h"
+
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::scheduling {
@@ -11,6 +14,23 @@
 /// Longer waits are cut to this, so that a bad number cannot block a place in the queue.
 static constexpr milliseconds max_wait{60'000};
 
+/// Reads a number of any type and size as the nearest one in the range.
+static double read_number(const json& value, double lowest, double highest) {
+  return std::clamp(value.get<double>(), lowest, highest);
+}
+
+static milliseconds read_wait(const json& value) {
+  return milliseconds(
+      static_cast<std::int64_t>(read_number(value, 0, static_cast<double>(max_wait.count()))));
+}
+
+static gateway::target_loads read_held(const json& value) {
+  gateway::target_loads held;
+  for (const auto& [target, count] : value.get<std::map<std::string, json>>())
+    held[target] = static_cast<std::size_t>(read_number(count, 0, max_held_slots));
+  return held;
+}
+
 // The keys are short, because nodes send several messages for each request.
 std::string scheduler_message::to_json(support::clock::time_point now) const {
   json value{{"n", node}, {"s", pool.service}, {"m", pool.model}};
@@ -38,20 +58,20 @@
   value.at("m").get_to(message.pool.model);
   message.released = value.value("rel", std::vector<std::string>());
   if (value.contains("held"))
-    message.held = value["held"].get<gateway::target_loads>();
+    message.held = read_held(value["held"]);
   if (const auto found = value.find("ask"); found != value.end()) {
     slot_ask ask;
     ask.node = message.node;
     ask.data_centre = found->value("d", "");
     ask.organisation = found->value("o", "");
-    ask.priority = found->value("p", ask.priority);
+    ask.priority = static_cast<int>(
+        read_number(found->value("p", json(ask.priority)), 0, fair_order::max_priority));
     const auto read_time = [&](const char* name) {
-      return now + std::clamp(milliseconds(found->value(name, std::int64_t{0})), milliseconds(0),
-                              max_wait);
+      return now + read_wait(found->value(name, json(0)));
     };
     ask.in_time_until = read_time("i");
     ask.latest_start = read_time("w");
-    ask.prompt_tokens = std::max(found->value("t", 0.0), 0.0);
+    ask.prompt_tokens = read_number(found->value("t", json(0)), 0, max_prompt_tokens);
     ask.avoided = found->value("x", std::set<std::string>());
     message.ask = std::move(ask);
   }
@@ -75,7 +95,7 @@
     value["t"].get_to(answer.target.id);
   } else if (value.contains("wait")) {
     answer.result = gateway::scheduled_slot::outcome::refused;
-    answer.retry_after = milliseconds(value["wait"].get<std::int64_t>());
+    answer.retry_after = read_wait(value["wait"]);
   }
   return answer;
 }
