Mend six faults of the pool scheduler that its first tests show

Now no request counts as longer than 2 s to read. - A lost give-back was never corrected at a target at which the node gets a new slot every 300 ms: one young grant kept the whole count. Now only young grants are kept. - Asks of a node that has gone got slots, which then stood empty. Found by reading, not shown by a test: without a reading rate, unread prompts added up until one was known; ending waits counted all late asks for each of them. Behaviour: submit assigns first, then looks for a free slot; an ask of a node that has gone is answered as unavailable.

--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -84,7 +84,6 @@
   };
   struct held_slots {
     std::size_t count = 0;
-    support::clock::time_point granted_at;
     /// Times of the grants whose slots are in use, oldest first.
     std::vector<support::clock::time_point> starts;
   };
@@ -99,6 +98,8 @@
 
   target_state* choose(const slot_ask& ask);
   double cost(const target_state& each, const slot_ask& ask) const;
+  /// The prompt's tokens as far as the caller's statement is believed.
+  double believed_tokens(const slot_ask& ask) const;
   double unread_tokens(const target_state& each) const;
   void refill_starts(target_state& each) const;
   /// Whether the target has a free slot and few prompts to read.
@@ -114,6 +115,10 @@
   /// Whether the ask gets a slot while that is of use.
   bool can_be_served(const slot_ask& ask) const;
   decision refuse(const slot_ask& ask);
+  void expire_nodes();
+  void expire_waits();
+  /// Takes the asks for which `ends` is true, in the order of arrival.
+  std::vector<waiting_ask> take_waiting(const std::function<bool(const slot_ask&)>& ends);
   void record_hold(std::chrono::nanoseconds held);
   void set_count(held_slots& held, target_state& target, std::size_t count);
 
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/scheduling/pool_scheduler.h"
 
+#include "camphorlug/scheduling/scheduler_message.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -22,6 +24,9 @@
 /// A target with prompts for this long to read gets no further one: it would wait there, out of
 /// reach of the order of waiting requests.
 static constexpr duration<double> max_reading_time{0.15};
+/// No request counts as longer to read than this, since callers state the number of tokens
+/// themselves, and a wrong one must not block a target.
+static constexpr duration<double> max_believed_reading_time{2.0};
 /// Fraction of its reading rate that a target reaches beside generation.
 static constexpr double reading_efficiency = 0.7;
 static constexpr double hold_smoothing_factor = 0.03;
@@ -72,6 +77,13 @@
   return sum;
 }
 
+double pool_scheduler::believed_tokens(const slot_ask& ask) const {
+  const double most = tokens_per_second_ > 0
+                          ? tokens_per_second_ * max_believed_reading_time.count()
+                          : max_prompt_tokens;
+  return std::clamp(ask.prompt_tokens, 0.0, most);
+}
+
 double pool_scheduler::unread_tokens(const target_state& each) const {
   const duration<double> elapsed = time_.now() - each.tokens_at;
   return std::max(each.unread_tokens - elapsed.count() * tokens_per_second_, 0.0);
@@ -117,16 +129,16 @@
 pool_scheduler::decision pool_scheduler::grant(const slot_ask& ask, target_state& chosen) {
   const auto now = time_.now();
   ++chosen.in_flight;
-  chosen.unread_tokens = unread_tokens(chosen) + ask.prompt_tokens;
+  const double prompt_tokens = believed_tokens(ask);
+  chosen.unread_tokens = tokens_per_second_ > 0 ? unread_tokens(chosen) + prompt_tokens : 0;
   chosen.tokens_at = now;
   if (chosen.info.max_starts_per_second)
     chosen.starts_left -= 1;
   held_slots& held = nodes_[ask.node].targets[chosen.info.target.id];
   ++held.count;
-  held.granted_at = now;
   held.starts.push_back(now);
-  mean_prompt_tokens_ += (ask.prompt_tokens - mean_prompt_tokens_) * hold_smoothing_factor;
-  order_.charge(ask.priority, ask.organisation, ask.prompt_tokens + generation_charge);
+  mean_prompt_tokens_ += (prompt_tokens - mean_prompt_tokens_) * hold_smoothing_factor;
+  order_.charge(ask.priority, ask.organisation, prompt_tokens + generation_charge);
   decision granted;
   granted.result = decision::outcome::granted;
   granted.target = chosen.info.target;
@@ -215,7 +227,9 @@
     decide({});
     return 0;
   }
-  if (target_state* free = waiting_.empty() ? choose(ask) : nullptr) {
+  // What is left free then is of no use to those that wait, since they avoid it.
+  assign();
+  if (target_state* free = choose(ask)) {
     decide(grant(ask, *free));
     return 0;
   }
@@ -225,8 +239,7 @@
   }
   const std::uint64_t number = ++last_number_;
   waiting_.emplace(number, waiting_ask{std::move(ask), std::move(decide)});
-  assign();
-  return waiting_.contains(number) ? number : 0;
+  return number;
 }
 
 void pool_scheduler::end_wait(std::uint64_t number) {
@@ -301,20 +314,29 @@
 void pool_scheduler::report_held(const std::string& node, const gateway::target_loads& reported) {
   node_state& owner = nodes_[node];
   owner.heard_at = time_.now();
-  for (const auto& [target, count] : reported) {
-    held_slots& held = owner.targets[target];
-    const bool may_cross = time_.now() - held.granted_at < report_grace;
-    set_count(held, targets_[target], may_cross ? std::max(held.count, count) : count);
-  }
+  const auto crossing_since = time_.now() - report_grace;
+  for (const auto& [target, count] : reported)
+    owner.targets[target];
   for (auto& [target, held] : owner.targets) {
-    if (!reported.contains(target) && time_.now() - held.granted_at >= report_grace)
-      set_count(held, targets_[target], 0);
+    const auto found = reported.find(target);
+    const std::size_t count = found == reported.end() ? 0 : found->second;
+    // Each young grant may be missing in the report or be part of it.
+    const auto young = static_cast<std::size_t>(std::count_if(
+        held.starts.begin(), held.starts.end(), [&](auto at) { return at > crossing_since; }));
+    set_count(held, targets_[target], std::clamp(held.count, count, count + young));
   }
   std::erase_if(owner.targets, [](const auto& each) { return each.second.count == 0; });
   assign();
 }
 
 void pool_scheduler::expire() {
+  expire_nodes();
+  expire_waits();
+  order_.forget_idle();
+  assign();
+}
+
+void pool_scheduler::expire_nodes() {
   const auto now = time_.now();
   for (auto& [id, node] : nodes_) {
     if (now - node.heard_at < node_timeout)
@@ -325,21 +347,41 @@
   }
   std::erase_if(nodes_,
                 [&](const auto& each) { return now - each.second.heard_at >= node_timeout; });
-  std::vector<waiting_ask> late;
+  // A slot for a node that has gone would stand empty.
+  std::vector<waiting_ask> gone =
+      take_waiting([this](const slot_ask& ask) { return !nodes_.contains(ask.node); });
+  for (const waiting_ask& each : gone)
+    each.decide({});
+}
+
+void pool_scheduler::expire_waits() {
+  const auto now = time_.now();
+  auto overdue = std::count_if(waiting_.begin(), waiting_.end(),
+                               [this](const auto& each) { return is_overdue(each.second.ask); });
+  const double most = max_overdue_wait / duration<double>(1 / spare_rate());
+  const std::vector<waiting_ask> late = take_waiting([&](const slot_ask& ask) {
+    const bool is_hopeless = is_overdue(ask) && static_cast<double>(overdue + 1) > most;
+    const bool ends = ask.latest_start <= now || is_hopeless;
+    if (ends && is_overdue(ask))
+      --overdue;
+    return ends;
+  });
+  for (const waiting_ask& each : late)
+    each.decide(refuse(each.ask));
+}
+
+std::vector<pool_scheduler::waiting_ask>
+pool_scheduler::take_waiting(const std::function<bool(const slot_ask&)>& ends) {
+  std::vector<waiting_ask> taken;
   for (auto each = waiting_.begin(); each != waiting_.end();) {
-    const slot_ask& ask = each->second.ask;
-    const bool is_hopeless = is_overdue(ask) && expected_wait_of_overdue() > max_overdue_wait;
-    if (ask.latest_start > now && !is_hopeless) {
+    if (!ends(each->second.ask)) {
       ++each;
       continue;
     }
-    late.push_back(std::move(each->second));
+    taken.push_back(std::move(each->second));
     each = waiting_.erase(each);
   }
-  for (const waiting_ask& each : late)
-    each.decide(refuse(each.ask));
-  order_.forget_idle();
-  assign();
+  return taken;
 }
 
 } // namespace camphorlug::scheduling
