Count a slot once that is given back and missing in a later report

Change: messages of a node are numbered (new optional field q); a give-back that is older than the last report is ignored. A process that starts again counts from 1; its first report resets the count. Messages without number are treated as before.

--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -56,10 +56,12 @@
   /// Drops a waiting ask without a decision.
   void cancel(std::uint64_t number);
 
-  /// Gives back a slot of the node.
-  void release(const std::string& node, const std::string& target);
+  /// Gives back a slot of the node. `sequence` is the position of the message among those of the
+  /// node, 0 if unknown: a report that the node made later counts without the slot already.
+  void release(const std::string& node, const std::string& target, std::uint64_t sequence = 0);
   /// Applies the number of requests that a node has at each target.
-  void report_held(const std::string& node, const gateway::target_loads& held);
+  void report_held(const std::string& node, const gateway::target_loads& held,
+                   std::uint64_t sequence = 0);
 
   /// Ends waits that are in vain and drops nodes that have gone. Call it several times a second.
   void expire();
@@ -90,6 +92,8 @@
   struct node_state {
     std::map<std::string, held_slots> targets;
     support::clock::time_point heard_at;
+    /// Position of the last report among the messages of the node.
+    std::uint64_t report_sequence = 0;
   };
   struct waiting_ask {
     slot_ask ask;
--- a/include/camphorlug/scheduling/scheduler_client.h
+++ b/include/camphorlug/scheduling/scheduler_client.h
@@ -9,6 +9,7 @@
 #include "camphorlug/support/clock.h"
 
 #include <asio/any_io_executor.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -58,6 +59,7 @@
     support::clock::time_point reported_at;
     std::vector<std::string> released;
     bool flushing = false;
+    std::uint64_t last_sequence = 0;
   };
 
   gateway::target_loads held(const gateway::target_pool& pool);
--- a/include/camphorlug/scheduling/scheduler_message.h
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
 struct scheduler_message {
   std::string node;
   gateway::target_pool pool;
+  /// Increases with each message that the process sends about the pool; 0 if unknown. Messages may
+  /// overtake each other on different connections.
+  std::uint64_t sequence = 0;
   /// Targets of which the node gives back a slot each.
   std::vector<std::string> released;
   /// The number of requests that the node has at each target of the pool.
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -289,9 +289,12 @@
   mean_hold_ += (duration<double>(held) - mean_hold_) * hold_smoothing_factor;
 }
 
-void pool_scheduler::release(const std::string& node, const std::string& target) {
+void pool_scheduler::release(const std::string& node, const std::string& target,
+                             std::uint64_t sequence) {
   node_state& owner = nodes_[node];
   owner.heard_at = time_.now();
+  if (sequence != 0 && sequence < owner.report_sequence)
+    return;
   const auto found = owner.targets.find(target);
   if (found == owner.targets.end())
     return;
@@ -311,9 +314,11 @@
     held.starts.erase(held.starts.begin());
 }
 
-void pool_scheduler::report_held(const std::string& node, const gateway::target_loads& reported) {
+void pool_scheduler::report_held(const std::string& node, const gateway::target_loads& reported,
+                                 std::uint64_t sequence) {
   node_state& owner = nodes_[node];
   owner.heard_at = time_.now();
+  owner.report_sequence = sequence;
   const auto crossing_since = time_.now() - report_grace;
   for (const auto& [target, count] : reported)
     owner.targets[target];
--- a/lib/scheduling/scheduler_client.cpp
+++ b/lib/scheduling/scheduler_client.cpp
@@ -42,6 +42,7 @@
   scheduler_message message;
   message.node = context_.self;
   message.pool = pool;
+  message.sequence = ++state.last_sequence;
   const auto now = context_.time.now();
   if (state.reported_to != address || now - state.reported_at >= report_interval) {
     state.reported_to = address;
--- a/lib/scheduling/scheduler_message.cpp
+++ b/lib/scheduling/scheduler_message.cpp
@@ -33,7 +33,7 @@
 
 // The keys are short, because nodes send several messages for each request.
 std::string scheduler_message::to_json(support::clock::time_point now) const {
-  json value{{"n", node}, {"s", pool.service}, {"m", pool.model}};
+  json value{{"n", node}, {"s", pool.service}, {"m", pool.model}, {"q", sequence}};
   if (!released.empty())
     value["rel"] = released;
   if (held)
@@ -56,6 +56,7 @@
   value.at("n").get_to(message.node);
   value.at("s").get_to(message.pool.service);
   value.at("m").get_to(message.pool.model);
+  message.sequence = value.value("q", std::uint64_t{0});
   message.released = value.value("rel", std::vector<std::string>());
   if (value.contains("held"))
     message.held = read_held(value["held"]);
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -65,9 +65,9 @@
     co_return scheduled_slot{};
   const std::shared_ptr<pool_scheduler> scheduler = found->second;
   for (const std::string& target : message.released)
-    scheduler->release(message.node, target);
+    scheduler->release(message.node, target, message.sequence);
   if (message.held)
-    scheduler->report_held(message.node, *message.held);
+    scheduler->report_held(message.node, *message.held, message.sequence);
   if (!message.ask)
     co_return scheduled_slot{};
   struct pending_decision {
--- a/unittests/scheduling/pool_scheduler_test.cpp
+++ b/unittests/scheduling/pool_scheduler_test.cpp
@@ -208,6 +208,23 @@
   BOOST_TEST(world.scheduler.total_in_flight() == 0u);
 }
 
+/// Messages overtake each other: the report was made after the slot was given back.
+BOOST_AUTO_TEST_CASE(give_back_that_a_report_overtook_is_not_counted_twice) {
+  scheduler_fixture world(1, 10);
+  for (int i = 0; i < 4; ++i)
+    world.ask({.node = "n0"});
+  world.run_for(400ms);
+  world.scheduler.report_held("n0", {{"t0", 3}}, 8);
+  world.scheduler.release("n0", "t0", 7);
+  BOOST_TEST(world.scheduler.in_flight("t0") == 3u);
+  world.scheduler.release("n0", "t0", 9);
+  BOOST_TEST(world.scheduler.in_flight("t0") == 2u);
+  // A process that has started again counts from the start.
+  world.scheduler.report_held("n0", {{"t0", 2}}, 1);
+  world.scheduler.release("n0", "t0", 2);
+  BOOST_TEST(world.scheduler.in_flight("t0") == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(report_does_not_take_back_grants_on_their_way) {
   scheduler_fixture world(1, 10);
   for (int i = 0; i < 3; ++i)
--- a/unittests/scheduling/scheduler_message_test.cpp
+++ b/unittests/scheduling/scheduler_message_test.cpp
@@ -20,6 +20,7 @@
   scheduler_message message;
   message.node = "n1";
   message.pool = {"svc", "large"};
+  message.sequence = 17;
   message.released = {"t1", "t1", "t2"};
   message.held = gateway::target_loads{{"t1", 3}, {"t3", 1}};
   scheduling::slot_ask& ask = message.ask.emplace();
@@ -51,6 +52,7 @@
   const auto received = scheduler_message::from_json(sent.to_json(now), other_now);
   BOOST_TEST(received.node == sent.node);
   BOOST_TEST((received.pool == sent.pool));
+  BOOST_TEST(received.sequence == 17u);
   BOOST_TEST(received.released == sent.released);
   BOOST_TEST((received.held == sent.held));
   BOOST_REQUIRE(received.ask.has_value());
