--- a/include/camphorlug/scheduling/scheduler_message.h
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -16,6 +16,9 @@
 
 /// Path on the port for peers that receives the messages of nodes to a scheduler.
 inline constexpr const char* slots_path = "/camphorlug/v1/slots";
+/// Status of the response of a node that does not schedule the pool, so that the sender reports its
+/// slots again once it does.
+inline constexpr int not_scheduled_status = 409;
 
 /// Numbers in messages beyond these are cut to them, so that a wrong one does no lasting harm.
 inline constexpr double max_prompt_tokens = 1'000'000;
--- a/include/camphorlug/scheduling/scheduler_service.h
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -27,6 +27,9 @@
   /// Follows changes of targets at once.
   void update_targets();
 
+  /// Whether this node schedules the pool now.
+  bool schedules(const gateway::target_pool& pool) const { return schedulers_.contains(pool); }
+
   /// Applies a message and returns the answer to its ask, if it has one. The message's ask is
   /// dropped once `cancelled` is true.
   support::task<gateway::scheduled_slot> apply(scheduler_message message, const bool& cancelled);
--- a/lib/scheduling/scheduler_client.cpp
+++ b/lib/scheduling/scheduler_client.cpp
@@ -59,6 +59,10 @@
   static constexpr bool never = false;
   const gateway::node_status* scheduler = context_.assignment.scheduler_of(message.pool);
   if (scheduler && scheduler->id == context_.self) {
+    if (!context_.local.schedules(message.pool)) {
+      pools_[message.pool].reported_to.clear();
+      co_return scheduled_slot{};
+    }
     const bool& is_cancelled = cancelled ? *cancelled : never;
     co_return co_await context_.local.apply(std::move(message), is_cancelled);
   }
@@ -75,6 +79,11 @@
         co_await context_.client.fetch(std::move(request), timeout + answer_allowance);
     if (response.status == 200)
       co_return answer_from_json(response.body);
+    if (response.status == not_scheduled_status) {
+      // Its list of nodes differs from this node's for a moment.
+      pools_[message.pool].reported_to.clear();
+      co_return scheduled_slot{};
+    }
     failure = "status " + std::to_string(response.status);
   } catch (const net::transport_error& error) {
     failure = error.what();
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -111,6 +111,10 @@
   }
   const std::string node = message.node;
   const gateway::target_pool pool = message.pool;
+  if (!schedules(pool)) {
+    net::send_problem(writer, {not_scheduled_status, "not-scheduled", "ask another node or later"});
+    co_return;
+  }
   const auto gone = std::make_shared<bool>(false);
   writer.on_disconnect([gone] { *gone = true; });
   const scheduled_slot answer = co_await apply(std::move(message), *gone);
