--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -56,10 +56,12 @@
   /// Drops a waiting ask without a decision.
   void cancel(std::uint64_t number);
 
-  /// Gives back a slot of the node.
-  void release(const std::string& node, const std::string& target);
+  /// Gives back a slot of the node. `sequence` is the position of the message among those of the
+  /// node, 0 if unknown: a report that the node made later counts without the slot already.
+  void release(const std::string& node, const std::string& target, std::uint64_t sequence = 0);
   /// Applies the number of requests that a node has at each target.
-  void report_held(const std::string& node, const gateway::target_loads& held);
+  void report_held(const std::string& node, const gateway::target_loads& held,
+                   std::uint64_t sequence = 0);
 
   /// Ends waits that are in vain and drops nodes that have gone. Call it several times a second.
   void expire();
@@ -84,13 +86,14 @@
   };
   struct held_slots {
     std::size_t count = 0;
-    support::clock::time_point granted_at;
     /// Times of the grants whose slots are in use, oldest first.
     std::vector<support::clock::time_point> starts;
   };
   struct node_state {
     std::map<std::string, held_slots> targets;
     support::clock::time_point heard_at;
+    /// Position of the last report among the messages of the node.
+    std::uint64_t report_sequence = 0;
   };
   struct waiting_ask {
     slot_ask ask;
@@ -99,6 +102,8 @@
 
   target_state* choose(const slot_ask& ask);
   double cost(const target_state& each, const slot_ask& ask) const;
+  /// The prompt's tokens as far as the caller's statement is believed.
+  double believed_tokens(const slot_ask& ask) const;
   double unread_tokens(const target_state& each) const;
   void refill_starts(target_state& each) const;
   /// Whether the target has a free slot and few prompts to read.
@@ -114,6 +119,10 @@
   /// Whether the ask gets a slot while that is of use.
   bool can_be_served(const slot_ask& ask) const;
   decision refuse(const slot_ask& ask);
+  void expire_nodes();
+  void expire_waits();
+  /// Takes the asks for which `ends` is true, in the order of arrival.
+  std::vector<waiting_ask> take_waiting(const std::function<bool(const slot_ask&)>& ends);
   void record_hold(std::chrono::nanoseconds held);
   void set_count(held_slots& held, target_state& target, std::size_t count);
 
--- a/include/camphorlug/scheduling/scheduler_message.h
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -6,6 +6,8 @@
 #include "camphorlug/scheduling/slot_ask.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,12 +16,22 @@
 
 /// Path on the port for peers that receives the messages of nodes to a scheduler.
 inline constexpr const char* slots_path = "/camphorlug/v1/slots";
+/// Status of the response of a node that does not schedule the pool, so that the sender reports its
+/// slots again once it does.
+inline constexpr int not_scheduled_status = 409;
+
+/// Numbers in messages beyond these are cut to them, so that a wrong one does no lasting harm.
+inline constexpr double max_prompt_tokens = 1'000'000;
+inline constexpr std::size_t max_held_slots = 100'000;
 
 /// A message of a node to the scheduler of a pool. Fields that are unknown to the reader are
 /// ignored.
 struct scheduler_message {
   std::string node;
   gateway::target_pool pool;
+  /// Increases with each message that the process sends about the pool; 0 if unknown. Messages may
+  /// overtake each other on different connections.
+  std::uint64_t sequence = 0;
   /// Targets of which the node gives back a slot each.
   std::vector<std::string> released;
   /// The number of requests that the node has at each target of the pool.
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -65,9 +65,9 @@
     co_return scheduled_slot{};
   const std::shared_ptr<pool_scheduler> scheduler = found->second;
   for (const std::string& target : message.released)
-    scheduler->release(message.node, target);
+    scheduler->release(message.node, target, message.sequence);
   if (message.held)
-    scheduler->report_held(message.node, *message.held);
+    scheduler->report_held(message.node, *message.held, message.sequence);
   if (!message.ask)
     co_return scheduled_slot{};
   struct pending_decision {
@@ -111,6 +111,10 @@
   }
   const std::string node = message.node;
   const gateway::target_pool pool = message.pool;
+  if (!schedules(pool)) {
+    net::send_problem(writer, {not_scheduled_status, "not-scheduled", "ask another node or later"});
+    co_return;
+  }
   const auto gone = std::make_shared<bool>(false);
   writer.on_disconnect([gone] { *gone = true; });
   const scheduled_slot answer = co_await apply(std::move(message), *gone);
