Move groups out of evacuated data centres

Cause: planning_input had a field for evacuated data centres that nothing used. Change: instances there are not used for groups, spares or staging; groups of which any member is there do not count as supply, so others form elsewhere at once. Those there close when enough of their model serve elsewhere, 3 s after the news at the latest.

--- a/include/camphorlug/replicas/replica_controller.h
+++ b/include/camphorlug/replicas/replica_controller.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   std::function<support::task<bool>()> refresh_entries;
   /// Returns whether this node reaches the targets. Otherwise it does not plan.
   std::function<bool()> reaches_targets;
+  /// Returns the data centres in which no group may serve.
+  std::function<std::set<std::string>()> evacuated_data_centres = [] {
+    return std::set<std::string>();
+  };
 };
 
 /// Forms and repairs the groups of all engine services while this node holds the lease.
--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -73,6 +73,8 @@
     /// Whether the instance has accepted an order of this term. It rejects orders of earlier terms
     /// that arrive late since then.
     bool accepted_order = false;
+    /// Whether the instance is in a data centre that is evacuated.
+    bool evacuated = false;
 
     const gateway::target_entry& entry() const { return target->entry; }
     /// Whether the instance may be selected for a group or to stage weights.
@@ -109,6 +111,15 @@
   };
 
   void refresh_instances(const planning_input& input);
+  /// Marks the instances in evacuated data centres. They are not used for groups, as spares or to
+  /// stage weights.
+  void note_evacuations(const planning_input& input);
+  /// Whether a member of the group is in an evacuated data centre.
+  bool is_evacuated(const planned_group& group) const;
+  /// Closes the groups in evacuated data centres: once those elsewhere suffice, at the latest
+  /// after a fixed time, since callers wait for capacity and not the operator for the callers.
+  void close_evacuated_groups(const planning_input& input);
+  bool may_close_evacuated(const planned_group& group, const planning_input& input) const;
   void count_pool();
   void add_planned_group(planned_group group);
   void release_members(planned_group& group);
@@ -171,6 +182,8 @@
   bool existing_groups_adopted_ = false;
   std::size_t max_listed_instances_ = 0;
   std::vector<planned_group> planned_groups_;
+  /// Since when this planner knows of the evacuation of each data centre.
+  std::map<std::string, support::clock::time_point> evacuated_since_;
   pool_counts counts_;
   std::unordered_map<std::string, tracked_instance> instances_by_id_;
   /// Instances of the service in the input of the current planning pass, ordered by id.
--- a/lib/replicas/planning_limits.h
+++ b/lib/replicas/planning_limits.h
@@ -20,6 +20,9 @@
 /// longer counts as in progress after it. The limit allows for concurrent weight
 /// loads, which slow each other down.
 inline constexpr std::chrono::milliseconds load_timeout{40'000};
+/// Groups in an evacuated data centre are closed after this time even if those elsewhere do not
+/// suffice: no node sends requests there any more by then, and the streams that they serve end.
+inline constexpr std::chrono::milliseconds evacuated_closing_delay{3000};
 /// How long the head of a closing group may take to finish its requests.
 inline constexpr std::chrono::milliseconds closing_timeout{9000};
 /// The same limit for a group that has lost a member's entry. It is less than the two seconds for
--- a/lib/replicas/replica_controller.cpp
+++ b/lib/replicas/replica_controller.cpp
@@ -87,7 +87,11 @@
 }
 
 planning_input replica_controller::make_planning_input(const gateway::service_spec& service) const {
-  planning_input input{*service.engine, context_.registry.all(), context_.traffic_started(), {}};
+  planning_input input{*service.engine,
+                       context_.registry.all(),
+                       context_.traffic_started(),
+                       {},
+                       context_.evacuated_data_centres()};
   const gateway::slot_demand demand = context_.demand();
   if (demand.empty())
     return input;
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -26,8 +26,10 @@
 std::vector<replica_order> replica_planner::plan(const planning_input& input) {
   std::vector<replica_order> orders;
   refresh_instances(input);
+  note_evacuations(input);
   count_pool();
   adopt_existing_groups(input);
+  close_evacuated_groups(input);
   for (planned_group& group : planned_groups_) {
     check_members(group);
     advance_phase(group, input, orders);
--- a/lib/replicas/replica_planner_forming.cpp
+++ b/lib/replicas/replica_planner_forming.cpp
@@ -174,9 +174,10 @@
                                      const model_profile& worst_supplied, std::size_t max_groups) {
   const bool from_smaller = best_supplied.size < worst_supplied.size;
   const auto interval = from_smaller ? reclaim_interval_from_smaller : reclaim_interval;
-  const bool any_closing =
-      std::any_of(planned_groups_.begin(), planned_groups_.end(),
-                  [](const planned_group& group) { return group.phase == group_phase::closing; });
+  const bool any_closing = std::any_of(
+      planned_groups_.begin(), planned_groups_.end(), [this](const planned_group& group) {
+        return group.phase == group_phase::closing && !is_evacuated(group);
+      });
   if (any_closing || time_.now() - last_reclaim_at_ < interval)
     return;
   const auto joins_without_load = [&](const tracked_instance& instance) {
@@ -191,7 +192,8 @@
   std::map<std::string, std::size_t> obtainable = free;
   std::map<std::string, std::vector<planned_group*>> candidates;
   for (planned_group& group : planned_groups_) {
-    if (group.model != best_supplied.name || group.phase != group_phase::serving)
+    if (group.model != best_supplied.name || group.phase != group_phase::serving ||
+        is_evacuated(group))
       continue;
     std::size_t without_load = 0;
     for (const planned_member& member : group.members)
--- a/lib/replicas/replica_planner_group_counts.cpp
+++ b/lib/replicas/replica_planner_group_counts.cpp
@@ -48,7 +48,7 @@
   for (const planned_group& group : planned_groups_) {
     // A closing or dissolving group counts until its members are free. They still hold the
     // weights, so they are the best instances for a group of the same model.
-    groups[group.model] += group.warmup_only ? 0 : 1;
+    groups[group.model] += group.warmup_only || is_evacuated(group) ? 0 : 1;
   }
   return groups;
 }
--- a/lib/replicas/replica_planner_instances.cpp
+++ b/lib/replicas/replica_planner_instances.cpp
@@ -55,7 +55,8 @@
   counts_ = {};
   for (const tracked_instance* instance : listed_instances_) {
     ++counts_.by_domain[instance->entry().fabric_domain];
-    counts_.usable += !instance->entry().draining && !instance->unresponsive ? 1 : 0;
+    counts_.usable +=
+        !instance->entry().draining && !instance->unresponsive && !instance->evacuated ? 1 : 0;
   }
   counts_.loading = loads_in_progress();
 }
@@ -71,7 +72,7 @@
 }
 
 bool replica_planner::tracked_instance::is_usable() const {
-  return !entry().draining && !target->missing_since && !unresponsive;
+  return !entry().draining && !target->missing_since && !unresponsive && !evacuated;
 }
 
 int replica_planner::tracked_instance::join_cost(const std::string& model) const {
--- a/unittests/fakes/emulated_pool.cpp
+++ b/unittests/fakes/emulated_pool.cpp
@@ -194,6 +194,7 @@
     entry.address = id;
     entry.service = "engines";
     entry.fabric_domain = runner.domain;
+    entry.data_centre = runner.data_centre;
     entry.started_at_ms = runner.started_at_ms;
     entry.draining = runner.draining;
     entry.staged_models.assign(runner.staged_models.begin(), runner.staged_models.end());
@@ -210,6 +211,7 @@
   runner = {};
   runner.id = id;
   runner.domain = before.domain;
+  runner.data_centre = before.data_centre;
   runner.staged_models = before.staged_models;
   runner.started_at_ms = before.started_at_ms + 1;
 }
--- a/unittests/fakes/emulated_pool.h
+++ b/unittests/fakes/emulated_pool.h
@@ -23,6 +23,7 @@
 struct emulated_instance {
   std::string id;
   std::string domain;
+  std::string data_centre;
   std::int64_t started_at_ms = 1;
   bool alive = true;
   /// The instance cannot update its entry in the store.
