Send nothing to data centres that the operator evacuates

Change: evacuation_list keeps the state of each data centre with the row's version and era, so that neither late messages nor older reads undo it. Readers take it from the rows of the configuration table; all nodes pass it on with each fleet message (field evac; older builds ignore it). A node is not ready before it knows the list; if only peers of an older build have the configuration, it reads the rows itself. Closed ones are no candidates, and the check right before sending, that of relays and of assigned slots, refuses them.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -7,6 +7,7 @@
 #include "camphorlug/edge/store_reader_duty.h"
 #include "camphorlug/edge/table_names.h"
 #include "camphorlug/gateway/caller_protocol.h"
+#include "camphorlug/gateway/evacuation_list.h"
 #include "camphorlug/gateway/fleet_exchange.h"
 #include "camphorlug/gateway/request_gateway.h"
 #include "camphorlug/gateway/request_relay.h"
@@ -126,6 +127,10 @@
   bool needs_rows_of_peers();
   support::task<> fetch_target_rows(std::string peer_address);
   void apply_config(const std::string& text);
+  void apply_config_rows(const table::feed_batch& batch, bool is_full_table);
+  void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
+  /// Reads the rows of evacuations itself if no peer that this node hears knows them.
+  support::task<> learn_evacuations();
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
   std::size_t live_node_count() { return fleet_.others().size() + 1; }
@@ -163,6 +168,7 @@
   gateway::suspicion_list suspicions_;
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
+  gateway::evacuation_list evacuations_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -25,6 +25,9 @@
   gateway::retry_limits retries;
   /// Time between the termination signal and the kill of the process.
   std::chrono::milliseconds termination_grace{8000};
+  /// Time from the announcement of an evacuation within which the last request may be sent to a
+  /// target there; 0 if none may.
+  std::chrono::milliseconds evacuation_time_limit{0};
   /// How long callers may cache a response of the directory of entry points. Some keep it three
   /// times as long, so a node that shuts down waits for them.
   std::chrono::milliseconds entries_valid_for{800};
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -33,6 +33,7 @@
   gateway::load_tracker& loads;
   const gateway::suspicion_list& suspicions;
   const gateway::crash_evidence& crashes;
+  const gateway::evacuation_list& evacuations;
   const gateway::path_monitor& paths;
   const gateway::retry_limiter& retries;
   const groups::lease& lease;
--- a/include/camphorlug/edge/table_names.h
+++ b/include/camphorlug/edge/table_names.h
@@ -11,6 +11,9 @@
   std::string target_table;
   /// Table of the rows that the edge nodes themselves write.
   std::string own_table;
+  /// A row of the configuration table with this prefix and the name of a data centre asks for
+  /// its evacuation. Empty if the platform has no such rows.
+  std::string evacuation_prefix{};
 };
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -44,6 +44,7 @@
     std::uint64_t entries_version = 0;
     std::uint64_t store_era = 0;
     std::uint64_t crash_digest = 0;
+    std::optional<reported_evacuations> evacuations;
   };
 
   fleet_exchange(asio::any_io_executor executor, support::clock& time,
--- a/include/camphorlug/gateway/fleet_message.h
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "camphorlug/gateway/evacuation_list.h"
 #include "camphorlug/gateway/fleet_summary.h"
 #include "camphorlug/gateway/node_status.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,9 @@
   std::uint64_t store_era = 0;
   /// Digest of the sender's crash evidence, which can be fetched from it; 0 if it has none.
   std::uint64_t crash_digest = 0;
+  /// What the sender knows of evacuations; nothing if it knows of no read of their rows, as in
+  /// each message of an older build.
+  std::optional<reported_evacuations> evacuations;
   /// Of the sender alone (request of an attached node), of all nodes but the receiver (response
   /// to it), or of the sender's section (between hubs).
   fleet_summary summary;
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -15,6 +15,7 @@
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
+  std::size_t evacuated_data_centres = 0;
   bool leads = false;
 };
 
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/chosen_target.h"
+#include "camphorlug/gateway/evacuation_list.h"
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/suspicion_list.h"
@@ -19,8 +20,9 @@
 
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
-/// are excluded, suspected targets are used only as a last resort, and never those that pause
-/// or whose limit leaves nothing to this node.
+/// are excluded, suspected targets are used only as a last resort, and never those that pause,
+/// whose limit leaves nothing to this node or whose data centre is closed. A group is in the data
+/// centres of all its members: it cannot work without those that are about to go.
 ///
 /// With many nodes, the sums of loads are older than the time between two choices of the fleet. If
 /// each node took the target with the lowest load, they would all take the same one. Then, and in
@@ -30,10 +32,11 @@
 public:
   target_chooser(const target_registry& registry, group_directory& groups, load_tracker& loads,
                  const suspicion_list& suspicions, const target_pauses& pauses,
-                 const target_limits& limits, support::random_source& random,
-                 std::string data_centre)
+                 const target_limits& limits, evacuation_list& evacuations,
+                 support::random_source& random, std::string data_centre)
       : registry_(registry), groups_(groups), loads_(loads), suspicions_(suspicions),
-        pauses_(pauses), limits_(limits), random_(random), data_centre_(std::move(data_centre)) {}
+        pauses_(pauses), limits_(limits), evacuations_(evacuations), random_(random),
+        data_centre_(std::move(data_centre)) {}
 
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
@@ -72,9 +75,10 @@
   bool has_unsuspected_slot(const target_pool& pool, const std::set<std::string>& avoided);
 
 private:
-  /// Cached targets of a pool, valid while neither entries nor groups change.
+  /// Cached targets of a pool, valid while neither entries nor groups nor evacuations change.
   struct pool_view {
     std::uint64_t revision = 0;
+    std::uint64_t evacuation_revision = 0;
     /// Targets of the local data centre come first.
     std::vector<candidate> candidates;
     std::size_t local_count = 0;
@@ -88,6 +92,7 @@
 
   const pool_view& view_of(const target_pool& pool);
   std::vector<candidate> candidates(const target_pool& pool);
+  bool is_in_closed_data_centre(const serving_group& group) const;
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
@@ -113,6 +118,7 @@
   const suspicion_list& suspicions_;
   const target_pauses& pauses_;
   const target_limits& limits_;
+  evacuation_list& evacuations_;
   support::random_source& random_;
   std::string data_centre_;
   std::size_t node_count_ = 1;
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -47,6 +47,10 @@
   /// the first failure, before the store is reported lost.
   bool is_store_reachable() const { return failures_ == 0; }
 
+  /// Whether the call before the one whose batch is being applied succeeded too. Otherwise its
+  /// changes may be old.
+  bool follows_directly() const { return follows_directly_; }
+
   /// When the store last responded, or nullopt if it never did.
   std::optional<support::clock::time_point> answered_at() const { return answered_at_; }
 
@@ -79,6 +83,7 @@
   bool needs_snapshot_ = true;
   bool expects_reconnection_ = false;
   int failures_ = 0;
+  bool follows_directly_ = false;
 };
 
 } // namespace camphorlug::table
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -31,6 +31,8 @@
 static constexpr std::chrono::milliseconds own_rows_reread_interval{5000};
 static constexpr std::chrono::milliseconds housekeeping_interval{50};
 static constexpr std::chrono::milliseconds registration_retry_interval{500};
+/// Interval of the checks whether a starting node knows of evacuations.
+static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
@@ -58,8 +60,9 @@
       reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
       groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
       pauses_(context_.time), limits_(context_.time),
-      chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, context_.random,
-               settings_.data_centre),
+      evacuations_(context_.time, settings_.evacuation_time_limit),
+      chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, evacuations_,
+               context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time), usual_limits_(context_.time),
@@ -87,16 +90,14 @@
            [this] { return !may_plan() || fleet_.leader_heard_within(planner_status_max_age); },
            [this] { return total_demand(); }, [this] { return all_stalled_heads(); },
            [this] { return target_follower_.read_now(); },
-           [this] { return !is_cut_off_from_targets(); }}),
+           [this] { return !is_cut_off_from_targets(); },
+           [this] { return evacuations_.evacuated(); }}),
       crash_keeper_({context_.executor, context_.time, context_.client, context_.store, prober_,
                      registry_, crash_causes_, [this] { return replica_controller_.leads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread_interval,
-                       [this](const table::feed_batch& batch, bool) {
-                         for (const table::feed_row& row : batch.rows) {
-                           if (row.key == context_.tables.config_key && !row.deleted)
-                             apply_config(row.value);
-                         }
+                       [this](const table::feed_batch& batch, bool is_full_table) {
+                         apply_config_rows(batch, is_full_table);
                        }),
       target_follower_(context_.time, context_.random, context_.feed, context_.tables.target_table,
                        targets_reread_interval,
@@ -129,6 +130,7 @@
   support::spawn(executor, "follow_targets", target_follower_.follow());
   support::spawn(executor, "reread_targets", target_follower_.reread());
   support::spawn(executor, "poll_own_rows", own_follower_.poll());
+  support::spawn(executor, "learn_evacuations", learn_evacuations());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", exchange_.run());
   support::spawn(executor, "lease", replica_controller_.keep_lease());
@@ -146,6 +148,7 @@
   retries_.change_limits(settings.retries);
   settings_.termination_grace = settings.termination_grace;
   settings_.entries_valid_for = settings.entries_valid_for;
+  evacuations_.change_time_limit(settings.evacuation_time_limit);
   settings_.min_entry_points = settings.min_entry_points;
 }
 
@@ -154,6 +157,43 @@
     notices_.apply(instance, entry->started_at_ms, notice);
 }
 
+void edge_node::apply_config_rows(const table::feed_batch& batch, bool is_full_table) {
+  apply_evacuations(batch, is_full_table);
+  for (const table::feed_row& row : batch.rows) {
+    if (row.key == context_.tables.config_key && !row.deleted)
+      apply_config(row.value);
+  }
+}
+
+void edge_node::apply_evacuations(const table::feed_batch& batch, bool is_full_table) {
+  const std::string& prefix = context_.tables.evacuation_prefix;
+  // Only a change that the feed reports at once is known to be new.
+  const bool is_new = !is_full_table && config_follower_.follows_directly();
+  const auto age = is_new ? std::chrono::milliseconds(0) : gateway::evacuation_list::unknown_age;
+  std::set<std::string> present;
+  for (const table::feed_row& row : batch.rows) {
+    if (prefix.empty() || !row.key.starts_with(prefix))
+      continue;
+    const std::string data_centre = row.key.substr(prefix.size());
+    evacuations_.update(data_centre, row.version, !row.deleted, age);
+    if (!row.deleted)
+      present.insert(data_centre);
+  }
+  if (is_full_table)
+    evacuations_.retain(present, batch.version);
+}
+
+support::task<> edge_node::learn_evacuations() {
+  for (;;) {
+    co_await context_.time.sleep_for(evacuation_learning_interval);
+    if (evacuations_.was_read())
+      co_return;
+    // A peer of an older build has the configuration, but says nothing of evacuations.
+    if (config_.current())
+      co_await config_follower_.read_now();
+  }
+}
+
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
   if (config && config_.update_if_newer(std::move(config)))
@@ -310,6 +350,8 @@
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
   limits_.merge(message.summary.limits);
+  if (message.evacuations)
+    evacuations_.merge(*message.evacuations);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   crash_keeper_.apply_peer_message(message);
@@ -408,7 +450,8 @@
 support::task<bool> edge_node::probe_any_target(std::string service) {
   std::vector<gateway::target_entry> targets;
   for (const auto& [id, target] : registry_.all()) {
-    if (target.entry.service == service && !target.entry.draining)
+    if (target.entry.service == service && !target.entry.draining &&
+        !evacuations_.is_closed(target.entry.data_centre))
       targets.push_back(target.entry);
   }
   if (targets.empty())
@@ -449,7 +492,8 @@
 }
 
 bool edge_node::ready() const {
-  return !is_leaving() && config_.current() && registry_.was_read() && crash_keeper_.knows_bans();
+  return !is_leaving() && config_.current() && registry_.was_read() && evacuations_.was_read() &&
+         crash_keeper_.knows_bans();
 }
 
 const gateway::node_status& edge_node::status() {
@@ -483,6 +527,8 @@
   report.entries_version = target_rows_.newest_row_version();
   report.store_era = store_era_;
   report.crash_digest = crash_causes_.evidence().digest();
+  if (evacuations_.was_read())
+    report.evacuations = evacuations_.known();
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -592,6 +638,7 @@
                                    loads_,
                                    suspicions_,
                                    crash_causes_.evidence(),
+                                   evacuations_,
                                    paths_,
                                    retries_,
                                    lease_,
@@ -640,6 +687,7 @@
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
+  gauges.evacuated_data_centres = evacuations_.evacuated().size();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -134,6 +134,18 @@
   return bans;
 }
 
+static ordered_json evacuations_to_json(const state_report_input& state) {
+  ordered_json evacuations = ordered_json::array();
+  for (const auto& [data_centre, known] : state.evacuations.known()) {
+    if (known.is_evacuated)
+      evacuations.push_back({{"data_centre", data_centre},
+                             {"row_version", known.version},
+                             {"age_ms", known.age.count()},
+                             {"closed", state.evacuations.is_closed(data_centre)}});
+  }
+  return evacuations;
+}
+
 ordered_json make_state_report(const state_report_input& state) {
   ordered_json targets = ordered_json::array();
   for (const auto& [id, target] : state.registry.all())
@@ -155,6 +167,7 @@
                       {"groups", groups_to_json(state)},
                       {"targets", std::move(targets)},
                       {"peers", peers_to_json(state)},
+                      {"evacuations", evacuations_to_json(state)},
                       {"banned_parts", banned_parts_to_json(state)},
                       {"unreachable_services", state.paths.lost_services()},
                       {"retries", retries_to_json(state)}};
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -43,6 +43,7 @@
   message.entries_version = report.entries_version;
   message.store_era = report.store_era;
   message.crash_digest = report.crash_digest;
+  message.evacuations = std::move(report.evacuations);
   return message;
 }
 
--- a/lib/gateway/fleet_message.cpp
+++ b/lib/gateway/fleet_message.cpp
@@ -34,6 +34,8 @@
     value["era"] = store_era;
   if (crash_digest > 0)
     value["crash"] = crash_digest;
+  if (evacuations)
+    value["evac"] = *evacuations;
   if (!sections.empty())
     value["sec"] = to_list(sections);
   for (const auto& [owner, age] : owners)
@@ -51,6 +53,8 @@
   value.at("ent").get_to(message.entries_version);
   message.store_era = value.value("era", std::uint64_t{0});
   message.crash_digest = value.value("crash", std::uint64_t{0});
+  if (const auto evacuations = value.find("evac"); evacuations != value.end())
+    message.evacuations = evacuations->get<reported_evacuations>();
   value.at("sum").get_to(message.summary);
   for (const auto& [owner, stamp] : value.at("have").items())
     message.known[owner] = {stamp.at(0), stamp.at(1)};
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -24,6 +24,13 @@
 /// The same number when loads are summed up over hubs and are several hundred milliseconds old.
 static constexpr int samples_per_scope_with_old_loads = 2;
 
+bool target_chooser::is_in_closed_data_centre(const serving_group& group) const {
+  return std::any_of(group.members.begin(), group.members.end(), [this](const std::string& id) {
+    const target_entry* member = registry_.find(id);
+    return member && evacuations_.is_closed(member->data_centre);
+  });
+}
+
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
   std::vector<candidate> found;
   const auto add = [&](const target_entry& entry, std::uint64_t epoch) {
@@ -34,13 +41,15 @@
   };
   if (!pool.model.empty()) {
     for (const serving_group& group : groups_.serving(pool.service, pool.model)) {
-      if (const target_entry* head = registry_.find(group.members.front()))
+      const target_entry* head = registry_.find(group.members.front());
+      if (head && !is_in_closed_data_centre(group))
         add(*head, group.epoch);
     }
     return found;
   }
   for (const auto& [id, target] : registry_.all()) {
-    if (target.entry.service == pool.service && !target.entry.draining)
+    if (target.entry.service == pool.service && !target.entry.draining &&
+        !evacuations_.is_closed(target.entry.data_centre))
       add(target.entry, 0);
   }
   return found;
@@ -49,11 +58,14 @@
 const target_chooser::pool_view& target_chooser::view_of(const target_pool& pool) {
   static const pool_view none;
   const std::uint64_t revision = groups_.revision();
+  const std::uint64_t evacuation_revision = evacuations_.revision();
   const auto cached = views_.find(pool);
-  if (cached != views_.end() && cached->second.revision == revision)
+  if (cached != views_.end() && cached->second.revision == revision &&
+      cached->second.evacuation_revision == evacuation_revision)
     return cached->second;
   pool_view view;
   view.revision = revision;
+  view.evacuation_revision = evacuation_revision;
   view.candidates = candidates(pool);
   if (view.candidates.empty()) {
     // Callers may request any model name; don't cache names without targets.
@@ -158,7 +170,8 @@
 
 bool target_chooser::accepts_requests(const chosen_target& chosen) const {
   const target_entry* entry = registry_.find(chosen.id);
-  return entry && !entry->draining && !pauses_.end(chosen.id, chosen.started_at_ms);
+  return entry && !entry->draining && !evacuations_.is_closed(entry->data_centre) &&
+         !pauses_.end(chosen.id, chosen.started_at_ms);
 }
 
 std::optional<support::clock::time_point>
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -36,6 +36,7 @@
     if (on_reconnected_)
       on_reconnected_();
   }
+  follows_directly_ = failures_ == 0 && answered_at_.has_value();
   failures_ = 0;
   answered_at_ = time_.now();
 }
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -16,6 +16,7 @@
 static constexpr auto network_delay = 1ms;
 static constexpr const char* config_table = "config";
 static constexpr const char* config_key = "current";
+static constexpr const char* evacuation_prefix = "evacuate/";
 static constexpr const char* target_table = "targets";
 static constexpr const char* own_table = "own";
 
@@ -51,7 +52,7 @@
   gateway::target_entry entry;
   entry.id = id;
   entry.slots = 4;
-  std::istringstream(text) >> entry.service >> entry.address;
+  std::istringstream(text) >> entry.service >> entry.address >> entry.data_centre;
   return entry;
 }
 
@@ -165,8 +166,16 @@
   tables.put(config_table, config_key, std::to_string(version));
 }
 
-void edge_cluster::add_target(const std::string& id) {
-  tables.put(target_table, id, "shop " + id);
+void edge_cluster::add_target(const std::string& id, const std::string& data_centre) {
+  tables.put(target_table, id, "shop " + id + " " + data_centre);
+}
+
+void edge_cluster::evacuate(const std::string& data_centre) {
+  tables.put(config_table, evacuation_prefix + data_centre, "{}");
+}
+
+void edge_cluster::end_evacuation(const std::string& data_centre) {
+  tables.remove(config_table, evacuation_prefix + data_centre);
 }
 
 support::task<> edge_cluster::write_again(std::string table, table::feed_row lost,
@@ -230,6 +239,7 @@
   settings.public_address = "public-" + edge->peer_address;
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
+  settings.evacuation_time_limit = evacuation_time_limit;
   edge->node = std::make_unique<edge::edge_node>(
       edge::edge_context{context.get_executor(),
                          clock,
@@ -241,7 +251,7 @@
                          protocol,
                          orders,
                          *edge->prober,
-                         {config_table, config_key, target_table, own_table}},
+                         {config_table, config_key, target_table, own_table, evacuation_prefix}},
       settings);
   network.cut.erase(edge->peer_address);
   network.nodes[edge->peer_address] = [node = edge->node.get()](net::server_request request,
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -21,8 +21,8 @@
 namespace camphorlug::fakes {
 
 /// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS` for a
-/// target.
+/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE`
+/// for a target, the last of them optional.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -112,7 +112,10 @@
 
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
   void set_config(std::uint64_t version);
-  void add_target(const std::string& id);
+  void add_target(const std::string& id, const std::string& data_centre = "");
+  /// Asks the nodes to evacuate a data centre, or ends that.
+  void evacuate(const std::string& data_centre);
+  void end_evacuation(const std::string& data_centre);
 
   store_copy copy_store() const { return {own_rows.rows, tables.copy()}; }
   /// Simulates that the store is restored from an older copy. What the operator and the targets
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -13,6 +13,9 @@
 
 namespace camphorlug::fakes {
 
+/// Time from the announcement of an evacuation to the last request there.
+inline constexpr std::chrono::milliseconds evacuation_time_limit{5000};
+
 /// One gateway with scripted targets, in virtual time. The routes `/plain/`,
 /// `/once/`, `/stream/` and `/cut/` lead to the service `shop`.
 struct gateway_fixture {
@@ -45,8 +48,9 @@
   gateway::suspicion_list suspicions{clock};
   gateway::target_pauses pauses{clock};
   gateway::target_limits limits{clock};
-  gateway::target_chooser chooser{registry, groups, loads,  suspicions,
-                                  pauses,   limits, random, "here"};
+  gateway::evacuation_list evacuations{clock, evacuation_time_limit};
+  gateway::target_chooser chooser{registry, groups,      loads,  suspicions, pauses,
+                                  limits,   evacuations, random, "here"};
   gateway::slot_queue queue{clock, chooser, loads, limits};
   gateway::retry_limiter retries{clock, {}, [] { return std::size_t{1}; }};
   gateway::stall_detector stalls{clock};
