Demand counts the slots that wait while prompts are read

Cause: demand was arrivals times hold time, in which a request counts one slot while its prompt is read, although a group reads one prompt at a time and its other slots wait.

Change: where the configuration gives the reading rate and the caller the size of its prompt, each arrival adds reading time x slots of a batch to the demand of its model. Nothing changes on the wire: the sum is what nodes exchanged before.

--- a/include/camphorlug/gateway/engine_profile.h
+++ b/include/camphorlug/gateway/engine_profile.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/model_profile.h"
 
+#include <chrono>
 #include <cstddef>
 #include <vector>
 
@@ -22,6 +23,10 @@
   /// Prompt tokens that a group of the model reads a second; 0 if unknown.
   double reading_rate(const std::string& model) const;
 
+  /// Slot time that a group of the model spends on reading a prompt: it reads one prompt at a time,
+  /// and all of its slots wait meanwhile. 0 if the reading rate is unknown.
+  std::chrono::nanoseconds reading_slot_time(const std::string& model, double prompt_tokens) const;
+
   /// Returns the model with that name, or null.
   const model_profile* find(const std::string& model) const;
 };
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -86,6 +86,8 @@
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
   const target_pool& pool() const { return pool_; }
   slot_request make_slot_request() const;
+  /// The slot time of a group that reading the prompt takes; 0 if unknown.
+  std::chrono::nanoseconds reading_slot_time() const;
   queue_rank rank() const { return {priority_, arrived_at_ + route_->objective}; }
 
   gateway_environment& env_;
--- a/lib/gateway/demand_meter.cpp
+++ b/lib/gateway/demand_meter.cpp
@@ -12,22 +12,25 @@
 static constexpr double arrival_time_constant_seconds =
     std::chrono::duration<double>(demand_meter::arrival_time_constant).count();
 
-double demand_meter::decayed_rate(const pool_statistics& statistics,
-                                  support::clock::time_point now) {
+double demand_meter::decay(const pool_statistics& statistics, support::clock::time_point now) {
   const double age = std::chrono::duration<double>(now - statistics.updated_at).count();
-  return statistics.rate * std::exp(-age / arrival_time_constant_seconds);
+  return std::exp(-age / arrival_time_constant_seconds);
 }
 
-void demand_meter::count_arrival(const target_pool& pool) {
+void demand_meter::count_arrival(const target_pool& pool, std::chrono::nanoseconds reading) {
   const auto now = time_.now();
   const auto [found, is_new] = statistics_.try_emplace(pool);
   // Callers choose the names of models, so pools that get no requests any more are dropped.
   if (is_new)
     std::erase_if(statistics_, [&](const auto& each) {
-      return each.first != pool && decayed_rate(each.second, now) < min_rate;
+      return each.first != pool && each.second.rate * decay(each.second, now) < min_rate;
     });
   pool_statistics& statistics = found->second;
-  statistics.rate = decayed_rate(statistics, now) + 1 / arrival_time_constant_seconds;
+  const double factor = decay(statistics, now);
+  const double reading_seconds = std::chrono::duration<double>(reading).count();
+  statistics.rate = statistics.rate * factor + 1 / arrival_time_constant_seconds;
+  statistics.reading_slots =
+      statistics.reading_slots * factor + reading_seconds / arrival_time_constant_seconds;
   statistics.updated_at = now;
 }
 
@@ -43,7 +46,8 @@
 slot_demand demand_meter::demand() const {
   slot_demand slots;
   for (const auto& [pool, statistics] : statistics_)
-    slots[pool] = decayed_rate(statistics, time_.now()) * statistics.hold_seconds;
+    slots[pool] = decay(statistics, time_.now()) *
+                  (statistics.rate * statistics.hold_seconds + statistics.reading_slots);
   return slots;
 }
 
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -75,7 +75,7 @@
     co_return;
   }
   env_.retries.count_request(service_);
-  env_.demand.count_arrival(pool());
+  env_.demand.count_arrival(pool(), reading_slot_time());
   bool finished = false;
   while (!finished && !caller_gone_) {
     if (open_.empty()) {
@@ -302,6 +302,14 @@
   return std::min(shared_->deadline - min_remaining_time, env_.time.now() + wait);
 }
 
+nanoseconds request_forwarder::reading_slot_time() const {
+  const auto& services = env_.config.current()->services;
+  const auto service = services.find(service_);
+  if (service == services.end() || !service->second.engine)
+    return nanoseconds(0);
+  return service->second.engine->reading_slot_time(pool().model, shared_->request.prompt_tokens);
+}
+
 slot_request request_forwarder::make_slot_request() const {
   slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
   request.organisation = shared_->organisation;
--- a/lib/gateway/routing_config.cpp
+++ b/lib/gateway/routing_config.cpp
@@ -18,6 +18,19 @@
   return profile && profile->time_factor > 0 ? reading_tokens_per_second / profile->time_factor : 0;
 }
 
+/// A caller states the size of its prompt, so that more than this is not believed.
+static constexpr std::chrono::duration<double> max_reading_time = std::chrono::seconds(10);
+
+std::chrono::nanoseconds engine_profile::reading_slot_time(const std::string& model,
+                                                           double prompt_tokens) const {
+  const double rate = reading_rate(model);
+  if (rate <= 0 || !(prompt_tokens > 0))
+    return std::chrono::nanoseconds(0);
+  const std::chrono::duration<double> reading(prompt_tokens / rate);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(std::min(reading, max_reading_time) *
+                                                              static_cast<double>(batch_slots));
+}
+
 /// Strips the port and converts to lower case, since host names are
 /// case-insensitive.
 static std::string normalise_host(std::string_view host) {
--- a/unittests/gateway/small_parts_test.cpp
+++ b/unittests/gateway/small_parts_test.cpp
@@ -1,4 +1,5 @@
 #include "camphorlug/gateway/demand_meter.h"
+#include "camphorlug/gateway/engine_profile.h"
 #include "camphorlug/gateway/event_splitter.h"
 #include "camphorlug/gateway/gateway_selection.h"
 #include "camphorlug/gateway/retry_limiter.h"
@@ -12,6 +13,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace camphorlug;
 using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
@@ -234,3 +237,54 @@
   clock.run_for(30s);
   BOOST_TEST(meter.demand().at(pool) < 0.1);
 }
+
+BOOST_FIXTURE_TEST_CASE(demand_includes_the_slots_that_wait_while_prompts_are_read, clock_fixture) {
+  gateway::demand_meter meter(clock);
+  const gateway::target_pool pool{"engines", "model"};
+  for (int i = 0; i < 800; ++i) {
+    clock.run_for(25ms);
+    meter.count_arrival(pool, 1s);
+    meter.record_hold(pool, 500ms);
+  }
+  // 40 requests per second hold a slot for half a second and keep slots waiting for one second.
+  BOOST_TEST(meter.demand().at(pool) > 51);
+  BOOST_TEST(meter.demand().at(pool) < 69);
+  clock.run_for(30s);
+  BOOST_TEST(meter.demand().at(pool) < 0.3);
+}
+
+namespace {
+
+struct reading_case {
+  const char* name;
+  double tokens_per_second;
+  const char* model;
+  double prompt_tokens;
+  std::chrono::milliseconds slot_time;
+};
+
+std::ostream& operator<<(std::ostream& out, const reading_case& each) {
+  return out << each.name;
+}
+
+const reading_case reading_cases[] = {
+    {"a model without factor", 10'000, "plain", 1000, 3200ms},
+    {"a faster model", 10'000, "fast", 1000, 1600ms},
+    {"an unknown model", 10'000, "other", 1000, 0ms},
+    {"an unknown rate", 0, "plain", 1000, 0ms},
+    {"no prompt", 10'000, "plain", 0, 0ms},
+    {"a negative count", 10'000, "plain", -5, 0ms},
+    {"a count that is no number", 10'000, "plain", std::numeric_limits<double>::quiet_NaN(), 0ms},
+    {"more than is believed", 10'000, "plain", 1e300, 320s},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(reading_occupies_all_slots_of_a_group, data::make(reading_cases), each) {
+  gateway::engine_profile engine;
+  engine.batch_slots = 32;
+  engine.reading_tokens_per_second = each.tokens_per_second;
+  engine.models = {{"plain", 4, 0.5, 1, 16s, 1600ms}, {"fast", 2, 0.5, 0.5, 12s, 1100ms}};
+  const auto slot_time = engine.reading_slot_time(each.model, each.prompt_tokens);
+  BOOST_TEST((std::chrono::round<std::chrono::milliseconds>(slot_time) == each.slot_time));
+}
