No group is given up for a gap that replacements close

Cause: whether a model gives up a group was decided on one moment.

Change: such a gap must have lasted for 2 s, the time in which lost members are replaced; taking from a model with smaller groups stays immediate.

--- a/include/camphorlug/replicas/replica_planner.h
+++ b/include/camphorlug/replicas/replica_planner.h
@@ -23,6 +23,9 @@
 /// current term; groups from earlier terms are discovered from the entries that the instances
 /// publish. A term is the time from one acquisition of the lease to its loss, across all renewals.
 /// The planner performs no I/O and never blocks.
+///
+/// Answers many losses in one moment: the supply of the model that lost groups dips until the
+/// members are replaced, and a large group that is closed for it comes back last.
 class replica_planner {
 public:
   replica_planner(support::clock& time, std::string service)
@@ -125,6 +128,8 @@
   void advance_dissolving(planned_group& group, std::vector<replica_order>& orders);
   void release_orphans(std::vector<replica_order>& orders);
   void form_missing_groups(const planning_input& input, std::vector<replica_order>& orders);
+  /// Returns whether the model has been supplied so much worse than others for long enough.
+  bool gap_persists(bool gap_is_open, const std::string& worst_supplied);
   void reclaim_groups(const gateway::model_profile& best_supplied,
                       const gateway::model_profile& worst_supplied, std::size_t max_groups);
   bool form_group(const planning_input& input, const gateway::model_profile& model,
@@ -167,6 +172,9 @@
   std::uint64_t next_epoch_ = 0;
   support::clock::time_point term_began_at_;
   support::clock::time_point last_reclaim_at_;
+  /// The model that is supplied much worse than others, and since when; empty if there is none.
+  std::string gap_model_;
+  support::clock::time_point gap_since_;
   bool first_term_ = true;
   bool existing_groups_adopted_ = false;
   std::size_t max_listed_instances_ = 0;
--- a/lib/replicas/planning_limits.h
+++ b/lib/replicas/planning_limits.h
@@ -53,6 +53,10 @@
 /// a lack of the larger groups does not end by itself, because the replacements of lost members
 /// are used up by smaller groups.
 inline constexpr double min_supply_gap_from_smaller = 0.1;
+/// A group is taken from a model with groups as large or larger only if the supplies have differed
+/// by so much for this time. Members that are lost together are replaced within two seconds; a
+/// difference that the replacements remove is no reason to close a group that serves.
+inline constexpr std::chrono::milliseconds min_gap_duration{2000};
 /// Minimum time between two decisions to reclaim groups, so that the first change has taken
 /// effect.
 inline constexpr std::chrono::milliseconds reclaim_interval{2500};
--- a/lib/replicas/replica_planner_forming.cpp
+++ b/lib/replicas/replica_planner_forming.cpp
@@ -2,6 +2,7 @@
 #include "planning_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorlug::replicas {
 
@@ -162,11 +163,23 @@
   // The number of groups that can close before the other model becomes the better supplied one.
   const double surplus =
       (supply(best_supplied) - supply(worst_supplied)) * wanted[best_supplied->name];
-  if (input.traffic_started && supply(worst_supplied) < 1 && surplus > 1 &&
-      supply(best_supplied) - supply(worst_supplied) > gap)
+  const bool gap_is_open = input.traffic_started && supply(worst_supplied) < 1 && surplus > 1 &&
+                           supply(best_supplied) - supply(worst_supplied) > gap;
+  const bool persists = gap_persists(gap_is_open, worst_supplied->name);
+  if (gap_is_open && (from_smaller || persists))
     reclaim_groups(*best_supplied, *worst_supplied, static_cast<std::size_t>(surplus));
 }
 
+bool replica_planner::gap_persists(bool gap_is_open, const std::string& worst_supplied) {
+  if (!gap_is_open) {
+    gap_model_.clear();
+    return false;
+  }
+  if (std::exchange(gap_model_, worst_supplied) != worst_supplied)
+    gap_since_ = time_.now();
+  return time_.now() - gap_since_ >= min_gap_duration;
+}
+
 /// Closes groups of `best_supplied` to make room for a group of `worst_supplied` that forms
 /// without weight loads: one, or up to `max_groups` smaller ones of the same domain. Selects the
 /// domain where the fewest groups have to close for that.
--- a/unittests/replicas/group_supply_test.cpp
+++ b/unittests/replicas/group_supply_test.cpp
@@ -5,6 +5,8 @@
 #include "fakes/emulated_pool.h"
 
 #include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -13,6 +15,7 @@
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
 
 namespace {
 
@@ -69,6 +72,8 @@
     }
     if (clock.now() - began_at < settling_time)
       needed.clear();
+    if (!fixed_demand.empty())
+      needed = fixed_demand;
     const auto entries = pool.entries();
     const replicas::planning_input input{engine, entries, pool.traffic, needed};
     for (const replicas::replica_order& order : planner.plan(input))
@@ -94,6 +99,8 @@
   replicas::replica_planner planner{clock, "engines"};
   gateway::demand_meter meter{clock};
   std::vector<model_load> loads{{"large", 29, 1620, 600ms}, {"small", 107, 674, 1000ms}};
+  /// Slots needed by each model in place of what the meter says, if not empty.
+  std::map<std::string, double> fixed_demand;
   support::clock::time_point began_at;
 };
 
@@ -117,3 +124,33 @@
   BOOST_TEST(fewest == 6);
   BOOST_TEST(world.pool.violations().empty());
 }
+
+/// A rack switch or a bad release takes a member of most small groups in one moment. The survivors
+/// and the spares replace them within two seconds; a large group that is closed for them would need
+/// four free instances in one domain to come back.
+BOOST_DATA_TEST_CASE(losses_in_one_moment_take_no_group_from_the_larger_model,
+                     data::make({6, 8, 10, 12}), losses) {
+  supply_world world;
+  world.run_for(8s);
+  world.begin_traffic();
+  world.fixed_demand = {{"large", 30}, {"small", 140}};
+  world.run_for(20s);
+  const std::size_t large = world.pool.serving()["large"];
+  int lost = 0;
+  for (auto& [id, runner] : world.pool.runners()) {
+    if (lost == losses || !runner.membership || runner.resident_model != "small" ||
+        runner.membership->rank != 1)
+      continue;
+    world.pool.kill(id);
+    world.planner.record_probe_result(id, false);
+    ++lost;
+  }
+  BOOST_REQUIRE(lost == losses);
+  std::size_t fewest = large;
+  for (int i = 0; i < 20; ++i) {
+    world.run_for(100ms);
+    fewest = std::min(fewest, world.pool.serving()["large"]);
+  }
+  BOOST_TEST(fewest == large);
+  BOOST_TEST(world.pool.violations().empty());
+}
