Let one of equal suspected requests reach a target at a time

Cause: a deadly request that comes at several nodes in the same moment ends as many targets, and crashes at the same moment count as one, so that the ban took three such moments.

Change: while published crashes accuse a request as a whole, one of the equal ones is sent at a time in the fleet (request_trials). Rendezvous hashing names the node that decides; if it does not answer, or is of an earlier version, each node decides for itself. The trial ends with its answer, a further crash, a report that nothing was sent, or after 1.5 s; a stream that has gone on for 1 s opens the way for all. The others wait for at most 1 s, without a slot, and are then refused as not run. No replacement is sought for a silent suspected request.

Not covered by a test: the deciding node is gone.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -3,6 +3,7 @@
 #include "camphorlug/edge/assisted_prober.h"
 #include "camphorlug/edge/crash_evidence_keeper.h"
 #include "camphorlug/edge/edge_settings.h"
+#include "camphorlug/edge/fleet_trial_permits.h"
 #include "camphorlug/edge/row_decoder.h"
 #include "camphorlug/edge/store_reader_duty.h"
 #include "camphorlug/edge/table_names.h"
@@ -172,6 +173,7 @@
   gateway::usual_time_limits usual_limits_;
   gateway::notice_handler notices_;
   gateway::crash_cause_list crash_causes_;
+  fleet_trial_permits trials_;
   gateway::path_monitor paths_;
   gateway::target_sender sender_;
   assisted_prober prober_;
--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -58,6 +58,11 @@
   /// Ends a ban: what is known against the cause no longer counts, at any node.
   void lift(const crash_cause& cause);
 
+  /// Number of published crashes that accuse the whole request with this identity.
+  std::size_t crashes_under(const std::string& request) const {
+    return evidence_.crashes_under(request);
+  }
+
   const crash_evidence& evidence() const { return evidence_; }
   /// Merges the evidence of another node, or evidence that was stored. Throws
   /// nlohmann::json::exception.
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -38,6 +38,9 @@
   /// explains. A crash counts for one cause only: the one that explains the most.
   const std::map<crash_cause, std::size_t>& proven_causes() const { return proven_; }
 
+  /// Number of crashes that accuse the whole request with this identity.
+  std::size_t crashes_under(const std::string& request) const;
+
   /// Differs between two different states of the evidence; 0 if there is none.
   std::uint64_t digest() const { return digest_; }
 
@@ -56,6 +59,8 @@
 
   std::map<target_start, crash_record> records_;
   std::map<crash_cause, std::size_t> proven_;
+  /// Crashes that accuse each whole request.
+  std::map<std::string, std::size_t> accused_requests_;
   std::uint64_t digest_ = 0;
 };
 
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -24,6 +24,8 @@
 /// Path that serves the target entries that changed after commit number `since`.
 inline constexpr const char* entries_path = "/camphorlug/v1/entries";
 inline constexpr const char* crashes_path = "/camphorlug/v1/crashes";
+/// Path of questions whether a suspected request may be sent.
+inline constexpr const char* trials_path = "/camphorlug/v1/trials";
 
 /// Exchanges messages with other nodes and keeps a `fleet_view` up to date: with one hub if this
 /// node is attached to it, with all hubs if it is one itself. Does not depend on the store.
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -12,6 +12,7 @@
 #include "camphorlug/gateway/suspicion_list.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/gateway/target_sender.h"
+#include "camphorlug/gateway/trial_permits.h"
 #include "camphorlug/gateway/usual_time_limits.h"
 #include "camphorlug/support/clock.h"
 #include "camphorlug/support/random_source.h"
@@ -30,6 +31,7 @@
   suspicion_list& suspicions;
   notice_handler& notices;
   crash_cause_list& crash_causes;
+  trial_permits& trials;
   retry_limiter& retries;
   stall_detector& stalls;
   demand_meter& demand;
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -59,6 +59,15 @@
   void note(const open_attempt& each, std::string_view text);
 
   support::task<slot_queue::slot_result> wait_for_slot();
+  /// Waits for a slot, and until the request may be sent if it is suspected.
+  support::task<slot_queue::slot_result> wait_for_permitted_slot();
+  /// Whether crashes accuse the request as a whole.
+  bool is_suspected() const { return env_.crash_causes.crashes_under(identity()) > 0; }
+  const std::string& identity() const { return shared_->crash_suspects.back(); }
+  /// Reports what became of the request if it was sent with a permit that others wait for.
+  void report_trial(trial_step step);
+  /// Reports the trial when its stream has gone on for long enough.
+  void check_trial();
   /// The wait that a refusal reports.
   std::chrono::nanoseconds wait_after_refusal();
   support::clock::time_point slot_deadline();
@@ -120,6 +129,12 @@
   std::vector<std::string> trail_;
   /// When the scheduler expects to have a slot, if it refused the last wait.
   std::optional<std::chrono::nanoseconds> scheduled_retry_after_;
+  /// Whether other equal requests wait for what becomes of this one.
+  bool is_trial_ = false;
+  /// When the target of the trial began to answer.
+  std::optional<support::clock::time_point> trial_answered_at_;
+  /// The request was given up because an equal one is being tried.
+  bool waits_for_trial_ = false;
   /// Why no further target was tried; empty while the request may still be answered.
   std::string give_up_reason_;
 };
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -64,14 +64,16 @@
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time), usual_limits_(context_.time),
       notices_(registry_, pauses_, limits_, metrics_), crash_causes_(context_.time),
+      trials_(
+          {context_.executor, context_.time, context_.client, fleet_, crash_causes_, settings_.id}),
       paths_(context_.time),
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
              settings_.cores),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
-                 slot_queue_, suspicions_, notices_, crash_causes_, retries_, stalls_, demand_,
-                 metrics_, usual_limits_},
+                 slot_queue_, suspicions_, notices_, crash_causes_, trials_, retries_, stalls_,
+                 demand_, metrics_, usual_limits_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       scheduler_service_(context_.time, chooser_, config_, settings_.id),
@@ -576,6 +578,10 @@
     co_await prober_.handle(std::move(request), registry_, writer);
     co_return;
   }
+  if (request.path == gateway::trials_path) {
+    trials_.handle(request, writer);
+    co_return;
+  }
   if (request.path == lift_path) {
     crash_keeper_.lift(request, writer);
     co_return;
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -160,8 +160,19 @@
   proven_ = find_proven_causes(records_);
   evict_if_full();
   digest_ = 0;
-  for (const auto& [start, record] : records_)
+  accused_requests_.clear();
+  for (const auto& [start, record] : records_) {
     digest_ += digest_of(start, record);
+    for (const auto& [id, suspect] : record.suspects) {
+      if (!suspect.cleared && is_request_identity(id))
+        ++accused_requests_[id];
+    }
+  }
+}
+
+std::size_t crash_evidence::crashes_under(const std::string& request) const {
+  const auto found = accused_requests_.find(request);
+  return found == accused_requests_.end() ? 0 : found->second;
 }
 
 std::string crash_evidence::to_json(support::clock::time_point now, const crash_cause* only) const {
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -29,6 +29,15 @@
 /// Callers accept a Retry-After of up to a third of their remaining time.
 static constexpr double max_retry_after_fraction = 0.3;
 
+/// A suspected request waits at most this long for the outcome of an equal one, and at most for
+/// this fraction of its remaining time.
+static constexpr milliseconds max_trial_wait{1000};
+static constexpr double max_trial_wait_fraction = 0.5;
+static constexpr milliseconds trial_check_interval{50};
+/// A trial is over when its stream has gone on for this long. Targets crash when they begin to
+/// answer or soon after, and others should not wait for the end of a long stream.
+static constexpr milliseconds survival_time{1000};
+
 static nanoseconds scaled(nanoseconds span, double factor) {
   return std::chrono::duration_cast<nanoseconds>(span * factor);
 }
@@ -103,7 +112,7 @@
     finish_failed_request(last_result_);
     co_return false;
   }
-  slot_queue::slot_result waited = co_await wait_for_slot();
+  slot_queue::slot_result waited = co_await wait_for_permitted_slot();
   scheduled_retry_after_ = waited.retry_after;
   if (caller_gone_)
     co_return true;
@@ -119,11 +128,14 @@
     start_attempt(std::move(*waited.slot), executor);
     co_return true;
   }
-  give_up("no other target had a free slot in time");
+  give_up(waits_for_trial_ ? "an equal request was being tried"
+                           : "no other target had a free slot in time");
   if (attempts_ > 0)
     finish_failed_request(last_result_);
   else
-    send_refusal("no free slot", wait_after_refusal());
+    send_refusal(waits_for_trial_ ? "an equal request, which may crash its target, is being tried"
+                                  : "no free slot",
+                 wait_after_refusal());
   co_return false;
 }
 
@@ -148,7 +160,7 @@
   const bool all_silent = std::all_of(open_.begin(), open_.end(), [](const open_attempt& each) {
     return each.attempt->is_silent();
   });
-  if (open_.empty() || !all_silent || banned_cause() || !route_->repeatable() ||
+  if (open_.empty() || !all_silent || banned_cause() || is_suspected() || !route_->repeatable() ||
       !has_attempts_left() || !env_.retries.can_retry(service_) ||
       !env_.queue.has_alternative(pool(), tried_targets_))
     return;
@@ -210,6 +222,7 @@
         env_.queue.update_first_part_estimate(pool(), attempt.held());
       writer_.start(response.status, with_connection_header(response.forwarded_headers));
     }
+    check_trial();
     position_.advance(event);
     const bool accepted = co_await writer_.write(std::move(event.bytes));
     if (!accepted)
@@ -220,6 +233,7 @@
 
 support::task<> request_forwarder::finish_answered_request(target_attempt& attempt) {
   env_.demand.record_hold(pool(), attempt.held());
+  report_trial(trial_step::survived);
   std::string detail;
   if (position_.events > 0) {
     writer_.finish();
@@ -273,6 +287,10 @@
       target_failure_ = each.attempt->response();
       target_failure_body_ = each.attempt->take_body();
     }
+    if (last_result_ == attempt_result::not_run)
+      report_trial(trial_step::not_sent);
+    else
+      is_trial_ = false;
     may_have_executed_ = may_have_executed_ || last_result_ != attempt_result::not_run;
     end_attempt(each);
   }
@@ -328,6 +346,44 @@
   co_return co_await env_.queue.acquire(std::move(request), until);
 }
 
+void request_forwarder::report_trial(trial_step step) {
+  if (std::exchange(is_trial_, false))
+    env_.trials.report(identity(), step);
+}
+
+void request_forwarder::check_trial() {
+  if (!is_trial_)
+    return;
+  const auto now = env_.time.now();
+  if (!trial_answered_at_)
+    trial_answered_at_ = now;
+  if (now - *trial_answered_at_ >= survival_time)
+    report_trial(trial_step::survived);
+}
+
+support::task<slot_queue::slot_result> request_forwarder::wait_for_permitted_slot() {
+  const auto until =
+      env_.time.now() +
+      std::min<nanoseconds>(scaled(remaining_time(), max_trial_wait_fraction), max_trial_wait);
+  for (;;) {
+    slot_queue::slot_result waited = co_await wait_for_slot();
+    if (!waited || caller_gone_ || !is_suspected() || banned_cause())
+      co_return waited;
+    const trial_answer answer = co_await env_.trials.ask(identity());
+    is_trial_ = answer == trial_answer::granted;
+    trial_answered_at_.reset();
+    if (answer != trial_answer::busy)
+      co_return waited;
+    // Others may use the slot meanwhile.
+    waited.slot.reset();
+    if (env_.time.now() >= until) {
+      waits_for_trial_ = true;
+      co_return slot_queue::slot_result{};
+    }
+    co_await activity_.wait_for(trial_check_interval);
+  }
+}
+
 bool request_forwarder::may_retry(attempt_result last) {
   const bool repeatable = route_->repeatable() || last == attempt_result::not_run;
   if (!repeatable)
--- a/unittests/edge/deadly_request_test.cpp
+++ b/unittests/edge/deadly_request_test.cpp
@@ -120,6 +120,29 @@
 
 namespace {
 
+/// The request comes at several nodes in the same moment, before as few targets as may fail at
+/// once.
+const std::vector<repeat_case> repeats_at_once = {
+    {"at three nodes", 6, 3, "/plain/x", 400ms, 3},
+    {"at all nodes", 6, 3, "/stream/x", 200ms, 6},
+    {"at all nodes, after the first event", 6, 3, "/stream/x", 200ms, 6, true},
+};
+
+constexpr std::uint64_t first_seed = 1;
+constexpr std::uint64_t end_of_seeds = 13;
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(deadly_request_at_many_nodes_at_once_is_stopped,
+                     data::make(repeats_at_once) * data::xrange(first_seed, end_of_seeds), repeats,
+                     seed) {
+  repeat_case each = repeats;
+  each.seed = seed;
+  expect_deadly_request_is_stopped(each);
+}
+
+namespace {
+
 void play_until_request_is_banned(tainted_fleet& fleet) {
   fleet.side.deadly_bodies.insert(deadly_body);
   for (int i = 0; i < 10 && fleet.banned(0) == 0; ++i) {
@@ -253,3 +276,67 @@
   for (std::size_t i = 0; i < 6; ++i)
     BOOST_TEST(fleet.banned(i) == 0);
 }
+
+namespace {
+
+struct popular_case {
+  const char* name;
+  const char* path;
+  /// Number of targets that are not lost.
+  std::size_t survivors = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const popular_case& each) {
+  return out << each.name;
+}
+
+const std::vector<popular_case> popular_requests = {
+    {"plain requests", "/plain/x"},
+    {"streams", "/stream/x"},
+    {"streams, one target is left", "/stream/x", 1},
+    {"plain requests, two targets are left", "/plain/x", 2},
+};
+
+/// The choice does not depend on draws, so that plays can be compared.
+void crash_all_but(tainted_fleet& fleet, std::size_t survivors) {
+  std::vector<std::string> live;
+  for (const auto& [id, row] : fleet.tables.tables["targets"]) {
+    if (!row.deleted && !fleet.side.is_down(id))
+      live.push_back(id);
+  }
+  for (std::size_t i = survivors; i < live.size(); ++i)
+    fleet.side.crash(live[i]);
+}
+
+constexpr auto loss_interval = 5s;
+/// Fraction of the requests that may be lost because they are equal.
+constexpr double max_loss_by_equality = 0.05;
+
+/// Sends requests while targets are lost every five seconds. Returns the served fraction.
+double play_losses(const popular_case& each, std::uint64_t seed, bool all_equal) {
+  tainted_fleet fleet(6, 3, seed);
+  for (auto time = 0ms; time < 20s; time += fleet.interval) {
+    if (time % loss_interval == 1s)
+      crash_all_but(fleet, each.survivors);
+    const std::string body = all_equal ? "popular" : "rare" + std::to_string(time.count());
+    fleet.send(fleet.random.below(6), make_request(each.path, body), false);
+    fleet.run_for(fleet.interval);
+  }
+  fleet.run_for(2s);
+  for (std::size_t i = 0; i < 6; ++i)
+    BOOST_TEST(fleet.banned(i) == 0);
+  return fleet.served_after({});
+}
+
+} // namespace
+
+// Where all targets are lost under equal requests, no answer speaks for these until targets are
+// back.
+BOOST_DATA_TEST_CASE(equal_requests_are_served_like_others_after_losses,
+                     data::make(popular_requests) * data::xrange(first_seed, end_of_seeds), each,
+                     seed) {
+  const double equal = play_losses(each, seed, true);
+  const double different = play_losses(each, seed, false);
+  BOOST_TEST_MESSAGE(equal << " of equal requests served, " << different << " of different ones");
+  BOOST_TEST(equal >= different - max_loss_by_equality);
+}
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include "camphorlug/support/virtual_clock.h"
 
 #include "fakes/minimal_protocol.h"
+#include "fakes/open_trial_permits.h"
 #include "fakes/recording_writer.h"
 #include "fakes/scripted_client.h"
 
@@ -55,6 +56,7 @@
   gateway::usual_time_limits usual_limits{clock};
   gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::crash_cause_list crash_causes{clock};
+  open_trial_permits trials;
   gateway::path_monitor paths{clock};
   gateway::target_sender sender{clock, random, client, paths,
                                 [] { return std::vector<gateway::relay_node>{}; }};
