Try another relay if one gets no connection to the target

Cause: a node that gets no new connections relays through a random ready node. With three of six such nodes, two of its five possible relays get none either; they answered "not sent", which ended the attempt.

Change: such a relay answers "no-connection", which earlier builds read as "not sent", and the next one is tried, four at most. Relays that are gone cost time, so that two of these still end the attempt.

--- a/include/camphorlug/gateway/relay_path.h
+++ b/include/camphorlug/gateway/relay_path.h
@@ -19,6 +19,9 @@
 inline constexpr std::string_view relay_failure_busy = "busy";
 /// The request has not reached the target.
 inline constexpr std::string_view relay_failure_not_sent = "not-sent";
+/// The relay has got no connection to the target; another one may. Earlier builds read each value
+/// that they do not know as `relay_failure_not_sent`.
+inline constexpr std::string_view relay_failure_no_connection = "no-connection";
 /// The target may have run the request.
 inline constexpr std::string_view relay_failure_unknown = "unknown";
 
--- a/include/camphorlug/gateway/target_sender.h
+++ b/include/camphorlug/gateway/target_sender.h
@@ -71,6 +71,8 @@
   enum class relay_result {
     answered,
     try_another,
+    /// The relay got no connection to the target. If others get none either, the target is gone.
+    no_connection,
     failed,
   };
 
--- a/lib/gateway/request_relay.cpp
+++ b/lib/gateway/request_relay.cpp
@@ -125,7 +125,8 @@
   if (writer.started())
     writer.abort();
   else if (failure->progress() == net::request_progress::not_sent)
-    send_failure(writer, relay_failure_not_sent);
+    send_failure(writer, accepts_requests(*parameters) ? relay_failure_no_connection
+                                                       : relay_failure_not_sent);
   else
     send_failure(writer, relay_failure_unknown);
 }
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -12,8 +12,10 @@
 using net::transport_error;
 using std::chrono::nanoseconds;
 
-/// A relay that is gone or busy is replaced by another one, as long as this allows it.
-static constexpr std::size_t max_relays_per_attempt = 2;
+/// A relay that takes no request or gets no connection is replaced by another one, as long as this
+/// allows it. It answers at once, so that more of these are tried than of relays that are gone.
+static constexpr std::size_t max_relays_per_attempt = 4;
+static constexpr std::size_t max_gone_relays_per_attempt = 2;
 /// A peer that is reachable accepts a connection much sooner.
 static constexpr std::chrono::milliseconds relay_connect_timeout{250};
 /// A connection that breaks sooner was reset on the way rather than by a target that ran the
@@ -160,8 +162,10 @@
   if (!failure_)
     failure_.emplace(request_progress::not_sent, false, "no node relays the request");
   std::set<std::string> tried;
+  std::size_t gone = 0;
   auto result = relay_result::try_another;
-  while (result == relay_result::try_another && tried.size() < max_relays_per_attempt) {
+  while ((result == relay_result::try_another || result == relay_result::no_connection) &&
+         tried.size() < max_relays_per_attempt && gone < max_gone_relays_per_attempt) {
     const nanoseconds left = until - sender_.time_.now();
     const std::optional<std::string> peer = sender_.choose_relay(tried);
     if (!peer || cancelled_ || left <= nanoseconds(0))
@@ -173,6 +177,8 @@
       result = relay_result_of_head();
     else if (failure_->progress() != request_progress::not_sent || withheld_)
       result = relay_result::failed;
+    else
+      ++gone;
   }
   co_return result;
 }
@@ -188,6 +194,8 @@
                    false, "the relay reports " + *reported);
   // The target itself is not reached from elsewhere either.
   failed_on_lost_path_ = *reported == relay_failure_busy;
+  if (*reported == relay_failure_no_connection)
+    return relay_result::no_connection;
   return *reported == relay_failure_busy ? relay_result::try_another : relay_result::failed;
 }
 
--- a/unittests/edge/cut_from_targets_test.cpp
+++ b/unittests/edge/cut_from_targets_test.cpp
@@ -157,6 +157,13 @@
   expect_callers_of_cut_nodes_are_served(each);
 }
 
+// Half of the nodes that a cut node may choose as its relay get no connection either.
+BOOST_DATA_TEST_CASE(callers_of_nodes_without_new_connections_are_served,
+                     data::xrange(std::uint64_t{1}, std::uint64_t{9}), seed) {
+  expect_callers_of_cut_nodes_are_served(
+      {"three nodes get no new connections", 6, 20, 3, cut_kind::refuse_new, 10ms, seed});
+}
+
 BOOST_DATA_TEST_CASE(three_hundred_nodes_serve_for_those_cut_off_from_targets,
                      data::make(large_cuts), each) {
   expect_callers_of_cut_nodes_are_served(each);
