Try no request that the deciding node knows as banned

A node that did not know the last crash yet asked, and the deciding node, which knew the ban, took the further crash for the end of the trial and granted another one.

Change: a banned request is answered as busy.

--- a/lib/gateway/request_trials.cpp
+++ b/lib/gateway/request_trials.cpp
@@ -10,6 +10,9 @@
   std::erase_if(trials_, [&](const auto& each) {
     return each.second.ends_at <= now && each.second.open_until <= now;
   });
+  // The node that asks does not know of the ban yet.
+  if (causes_.find_banned("", {request}))
+    return trial_answer::busy;
   const std::size_t known = std::max(crashes, causes_.crashes_under(request));
   if (known == 0)
     return trial_answer::open;
--- a/unittests/gateway/request_trials_test.cpp
+++ b/unittests/gateway/request_trials_test.cpp
@@ -74,6 +74,19 @@
   BOOST_TEST((decider.ask("request:1", "a", 0) == trial_answer::open));
 }
 
+BOOST_AUTO_TEST_CASE(banned_request_of_a_node_that_does_not_know_the_ban_is_not_tried) {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  gateway::crash_cause_list causes{clock};
+  request_trials decider{clock, causes};
+  // Three crashes, a second apart, each 0.1 s after the request was sent.
+  causes.merge_json(R"([["t1", 1, "shop", 3000000, {"request:1": [0, 100000, false]}],
+                        ["t2", 1, "shop", 2000000, {"request:1": [0, 100000, false]}],
+                        ["t3", 1, "shop", 1000000, {"request:1": [0, 100000, false]}]])");
+  BOOST_REQUIRE(causes.find_banned("", {"request:1"}).has_value());
+  BOOST_TEST((decider.ask("request:1", "a", 2) == trial_answer::busy));
+}
+
 BOOST_AUTO_TEST_CASE(request_is_tried_again_when_the_survival_of_an_equal_one_is_old) {
   asio::io_context context;
   support::virtual_clock clock{context};
