Test that a stream without end is broken off at its caller

The test holds without a change: with such targets only, the gateway aborts the response and does not finish it.

--- a/unittests/gateway/endless_response_test.cpp
+++ b/unittests/gateway/endless_response_test.cpp
@@ -41,6 +41,23 @@
   BOOST_TEST(writer.last_id() == "6");
 }
 
+// The caller has a part of the stream already, so that only a broken connection tells it that the
+// rest is missing.
+BOOST_AUTO_TEST_CASE(stream_whose_event_never_ends_at_any_target_is_broken_off) {
+  gateway_fixture world;
+  recording_writer writer;
+  for (const char* id : {"one", "two", "three"}) {
+    world.add_target(id);
+    world.answer(id, with_endless_tail(events(1, 1)));
+  }
+  world.begin("/stream/x", writer);
+  world.clock.run_for(4s);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.last_id() == "1");
+  BOOST_TEST(writer.aborted);
+  BOOST_TEST(!writer.finished);
+}
+
 BOOST_AUTO_TEST_CASE(body_that_never_ends_is_replaced_by_that_of_another_target) {
   gateway_fixture world;
   world.add_target("one");
