Test that a key gets its recorded answer at once; known red

Cause of the 409 that test_same_key_through_two_nodes_runs_once saw once: run_claimed sends the response and then records it, by a read and a commit in the store. A caller that repeats the request in between finds the claim running.

Not mended: the response has to wait for the record, and needs a bound for a slow store, whose calls may take 2 s each.

--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -129,6 +129,20 @@
   BOOST_TEST(outcome_of(other) == "unknown");
 }
 
+// A caller that has its answer may repeat the request at once, at any node.
+BOOST_AUTO_TEST_CASE(same_key_gets_the_recorded_answer_as_soon_as_the_first_caller_has_it) {
+  plain_service_fixture fixture;
+  fakes::recording_writer first;
+  fixture.begin_call(0, fixture.keyed_order("k1"), first);
+  while (!first.finished)
+    fixture.run_for(100us);
+  BOOST_TEST(first.status == 200);
+  const auto second = fixture.call(1, fixture.keyed_order("k1"));
+  BOOST_TEST(second->status == 200);
+  BOOST_TEST(second->body == first.body);
+  BOOST_TEST(fixture.executions() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(same_key_with_other_content_is_refused) {
   plain_service_fixture fixture;
   fixture.call(0, fixture.keyed_order("k1"));
