Bound what cold targets get from all nodes together

Cause: warm_up_remaining was only a cost in the choice of a target, so a target that had just started could get any number of requests and crash under them.

Change: cold_targets divides the bound (coldPerS x coldOver + coldSlack) into two parts for schedulers and a rest for nodes that choose by themselves: a fixed share in fleets that have been small for 30 s, a few owners in larger ones, and nothing for a node that may have missed others. scheduler_service fills max_starts_per_second. What a target gets rises for 2 s after its cold time. It acts only where a service has coldPerS.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -104,6 +104,7 @@
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
   void update_limits();
+  void update_cold_targets();
   void update_schedulers();
   void detect_first_traffic();
   support::task<> register_self();
@@ -163,6 +164,7 @@
   gateway::suspicion_list suspicions_;
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
+  gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/cold_bound.h"
 #include "camphorlug/gateway/retry_limiter.h"
 
 #include <chrono>
@@ -23,6 +24,7 @@
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
   gateway::retry_limits retries;
+  gateway::cold_bound cold;
   /// Time between the termination signal and the kill of the process.
   std::chrono::milliseconds termination_grace{8000};
   /// How long callers may cache a response of the directory of entry points. Some keep it three
--- /dev/null
+++ b/include/camphorlug/gateway/cold_targets.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "camphorlug/gateway/cold_bound.h"
+#include "camphorlug/gateway/cold_state.h"
+#include "camphorlug/support/clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorlug::gateway {
+
+/// Bounds the requests that cold targets get from all nodes together.
+///
+/// Answers the load pattern in which a target, or all of a data centre, has just started: it looks
+/// idle, so all nodes prefer it, and it crashes under what a warm one bears. Two parts of the bound
+/// are for schedulers, because two nodes may schedule the same pool while nodes differ about who
+/// does. The rest is for nodes that choose by themselves. In a large fleet an equal share of it is
+/// less than one request, so a few owners use it, half as many as it allows, since nodes may differ
+/// about the owners too. A node that may have missed the others sends nothing: after its start,
+/// while it hears of less than half of the nodes that it knows, and for a while after that. In a
+/// fleet that has been small for long, each node has a fixed share. Performs no I/O.
+class cold_targets {
+public:
+  /// Parts of the rate that a scheduler is given and uses, and its largest burst. See
+  /// pool_scheduler.
+  static constexpr double scheduler_fraction = 0.6;
+  static constexpr double scheduler_burst = 2;
+  /// Part of the bound of each of two schedulers.
+  static constexpr double scheduler_share = 0.4;
+  /// A scheduler that hears of less than half of the nodes, or has not long heard of more, uses
+  /// this part of its rate, since there may be one in each part of a fleet that is cut in pieces.
+  static constexpr double minority_fraction = 1.0 / 3;
+  /// Requests of one node within this time arrive within one second at the earliest. It is above a
+  /// second because some take longer on the way than others.
+  static constexpr std::chrono::milliseconds counted_time{1250};
+  /// Time in which nodes learn of each other.
+  static constexpr std::chrono::milliseconds settling_time{6000};
+  /// A target gets more and more for this long after it was cold, because nodes may believe it cold
+  /// for different times, and all would turn to it at once.
+  static constexpr std::chrono::milliseconds ramp_time{2000};
+  /// A target gets this many times as much at the end of the ramp as while it is cold.
+  static constexpr double ramp_end = 4;
+  /// Up to this many nodes, each has this part of the bound.
+  static constexpr std::size_t small_fleet = 6;
+  /// Nodes that are gone count for this long, since they may be cut off rather than dead.
+  static constexpr std::chrono::seconds node_memory{30};
+  /// The same while less than half of the known nodes are heard of, which then may be the cut part.
+  static constexpr std::chrono::seconds minority_node_memory{300};
+
+  explicit cold_targets(support::clock& time)
+      : time_(time), created_at_(time.now()), large_until_(created_at_ + node_memory),
+        settled_at_(created_at_ + settling_time) {}
+
+  void change_bound(const cold_bound& bound) { bound_ = bound; }
+
+  /// Follows the list of the other live nodes. `expects_others` tells whether the settings name
+  /// any. Call it several times a second.
+  void update(const std::vector<std::string>& others, const std::string& self, bool expects_others);
+
+  /// Whether what the target gets is bounded now: it is cold or was so until just now.
+  bool is_bounded(const cold_state& state) const {
+    return state.requests_per_second > 0 && time_.now() < state.until + ramp_time;
+  }
+  /// Requests a second to be given to a scheduler for this target; nothing if it is not bounded, 0
+  /// if it should get none.
+  std::optional<double> scheduler_rate(const cold_state& state) const;
+  /// When this node may send the target a request by its own choice; nothing if it may now.
+  std::optional<support::clock::time_point> next_at(const std::string& target,
+                                                    const cold_state& state) const;
+  /// Counts a request that this node sends to the target by its own choice.
+  void count(const std::string& target, const cold_state& state);
+
+  /// Nodes that this node takes into account, itself included.
+  std::size_t known_nodes() const { return heard_at_.size() + 1; }
+  /// Requests that this node has sent to targets that are bounded, by its own choice.
+  std::uint64_t counted() const { return counted_; }
+
+private:
+  double total(const cold_state& state) const {
+    return state.requests_per_second * bound_.over + bound_.slack;
+  }
+  double full_scheduler_rate(const cold_state& state) const;
+  /// How far the ramp has come: 1 while the target is cold, `ramp_end` at the end.
+  double ramp_factor(const cold_state& state) const;
+  /// Requests that this node may send the target within `counted_time`.
+  std::size_t quota(const std::string& target, const cold_state& state) const;
+  std::optional<std::chrono::nanoseconds> interval(const std::string& target,
+                                                   const cold_state& state) const;
+  bool is_owner(const std::string& target, std::size_t owners) const;
+
+  support::clock& time_;
+  cold_bound bound_;
+  std::string self_;
+  support::clock::time_point created_at_;
+  /// All other nodes that count, with the time at which each was last heard of.
+  std::map<std::string, support::clock::time_point> heard_at_;
+  bool hears_none_ = true;
+  bool expects_others_ = true;
+  bool is_minority_ = true;
+  /// Until then the fleet counts as large.
+  support::clock::time_point large_until_;
+  /// Until then other nodes may count differently.
+  support::clock::time_point settled_at_;
+  /// When the last request to each bounded target was sent.
+  std::map<std::string, support::clock::time_point> sent_at_;
+  std::uint64_t counted_ = 0;
+};
+
+} // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "camphorlug/gateway/active_config.h"
 #include "camphorlug/gateway/chosen_target.h"
+#include "camphorlug/gateway/cold_targets.h"
 #include "camphorlug/gateway/group_directory.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/suspicion_list.h"
@@ -20,7 +22,7 @@
 /// Selects the target of a request: the one with the lowest load over all nodes. Targets of the
 /// local data centre are preferred when loads are similar, targets that failed this request before
 /// are excluded, suspected targets are used only as a last resort, and never those that pause
-/// or whose limit leaves nothing to this node.
+/// or whose limit, or bound while they are cold, leaves nothing to this node.
 ///
 /// With many nodes, the sums of loads are older than the time between two choices of the fleet. If
 /// each node took the target with the lowest load, they would all take the same one. Then, and in
@@ -38,12 +40,19 @@
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
 
+  /// Bounds what cold targets of the services get for which `config` gives a rate.
+  void set_cold_targets(cold_targets* cold, const active_config* config) {
+    cold_ = cold;
+    config_ = config;
+  }
+
   /// A target of a pool with what its choice depends on.
   struct candidate {
     chosen_target target;
     std::string data_centre;
     bool is_local = false;
     bool warming_up = false;
+    cold_state cold;
   };
 
   /// Returns nothing if no target of the pool outside `avoided` has a free slot.
@@ -57,6 +66,15 @@
   /// The target of the pool with that id if it accepts requests of this node now.
   std::optional<chosen_target> find_usable(const target_pool& pool, const std::string& id);
 
+  /// Counts a request that this node sends by its own choice to a target of the pool.
+  void count(const target_pool& pool, const std::string& id);
+  /// See cold_targets::scheduler_rate.
+  std::optional<double> scheduler_rate(const candidate& each) const {
+    return cold_ ? cold_->scheduler_rate(each.cold) : std::nullopt;
+  }
+  /// Number of targets of all pools in use whose requests are bounded because they are cold.
+  std::size_t cold_count() const;
+
   /// Whether a target that was chosen earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const;
   /// If each target of the pool outside `avoided` pauses or its limit leaves nothing to this node
@@ -91,12 +109,18 @@
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
-  /// When the target takes a further request of this node, if it does not now.
-  std::optional<support::clock::time_point> paused_until(const candidate& each) const {
+  /// When the target takes a further request that a scheduler assigns, if it does not now.
+  std::optional<support::clock::time_point> refused_until(const candidate& each) const {
     return std::max(pauses_.end(each.target.id, each.target.started_at_ms),
                     limits_.next_at(each.target.id, each.target.started_at_ms));
   }
+  /// When the target takes a further request of this node, if it does not now.
+  std::optional<support::clock::time_point> paused_until(const candidate& each) const {
+    const auto refused = refused_until(each);
+    return cold_ ? std::max(refused, cold_->next_at(each.target.id, each.cold)) : refused;
+  }
   bool paused(const candidate& each) const { return paused_until(each).has_value(); }
+  bool any_cold(const target_pool& pool);
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
@@ -116,6 +140,8 @@
   support::random_source& random_;
   std::string data_centre_;
   std::size_t node_count_ = 1;
+  cold_targets* cold_ = nullptr;
+  const active_config* config_ = nullptr;
   std::map<target_pool, pool_view> views_;
 };
 
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -23,6 +23,11 @@
   /// The last model loaded since the target started. The weights stay in memory
   /// after the target leaves its group, although its entry then names no model.
   std::string resident_model;
+  /// When its remaining warm-up time is over. Counted from the time at which the row was read,
+  /// which is later than it was written.
+  support::clock::time_point cold_until{};
+  /// Whether a row since its start has named a remaining warm-up time.
+  bool was_cold = false;
 };
 
 /// In-memory copy of the target registry. Updates and deletions with an older
@@ -86,6 +91,7 @@
 
 private:
   bool in_grace_period() const;
+  void follow_warm_up(registered_target& target);
   void confirm_unchanged(registered_target& target, std::uint64_t version);
   /// Returns whether a row of a later era was written before the last deletion of its target.
   bool is_restored_after_removal(const std::string& id, std::uint64_t version,
--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/cold_targets.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/slot_scheduler.h"
 #include "camphorlug/scheduling/fair_order.h"
@@ -38,7 +39,7 @@
   static constexpr std::chrono::milliseconds report_grace{300};
   /// Fraction of the starts that a cold target tolerates which the scheduler uses. The rest is left
   /// to nodes that do not reach it.
-  static constexpr double cold_fraction = 0.6;
+  static constexpr double cold_fraction = gateway::cold_targets::scheduler_fraction;
 
   explicit pool_scheduler(support::clock& time) : time_(time), arrivals_at_(time.now()) {}
 
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -57,7 +57,7 @@
       incarnation_(support::make_incarnation(context_.time)),
       reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
       groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      pauses_(context_.time), limits_(context_.time),
+      pauses_(context_.time), limits_(context_.time), cold_targets_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, context_.random,
                settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
@@ -107,6 +107,8 @@
                     own_rows_reread_interval,
                     [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }) {
   slot_queue_.set_scheduler(&scheduler_client_);
+  cold_targets_.change_bound(settings_.cold);
+  chooser_.set_cold_targets(&cold_targets_, &config_);
   registry_.add_listener([this] {
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
@@ -144,6 +146,8 @@
   settings_.seeds = settings.seeds;
   settings_.retries = settings.retries;
   retries_.change_limits(settings.retries);
+  settings_.cold = settings.cold;
+  cold_targets_.change_bound(settings.cold);
   settings_.termination_grace = settings.termination_grace;
   settings_.entries_valid_for = settings.entries_valid_for;
   settings_.min_entry_points = settings.min_entry_points;
@@ -363,6 +367,7 @@
     detect_first_traffic();
     update_reading();
     chooser_.set_node_count(live_node_count());
+    update_cold_targets();
     update_schedulers();
     crash_keeper_.update();
     paths_.check();
@@ -432,6 +437,16 @@
   limits_.update(serving, settings_.id);
 }
 
+void edge_node::update_cold_targets() {
+  std::vector<std::string> others;
+  for (const auto& [id, other] : fleet_.others())
+    others.push_back(id);
+  const bool expects_others =
+      std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
+                  [this](const std::string& seed) { return seed != settings_.peer_address; });
+  cold_targets_.update(others, settings_.id, expects_others);
+}
+
 void edge_node::update_schedulers() {
   if (!config_.current())
     return;
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -38,6 +38,7 @@
   if (target) {
     loads_.add(target->id);
     limits_.count(target->id, target->started_at_ms);
+    chooser_.count(request.pool, target->id);
   }
   return target;
 }
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -26,22 +26,32 @@
 
 std::vector<target_chooser::candidate> target_chooser::candidates(const target_pool& pool) {
   std::vector<candidate> found;
-  const auto add = [&](const target_entry& entry, std::uint64_t epoch) {
+  double cold_rate = 0;
+  if (config_ && config_->current()) {
+    const auto service = config_->current()->services.find(pool.service);
+    if (service != config_->current()->services.end())
+      cold_rate = service->second.cold_requests_per_second;
+  }
+  const auto add = [&](const registered_target& target, std::uint64_t epoch) {
+    const target_entry& entry = target.entry;
+    const bool is_warming_up = entry.warm_up_remaining > std::chrono::milliseconds(0);
     found.push_back({{entry.id, entry.address, entry.slots, epoch, entry.started_at_ms},
                      entry.data_centre,
                      entry.data_centre == data_centre_,
-                     entry.warm_up_remaining > std::chrono::milliseconds(0)});
+                     is_warming_up,
+                     {target.cold_until, target.was_cold ? cold_rate : 0}});
   };
   if (!pool.model.empty()) {
     for (const serving_group& group : groups_.serving(pool.service, pool.model)) {
-      if (const target_entry* head = registry_.find(group.members.front()))
-        add(*head, group.epoch);
+      const auto head = registry_.all().find(group.members.front());
+      if (head != registry_.all().end())
+        add(head->second, group.epoch);
     }
     return found;
   }
   for (const auto& [id, target] : registry_.all()) {
     if (target.entry.service == pool.service && !target.entry.draining)
-      add(target.entry, 0);
+      add(target, 0);
   }
   return found;
 }
@@ -134,7 +144,7 @@
   for (const candidate& each : view_of(pool).candidates) {
     // A limit is divided among the nodes, so each of them sends its share by itself.
     const bool is_limited = limits_.is_limited(each.target.id, each.target.started_at_ms);
-    if (!is_limited && !paused(each) && !suspicions_.suspected(each.target.id))
+    if (!is_limited && !refused_until(each) && !suspicions_.suspected(each.target.id))
       found.push_back(each);
   }
   return found;
@@ -150,12 +160,37 @@
 std::optional<chosen_target> target_chooser::find_usable(const target_pool& pool,
                                                          const std::string& id) {
   for (const candidate& each : view_of(pool).candidates) {
-    if (each.target.id == id && !paused(each))
+    if (each.target.id == id && !refused_until(each))
       return each.target;
   }
   return std::nullopt;
 }
 
+void target_chooser::count(const target_pool& pool, const std::string& id) {
+  if (!cold_)
+    return;
+  for (const candidate& each : view_of(pool).candidates) {
+    if (each.target.id == id)
+      cold_->count(id, each.cold);
+  }
+}
+
+bool target_chooser::any_cold(const target_pool& pool) {
+  const std::vector<candidate>& all = view_of(pool).candidates;
+  return cold_ && std::any_of(all.begin(), all.end(),
+                              [&](const candidate& each) { return cold_->is_bounded(each.cold); });
+}
+
+std::size_t target_chooser::cold_count() const {
+  std::size_t sum = 0;
+  for (const auto& [pool, view] : views_)
+    sum += static_cast<std::size_t>(
+        std::count_if(view.candidates.begin(), view.candidates.end(), [&](const candidate& each) {
+          return cold_ && cold_->is_bounded(each.cold);
+        }));
+  return sum;
+}
+
 bool target_chooser::accepts_requests(const chosen_target& chosen) const {
   const target_entry* entry = registry_.find(chosen.id);
   return entry && !entry->draining && !pauses_.end(chosen.id, chosen.started_at_ms);
@@ -163,7 +198,7 @@
 
 std::optional<support::clock::time_point>
 target_chooser::paused_until(const target_pool& pool, const std::set<std::string>& avoided) {
-  if (pauses_.empty() && limits_.empty())
+  if (pauses_.empty() && limits_.empty() && !any_cold(pool))
     return std::nullopt;
   auto earliest = support::clock::time_point::max();
   bool any_pauses = false;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -72,6 +72,8 @@
     if (!was_read)
       held->second.entry.sequence = entry->sequence;
     if (was_read || *entry == held->second.entry) {
+      if (!was_read)
+        follow_warm_up(held->second);
       confirm_unchanged(held->second, version);
       return;
     }
@@ -86,7 +88,24 @@
   if (resident_model.empty() && held != targets_.end() &&
       held->second.entry.started_at_ms == entry->started_at_ms)
     resident_model = held->second.resident_model;
-  targets_[id] = {std::move(*entry), version, time_.now(), std::nullopt, std::move(resident_model)};
+  const bool is_same_start =
+      held != targets_.end() && held->second.entry.started_at_ms == entry->started_at_ms;
+  const bool is_cold = entry->warm_up_remaining > std::chrono::milliseconds(0);
+  const bool was_cold = is_cold || (is_same_start && held->second.was_cold);
+  auto cold_until = time_.now() + entry->warm_up_remaining;
+  // A row that names no remaining time ends one that is running, but not one that is over.
+  if (!is_cold && is_same_start)
+    cold_until = std::min(cold_until, held->second.cold_until);
+  targets_[id] = {std::move(*entry),         version,    time_.now(), std::nullopt,
+                  std::move(resident_model), cold_until, was_cold};
+  mark_changed();
+}
+
+/// A row with the same remaining time as before was written later, so the time ends later.
+void target_registry::follow_warm_up(registered_target& target) {
+  if (target.entry.warm_up_remaining <= std::chrono::milliseconds(0))
+    return;
+  target.cold_until = time_.now() + target.entry.warm_up_remaining;
   mark_changed();
 }
 
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -26,7 +26,7 @@
 static constexpr double reading_efficiency = 0.7;
 static constexpr double hold_smoothing_factor = 0.03;
 /// Cold targets get at most this many requests at once.
-static constexpr double cold_burst = 2;
+static constexpr double cold_burst = gateway::cold_targets::scheduler_burst;
 /// Overdue asks end their wait when it is expected to take longer than this.
 static constexpr milliseconds max_overdue_wait{1000};
 static constexpr duration<double> arrival_time_constant{1.0};
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -47,8 +47,11 @@
 void scheduler_service::update_targets(const gateway::target_pool& pool,
                                        pool_scheduler& scheduler) {
   std::vector<schedulable_target> targets;
-  for (gateway::target_chooser::candidate& each : chooser_.usable(pool))
-    targets.push_back({std::move(each.target), std::move(each.data_centre), std::nullopt});
+  for (gateway::target_chooser::candidate& each : chooser_.usable(pool)) {
+    const std::optional<double> rate = chooser_.scheduler_rate(each);
+    if (!rate || *rate > 0)
+      targets.push_back({std::move(each.target), std::move(each.data_centre), rate});
+  }
   double reading_rate = 0;
   if (const auto& config = config_.current()) {
     const auto service = config->services.find(pool.service);
