--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -106,6 +106,7 @@
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
   void update_limits();
+  void update_cold_targets();
   void update_schedulers();
   void detect_first_traffic();
   support::task<> register_self();
@@ -175,6 +176,7 @@
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
   gateway::evacuation_list evacuations_;
+  gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
