Choose among the least loaded targets of a pool without looking at all of them

Each step looked at all targets several times. Change: targets with a free slot are kept by load; a choice compares the 64 least loaded ones with room and ends at the first whose load alone costs more. Sums are kept. Nothing is assigned while no target has a free slot. Behaviour: equal costs are decided by a hash of the id, not by the id, so that the 64 hold some of each data centre; in pools of over 64 targets a cheaper one may be missed.

--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -12,7 +12,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace camphorlug::scheduling {
@@ -70,7 +73,7 @@
   std::size_t in_flight(const std::string& target) const;
   std::size_t total_in_flight() const;
   /// Slots of all targets.
-  std::size_t slots() const;
+  std::size_t slots() const { return slots_; }
 
 private:
   struct target_state {
@@ -83,6 +86,17 @@
     double starts_left = 1;
     support::clock::time_point starts_at;
     bool usable = false;
+    /// Hash of the id.
+    std::uint64_t mixed = 0;
+    /// Fraction of the slots in use, as in `free_targets_`; nothing if it is not in there.
+    std::optional<double> listed_load;
+  };
+  /// Orders targets by load, then in an order that mixes the data centres.
+  struct by_load {
+    bool operator()(const target_state* one, const target_state* other) const {
+      return std::tie(*one->listed_load, one->mixed, one->info.target.id) <
+             std::tie(*other->listed_load, other->mixed, other->info.target.id);
+    }
   };
   struct held_slots {
     std::size_t count = 0;
@@ -100,6 +114,8 @@
     decision_handler decide;
   };
 
+  /// Updates the target's place in `free_targets_`. Call it after each change of the target.
+  void list_if_free(target_state& each);
   target_state* choose(const slot_ask& ask);
   double cost(const target_state& each, const slot_ask& ask) const;
   /// The prompt's tokens as far as the caller's statement is believed.
@@ -128,6 +144,10 @@
 
   support::clock& time_;
   std::map<std::string, target_state> targets_;
+  /// The usable targets with a free slot, so that a choice does not look at all targets.
+  std::set<target_state*, by_load> free_targets_;
+  std::size_t slots_ = 0;
+  std::size_t usable_targets_ = 0;
   std::map<std::string, node_state> nodes_;
   /// By number, in the order of arrival.
   std::map<std::uint64_t, waiting_ask> waiting_;
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 #include <vector>
+#include <xxhash.h>
 
 namespace camphorlug::scheduling {
 
@@ -29,6 +30,9 @@
 static constexpr duration<double> max_believed_reading_time{2.0};
 /// Fraction of its reading rate that a target reaches beside generation.
 static constexpr double reading_efficiency = 0.7;
+/// Number of targets with room that a choice compares, those with the least load. Enough to have
+/// some of each data centre, and few enough that a choice costs the same in a pool of any size.
+static constexpr std::size_t max_compared_targets = 64;
 static constexpr double hold_smoothing_factor = 0.03;
 /// Cold targets get at most this many requests at once.
 static constexpr double cold_burst = 2;
@@ -43,18 +47,28 @@
 void pool_scheduler::set_targets(const std::vector<schedulable_target>& targets,
                                  double tokens_per_second) {
   tokens_per_second_ = tokens_per_second * reading_efficiency;
-  for (auto& [id, each] : targets_)
+  free_targets_.clear();
+  for (auto& [id, each] : targets_) {
     each.usable = false;
+    each.listed_load.reset();
+  }
   for (const schedulable_target& info : targets) {
     const auto [found, is_new] = targets_.try_emplace(info.target.id);
     target_state& each = found->second;
     if (is_new)
       each.starts_at = each.tokens_at = time_.now();
+    each.mixed = XXH3_64bits(info.target.id.data(), info.target.id.size());
     each.info = info;
     each.usable = true;
   }
   std::erase_if(targets_,
                 [](const auto& each) { return !each.second.usable && each.second.in_flight == 0; });
+  slots_ = usable_targets_ = 0;
+  for (auto& [id, each] : targets_) {
+    list_if_free(each);
+    slots_ += each.usable ? each.info.target.slots : 0;
+    usable_targets_ += each.usable ? 1 : 0;
+  }
   assign();
 }
 
@@ -70,11 +84,18 @@
   return sum;
 }
 
-std::size_t pool_scheduler::slots() const {
-  std::size_t sum = 0;
-  for (const auto& [id, each] : targets_)
-    sum += each.usable ? each.info.target.slots : 0;
-  return sum;
+static double load_of(std::size_t in_flight, std::size_t slots) {
+  return static_cast<double>(in_flight) / static_cast<double>(std::max<std::size_t>(slots, 1));
+}
+
+void pool_scheduler::list_if_free(target_state& each) {
+  if (each.listed_load)
+    free_targets_.erase(&each);
+  each.listed_load.reset();
+  if (!each.usable || each.in_flight >= each.info.target.slots)
+    return;
+  each.listed_load = load_of(each.in_flight, each.info.target.slots);
+  free_targets_.insert(&each);
 }
 
 double pool_scheduler::believed_tokens(const slot_ask& ask) const {
@@ -97,8 +118,7 @@
 }
 
 double pool_scheduler::cost(const target_state& each, const slot_ask& ask) const {
-  const double load = static_cast<double>(each.in_flight) /
-                      static_cast<double>(std::max<std::size_t>(each.info.target.slots, 1));
+  const double load = load_of(each.in_flight, each.info.target.slots);
   const double reading = tokens_per_second_ > 0
                              ? unread_tokens(each) / tokens_per_second_ / full_reading_time.count()
                              : 0;
@@ -109,14 +129,20 @@
 pool_scheduler::target_state* pool_scheduler::choose(const slot_ask& ask) {
   target_state* best = nullptr;
   double lowest = 0;
-  for (auto& [id, each] : targets_) {
-    if (!has_room(each) || ask.avoided.contains(id))
+  std::size_t compared = 0;
+  for (target_state* listed : free_targets_) {
+    target_state& each = *listed;
+    // The load is the least that a target costs.
+    if (best && (*each.listed_load >= lowest || compared == max_compared_targets))
+      break;
+    if (!has_room(each) || ask.avoided.contains(each.info.target.id))
       continue;
     if (each.info.max_starts_per_second) {
       refill_starts(each);
       if (each.starts_left < 1)
         continue;
     }
+    ++compared;
     const double each_cost = cost(each, ask);
     if (!best || each_cost < lowest) {
       best = &each;
@@ -129,6 +155,7 @@
 pool_scheduler::decision pool_scheduler::grant(const slot_ask& ask, target_state& chosen) {
   const auto now = time_.now();
   ++chosen.in_flight;
+  list_if_free(chosen);
   const double prompt_tokens = believed_tokens(ask);
   chosen.unread_tokens = tokens_per_second_ > 0 ? unread_tokens(chosen) + prompt_tokens : 0;
   chosen.tokens_at = now;
@@ -150,9 +177,7 @@
       static_cast<double>(std::max<std::size_t>(slots(), 1)) / mean_hold_.count();
   if (tokens_per_second_ <= 0 || mean_prompt_tokens_ <= 0)
     return by_slots;
-  const auto readers = std::count_if(targets_.begin(), targets_.end(),
-                                     [](const auto& each) { return each.second.usable; });
-  const double by_reading = static_cast<double>(std::max<std::ptrdiff_t>(readers, 1)) *
+  const double by_reading = static_cast<double>(std::max<std::size_t>(usable_targets_, 1)) *
                             tokens_per_second_ / mean_prompt_tokens_;
   return std::min(by_slots, by_reading);
 }
@@ -214,8 +239,6 @@
 }
 
 std::uint64_t pool_scheduler::submit(slot_ask ask, decision_handler decide) {
-  const bool has_targets = std::any_of(targets_.begin(), targets_.end(),
-                                       [](const auto& each) { return each.second.usable; });
   const auto now = time_.now();
   nodes_[ask.node].heard_at = now;
   if (!is_overdue(ask)) {
@@ -223,7 +246,7 @@
     arrival_rate_ = arrival_rate_ * std::exp(-elapsed / arrival_time_constant) +
                     1 / arrival_time_constant.count();
   }
-  if (!has_targets) {
+  if (usable_targets_ == 0) {
     decide({});
     return 0;
   }
@@ -257,7 +280,7 @@
 
 void pool_scheduler::assign() {
   std::set<std::uint64_t> skipped;
-  while (skipped.size() < waiting_.size()) {
+  while (skipped.size() < waiting_.size() && !free_targets_.empty()) {
     auto best = waiting_.end();
     std::pair<bool, fair_order::position> first;
     for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
@@ -309,6 +332,7 @@
 
 void pool_scheduler::set_count(held_slots& held, target_state& target, std::size_t count) {
   target.in_flight = target.in_flight + count - held.count;
+  list_if_free(target);
   held.count = count;
   while (held.starts.size() > count)
     held.starts.erase(held.starts.begin());
