--- a/bench/gateway_benchmarks.cpp
+++ b/bench/gateway_benchmarks.cpp
@@ -1,4 +1,5 @@
 #include "camphorlug/replicas/replica_planner.h"
+#include "camphorlug/scheduling/pool_scheduler.h"
 
 #include "fakes/emulated_pool.h"
 #include "fakes/gateway_fixture.h"
@@ -76,3 +77,73 @@
     benchmark::DoNotOptimize(plan(entries));
 }
 BENCHMARK(plan_groups)->Arg(60)->Arg(600)->Arg(6000)->Unit(benchmark::kMicrosecond);
+
+/// Measures a request's slot at the scheduler while no request waits and half of the slots are in
+/// use; the argument is the number of targets.
+static void schedule_slot(benchmark::State& state) {
+  asio::io_context context;
+  support::virtual_clock clock(context);
+  scheduling::pool_scheduler scheduler(clock);
+  const auto count = static_cast<std::size_t>(state.range(0));
+  std::vector<scheduling::schedulable_target> targets(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    targets[i].target.id = "t" + std::to_string(i);
+    targets[i].target.slots = slots;
+    targets[i].data_centre = "dc-" + std::to_string(i % 3);
+  }
+  scheduler.set_targets(targets, 50'000);
+  std::size_t next = 0;
+  scheduling::slot_ask ask;
+  ask.data_centre = "dc-0";
+  ask.in_time_until = ask.latest_start = clock.now() + 10s;
+  // The clock stands still, so that all tokens of the run stay unread.
+  ask.prompt_tokens = 0.001;
+  std::string granted;
+  const auto submit = [&] {
+    ask.node = "n" + std::to_string(next % (count + 11));
+    ask.organisation = "o" + std::to_string(next++ % 24);
+    scheduler.submit(ask, [&](const auto& decided) { granted = decided.target.id; });
+  };
+  for (std::size_t i = 0; i < count * slots / 2; ++i) {
+    submit();
+    clock.run_for(1ms);
+  }
+  for (auto _ : state) {
+    submit();
+    scheduler.release(ask.node, granted);
+  }
+}
+BENCHMARK(schedule_slot)->Arg(60)->Arg(600)->Arg(3000);
+
+/// Measures a request's slot at the scheduler while 200 requests wait and no slot is free; the
+/// argument is the number of targets.
+static void schedule_scarce_slot(benchmark::State& state) {
+  asio::io_context context;
+  support::virtual_clock clock(context);
+  scheduling::pool_scheduler scheduler(clock);
+  const auto count = static_cast<std::size_t>(state.range(0));
+  std::vector<scheduling::schedulable_target> targets(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    targets[i].target.id = "t" + std::to_string(i);
+    targets[i].target.slots = slots;
+  }
+  scheduler.set_targets(targets, 0);
+  std::size_t next = 0;
+  scheduling::slot_ask ask;
+  ask.node = "n0";
+  ask.in_time_until = ask.latest_start = clock.now() + std::chrono::hours(1);
+  std::vector<std::string> granted;
+  const auto submit = [&] {
+    ask.organisation = "o" + std::to_string(next++ % 24);
+    scheduler.submit(ask, [&](const auto& decided) { granted.push_back(decided.target.id); });
+  };
+  for (std::size_t i = 0; i < count * slots + 200; ++i)
+    submit();
+  for (auto _ : state) {
+    submit();
+    const std::string ended = granted.back();
+    granted.pop_back();
+    scheduler.release(ask.node, ended);
+  }
+}
+BENCHMARK(schedule_scarce_slot)->Arg(60)->Arg(600)->Arg(3000);
