Show evacuations to operators, and read the limit as any number

The time limit in the settings may be written with a fraction, as other numbers there; a whole number was required before.

--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -75,6 +75,12 @@
                 to_text(ban["crashes"]) + " crashes in a row:" + targets);
 }
 
+static void print_evacuation(const ordered_json& evacuation) {
+  print_wrapped(to_text(evacuation["data_centre"]) + " announced " + to_text(evacuation["age_ms"]) +
+                " ms ago or earlier, row " + to_text(evacuation["row_version"]) +
+                flag_suffix(evacuation["closed"], "CLOSED"));
+}
+
 static void print_overview(const ordered_json& state) {
   print_wrapped(to_text(state["node"]) + " in " + to_text(state["data_centre"]) +
                 (state["ready"].get<bool>() ? " serves" : " does not serve") +
@@ -100,6 +106,10 @@
     for (const ordered_json& service : state["unreachable_services"])
       print_wrapped("CANNOT REACH targets of " + to_text(service) + "; peers relay");
   }
+  if (state.contains("evacuations")) {
+    for (const ordered_json& each : state["evacuations"])
+      print_wrapped("EVACUATED: " + to_text(each["data_centre"]) + "; see: edge evacuations");
+  }
   if (state.contains("banned_parts") && !state["banned_parts"].empty())
     print_wrapped(std::to_string(state["banned_parts"].size()) +
                   " BANNED parts or requests; see: edge banned_parts");
@@ -109,9 +119,10 @@
 
 static const std::map<std::string, line_printer>& part_printers() {
   static const std::map<std::string, line_printer> printers{
-      {"routes", print_route},         {"groups", print_group},
-      {"targets", print_target},       {"peers", print_peer},
-      {"retries", print_retry_budget}, {"banned_parts", print_banned_part}};
+      {"routes", print_route},          {"groups", print_group},
+      {"targets", print_target},        {"peers", print_peer},
+      {"retries", print_retry_budget},  {"banned_parts", print_banned_part},
+      {"evacuations", print_evacuation}};
   return printers;
 }
 
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -28,6 +28,7 @@
   retryWindowS: 10
   retrySlack: 50
   ttl_max_s: 0.5
+  evacuateMs: 5000
 provider:
   address: "10.200.1.7:5"
 )";
@@ -49,6 +50,7 @@
     {"  control: \"10.1.0.40:3\"\n", "  control: []\n", "listen.control"},
     {"  address: \"10.200.1.7:5\"\n", "  other: 1\n", "provider.address"},
     {"  retryRatio: 0.25\n", "  retryRatio: many\n", "policyParams.retryRatio"},
+    {"  evacuateMs: 5000\n", "  evacuateMs: soon\n", "policyParams.evacuateMs"},
     {"seeds:\n  - \"10.1.0.40:3\"\n", "seeds: {a: 1}\n", "seeds"},
     {"zone: \"east\"\n", "zone: [\n", "YAML"},
 };
@@ -73,6 +75,7 @@
 const settings_edit changeable_field_edits[] = {
     {"  - \"10.1.0.40:3\"", "  - \"10.1.0.50:3\"", "seeds"},
     {"graceS: 8", "graceS: 4", "policyParams.graceS"},
+    {"evacuateMs: 5000", "evacuateMs: 7000.0", "policyParams.evacuateMs"},
     {"retrySlack: 50", "retrySlack: 20", "policyParams.retrySlack"},
     {"address: \"10.200.1.7:5\"", "address: \"10.200.1.8:5\"", "provider.address"},
     {"later: 7", "later: 8", "later"},
@@ -91,6 +94,7 @@
   BOOST_TEST((settings.node.retries.window == 10s));
   BOOST_TEST((settings.node.termination_grace == 8s));
   BOOST_TEST((settings.node.entries_valid_for == 500ms));
+  BOOST_TEST((settings.node.evacuation_time_limit == 5s));
   BOOST_TEST(settings.store_address == "10.200.1.7:5");
 }
 
