Write the choice of owners by rendezvous once; drop accessors without a caller

Cause: the hash of an id and the count of nodes with larger weights stood in five files. They are now in routing/rendezvous.h. scheduler_service::update no longer creates empty entries for pools of other nodes. Removed: accessors that nothing calls. No change of behaviour.

--- a/include/camphorlug/gateway/cold_targets.h
+++ b/include/camphorlug/gateway/cold_targets.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -77,8 +76,6 @@
 
   /// Nodes that this node takes into account, itself included.
   std::size_t known_nodes() const { return heard_at_.size() + 1; }
-  /// Requests that this node has sent to targets that are bounded, by its own choice.
-  std::uint64_t counted() const { return counted_; }
 
 private:
   double total(const cold_state& state) const {
@@ -91,7 +88,6 @@
   std::size_t quota(const std::string& target, const cold_state& state) const;
   std::optional<std::chrono::nanoseconds> interval(const std::string& target,
                                                    const cold_state& state) const;
-  bool is_owner(const std::string& target, std::size_t owners) const;
 
   support::clock& time_;
   cold_bound bound_;
@@ -108,7 +104,6 @@
   support::clock::time_point settled_at_;
   /// When the last request to each bounded target was sent.
   std::map<std::string, support::clock::time_point> sent_at_;
-  std::uint64_t counted_ = 0;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -76,8 +76,6 @@
   std::optional<double> scheduler_rate(const candidate& each) const {
     return cold_ ? cold_->scheduler_rate(each.cold) : std::nullopt;
   }
-  /// Number of targets of all pools in use whose requests are bounded because they are cold.
-  std::size_t cold_count() const;
 
   /// Whether a target that was chosen earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const;
--- a/include/camphorlug/routing/rendezvous.h
+++ b/include/camphorlug/routing/rendezvous.h
@@ -1,6 +1,12 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <xxhash.h>
 
 namespace camphorlug::routing {
 
@@ -14,4 +20,22 @@
   return mixed ^ (mixed >> 31);
 }
 
+/// Hash of an id, for use as a key or target of `rendezvous_weight`.
+inline std::uint64_t rendezvous_hash(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+/// Whether the node `self` is among the `owners` nodes with the largest weights for `key_id`.
+/// `id_of` projects an element of `others` to the id of a node.
+template<typename Nodes, typename Projection = std::identity>
+bool is_rendezvous_owner(const Nodes& others, const std::string& self, const std::string& key_id,
+                         std::size_t owners, Projection id_of = {}) {
+  const std::uint64_t key = rendezvous_hash(key_id);
+  const std::uint64_t own_weight = rendezvous_weight(key, rendezvous_hash(self));
+  const auto ahead = std::count_if(others.begin(), others.end(), [&](const auto& each) {
+    return rendezvous_weight(key, rendezvous_hash(std::invoke(id_of, each))) > own_weight;
+  });
+  return static_cast<std::size_t>(ahead) < owners;
+}
+
 } // namespace camphorlug::routing
--- a/include/camphorlug/scheduling/scheduler_service.h
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -10,7 +10,6 @@
 
 #include <map>
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace camphorlug::scheduling {
@@ -37,10 +36,6 @@
   /// The same for a message of another node.
   support::task<> handle(net::server_request request, net::response_writer& writer);
 
-  /// What the schedulers hold, for operators.
-  nlohmann::ordered_json state() const;
-  std::size_t waiting() const;
-
 private:
   void update_targets(const gateway::target_pool& pool, pool_scheduler& scheduler);
 
--- a/lib/edge/fleet_trial_permits.cpp
+++ b/lib/edge/fleet_trial_permits.cpp
@@ -9,7 +9,6 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <xxhash.h>
 
 namespace camphorlug::edge {
 
@@ -46,19 +45,15 @@
   return std::nullopt;
 }
 
-static std::uint64_t hash(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 fleet_trial_permits::fleet_trial_permits(context dependencies)
     : context_(std::move(dependencies)), trials_(context_.time, context_.causes) {}
 
 std::optional<std::string> fleet_trial_permits::decider_of(const std::string& request) const {
-  const auto key = hash(request);
-  std::uint64_t most = routing::rendezvous_weight(key, hash(context_.self));
+  const auto key = routing::rendezvous_hash(request);
+  std::uint64_t most = routing::rendezvous_weight(key, routing::rendezvous_hash(context_.self));
   std::optional<std::string> decider;
   for (const auto& [id, other] : context_.fleet.others()) {
-    const std::uint64_t weight = routing::rendezvous_weight(key, hash(id));
+    const std::uint64_t weight = routing::rendezvous_weight(key, routing::rendezvous_hash(id));
     if (other.status.ready && !other.status.leaving && weight > most) {
       most = weight;
       decider = other.status.peer_address;
--- a/lib/gateway/cold_targets.cpp
+++ b/lib/gateway/cold_targets.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
-#include <xxhash.h>
 
 namespace camphorlug::gateway {
 
@@ -18,10 +17,6 @@
 /// When a node without a share is asked about a target: the owners may have changed by then.
 static constexpr milliseconds wait_without_share{1000};
 
-static std::uint64_t hash(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 void cold_targets::update(const std::vector<std::string>& others, const std::string& self,
                           bool expects_others) {
   const auto now = time_.now();
@@ -66,15 +61,6 @@
          (may_be_one_of_many ? minority_fraction : 1);
 }
 
-bool cold_targets::is_owner(const std::string& target, std::size_t owners) const {
-  const std::uint64_t key = hash(target);
-  const auto own_weight = routing::rendezvous_weight(key, hash(self_));
-  const auto ahead = std::count_if(heard_at_.begin(), heard_at_.end(), [&](const auto& each) {
-    return routing::rendezvous_weight(key, hash(each.first)) > own_weight;
-  });
-  return static_cast<std::size_t>(ahead) < owners;
-}
-
 std::size_t cold_targets::quota(const std::string& target, const cold_state& state) const {
   const auto now = time_.now();
   if (hears_none_ && expects_others_ && heard_at_.empty())
@@ -87,7 +73,8 @@
   const double scheduled = full_scheduler_rate(state) * scheduler_fraction + scheduler_burst;
   const double rest = total(state) - 2 * scheduled;
   const auto owners = static_cast<std::size_t>(std::max(rest / 2, 0.0));
-  return is_owner(target, owners) ? 1 : 0;
+  const auto id_of = [](const auto& each) -> const std::string& { return each.first; };
+  return routing::is_rendezvous_owner(heard_at_, self_, target, owners, id_of) ? 1 : 0;
 }
 
 std::optional<nanoseconds> cold_targets::interval(const std::string& target,
@@ -118,7 +105,6 @@
   if (!is_bounded(state))
     return;
   sent_at_[target] = time_.now();
-  ++counted_;
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/fleet_roles.cpp
+++ b/lib/gateway/fleet_roles.cpp
@@ -5,17 +5,14 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
-#include <xxhash.h>
 
 namespace camphorlug::gateway {
 
-static std::uint64_t hash(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 static bool is_more_suitable(const node_status* left, const node_status* right) {
-  return std::make_tuple(left->leaving, -left->cores, hash(left->id), left->id) <
-         std::make_tuple(right->leaving, -right->cores, hash(right->id), right->id);
+  return std::make_tuple(left->leaving, -left->cores, routing::rendezvous_hash(left->id),
+                         left->id) < std::make_tuple(right->leaving, -right->cores,
+                                                     routing::rendezvous_hash(right->id),
+                                                     right->id);
 }
 
 static std::vector<const node_status*> choose_hubs(const std::vector<const node_status*>& members) {
@@ -71,8 +68,9 @@
                                         const std::string& data_centre) {
   std::vector<node_status> hubs = roles.hubs;
   const auto rank = [&](const node_status& hub) {
-    return std::make_tuple(hub.leaving, hub.data_centre != data_centre,
-                           routing::rendezvous_weight(hash(id), hash(hub.id)));
+    return std::make_tuple(
+        hub.leaving, hub.data_centre != data_centre,
+        routing::rendezvous_weight(routing::rendezvous_hash(id), routing::rendezvous_hash(hub.id)));
   };
   std::sort(hubs.begin(), hubs.end(), [&](const node_status& left, const node_status& right) {
     return rank(left) < rank(right);
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -192,16 +192,6 @@
                               [&](const candidate& each) { return cold_->is_bounded(each.cold); });
 }
 
-std::size_t target_chooser::cold_count() const {
-  std::size_t sum = 0;
-  for (const auto& [pool, view] : views_)
-    sum += static_cast<std::size_t>(
-        std::count_if(view.candidates.begin(), view.candidates.end(), [&](const candidate& each) {
-          return cold_ && cold_->is_bounded(each.cold);
-        }));
-  return sum;
-}
-
 bool target_chooser::accepts_requests(const chosen_target& chosen) const {
   const target_entry* entry = registry_.find(chosen.id);
   return entry && !entry->draining && !evacuations_.is_closed(entry->data_centre) &&
--- a/lib/gateway/target_limits.cpp
+++ b/lib/gateway/target_limits.cpp
@@ -7,7 +7,6 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <tuple>
-#include <xxhash.h>
 
 namespace camphorlug::gateway {
 
@@ -95,21 +94,6 @@
   });
 }
 
-static std::uint64_t hash(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
-/// Whether `self` is among the `owners` nodes with the highest weights for the target.
-static bool is_owner(const std::vector<std::string>& others, const std::string& self,
-                     const std::string& target, std::size_t owners) {
-  const std::uint64_t key = hash(target);
-  const auto own_weight = routing::rendezvous_weight(key, hash(self));
-  const auto ahead = std::count_if(others.begin(), others.end(), [&](const std::string& each) {
-    return routing::rendezvous_weight(key, hash(each)) > own_weight;
-  });
-  return static_cast<std::size_t>(ahead) < owners;
-}
-
 void target_limits::update(const std::vector<std::string>& others, const std::string& self) {
   const auto now = time_.now();
   std::erase_if(records_, [&](const auto& each) {
@@ -122,7 +106,7 @@
     const double total = std::max(*each.requests_per_second * used_fraction, min_total_rate);
     const auto owners = std::clamp<std::size_t>(
         static_cast<std::size_t>(std::lround(total / min_owner_rate)), 1, others.size() + 1);
-    if (!is_owner(others, self, target, owners)) {
+    if (!routing::is_rendezvous_owner(others, self, target, owners)) {
       each.interval.reset();
       continue;
     }
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/scheduling/pool_scheduler.h"
 
+#include "camphorlug/routing/rendezvous.h"
 #include "camphorlug/scheduling/scheduler_message.h"
 
 #include <algorithm>
@@ -7,7 +8,6 @@
 #include <set>
 #include <utility>
 #include <vector>
-#include <xxhash.h>
 
 namespace camphorlug::scheduling {
 
@@ -57,7 +57,8 @@
     target_state& each = found->second;
     if (is_new)
       each.starts_at = each.tokens_at = time_.now();
-    each.mixed = XXH3_64bits(info.target.id.data(), info.target.id.size());
+    if (is_new || each.info.target.id.empty())
+      each.mixed = routing::rendezvous_hash(info.target.id);
     each.info = info;
     each.usable = true;
   }
--- a/lib/scheduling/scheduler_assignment.cpp
+++ b/lib/scheduling/scheduler_assignment.cpp
@@ -4,22 +4,18 @@
 
 #include <algorithm>
 #include <set>
-#include <xxhash.h>
 
 namespace camphorlug::scheduling {
 
-static std::uint64_t hash(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 /// Returns the hub with the highest weight for the pool, if possible one that is not in `taken`.
 static const gateway::node_status* choose_hub(const std::vector<gateway::node_status>& hubs,
                                               const gateway::target_pool& pool,
                                               const std::set<std::string>& taken) {
   const gateway::node_status* best = nullptr;
-  const auto key = hash(pool.service + "\n" + pool.model);
+  const auto key = routing::rendezvous_hash(pool.service + "\n" + pool.model);
   const auto rank = [&](const gateway::node_status& hub) {
-    return std::pair(!taken.contains(hub.id), routing::rendezvous_weight(key, hash(hub.id)));
+    return std::pair(!taken.contains(hub.id),
+                     routing::rendezvous_weight(key, routing::rendezvous_hash(hub.id)));
   };
   for (const gateway::node_status& hub : hubs) {
     if (hub.ready && !hub.leaving && (!best || rank(hub) > rank(*best)))
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -17,22 +17,22 @@
 
 void scheduler_service::update(const scheduler_assignment& assignment) {
   for (const auto& [pool, node] : assignment.all()) {
-    auto& scheduler = schedulers_[pool];
-    if (scheduler || node.id != self_)
+    if (node.id != self_ || schedules(pool))
       continue;
-    scheduler = std::make_shared<pool_scheduler>(time_);
+    schedulers_[pool] = std::make_shared<pool_scheduler>(time_);
     support::log_event(support::log_level::info, "scheduler_started",
                        {{"service", pool.service}, {"model", pool.model}});
   }
   std::erase_if(schedulers_, [&](const auto& each) {
-    const gateway::node_status* node = assignment.scheduler_of(each.first);
+    const auto& [pool, scheduler] = each;
+    const gateway::node_status* node = assignment.scheduler_of(pool);
     const bool is_assigned = node && node->id == self_;
     // Asks that wait are decided first.
-    const bool ends = !each.second || (!is_assigned && each.second->waiting() == 0);
-    if (ends && each.second)
-      support::log_event(support::log_level::info, "scheduler_stopped",
-                         {{"service", each.first.service}, {"model", each.first.model}});
-    return ends;
+    if (is_assigned || scheduler->waiting() > 0)
+      return false;
+    support::log_event(support::log_level::info, "scheduler_stopped",
+                       {{"service", pool.service}, {"model", pool.model}});
+    return true;
   });
   update_targets();
   for (const auto& [pool, scheduler] : schedulers_)
@@ -129,22 +129,4 @@
   net::send_json(writer, 200, to_json(answer));
 }
 
-nlohmann::ordered_json scheduler_service::state() const {
-  nlohmann::ordered_json list = nlohmann::ordered_json::array();
-  for (const auto& [pool, scheduler] : schedulers_)
-    list.push_back({{"service", pool.service},
-                    {"model", pool.model},
-                    {"slots", scheduler->slots()},
-                    {"in_flight", scheduler->total_in_flight()},
-                    {"waiting", scheduler->waiting()}});
-  return list;
-}
-
-std::size_t scheduler_service::waiting() const {
-  std::size_t sum = 0;
-  for (const auto& [pool, scheduler] : schedulers_)
-    sum += scheduler->waiting();
-  return sum;
-}
-
 } // namespace camphorlug::scheduling
