Check an edge configuration before it is sent

Cause: an operator learned of errors in a configuration from the nodes, after it was written: routes that another one hides, keys of two organisations, services that nobody defined, time limits below the objective.

Change: `camphorlugctl check FILE [--against FILE|in-force]` prints errors and warnings (lib/configuration/config_check) and what differs from another version, with what that means for requests in progress (config_comparison). The configuration keeps which organisations list the same key.

Not tried: the command on running processes.

--- a/include/camphorlug/gateway/routing_config.h
+++ b/include/camphorlug/gateway/routing_config.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace camphorlug::gateway {
@@ -29,6 +30,8 @@
   std::map<std::string, service_spec> services;
   /// API keys of all organisations.
   std::unordered_map<std::string, organisation_key> keys;
+  /// Pairs of organisations that list the same key; it belongs to the second one.
+  std::vector<std::pair<std::string, std::string>> shared_keys;
   /// Whether the configuration defines organisations; only then do requests need a key.
   bool has_organisations = false;
   request_limits limits;
@@ -43,6 +46,9 @@
     return serves_in_groups(service) ? requested : "";
   }
 
+  /// Adds a key. One that another organisation has already belongs to the new one from then on.
+  void add_key(const std::string& key, const organisation_key& owner);
+
   void add_route(route added);
   const std::vector<std::shared_ptr<const route>>& routes() const { return routes_; }
 
--- a/lib/gateway/routing_config.cpp
+++ b/lib/gateway/routing_config.cpp
@@ -46,6 +46,14 @@
   return found != services.end() && found->second.engine && !found->second.engine->models.empty();
 }
 
+void routing_config::add_key(const std::string& key, const organisation_key& owner) {
+  const auto [entry, is_new] = keys.try_emplace(key, owner);
+  if (is_new)
+    return;
+  shared_keys.emplace_back(entry->second.organisation, owner.organisation);
+  entry->second = owner;
+}
+
 void routing_config::add_route(route added) {
   auto stored = std::make_shared<const route>(std::move(added));
   routes_by_prefix_[normalise_host(stored->host) + '\n' + stored->path_prefix] = stored;
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -2,9 +2,11 @@
 #include "camphorlug/support/asio_clock.h"
 #include "camphorlug/support/random_source.h"
 
+#include "check_command.h"
 #include "edge_commands.h"
 #include "exit_code.h"
 #include "explain_command.h"
+#include "platform_row_decoder.h"
 #include "request_command.h"
 #include "screen.h"
 #include "service_commands.h"
@@ -17,7 +19,7 @@
 #include <random>
 
 DEFINE_string(node, "127.0.0.1:18120",
-              "ip:port of a node's operator port; for edge, of its peer port");
+              "ip:port of a node's operator port; for edge and check, of its peer port");
 DEFINE_string(entry, "127.0.0.1:18100", "ip:port of a node's caller port");
 DEFINE_string(key_file, "", "file that holds the key (default: the value of CAMPHORLUG_KEY)");
 DEFINE_string(edit_id, "", "id of an earlier edit to retry");
@@ -28,6 +30,7 @@
 DEFINE_string(idempotency_key, "", "request: the idempotency key");
 DEFINE_bool(idempotent, true, "request: whether it is safe to execute more than once");
 DEFINE_bool(stream, false, "request: stream the response");
+DEFINE_string(against, "", "check: file to compare with, or in-force for the version at the node");
 DEFINE_bool(json, false, "print JSON for scripts");
 
 namespace camphorlug::ctl {
@@ -46,6 +49,10 @@
  edge lift REQUEST  end a request's ban
  edge lift S PART   end the ban of a prompt
                    part of service S
+ check FILE        errors in an edge
+                   configuration, and with
+                   --against=FILE|in-force
+                   what differs
  explain ID        trace of a request, from
                    log lines on stdin
  service list
@@ -119,6 +126,9 @@
     co_return co_await explain_group(node_client, arguments[1], output);
   if (verb == "explain" && has_argument)
     co_return explain_request(std::cin, arguments[1], output);
+  if (verb == "check" && has_argument)
+    co_return co_await check_config_file(client, {arguments[1], FLAGS_against, FLAGS_node},
+                                         platform::platform_row_decoder::parse_config, output);
   if (verb == "edge" && arguments.size() == 3 && arguments[1] == "lift")
     co_return co_await lift_ban(client, FLAGS_node, "", arguments[2]);
   if (verb == "edge" && arguments.size() == 4 && arguments[1] == "lift")
