Keep waiting requests of a pool in order

Cause: each slot that became free went through all waiting requests: for the order, for the expected wait of a new request, for the number of overdue ones. Targets that read prompts were passed over one by one. Change: waiting_asks keeps the asks of each organisation and priority sorted by the end of their objective, the organisations of a priority by their start in the fair order, and counts of asks in time. Targets that read prompts are listed by the time at which they take a further one. Between two priorities with an equal start the more urgent one goes first; organisations' starts of different priorities, compared before, mean nothing to each other.

--- a/bench/gateway_benchmarks.cpp
+++ b/bench/gateway_benchmarks.cpp
@@ -115,13 +115,12 @@
 }
 BENCHMARK(schedule_slot)->Arg(60)->Arg(600)->Arg(3000);
 
-/// Measures a request's slot at the scheduler while 200 requests wait and no slot is free; the
-/// argument is the number of targets.
-static void schedule_scarce_slot(benchmark::State& state) {
+/// Measures a request's slot at the scheduler of `count` targets while requests wait and no slot is
+/// free.
+static void schedule_behind(benchmark::State& state, std::size_t count, std::size_t waiting) {
   asio::io_context context;
   support::virtual_clock clock(context);
   scheduling::pool_scheduler scheduler(clock);
-  const auto count = static_cast<std::size_t>(state.range(0));
   std::vector<scheduling::schedulable_target> targets(count);
   for (std::size_t i = 0; i < count; ++i) {
     targets[i].target.id = "t" + std::to_string(i);
@@ -137,7 +136,7 @@
     ask.organisation = "o" + std::to_string(next++ % 24);
     scheduler.submit(ask, [&](const auto& decided) { granted.push_back(decided.target.id); });
   };
-  for (std::size_t i = 0; i < count * slots + 200; ++i)
+  for (std::size_t i = 0; i < count * slots + waiting; ++i)
     submit();
   for (auto _ : state) {
     submit();
@@ -146,4 +145,15 @@
     scheduler.release(ask.node, ended);
   }
 }
+
+/// While 200 requests wait; the argument is the number of targets.
+static void schedule_scarce_slot(benchmark::State& state) {
+  schedule_behind(state, static_cast<std::size_t>(state.range(0)), 200);
+}
 BENCHMARK(schedule_scarce_slot)->Arg(60)->Arg(600)->Arg(3000);
+
+/// Before 300 targets; the argument is the number of waiting requests.
+static void schedule_behind_waiting(benchmark::State& state) {
+  schedule_behind(state, 300, static_cast<std::size_t>(state.range(0)));
+}
+BENCHMARK(schedule_behind_waiting)->Arg(200)->Arg(2000);
--- a/include/camphorlug/scheduling/fair_order.h
+++ b/include/camphorlug/scheduling/fair_order.h
@@ -35,6 +35,12 @@
   /// Charges a request that has got a slot.
   void charge(int priority, const std::string& organisation, double cost);
 
+  /// The start of the request of the priority that was served last. Organisations with no later
+  /// start are equal.
+  double virtual_time(int priority) const;
+
+  static int in_range(int priority);
+
   /// Drops organisations that are not ahead of the others.
   void forget_idle();
 
--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -3,9 +3,9 @@
 #include "camphorlug/gateway/cold_targets.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/slot_scheduler.h"
-#include "camphorlug/scheduling/fair_order.h"
 #include "camphorlug/scheduling/schedulable_target.h"
 #include "camphorlug/scheduling/slot_ask.h"
+#include "camphorlug/scheduling/waiting_asks.h"
 #include "camphorlug/support/clock.h"
 
 #include <chrono>
@@ -44,7 +44,8 @@
   /// to nodes that do not reach it.
   static constexpr double cold_fraction = gateway::cold_targets::scheduler_fraction;
 
-  explicit pool_scheduler(support::clock& time) : time_(time), arrivals_at_(time.now()) {}
+  explicit pool_scheduler(support::clock& time)
+      : time_(time), waiting_(time), arrivals_at_(time.now()) {}
 
   /// Sets the targets that can take requests now, and how many prompt tokens each of them reads a
   /// second; 0 if that is not known.
@@ -91,6 +92,8 @@
     std::uint64_t mixed = 0;
     /// Fraction of the slots in use, as in `free_targets_`; nothing if it is not in there.
     std::optional<double> listed_load;
+    /// When it takes a further prompt, as in `reading_targets_`; nothing if it is not in there.
+    std::optional<support::clock::time_point> read_at;
   };
   /// Orders targets by load, then in an order that mixes the data centres.
   struct by_load {
@@ -110,49 +113,46 @@
     /// Position of the last report among the messages of the node.
     std::uint64_t report_sequence = 0;
   };
-  struct waiting_ask {
-    slot_ask ask;
-    decision_handler decide;
-  };
 
-  /// Updates the target's place in `free_targets_`. Call it after each change of the target.
+  /// Updates the target's place in `free_targets_` or `reading_targets_`. Call it after each change
+  /// of the target.
   void list_if_free(target_state& each);
+  /// Lists the targets as free that have read enough of their prompts.
+  void list_read_targets();
+  /// Time until the target has few enough prompts to read for a further one.
+  std::chrono::nanoseconds time_to_read(const target_state& each) const;
   target_state* choose(const slot_ask& ask);
   double cost(const target_state& each, const slot_ask& ask) const;
   /// The prompt's tokens as far as the caller's statement is believed.
   double believed_tokens(const slot_ask& ask) const;
   double unread_tokens(const target_state& each) const;
   void refill_starts(target_state& each) const;
-  /// Whether the target has a free slot and few prompts to read.
-  bool has_room(const target_state& each) const;
   decision grant(const slot_ask& ask, target_state& chosen);
-  bool is_overdue(const slot_ask& ask) const { return ask.in_time_until <= time_.now(); }
   /// Slots that become free in a second while all are in use.
   double drain_rate() const;
   /// The part of it that the requests in time leave to the others.
   double spare_rate() const;
-  std::chrono::nanoseconds expected_wait(const slot_ask& ask) const;
-  std::chrono::nanoseconds expected_wait_of_overdue() const;
+  std::chrono::nanoseconds expected_wait(const slot_ask& ask);
+  std::chrono::nanoseconds expected_wait_of_overdue();
   /// Whether the ask gets a slot while that is of use.
-  bool can_be_served(const slot_ask& ask) const;
+  bool can_be_served(const slot_ask& ask);
   decision refuse(const slot_ask& ask);
   void expire_nodes();
   void expire_waits();
-  /// Takes the asks for which `ends` is true, in the order of arrival.
-  std::vector<waiting_ask> take_waiting(const std::function<bool(const slot_ask&)>& ends);
   void record_hold(std::chrono::nanoseconds held);
   void set_count(held_slots& held, target_state& target, std::size_t count);
 
   support::clock& time_;
   std::map<std::string, target_state> targets_;
-  /// The usable targets with a free slot, so that a choice does not look at all targets.
+  /// The usable targets with a free slot and few prompts to read, so that a choice does not look at
+  /// all targets.
   std::set<target_state*, by_load> free_targets_;
+  /// Those with a free slot that first have to read prompts.
+  std::set<std::pair<support::clock::time_point, target_state*>> reading_targets_;
   std::size_t slots_ = 0;
   std::size_t usable_targets_ = 0;
   std::map<std::string, node_state> nodes_;
-  /// By number, in the order of arrival.
-  std::map<std::uint64_t, waiting_ask> waiting_;
-  fair_order order_;
+  waiting_asks waiting_;
   std::uint64_t last_number_ = 0;
   double tokens_per_second_ = 0;
   double mean_prompt_tokens_ = 0;
--- a/include/camphorlug/scheduling/scheduler_service.h
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -29,6 +29,9 @@
   /// Whether this node schedules the pool now.
   bool schedules(const gateway::target_pool& pool) const { return schedulers_.contains(pool); }
 
+  /// The scheduler of the pool, or null if this node does not schedule it.
+  const pool_scheduler* find(const gateway::target_pool& pool) const;
+
   /// Applies a message and returns the answer to its ask, if it has one. The message's ask is
   /// dropped once `cancelled` is true.
   support::task<gateway::scheduled_slot> apply(scheduler_message message, const bool& cancelled);
--- a/lib/scheduling/fair_order.cpp
+++ b/lib/scheduling/fair_order.cpp
@@ -5,7 +5,7 @@
 
 namespace camphorlug::scheduling {
 
-static int in_range(int priority) {
+int fair_order::in_range(int priority) {
   return std::clamp(priority, 0, fair_order::max_priority);
 }
 
@@ -13,6 +13,11 @@
   return std::pow(fair_order::priority_ratio, -priority);
 }
 
+double fair_order::virtual_time(int priority) const {
+  const auto found = classes_.find(in_range(priority));
+  return found == classes_.end() ? 0 : found->second.virtual_time;
+}
+
 fair_order::position fair_order::next(int priority, const std::string& organisation) const {
   const auto found = classes_.find(in_range(priority));
   if (found == classes_.end())
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -48,9 +48,11 @@
                                  double tokens_per_second) {
   tokens_per_second_ = tokens_per_second * reading_efficiency;
   free_targets_.clear();
+  reading_targets_.clear();
   for (auto& [id, each] : targets_) {
     each.usable = false;
     each.listed_load.reset();
+    each.read_at.reset();
   }
   for (const schedulable_target& info : targets) {
     const auto [found, is_new] = targets_.try_emplace(info.target.id);
@@ -93,12 +95,33 @@
   if (each.listed_load)
     free_targets_.erase(&each);
   each.listed_load.reset();
+  if (each.read_at)
+    reading_targets_.erase({*each.read_at, &each});
+  each.read_at.reset();
   if (!each.usable || each.in_flight >= each.info.target.slots)
     return;
+  const auto read_in = time_to_read(each);
+  if (read_in > nanoseconds(0)) {
+    each.read_at = time_.now() + read_in;
+    reading_targets_.emplace(*each.read_at, &each);
+    return;
+  }
   each.listed_load = load_of(each.in_flight, each.info.target.slots);
   free_targets_.insert(&each);
 }
 
+void pool_scheduler::list_read_targets() {
+  while (!reading_targets_.empty() && reading_targets_.begin()->first <= time_.now())
+    list_if_free(*reading_targets_.begin()->second);
+}
+
+nanoseconds pool_scheduler::time_to_read(const target_state& each) const {
+  if (tokens_per_second_ <= 0)
+    return nanoseconds(0);
+  const duration<double> reading(unread_tokens(each) / tokens_per_second_);
+  return std::chrono::ceil<nanoseconds>(reading - max_reading_time);
+}
+
 double pool_scheduler::believed_tokens(const slot_ask& ask) const {
   const double most = tokens_per_second_ > 0
                           ? tokens_per_second_ * max_believed_reading_time.count()
@@ -136,7 +159,7 @@
     // The load is the least that a target costs.
     if (best && (*each.listed_load >= lowest || compared == max_compared_targets))
       break;
-    if (!has_room(each) || ask.avoided.contains(each.info.target.id))
+    if (ask.avoided.contains(each.info.target.id))
       continue;
     if (each.info.max_starts_per_second) {
       refill_starts(each);
@@ -156,17 +179,17 @@
 pool_scheduler::decision pool_scheduler::grant(const slot_ask& ask, target_state& chosen) {
   const auto now = time_.now();
   ++chosen.in_flight;
-  list_if_free(chosen);
   const double prompt_tokens = believed_tokens(ask);
   chosen.unread_tokens = tokens_per_second_ > 0 ? unread_tokens(chosen) + prompt_tokens : 0;
   chosen.tokens_at = now;
   if (chosen.info.max_starts_per_second)
     chosen.starts_left -= 1;
+  list_if_free(chosen);
   held_slots& held = nodes_[ask.node].targets[chosen.info.target.id];
   ++held.count;
   held.starts.push_back(now);
   mean_prompt_tokens_ += (prompt_tokens - mean_prompt_tokens_) * hold_smoothing_factor;
-  order_.charge(ask.priority, ask.organisation, prompt_tokens + generation_charge);
+  waiting_.charge(ask.priority, ask.organisation, prompt_tokens + generation_charge);
   decision granted;
   granted.result = decision::outcome::granted;
   granted.target = chosen.info.target;
@@ -183,12 +206,6 @@
   return std::min(by_slots, by_reading);
 }
 
-bool pool_scheduler::has_room(const target_state& each) const {
-  const bool reads_soon = tokens_per_second_ <= 0 ||
-                          unread_tokens(each) <= tokens_per_second_ * max_reading_time.count();
-  return each.usable && each.in_flight < each.info.target.slots && reads_soon;
-}
-
 double pool_scheduler::spare_rate() const {
   const duration<double> elapsed = time_.now() - arrivals_at_;
   const double arrivals = arrival_rate_ * std::exp(-elapsed / arrival_time_constant);
@@ -196,32 +213,20 @@
 }
 
 /// Estimates the wait of a new ask behind those in time that wait already.
-nanoseconds pool_scheduler::expected_wait(const slot_ask& ask) const {
-  std::map<std::string, std::size_t> by_organisation;
-  for (const auto& [number, each] : waiting_) {
-    if (each.ask.priority <= ask.priority && !is_overdue(each.ask))
-      ++by_organisation[each.ask.organisation];
-  }
-  const std::size_t own = std::exchange(by_organisation[ask.organisation], 0);
-  std::size_t ahead = own;
-  // Organisations take turns, so that one with many requests does not go before all of this one's.
-  for (const auto& [organisation, count] : by_organisation)
-    ahead += std::min(count, own + 1);
+nanoseconds pool_scheduler::expected_wait(const slot_ask& ask) {
+  const std::size_t ahead = waiting_.ahead_of(ask.priority, ask.organisation);
   return duration_cast<nanoseconds>(
       duration<double>(static_cast<double>(ahead + 1) / drain_rate()));
 }
 
-nanoseconds pool_scheduler::expected_wait_of_overdue() const {
-  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [this](const auto& each) {
-    return is_overdue(each.second.ask);
-  });
+nanoseconds pool_scheduler::expected_wait_of_overdue() {
   return duration_cast<nanoseconds>(
-      duration<double>(static_cast<double>(ahead + 1) / spare_rate()));
+      duration<double>(static_cast<double>(waiting_.overdue() + 1) / spare_rate()));
 }
 
-bool pool_scheduler::can_be_served(const slot_ask& ask) const {
+bool pool_scheduler::can_be_served(const slot_ask& ask) {
   const auto now = time_.now();
-  if (!is_overdue(ask) && now + expected_wait(ask) <= ask.in_time_until)
+  if (!waiting_.is_overdue(ask) && now + expected_wait(ask) <= ask.in_time_until)
     return true;
   return now + expected_wait_of_overdue() <= ask.latest_start;
 }
@@ -242,7 +247,7 @@
 std::uint64_t pool_scheduler::submit(slot_ask ask, decision_handler decide) {
   const auto now = time_.now();
   nodes_[ask.node].heard_at = now;
-  if (!is_overdue(ask)) {
+  if (!waiting_.is_overdue(ask)) {
     const duration<double> elapsed = now - std::exchange(arrivals_at_, now);
     arrival_rate_ = arrival_rate_ * std::exp(-elapsed / arrival_time_constant) +
                     1 / arrival_time_constant.count();
@@ -262,51 +267,40 @@
     return 0;
   }
   const std::uint64_t number = ++last_number_;
-  waiting_.emplace(number, waiting_ask{std::move(ask), std::move(decide)});
+  waiting_.add(number, {std::move(ask), std::move(decide)});
   return number;
 }
 
 void pool_scheduler::end_wait(std::uint64_t number) {
-  const auto found = waiting_.find(number);
-  if (found == waiting_.end())
+  if (!waiting_.contains(number))
     return;
-  const waiting_ask ended = std::move(found->second);
-  waiting_.erase(found);
+  const waiting_ask ended = waiting_.take(number);
   ended.decide(refuse(ended.ask));
 }
 
 void pool_scheduler::cancel(std::uint64_t number) {
-  waiting_.erase(number);
+  if (waiting_.contains(number))
+    waiting_.take(number);
 }
 
 void pool_scheduler::assign() {
-  std::set<std::uint64_t> skipped;
-  while (skipped.size() < waiting_.size() && !free_targets_.empty()) {
-    auto best = waiting_.end();
-    std::pair<bool, fair_order::position> first;
-    for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
-      if (skipped.contains(each->first))
-        continue;
-      const slot_ask& ask = each->second.ask;
-      const std::pair position(is_overdue(ask), order_.next(ask.priority, ask.organisation));
-      if (best == waiting_.end() || position < first ||
-          (position == first && ask.in_time_until < best->second.ask.in_time_until)) {
-        best = each;
-        first = position;
-      }
-    }
-    target_state* free = choose(best->second.ask);
-    if (!free) {
+  list_read_targets();
+  while (!free_targets_.empty()) {
+    const std::uint64_t number = waiting_.first();
+    if (number == 0)
+      break;
+    target_state* free = choose(waiting_.ask(number));
+    if (free) {
+      const waiting_ask chosen = waiting_.take(number);
+      chosen.decide(grant(chosen.ask, *free));
+    } else if (waiting_.ask(number).avoided.empty()) {
+      break;
+    } else {
       // Others may avoid fewer targets.
-      if (best->second.ask.avoided.empty())
-        return;
-      skipped.insert(best->first);
-      continue;
+      waiting_.set_aside(number);
     }
-    waiting_ask chosen = std::move(best->second);
-    waiting_.erase(best);
-    chosen.decide(grant(chosen.ask, *free));
   }
+  waiting_.restore();
 }
 
 void pool_scheduler::record_hold(nanoseconds held) {
@@ -362,7 +356,7 @@
 void pool_scheduler::expire() {
   expire_nodes();
   expire_waits();
-  order_.forget_idle();
+  waiting_.forget_idle();
   assign();
 }
 
@@ -378,40 +372,26 @@
   std::erase_if(nodes_,
                 [&](const auto& each) { return now - each.second.heard_at >= node_timeout; });
   // A slot for a node that has gone would stand empty.
-  std::vector<waiting_ask> gone =
-      take_waiting([this](const slot_ask& ask) { return !nodes_.contains(ask.node); });
+  const std::vector<waiting_ask> gone =
+      waiting_.take_all([this](const slot_ask& ask) { return !nodes_.contains(ask.node); });
   for (const waiting_ask& each : gone)
     each.decide({});
 }
 
 void pool_scheduler::expire_waits() {
   const auto now = time_.now();
-  auto overdue = std::count_if(waiting_.begin(), waiting_.end(),
-                               [this](const auto& each) { return is_overdue(each.second.ask); });
+  std::size_t overdue = waiting_.overdue();
   const double most = max_overdue_wait / duration<double>(1 / spare_rate());
-  const std::vector<waiting_ask> late = take_waiting([&](const slot_ask& ask) {
-    const bool is_hopeless = is_overdue(ask) && static_cast<double>(overdue + 1) > most;
+  const std::vector<waiting_ask> ended = waiting_.take_all([&](const slot_ask& ask) {
+    const bool is_overdue = waiting_.is_overdue(ask);
+    const bool is_hopeless = is_overdue && static_cast<double>(overdue + 1) > most;
     const bool ends = ask.latest_start <= now || is_hopeless;
-    if (ends && is_overdue(ask))
+    if (ends && is_overdue)
       --overdue;
     return ends;
   });
-  for (const waiting_ask& each : late)
+  for (const waiting_ask& each : ended)
     each.decide(refuse(each.ask));
 }
 
-std::vector<pool_scheduler::waiting_ask>
-pool_scheduler::take_waiting(const std::function<bool(const slot_ask&)>& ends) {
-  std::vector<waiting_ask> taken;
-  for (auto each = waiting_.begin(); each != waiting_.end();) {
-    if (!ends(each->second.ask)) {
-      ++each;
-      continue;
-    }
-    taken.push_back(std::move(each->second));
-    each = waiting_.erase(each);
-  }
-  return taken;
-}
-
 } // namespace camphorlug::scheduling
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -61,6 +61,11 @@
   scheduler.set_targets(targets, reading_rate);
 }
 
+const pool_scheduler* scheduler_service::find(const gateway::target_pool& pool) const {
+  const auto found = schedulers_.find(pool);
+  return found == schedulers_.end() ? nullptr : found->second.get();
+}
+
 support::task<scheduled_slot> scheduler_service::apply(scheduler_message message,
                                                        const bool& cancelled) {
   const auto found = schedulers_.find(message.pool);
