--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -56,6 +56,8 @@
   std::uint64_t submit(slot_ask ask, decision_handler decide);
   /// Assigns what has become free with time, such as targets that have read their prompts.
   void assign();
+  /// The same unless that was done less than `interval` ago.
+  void assign_after(std::chrono::nanoseconds interval);
   /// Refuses a waiting ask.
   void end_wait(std::uint64_t number);
   /// Drops a waiting ask without a decision.
@@ -154,6 +156,7 @@
   std::map<std::string, node_state> nodes_;
   waiting_asks waiting_;
   std::uint64_t last_number_ = 0;
+  support::clock::time_point assigned_at_;
   double tokens_per_second_ = 0;
   double mean_prompt_tokens_ = 0;
   std::chrono::duration<double> mean_hold_{0.5};
--- a/include/camphorlug/scheduling/scheduler_message.h
+++ b/include/camphorlug/scheduling/scheduler_message.h
@@ -46,6 +46,8 @@
 
 /// The answer to a message with an ask.
 std::string to_json(const gateway::scheduled_slot& answer);
+/// Whether the node that gave the answer begins its answers while asks wait.
+bool begins_early(const std::string& answer);
 /// Throws nlohmann::json::exception if `text` is not a valid answer. Of a granted target, only the
 /// id is set.
 gateway::scheduled_slot answer_from_json(const std::string& text);
--- a/include/camphorlug/scheduling/scheduler_service.h
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -8,6 +8,7 @@
 #include "camphorlug/scheduling/scheduler_assignment.h"
 #include "camphorlug/scheduling/scheduler_message.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,8 +34,9 @@
   const pool_scheduler* find(const gateway::target_pool& pool) const;
 
   /// Applies a message and returns the answer to its ask, if it has one. The message's ask is
-  /// dropped once `cancelled` is true.
-  support::task<gateway::scheduled_slot> apply(scheduler_message message, const bool& cancelled);
+  /// dropped once `cancelled` is true. If it has to wait, `waits` is called before.
+  support::task<gateway::scheduled_slot> apply(
+      scheduler_message message, const bool& cancelled, const std::function<void()>& waits = [] {});
 
   /// The same for a message of another node.
   support::task<> handle(net::server_request request, net::response_writer& writer);
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -283,7 +283,13 @@
     waiting_.take(number);
 }
 
+void pool_scheduler::assign_after(nanoseconds interval) {
+  if (time_.now() - assigned_at_ >= interval)
+    assign();
+}
+
 void pool_scheduler::assign() {
+  assigned_at_ = time_.now();
   list_read_targets();
   while (!free_targets_.empty()) {
     const std::uint64_t number = waiting_.first();
--- a/lib/scheduling/scheduler_message.cpp
+++ b/lib/scheduling/scheduler_message.cpp
@@ -80,7 +80,7 @@
 }
 
 std::string to_json(const gateway::scheduled_slot& answer) {
-  json value = json::object();
+  json value{{"e", 1}};
   if (answer.result == gateway::scheduled_slot::outcome::granted)
     value["t"] = answer.target.id;
   else if (answer.result == gateway::scheduled_slot::outcome::refused)
@@ -88,6 +88,10 @@
   return value.dump();
 }
 
+bool begins_early(const std::string& answer) {
+  return json::parse(answer).contains("e");
+}
+
 gateway::scheduled_slot answer_from_json(const std::string& text) {
   const json value = json::parse(text);
   gateway::scheduled_slot answer;
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -14,6 +14,8 @@
 
 /// Interval at which a waiting ask looks whether its caller is gone or a target has room by now.
 static constexpr std::chrono::milliseconds poll_interval{20};
+/// Targets that have room by now are looked for at most this often by all waiting asks together.
+static constexpr std::chrono::milliseconds min_assign_interval{5};
 
 void scheduler_service::update(const scheduler_assignment& assignment) {
   for (const auto& [pool, node] : assignment.all()) {
@@ -67,7 +69,8 @@
 }
 
 support::task<scheduled_slot> scheduler_service::apply(scheduler_message message,
-                                                       const bool& cancelled) {
+                                                       const bool& cancelled,
+                                                       const std::function<void()>& waits) {
   const auto found = schedulers_.find(message.pool);
   if (found == schedulers_.end())
     co_return scheduled_slot{};
@@ -90,13 +93,15 @@
         pending->result = result;
         pending->made.notify();
       });
+  if (!pending->result)
+    waits();
   while (!pending->result && !cancelled) {
     const std::chrono::nanoseconds left = latest_start - time_.now();
     if (left <= std::chrono::nanoseconds(0))
       scheduler->end_wait(number);
     else
       co_await pending->made.wait_for(std::min<std::chrono::nanoseconds>(left, poll_interval));
-    scheduler->assign();
+    scheduler->assign_after(min_assign_interval);
   }
   if (pending->result)
     co_return *pending->result;
@@ -125,13 +130,22 @@
   }
   const auto gone = std::make_shared<bool>(false);
   writer.on_disconnect([gone] { *gone = true; });
-  const scheduled_slot answer = co_await apply(std::move(message), *gone);
+  // Its sender knows by that that the message has arrived.
+  const std::function<void()> begin = [&writer] { writer.start(200, {}); };
+  const scheduled_slot answer = co_await apply(std::move(message), *gone, begin);
   if (*gone && answer.result == scheduled_slot::outcome::granted) {
     if (const auto found = schedulers_.find(pool); found != schedulers_.end())
       found->second->release(node, answer.target.id);
     co_return;
   }
-  net::send_json(writer, 200, to_json(answer));
+  if (!writer.started()) {
+    net::send_json(writer, 200, to_json(answer));
+    co_return;
+  }
+  std::string body = to_json(answer);
+  const bool is_written = co_await writer.write(std::move(body));
+  if (is_written)
+    writer.finish();
 }
 
 } // namespace camphorlug::scheduling
--- a/unittests/fakes/suspendable_clock.h
+++ b/unittests/fakes/suspendable_clock.h
@@ -20,6 +20,7 @@
 
   void freeze_for(std::chrono::nanoseconds span) { frozen_until_ = now() + span; }
   bool frozen() const { return now() < frozen_until_; }
+  bool was_frozen() const { return frozen_until_ != time_point{}; }
 
   /// Waits until the process is no longer suspended; returns at once if it isn't.
   support::task<> wait_until_resumed();
