Remember the crashes of a request between its trials

Trace of the decider: it forgot a trial as soon as it was known not to have been sent. A node that knew of a fourth crash asked (granted, not sent), then one that knew of three (granted, sent), then the first again: to the decider, which had begun anew with three, the fourth crash looked like the outcome of the trial in progress, so that two more requests were sent beside it. Change: what is known of a request's crashes is kept for 1.5 s after the last equal request.

Test: crash_that_not_all_nodes_know_yet_ends_only_one_trial (fails before).

--- a/include/camphorlug/gateway/request_trials.h
+++ b/include/camphorlug/gateway/request_trials.h
@@ -26,6 +26,9 @@
   /// Equal requests are sent freely for this time after one has survived, unless a further crash
   /// accuses them.
   static constexpr std::chrono::milliseconds open_time{10'000};
+  /// The crashes that a node has reported are remembered for this time after the last equal
+  /// request, in which other nodes may not know them yet.
+  static constexpr std::chrono::milliseconds memory_time{1500};
 
   request_trials(support::clock& time, const crash_cause_list& causes)
       : time_(time), causes_(causes) {}
@@ -41,6 +44,7 @@
     /// Crashes that were known when it was granted.
     std::size_t crashes = 0;
     std::string node;
+    support::clock::time_point asked_at = support::clock::time_point::min();
     support::clock::time_point ends_at = support::clock::time_point::min();
     support::clock::time_point open_until = support::clock::time_point::min();
   };
--- a/lib/gateway/request_trials.cpp
+++ b/lib/gateway/request_trials.cpp
@@ -8,7 +8,8 @@
                                  std::size_t crashes) {
   const auto now = time_.now();
   std::erase_if(trials_, [&](const auto& each) {
-    return each.second.ends_at <= now && each.second.open_until <= now;
+    const trial& known = each.second;
+    return std::max({known.ends_at, known.open_until, known.asked_at + memory_time}) <= now;
   });
   // The node that asks does not know of the ban yet.
   if (causes_.find_banned("", {request}))
@@ -20,7 +21,8 @@
   // A further crash is the outcome of the trial, and ends the time in which requests are sent
   // freely.
   if (known > current.crashes)
-    current = {known, {}, support::clock::time_point::min(), support::clock::time_point::min()};
+    current = {known, {}, now};
+  current.asked_at = now;
   if (now < current.open_until)
     return trial_answer::open;
   if (now < current.ends_at)
--- a/unittests/gateway/request_trials_test.cpp
+++ b/unittests/gateway/request_trials_test.cpp
@@ -99,3 +99,17 @@
   clock.run_for(1ms);
   BOOST_TEST((decider.ask("request:1", "b", 1) == trial_answer::granted));
 }
+
+// Nodes learn of a crash one after the other, so that those that know it ask between others.
+BOOST_AUTO_TEST_CASE(crash_that_not_all_nodes_know_yet_ends_only_one_trial) {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  gateway::crash_cause_list causes{clock};
+  request_trials decider{clock, causes};
+  BOOST_TEST((decider.ask("request:1", "a", 2) == trial_answer::granted));
+  decider.record("request:1", "a", trial_step::not_sent);
+  clock.run_for(10ms);
+  BOOST_TEST((decider.ask("request:1", "b", 1) == trial_answer::granted));
+  clock.run_for(10ms);
+  BOOST_TEST((decider.ask("request:1", "a", 2) == trial_answer::busy));
+}
