Find a deadly prompt part beside requests that lose several targets in turn

Nodes banned the part at 3.34 s and took the ban back within 20 ms: ten requests had each lost three targets in turn (two attempts and the caller's repeat), so that each of them explained three crashes, and a request goes before a part that does not explain two crashes in a row more. The part's crashes that are not the request's were in between, at other nodes in the same moment, and did not count as in a row. The part was banned for good at 8.46 s, with its seventh crash, 5.2 s after the fifth one.

Change: a part goes before a request, too, if it is accused by two crashes more and two of those that the request does not explain are in a row among themselves. What three crashes at once or one further crash say is as before.

--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -62,62 +62,97 @@
 
 namespace {
 
+using record_list = std::vector<const crash_record*>;
+
+/// A part goes before a whole request only if it explains this many crashes more: one further
+/// target may have failed by itself.
+constexpr std::size_t min_more_crashes = 2;
+
 /// What the crashes seen so far say against one suspect.
 struct accusation {
-  bool is_whole_request = false;
+  /// Crashes in a row.
   std::size_t crashes = 0;
+  /// All crashes, with those that no request was sent between.
+  std::size_t records = 0;
   std::size_t position = 0;
   support::clock::time_point last_crash_at = support::clock::time_point::min();
 
   void add(const crash_record& record, const crash_suspect& suspect) {
     position = std::max(position, suspect.position);
+    ++records;
     if (record.crashed_at - suspect.waited <= last_crash_at)
       return;
     ++crashes;
     last_crash_at = record.crashed_at;
   }
 
-  /// Crashes that count in a comparison. A part has to explain two crashes more than a whole
-  /// request, since one further target may have failed by itself.
-  std::size_t weight() const { return crashes + (is_whole_request ? 1 : 0); }
-
   /// Of suspects that explain the same crashes, the one that fewer requests share is the cause more
   /// probably, and a ban of it does less harm.
   bool is_stronger_than(const accusation& other) const {
-    return std::pair(weight(), position) > std::pair(other.weight(), other.position);
+    return std::pair(crashes, position) > std::pair(other.crashes, other.position);
   }
 };
 
+using accusation_map = std::map<crash_cause, accusation>;
+
 } // namespace
 
-/// Returns the suspect with the most crashes of those that are proved to be a cause.
+/// Returns the crashes in a row that the part explains and the request does not.
+static std::size_t crashes_without(const record_list& by_time, const crash_cause& part,
+                                   const crash_cause& request) {
+  accusation rest;
+  for (const crash_record* record : by_time) {
+    if (record->accuses(part) && !record->accuses(request))
+      rest.add(*record, record->suspects.at(part.id));
+  }
+  return rest.crashes;
+}
+
+/// Whether the part rather than the request is the cause of what both may explain. A request may
+/// reach several targets in turn that others crash, so that it shares some of the crashes of a
+/// deadly part. Those in between seldom are in a row, since targets crash at several nodes at once.
+static bool goes_before(const record_list& by_time, const accusation_map::value_type& part,
+                        const accusation_map::value_type& request) {
+  if (part.second.crashes >= request.second.crashes + min_more_crashes)
+    return true;
+  return part.second.records >= request.second.records + min_more_crashes &&
+         crashes_without(by_time, part.first, request.first) >= min_more_crashes;
+}
+
+/// Returns the suspect that explains the most crashes of those that are proved to be a cause: a
+/// part that goes before all requests, or else a request.
 static std::optional<std::pair<crash_cause, std::size_t>>
-find_strongest(const std::vector<const crash_record*>& by_time) {
-  std::map<crash_cause, accusation> accusations;
+find_strongest(const record_list& by_time) {
+  accusation_map parts;
+  accusation_map requests;
   for (const crash_record* record : by_time) {
     for (const auto& [id, suspect] : record->suspects) {
-      if (suspect.cleared)
-        continue;
-      accusation& against = accusations[record->cause(id)];
-      against.is_whole_request = is_request_identity(id);
-      against.add(*record, suspect);
+      if (!suspect.cleared)
+        (is_request_identity(id) ? requests : parts)[record->cause(id)].add(*record, suspect);
     }
   }
-  std::erase_if(accusations, [](const auto& each) {
+  const auto is_unproven = [](const auto& each) {
     return each.second.crashes < crash_evidence::crashes_that_prove_cause;
+  };
+  std::erase_if(parts, is_unproven);
+  std::erase_if(requests, is_unproven);
+  std::erase_if(parts, [&](const auto& part) {
+    return std::any_of(requests.begin(), requests.end(),
+                       [&](const auto& request) { return !goes_before(by_time, part, request); });
   });
-  const auto strongest = std::max_element(accusations.begin(), accusations.end(),
+  const accusation_map& candidates = parts.empty() ? requests : parts;
+  const auto strongest = std::max_element(candidates.begin(), candidates.end(),
                                           [](const auto& left, const auto& right) {
                                             return right.second.is_stronger_than(left.second);
                                           });
-  if (strongest == accusations.end())
+  if (strongest == candidates.end())
     return std::nullopt;
   return std::pair(strongest->first, strongest->second.crashes);
 }
 
 static std::map<crash_cause, std::size_t>
 find_proven_causes(const std::map<target_start, crash_record>& records) {
-  std::vector<const crash_record*> unexplained;
+  record_list unexplained;
   for (const auto& [start, record] : records)
     unexplained.push_back(&record);
   std::sort(unexplained.begin(), unexplained.end(),
--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
@@ -55,6 +56,70 @@
   expect_deadly_requests_are_stopped(each);
 }
 
+namespace {
+
+constexpr std::uint64_t first_seed = 1;
+constexpr std::uint64_t end_of_seeds = 25;
+
+/// Callers that send a request once more, with the same content, if it was not answered.
+class repeating_callers {
+public:
+  explicit repeating_callers(tainted_fleet& fleet) : fleet_(fleet) {}
+
+  /// Sends requests to random nodes for `span`, all with parts of their own.
+  void send_requests(std::chrono::milliseconds span) {
+    for (auto sent = 0ms; sent < span; sent += interval) {
+      const bool harms = fleet_.random.uniform_real() < fleet_.deadly_share;
+      const std::string own = "own" + std::to_string(sent.count());
+      net::server_request request;
+      request.method = "POST";
+      request.path = "/stream/x";
+      request.headers.add("Parts", "system " + (harms ? fleet_.deadly + " " : std::string()) + own);
+      request.body = "body of " + own;
+      first_tries_.emplace(fleet_.callers.size(), request);
+      fleet_.send(fleet_.random.below(fleet_.edges.size()), std::move(request), harms);
+      fleet_.run_for(interval);
+      repeat_failed_requests();
+    }
+  }
+
+private:
+  void repeat_failed_requests() {
+    std::erase_if(first_tries_, [this](auto& each) {
+      const tainted_fleet::caller& caller = *fleet_.callers[each.first];
+      const bool failed =
+          caller.writer.aborted || (caller.writer.finished && caller.writer.status != 200);
+      if (failed)
+        fleet_.send(fleet_.random.below(fleet_.edges.size()), std::move(each.second),
+                    caller.deadly);
+      return failed || caller.writer.finished;
+    });
+  }
+
+  static constexpr std::chrono::milliseconds interval{4};
+
+  tainted_fleet& fleet_;
+  /// By index in the fleet's callers.
+  std::map<std::size_t, net::server_request> first_tries_;
+};
+
+} // namespace
+
+// Sound requests are sent again to targets that crash next, so that they seem to be the cause.
+BOOST_DATA_TEST_CASE(deadly_prompt_part_is_found_beside_requests_that_lose_several_targets,
+                     data::xrange(first_seed, end_of_seeds), seed) {
+  tainted_fleet fleet(9, 8, seed);
+  fleet.side.deadly_part = fleet.deadly;
+  repeating_callers(fleet).send_requests(14s);
+  fleet.run_for(2s);
+  const auto& crashes = fleet.side.deadly_crashes;
+  BOOST_REQUIRE(!crashes.empty());
+  const auto counted = crashes[std::min(crashes.size(), crashes_that_count) - 1];
+  const std::size_t sent_later = fleet.deadly_arrivals_after(counted + learning_time);
+  BOOST_TEST_MESSAGE(crashes.size() << " crashes, " << sent_later << " sent later");
+  BOOST_TEST(sent_later <= max_sent_later);
+}
+
 BOOST_DATA_TEST_CASE(node_that_starts_knows_a_banned_part_before_it_serves,
                      data::make(fakes::node_returns()), each) {
   tainted_fleet fleet(4, 12);
