Do not count attempts that reached no target as attempts of the route

Change: an attempt that ended before the request left this node does not count, for three such attempts a request; the budget for retries is charged as before.

Tests: refused_connections_use_up_no_attempt (1 to 3 refused connections: 503 before, 200 after; from 4 on 503), request_that_a_target_has_refused_has_used_its_attempt. All of test-gateway holds.

--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -72,6 +72,8 @@
   std::chrono::nanoseconds wait_after_refusal();
   support::clock::time_point slot_deadline();
   bool may_retry(attempt_result last);
+  /// Attempts that count for the limit of the route.
+  std::size_t sent_attempts() const;
   /// Whether the route allows another attempt and the time suffices for it.
   bool has_attempts_left() const;
   /// Records why no further target is tried. Returns false.
@@ -118,6 +120,8 @@
   std::vector<open_attempt> open_;
   std::set<std::string> tried_targets_;
   std::size_t attempts_ = 0;
+  /// Those of them that have ended without reaching a target.
+  std::size_t unsent_attempts_ = 0;
   attempt_result last_result_ = attempt_result::not_run;
   bool may_have_executed_ = false;
   /// End of the events that the caller has.
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -88,6 +88,8 @@
   std::string take_body() { return std::move(body_); }
   /// Nothing while more of the response may arrive.
   std::optional<attempt_result> result() const { return result_; }
+  /// Whether the request has left this node. Valid with a result.
+  bool was_sent() const { return was_sent_; }
   /// Why the attempt failed, as ` (REASON)` each; empty without a failure.
   const std::string& failure() const { return failure_; }
 
@@ -133,6 +135,7 @@
   std::chrono::nanoseconds first_part_limit_;
 
   bool closed_ = false;
+  bool was_sent_ = true;
   bool has_progressed_ = false;
   /// The target has sent an event, or a complete response that is not a stream.
   bool has_answered_ = false;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -23,6 +23,9 @@
 static constexpr milliseconds min_remaining_time{5};
 /// Interval at which a request whose targets are silent looks for a replacement.
 static constexpr milliseconds replacement_check_interval{50};
+/// Attempts that reach no target do not count as attempts, up to this number: each of them may cost
+/// the time to connect.
+static constexpr std::size_t max_unsent_attempts = 3;
 static constexpr milliseconds min_retry_after{100};
 /// A ban ends only when its cause is gone, so an earlier return would be in vain.
 static constexpr milliseconds banned_retry_after{60'000};
@@ -149,8 +152,12 @@
   open_.push_back({std::move(attempt), trail_.size() - 1});
 }
 
+std::size_t request_forwarder::sent_attempts() const {
+  return attempts_ - std::min(unsent_attempts_, max_unsent_attempts);
+}
+
 bool request_forwarder::has_attempts_left() const {
-  return attempts_ < route_->attempts && remaining_time() >= min_remaining_time;
+  return sent_attempts() < route_->attempts && remaining_time() >= min_remaining_time;
 }
 
 /// Sends the request to a further target if all open attempts are silent. No attempt is closed,
@@ -287,6 +294,8 @@
       target_failure_ = each.attempt->response();
       target_failure_body_ = each.attempt->take_body();
     }
+    if (!each.attempt->was_sent())
+      ++unsent_attempts_;
     if (last_result_ == attempt_result::not_run)
       report_trial(trial_step::not_sent);
     else
@@ -398,7 +407,7 @@
     return give_up("the request may not run again");
   if (banned_cause())
     return give_up("it or a part of its prompt crashes targets");
-  if (attempts_ >= route_->attempts)
+  if (sent_attempts() >= route_->attempts)
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
     return give_up("the time limit has passed");
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -148,8 +148,10 @@
 }
 
 support::task<attempt_result> target_attempt::exchange_messages() {
-  if (closed_)
+  if (closed_) {
+    was_sent_ = false;
     co_return attempt_result::not_run;
+  }
   std::optional<stall_detector::stream> monitored;
   if (is_stream() && shared_->chosen->repeatable())
     monitored.emplace(env_.stalls, target_.id, [this] {
@@ -176,6 +178,7 @@
   } catch (const net::transport_error& error) {
     const bool sent = error.progress() == net::request_progress::may_have_been_read;
     result = sent ? attempt_result::unknown : attempt_result::not_run;
+    was_sent_ = sent;
     if (withheld_) {
       failure_ += " (not sent: it accepts no requests)";
     } else {
--- a/unittests/fakes/gateway_fixture.cpp
+++ b/unittests/fakes/gateway_fixture.cpp
@@ -7,14 +7,14 @@
 static constexpr const char* request_id = "r1";
 
 static gateway::route make_route(const char* prefix, gateway::request_kind kind, bool resumable,
-                                 std::chrono::milliseconds timeout) {
+                                 std::chrono::milliseconds timeout, std::size_t attempts = 2) {
   gateway::route result;
   result.name = prefix;
   result.host = "example";
   result.path_prefix = prefix;
   result.kind = kind;
   result.resumable = resumable;
-  result.attempts = 2;
+  result.attempts = attempts;
   result.timeout = timeout;
   result.objective = 300ms;
   result.pause_objective = 200ms;
@@ -34,6 +34,8 @@
   first->add_route(make_route("/once/", gateway::request_kind::non_idempotent, false, timeout));
   first->add_route(make_route("/stream/", gateway::request_kind::stream, true, timeout));
   first->add_route(make_route("/cut/", gateway::request_kind::stream, false, timeout));
+  first->add_route(
+      make_route("/single/", gateway::request_kind::non_idempotent, false, timeout, 1));
   config.update_if_newer(first);
   registry.add_listener([this] { queue.assign_free_slots(); });
 }
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -18,7 +18,7 @@
 inline constexpr std::chrono::milliseconds evacuation_time_limit{5000};
 
 /// One gateway with scripted targets, in virtual time. The routes `/plain/`,
-/// `/once/`, `/stream/` and `/cut/` lead to the service `shop`.
+/// `/once/`, `/stream/`, `/cut/` and, with one attempt, `/single/` lead to the service `shop`.
 struct gateway_fixture {
   /// `timeout` is the time limit of all routes.
   explicit gateway_fixture(std::chrono::milliseconds timeout = std::chrono::seconds(4));
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -121,6 +121,52 @@
   BOOST_TEST(world.client.received.size() == each.non_repeatable_attempts);
 }
 
+namespace {
+
+struct unreached_targets {
+  /// Targets that are tried first and refuse connections.
+  std::size_t count;
+  int status;
+};
+
+std::ostream& operator<<(std::ostream& out, const unreached_targets& each) {
+  return out << each.count << " targets refuse connections";
+}
+
+const unreached_targets unreached[] = {{1, 200}, {2, 200}, {3, 200}, {4, 503}, {10, 503}};
+
+} // namespace
+
+// The route allows one attempt. A target that was not reached has not been sent the request.
+BOOST_DATA_TEST_CASE(refused_connections_use_up_no_attempt, data::make(unreached), each) {
+  gateway_fixture world;
+  for (std::size_t i = 0; i < each.count; ++i) {
+    const std::string id = "gone" + std::to_string(i);
+    world.add_target(id);
+    world.answer(id, script_of(target_behaviour::not_connected));
+  }
+  recording_writer writer;
+  world.begin("/single/x", writer);
+  world.add_target("sound");
+  world.answer("sound", complete_answer());
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == each.status);
+  BOOST_TEST(world.client.received.size() == (each.status == 200 ? 1 : 0));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_a_target_has_refused_has_used_its_attempt) {
+  gateway_fixture world;
+  world.add_target("one");
+  world.answer("one", refusal());
+  recording_writer writer;
+  world.begin("/single/x", writer);
+  world.add_target("two");
+  world.answer("two", complete_answer());
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 503);
+  BOOST_TEST(world.client.received.size() == 1);
+}
+
 // A 503 with Retry-After promises the caller that the request was not executed.
 BOOST_AUTO_TEST_CASE(refusal_by_all_targets_yields_503_with_retry_after) {
   gateway_fixture world;
