Record the response to a claimed request before it is sent

Seen: 409 `key-in-use` in place of the recorded answer when a caller repeats a request with the same key as soon as it has its answer (test-requests/same_key_gets_the_recorded_ answer_as_soon_as_the_first_caller_has_it, three of three; the process test once). Cause: `run_claimed` sent the response and recorded it afterwards. Change: the forwarder keeps the response, the service settles the claim (records or releases it), then sends. A response waits for a slow store for 500 ms at most; recording goes on beside it.

--- a/include/camphorlug/requests/request_service.h
+++ b/include/camphorlug/requests/request_service.h
@@ -41,6 +41,8 @@
                                      net::response_writer& writer);
   support::task<request_outcome> run_claimed(call& current, service_state& state,
                                              net::response_writer& writer);
+  /// Records the outcome of a request with a claimed key.
+  support::task<> settle_claim(claim held, request_outcome outcome, recorded_response response);
   support::task<request_outcome> relay(call& current, service_state& state,
                                        net::response_writer& writer);
 
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -34,7 +34,7 @@
   return service_state_.retries.try_consume();
 }
 
-support::task<request_outcome> forwarder::run(net::response_writer& writer) {
+support::task<request_outcome> forwarder::run() {
   for (;;) {
     const auto target = service_state_.router.pick(call_.affinity, call_.tried);
     if (!target)
@@ -45,7 +45,7 @@
     std::exception_ptr failure;
     attempt_result result = attempt_result::retry;
     try {
-      result = co_await attempt(*target, environment_.random.identifier(), writer);
+      result = co_await attempt(*target, environment_.random.identifier());
     } catch (...) {
       failure = std::current_exception();
     }
@@ -59,15 +59,14 @@
   }
   if (server_error_) {
     // No further attempt gave a better response than the target's own.
-    send_response(std::move(*server_error_), writer);
+    response_ = std::move(server_error_);
     co_return request_outcome::answered;
   }
-  const request_outcome outcome =
-      call_.may_have_run ? request_outcome::unknown : request_outcome::not_run;
-  const std::chrono::seconds retry_after(call_.may_have_run && !call_.idempotent ? 0 : 1);
-  send_outcome(writer, call_.may_have_run ? 502 : 503, outcome, "no-answer",
-               "no target gave a whole answer", retry_after);
-  co_return outcome;
+  co_return outcome_without_response();
+}
+
+request_outcome forwarder::outcome_without_response() const {
+  return call_.may_have_run ? request_outcome::unknown : request_outcome::not_run;
 }
 
 support::task<net::client_response> forwarder::exchange(groups::routable_target target,
@@ -110,8 +109,7 @@
 }
 
 support::task<forwarder::attempt_result> forwarder::attempt(groups::routable_target target,
-                                                            std::string attempt_id,
-                                                            net::response_writer& writer) {
+                                                            std::string attempt_id) {
   const auto began = environment_.time.now();
   net::client_response response;
   try {
@@ -146,18 +144,29 @@
     server_error_ = std::move(response);
     co_return attempt_result::retry;
   }
-  send_response(std::move(response), writer);
+  response_ = std::move(response);
   co_return attempt_result::answered;
 }
 
-void forwarder::send_response(net::client_response response, net::response_writer& writer) {
+void forwarder::send_response(net::response_writer& writer) {
+  if (!response_) {
+    const std::chrono::seconds retry_after(call_.may_have_run && !call_.idempotent ? 0 : 1);
+    send_outcome(writer, call_.may_have_run ? 502 : 503, outcome_without_response(), "no-answer",
+                 "no target gave a whole answer", retry_after);
+    return;
+  }
   net::header_list headers;
-  for (const net::header& each : response.headers) {
+  for (const net::header& each : response_->headers) {
     if (!is_stripped_header(each.name))
       headers.add(each.name, each.value);
   }
-  response_ = {response.status, response.headers.find("Content-Type").value_or(""), response.body};
-  writer.send(response.status, std::move(headers), std::move(response.body));
+  writer.send(response_->status, std::move(headers), std::move(response_->body));
+}
+
+recorded_response forwarder::response() const {
+  if (!response_)
+    return {};
+  return {response_->status, response_->headers.find("Content-Type").value_or(""), response_->body};
 }
 
 } // namespace camphorlug::requests
--- a/lib/requests/request_service.cpp
+++ b/lib/requests/request_service.cpp
@@ -8,12 +8,17 @@
 #include "camphorlug/requests/stream_relay.h"
 #include "camphorlug/support/digest.h"
 #include "camphorlug/support/log.h"
+#include "camphorlug/support/notification.h"
+
+#include <memory>
 
 namespace camphorlug::requests {
 
 /// Interval at which waiting requests are dispatched even if no request finishes.
 static constexpr std::chrono::milliseconds dispatch_interval{50};
 static constexpr std::chrono::seconds short_retry_delay{1};
+/// A response waits at most this long for its record in the store.
+static constexpr std::chrono::milliseconds max_settling_wait{500};
 
 request_service::request_service(request_environment environment,
                                  const documents::document_view& documents,
@@ -117,7 +122,9 @@
   if (current.relayed)
     co_return co_await relay(current, state, writer);
   forwarder forward(environment_, state, current);
-  co_return co_await forward.run(writer);
+  const request_outcome outcome = co_await forward.run();
+  forward.send_response(writer);
+  co_return outcome;
 }
 
 support::task<request_outcome> request_service::relay(call& current, service_state& state,
@@ -165,6 +172,27 @@
   return request_outcome::unknown;
 }
 
+static support::task<> settle(claim_store& claims, claim held, request_outcome outcome,
+                              recorded_response response,
+                              std::shared_ptr<support::notification> settled) {
+  if (outcome == request_outcome::not_run)
+    co_await claims.release(std::move(held));
+  else
+    co_await claims.record_response(std::move(held), std::move(response));
+  settled->notify();
+}
+
+/// The caller may repeat the request as soon as it has its response, so the claim is settled
+/// before. A slow store delays the response only for a limited time.
+support::task<> request_service::settle_claim(claim held, request_outcome outcome,
+                                              recorded_response response) {
+  const auto settled = std::make_shared<support::notification>(environment_.time);
+  support::spawn(
+      environment_.executor, "settle_claim",
+      settle(environment_.claims, std::move(held), outcome, std::move(response), settled));
+  co_await settled->wait_for(max_settling_wait);
+}
+
 support::task<request_outcome> request_service::run_claimed(call& current, service_state& state,
                                                             net::response_writer& writer) {
   const claim wanted{current.labels.organisation, current.labels.service, current.idempotency_key,
@@ -181,11 +209,9 @@
   }
   // Forwarded as a whole rather than relayed, so that its response can be recorded.
   forwarder forward(environment_, state, current);
-  const request_outcome outcome = co_await forward.run(writer);
-  if (outcome == request_outcome::not_run)
-    co_await environment_.claims.release(wanted);
-  else
-    co_await environment_.claims.record_response(wanted, forward.response());
+  const request_outcome outcome = co_await forward.run();
+  co_await settle_claim(wanted, outcome, forward.response());
+  forward.send_response(writer);
   co_return outcome;
 }
 
--- a/unittests/requests/at_most_once_test.cpp
+++ b/unittests/requests/at_most_once_test.cpp
@@ -143,6 +143,49 @@
   BOOST_TEST(fixture.executions() == 1);
 }
 
+namespace {
+
+struct store_trouble {
+  const char* name;
+  /// Changes the store when the target has run the request.
+  void (*begin)(fakes::shared_table&);
+};
+
+std::ostream& operator<<(std::ostream& out, const store_trouble& each) {
+  return out << each.name;
+}
+
+const store_trouble store_troubles[] = {
+    {"the store is down", [](fakes::shared_table& table) { table.down = true; }},
+    {"the store is slow", [](fakes::shared_table& table) { table.delay = 1500ms; }},
+    {"the store does not answer", [](fakes::shared_table& table) { table.delay = 1min; }},
+};
+
+constexpr auto max_wait_for_store = 600ms;
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(response_waits_for_the_store_for_a_limited_time, data::make(store_troubles),
+                     each) {
+  plain_service_fixture fixture;
+  fakes::recording_writer first;
+  fixture.begin_call(0, fixture.keyed_order("k1"), first);
+  BOOST_REQUIRE(fixture.run_until([&] { return fixture.executions() == 1; }, 5s));
+  each.begin(fixture.table);
+  fixture.run_for(max_wait_for_store);
+  BOOST_TEST(first.status == 200);
+  fixture.run_for(10s);
+  fixture.table.down = false;
+  fixture.table.delay = 2ms;
+  fixture.run_for(10s);
+  // The key stays claimed, whether its outcome is recorded or not.
+  const auto second = fixture.call(1, fixture.keyed_order("k1"));
+  BOOST_TEST(second->status != 503);
+  BOOST_TEST(fixture.executions() == 1);
+  if (second->status == 200)
+    BOOST_TEST(second->body == first.body);
+}
+
 BOOST_AUTO_TEST_CASE(same_key_with_other_content_is_refused) {
   plain_service_fixture fixture;
   fixture.call(0, fixture.keyed_order("k1"));
