--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -131,6 +131,8 @@
   std::vector<std::string> trail_;
   /// When the scheduler expects to have a slot, if it refused the last wait.
   std::optional<std::chrono::nanoseconds> scheduled_retry_after_;
+  /// Time that the request has waited for slots.
+  std::chrono::nanoseconds slot_wait_{0};
   /// Whether other equal requests wait for what becomes of this one.
   bool is_trial_ = false;
   /// When the target of the trial began to answer.
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -112,7 +112,9 @@
     finish_failed_request(last_result_);
     co_return false;
   }
+  const auto asked_at = env_.time.now();
   slot_queue::slot_result waited = co_await wait_for_permitted_slot();
+  slot_wait_ += env_.time.now() - asked_at;
   scheduled_retry_after_ = waited.retry_after;
   if (caller_gone_)
     co_return true;
@@ -516,6 +518,7 @@
                       {"reason", outcome == "answered" ? "" : give_up_reason_},
                       {"config", std::to_string(env_.config.current()->version)},
                       {"entries", std::to_string(env_.registry.newest_version())},
+                      {"wait_ms", std::to_string(slot_wait_ / milliseconds(1))},
                       {"first_ms", std::to_string(first_byte / milliseconds(1))},
                       {"total_ms", std::to_string((now - arrived_at_) / milliseconds(1))}});
 }
