Read the store soon after a restart, and know the bans before serving

Seen: after all nodes lost power, callers that come back after 500 ms find no configuration (test-edge/callers_are_served_at_their_first_return_*, 6, 26, 71 nodes).

Cause, from a trace of node_that_starts_knows_a_banned_part_before_it_serves/_2: the new processes got last messages of the ended ones (ready, with the digest of the crash evidence), fetched the evidence from the same addresses, got the empty list of the new processes there, and took this for what a ready node knows. Without the early read the nodes were ready so late that the store's rows came first. Class: a message is held for a statement of the process that answers now.

Change: what is fetched counts only if it has the digest that was told; otherwise it is fetched again at the next message.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -110,6 +110,9 @@
   void update_schedulers();
   void detect_first_traffic();
   support::task<> register_self();
+  /// Reads the bans, the configuration and the targets from the store itself if no peer has a
+  /// configuration soon after a restart.
+  support::task<> read_store_after_restart();
   support::task<> run_housekeeping();
   /// Nodes that may relay requests to targets for this node.
   std::vector<gateway::relay_node> relays();
@@ -148,6 +151,8 @@
   gateway::shutdown_phase phase_ = gateway::shutdown_phase::none;
   support::clock::time_point exits_at_;
   bool fetching_config_ = false;
+  /// Whether a peer has said that it has a configuration.
+  bool peer_has_config_ = false;
   bool fetching_target_rows_ = false;
   /// Whether this node reads the tables of the store itself; otherwise peers relay them.
   store_reader_duty reading_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -21,6 +21,8 @@
   std::string peer_address;
   /// Processor share of the instance in cores.
   double cores = 1;
+  /// Whether all nodes start for the first time, so that nobody waits for this node yet.
+  bool is_first_start = true;
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
   gateway::retry_limits retries;
--- a/lib/edge/crash_evidence_keeper.cpp
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -61,8 +61,13 @@
     const net::client_response response =
         co_await context_.client.fetch(std::move(request), fetch_timeout);
     context_.causes.merge_json(response.body);
-    fetched_[peer] = digest;
-    knows_bans_ = knows_bans_ || serves;
+    gateway::crash_evidence fetched;
+    fetched.merge_json(response.body, context_.time.now());
+    // Another process may answer at the peer's address, which knows less than the one before.
+    if (fetched.digest() == digest) {
+      fetched_[peer] = digest;
+      knows_bans_ = knows_bans_ || serves;
+    }
   } catch (const net::transport_error& error) {
     failure = error.what();
   } catch (const nlohmann::json::exception& error) {
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -26,6 +26,11 @@
 /// Demand is ignored for this long after the first request: short requests finish first, so
 /// the first measured slot holding times are too short.
 static constexpr std::chrono::milliseconds demand_settling_time{8000};
+/// A restarted node hears of a live peer within this time.
+static constexpr std::chrono::milliseconds read_delay_after_restart{100};
+static constexpr std::chrono::milliseconds long_read_delay_after_restart{350};
+/// Nodes with at least this processor share are the first to read the store after a restart.
+static constexpr double min_cores_of_relays = 0.25;
 static constexpr std::chrono::milliseconds config_reread_interval{2000};
 static constexpr std::chrono::milliseconds targets_reread_interval{4000};
 static constexpr std::chrono::milliseconds own_rows_reread_interval{5000};
@@ -137,6 +142,8 @@
   support::spawn(executor, "learn_evacuations", learn_evacuations());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", exchange_.run());
+  if (!settings_.is_first_start)
+    support::spawn(executor, "read_store_after_restart", read_store_after_restart());
   support::spawn(executor, "lease", replica_controller_.keep_lease());
   support::spawn(executor, "replicas", replica_controller_.run());
   support::spawn(executor, "store_bans", crash_keeper_.store_bans());
@@ -267,6 +274,24 @@
   support::log_event(support::log_level::warning, event, {{"peer", peer}, {"error", error}});
 }
 
+/// After a failure of all nodes, callers wait while the nodes find each other and agree on who
+/// reads the store. Nodes with little processor time wait longer, since the others relay what they
+/// read, and many nodes at once would be a burden for the store.
+support::task<> edge_node::read_store_after_restart() {
+  const bool relays = settings_.cores >= min_cores_of_relays;
+  const auto delay = relays ? read_delay_after_restart : long_read_delay_after_restart;
+  const auto jittered = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      delay * (1 + 0.5 * context_.random.uniform_real()));
+  co_await context_.time.sleep_for(jittered);
+  if (peer_has_config_ || (config_.current() && registry_.was_read()))
+    co_return;
+  support::log_event(support::log_level::info, "store_read_after_restart");
+  // The bans come first: a node with a configuration takes requests.
+  co_await own_follower_.read_now();
+  co_await config_follower_.read_now();
+  co_await target_follower_.read_now();
+}
+
 /// Returns the body of a peer's response, or nullopt if the request fails or the status is not
 /// 200. A transport failure is logged as `event`.
 support::task<std::optional<std::string>>
@@ -356,6 +381,7 @@
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
   limits_.merge(message.summary.limits);
+  peer_has_config_ = peer_has_config_ || message.config_version > 0;
   if (message.evacuations)
     evacuations_.merge(*message.evacuations);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -239,6 +239,7 @@
   settings.public_address = "public-" + edge->peer_address;
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
+  settings.is_first_start = retired.empty();
   settings.evacuation_time_limit = evacuation_time_limit;
   edge->node = std::make_unique<edge::edge_node>(
       edge::edge_context{context.get_executor(),
