Scheduler: count what cold targets may start, and refuse at once what will be late

Cause: the expected wait counted the slots of cold targets as if they were warm, and requests that would be late only counted those that were late already. Beside a place that had come back cold, requests waited for slots that they could not get. Change: drain_rate counts cold targets by their starts; a request that will be late counts those before it that will be late too.

--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -132,7 +132,7 @@
   /// The part of it that the requests in time leave to the others.
   double spare_rate() const;
   std::chrono::nanoseconds expected_wait(const slot_ask& ask) const;
-  std::chrono::nanoseconds expected_wait_of_overdue() const;
+  std::chrono::nanoseconds expected_wait_of_overdue(const slot_ask& ask) const;
   /// Whether the ask gets a slot while that is of use.
   bool can_be_served(const slot_ask& ask) const;
   decision refuse(const slot_ask& ask);
@@ -149,6 +149,11 @@
   std::set<target_state*, by_load> free_targets_;
   std::size_t slots_ = 0;
   std::size_t usable_targets_ = 0;
+  /// The slots and targets that take as many requests as they have room for, and the starts a
+  /// second of those that are cold.
+  std::size_t warm_slots_ = 0;
+  std::size_t warm_targets_ = 0;
+  double cold_starts_per_second_ = 0;
   std::map<std::string, node_state> nodes_;
   /// By number, in the order of arrival.
   std::map<std::uint64_t, waiting_ask> waiting_;
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -36,6 +36,8 @@
 static constexpr double hold_smoothing_factor = 0.03;
 /// Cold targets get at most this many requests at once.
 static constexpr double cold_burst = gateway::cold_targets::scheduler_burst;
+/// Requests a second that are expected to leave at least, so that a wait has an end.
+static constexpr double min_drain_rate = 0.1;
 /// Overdue asks end their wait when it is expected to take longer than this.
 static constexpr milliseconds max_overdue_wait{1000};
 static constexpr duration<double> arrival_time_constant{1.0};
@@ -64,11 +66,20 @@
   }
   std::erase_if(targets_,
                 [](const auto& each) { return !each.second.usable && each.second.in_flight == 0; });
-  slots_ = usable_targets_ = 0;
+  slots_ = usable_targets_ = warm_slots_ = warm_targets_ = 0;
+  cold_starts_per_second_ = 0;
   for (auto& [id, each] : targets_) {
     list_if_free(each);
-    slots_ += each.usable ? each.info.target.slots : 0;
-    usable_targets_ += each.usable ? 1 : 0;
+    if (!each.usable)
+      continue;
+    slots_ += each.info.target.slots;
+    ++usable_targets_;
+    if (const std::optional<double> rate = each.info.max_starts_per_second) {
+      cold_starts_per_second_ += *rate * cold_fraction;
+    } else {
+      warm_slots_ += each.info.target.slots;
+      ++warm_targets_;
+    }
   }
   assign();
 }
@@ -174,13 +185,20 @@
 }
 
 double pool_scheduler::drain_rate() const {
-  const double by_slots =
+  const double all_by_slots =
       static_cast<double>(std::max<std::size_t>(slots(), 1)) / mean_hold_.count();
+  // A target that is no longer quite cold may be given more than it has slots for.
+  const double cold = std::min(cold_starts_per_second_, all_by_slots);
+  const bool is_all_cold = warm_targets_ == 0 && usable_targets_ > 0;
+  const double warm_by_slots =
+      static_cast<double>(std::max<std::size_t>(warm_slots_, is_all_cold ? 0 : 1)) /
+      mean_hold_.count();
   if (tokens_per_second_ <= 0 || mean_prompt_tokens_ <= 0)
-    return by_slots;
-  const double by_reading = static_cast<double>(std::max<std::size_t>(usable_targets_, 1)) *
-                            tokens_per_second_ / mean_prompt_tokens_;
-  return std::min(by_slots, by_reading);
+    return std::max(warm_by_slots + cold, min_drain_rate);
+  const double warm_by_reading =
+      static_cast<double>(std::max<std::size_t>(warm_targets_, is_all_cold ? 0 : 1)) *
+      tokens_per_second_ / mean_prompt_tokens_;
+  return std::max(std::min(warm_by_slots, warm_by_reading) + cold, min_drain_rate);
 }
 
 bool pool_scheduler::has_room(const target_state& each) const {
@@ -211,19 +229,23 @@
       duration<double>(static_cast<double>(ahead + 1) / drain_rate()));
 }
 
-nanoseconds pool_scheduler::expected_wait_of_overdue() const {
-  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [this](const auto& each) {
-    return is_overdue(each.second.ask);
-  });
-  return duration_cast<nanoseconds>(
-      duration<double>(static_cast<double>(ahead + 1) / spare_rate()));
+/// Estimates the wait of a new ask that will be overdue, behind those that are or will be too.
+nanoseconds pool_scheduler::expected_wait_of_overdue(const slot_ask& ask) const {
+  const auto overdue = static_cast<double>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [this](const auto& each) { return is_overdue(each.second.ask); }));
+  const duration<double> left_in_time = ask.in_time_until - time_.now();
+  const double served_in_time = drain_rate() * std::max(left_in_time.count(), 0.0);
+  const double in_time = static_cast<double>(waiting_.size()) - overdue;
+  const double ahead = overdue + std::max(in_time - served_in_time, 0.0);
+  return duration_cast<nanoseconds>(duration<double>((ahead + 1) / spare_rate()));
 }
 
 bool pool_scheduler::can_be_served(const slot_ask& ask) const {
   const auto now = time_.now();
   if (!is_overdue(ask) && now + expected_wait(ask) <= ask.in_time_until)
     return true;
-  return now + expected_wait_of_overdue() <= ask.latest_start;
+  return now + expected_wait_of_overdue(ask) <= ask.latest_start;
 }
 
 /// Refuses an ask. The callers of refused requests return one after the other, at the rate that
