A change soon after a failure or gap of the feed does not count as new

Cause: after a failure or a lost history the store may first answer with what it held some seconds ago. The next answer then counted as direct, an evacuation in it as announced just now, and the data centre was closed 3 s after that: too late. Change: follows_directly holds only 4 s after the last failure or gap; before that an evacuation closes the data centre at once, as it does directly after a failure.

--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -18,6 +18,10 @@
 /// store_version.h) the whole table is read again.
 class table_follower {
 public:
+  /// After a failure or a gap the store may report changes this late, and answer with what it held
+  /// some seconds ago meanwhile.
+  static constexpr std::chrono::milliseconds settling_time{4000};
+
   /// Receives each batch. If `is_snapshot`, rows that are absent from the batch did not
   /// exist at its version.
   using listener = std::function<void(const feed_batch& batch, bool is_snapshot)>;
@@ -47,9 +51,11 @@
   /// the first failure, before the store is reported lost.
   bool is_store_reachable() const { return failures_ == 0; }
 
-  /// Whether the call before the one whose batch is being applied succeeded too. Otherwise its
-  /// changes may be old.
-  bool follows_directly() const { return follows_directly_; }
+  /// Whether changes have come without a failure or a gap for `settling_time`. Otherwise those in
+  /// the batch that is being applied may be old.
+  bool follows_directly() const {
+    return disturbed_at_ && time_.now() - *disturbed_at_ >= settling_time;
+  }
 
   /// When the store last responded, or nullopt if it never did.
   std::optional<support::clock::time_point> answered_at() const { return answered_at_; }
@@ -83,7 +89,8 @@
   bool needs_snapshot_ = true;
   bool expects_reconnection_ = false;
   int failures_ = 0;
-  bool follows_directly_ = false;
+  /// The last failure or gap; the first answer if there was none.
+  std::optional<support::clock::time_point> disturbed_at_;
 };
 
 } // namespace camphorlug::table
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -36,12 +36,14 @@
     if (on_reconnected_)
       on_reconnected_();
   }
-  follows_directly_ = failures_ == 0 && answered_at_.has_value();
+  if (!disturbed_at_)
+    disturbed_at_ = time_.now();
   failures_ = 0;
   answered_at_ = time_.now();
 }
 
 void table_follower::record_failure(const std::string& reason) {
+  disturbed_at_ = time_.now();
   if (++failures_ == lost_after_failures)
     support::log_event(support::log_level::warning, "store_lost",
                        {{"table", table_}, {"error", reason}});
@@ -71,6 +73,7 @@
   for (;;) {
     if (!may_read_()) {
       needs_snapshot_ = true;
+      disturbed_at_ = time_.now();
       co_await time_.sleep_for(gate_check_interval);
       continue;
     }
@@ -87,6 +90,8 @@
         polled_since_.reset();
         record_success();
         needs_snapshot_ = batch.history_truncated;
+        if (batch.history_truncated)
+          disturbed_at_ = time_.now();
         // A snapshot of a later era may have been read meanwhile.
         const bool is_outdated = era_of(batch.version) < era_of(version_);
         if (!batch.history_truncated && !is_outdated && batch.version >= since) {
--- a/unittests/table/table_follower_test.cpp
+++ b/unittests/table/table_follower_test.cpp
@@ -5,6 +5,8 @@
 #include "camphorlug/table/store_version.h"
 
 #include <asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -98,6 +100,7 @@
     if (is_snapshot)
       applied_versions.clear();
     for (const table::feed_row& row : batch.rows) {
+      counted_as_new[row.key] = !is_snapshot && follower.follows_directly();
       if (row.deleted)
         applied_versions.erase(row.key);
       else
@@ -110,6 +113,8 @@
   support::random_source random{1};
   fault_injecting_feed feed{clock};
   std::map<std::string, std::uint64_t> applied_versions;
+  /// Whether each row was known to be new when it came.
+  std::map<std::string, bool> counted_as_new;
   table::table_follower follower{
       clock,   random, feed,
       "table", 2s,     [this](const table::feed_batch& batch, bool full) { apply(batch, full); }};
@@ -204,3 +209,51 @@
   clock.run_for(3s);
   BOOST_TEST(!applied_versions.contains("a"));
 }
+
+namespace {
+
+struct disturbance {
+  const char* name;
+  /// Happens while the row is written, of which the feed says nothing before it is over.
+  void (*begin)(fault_injecting_feed&);
+  void (*end)(fault_injecting_feed&);
+};
+
+std::ostream& operator<<(std::ostream& out, const disturbance& each) {
+  return out << each.name;
+}
+
+const std::vector<disturbance> disturbances = {
+    {"a failure", [](fault_injecting_feed& feed) { feed.is_down = true; },
+     [](fault_injecting_feed& feed) { feed.is_down = false; }},
+    {"history lost",
+     [](fault_injecting_feed& feed) { feed.oldest_kept_version = feed.version + 1; },
+     [](fault_injecting_feed& feed) { feed.oldest_kept_version = 0; }},
+};
+
+} // namespace
+
+// The first answers after a failure or a gap may be those of some seconds ago, so that what comes
+// directly after them may still be old.
+BOOST_DATA_TEST_CASE_F(follower_fixture, change_after_a_disturbance_is_not_known_to_be_new,
+                       boost::unit_test::data::make(disturbances), each) {
+  clock.run_for(10s);
+  feed.put("before");
+  clock.run_for(1s);
+  BOOST_TEST(counted_as_new["before"]);
+  each.begin(feed);
+  clock.run_for(1s);
+  feed.serve_stale_snapshot = true;
+  feed.suppress_changes = true;
+  feed.put("late");
+  each.end(feed);
+  clock.run_for(2s);
+  feed.suppress_changes = false;
+  clock.run_for(1s);
+  BOOST_REQUIRE(applied_versions.contains("late"));
+  BOOST_TEST(!counted_as_new["late"]);
+  clock.run_for(10s);
+  feed.put("after");
+  clock.run_for(1s);
+  BOOST_TEST(counted_as_new["after"]);
+}
