Cold targets: one bound for all pieces of a cut fleet, and what targets say of themselves

Change: fleet messages name how many nodes the sender knows and since when; a scheduler uses its part in proportion to the nodes that it hears of, the least of the last 6 s, and at most 0.2 in the 6 s after its start.

--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/edge/state_path.h"
 #include "camphorlug/gateway/active_config.h"
+#include "camphorlug/gateway/cold_targets.h"
 #include "camphorlug/gateway/crash_evidence.h"
 #include "camphorlug/gateway/fleet_view.h"
 #include "camphorlug/gateway/group_directory.h"
@@ -34,6 +35,7 @@
   const gateway::suspicion_list& suspicions;
   const gateway::crash_evidence& crashes;
   const gateway::evacuation_list& evacuations;
+  const gateway::cold_targets& cold_targets;
   const gateway::path_monitor& paths;
   const gateway::retry_limiter& retries;
   const groups::lease& lease;
@@ -44,8 +46,9 @@
   std::optional<support::clock::time_point> store_answered_at;
 };
 
-/// Returns the node's active configuration, groups, targets, peers, banned prompt parts, retry
-/// budgets, lease and number of waiting requests as JSON, with the age of the data in milliseconds.
+/// Returns the node's active configuration, groups, targets, peers, evacuations, cold
+/// targets, banned prompt parts, retry budgets, lease and number of waiting requests as JSON, with
+/// the age of the data in milliseconds.
 nlohmann::ordered_json make_state_report(const state_report_input& state);
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/gateway/cold_targets.h
+++ b/include/camphorlug/gateway/cold_targets.h
@@ -2,10 +2,12 @@
 
 #include "camphorlug/gateway/cold_bound.h"
 #include "camphorlug/gateway/cold_state.h"
+#include "camphorlug/gateway/fleet_size.h"
 #include "camphorlug/support/clock.h"
 
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,9 +33,9 @@
   static constexpr double scheduler_burst = 2;
   /// Part of the bound of each of two schedulers.
   static constexpr double scheduler_share = 0.4;
-  /// A scheduler that hears of less than half of the nodes, or has not long heard of more, uses
-  /// this part of its rate, since there may be one in each part of a fleet that is cut in pieces.
-  static constexpr double minority_fraction = 1.0 / 3;
+  /// A scheduler that has just started uses at most this part of its rate: its peers may not have
+  /// told it yet how many nodes there are.
+  static constexpr double starting_fraction = 0.2;
   /// Requests of one node within this time arrive within one second at the earliest. It is above a
   /// second because some take longer on the way than others.
   static constexpr std::chrono::milliseconds counted_time{1250};
@@ -61,6 +63,11 @@
   /// any. Call it several times a second.
   void update(const std::vector<std::string>& others, const std::string& self, bool expects_others);
 
+  /// Applies how many nodes a peer knows.
+  void learn_size(const fleet_size& reported);
+  /// How many nodes this node knows, to be sent to peers.
+  fleet_size size() const;
+
   /// Whether what the target gets is bounded now: it is cold or was so until just now.
   bool is_bounded(const cold_state& state) const {
     return state.requests_per_second > 0 && time_.now() < state.until + ramp_time;
@@ -75,13 +82,16 @@
   void count(const std::string& target, const cold_state& state);
 
   /// Nodes that this node takes into account, itself included.
-  std::size_t known_nodes() const { return heard_at_.size() + 1; }
+  std::size_t known_nodes() const { return size().nodes; }
+  /// Part of them that this node hears of, the least within `settling_time`.
+  double heard_fraction() const;
 
 private:
   double total(const cold_state& state) const {
     return state.requests_per_second * bound_.over + bound_.slack;
   }
   double full_scheduler_rate(const cold_state& state) const;
+  void record_heard_fraction(double fraction);
   /// How far the ramp has come: 1 while the target is cold, `ramp_end` at the end.
   double ramp_factor(const cold_state& state) const;
   /// Requests that this node may send the target within `counted_time`.
@@ -95,6 +105,15 @@
   support::clock::time_point created_at_;
   /// All other nodes that count, with the time at which each was last heard of.
   std::map<std::string, support::clock::time_point> heard_at_;
+  /// The most nodes that peers know, as of `learned_at_`.
+  std::size_t learned_nodes_ = 0;
+  support::clock::time_point learned_at_;
+  struct heard_part {
+    support::clock::time_point at;
+    double fraction = 0;
+  };
+  /// The parts of the fleet that were heard of, without those that a later one undercuts.
+  std::deque<heard_part> heard_parts_;
   bool hears_none_ = true;
   bool expects_others_ = true;
   bool is_minority_ = true;
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -47,6 +47,8 @@
     std::uint64_t store_era = 0;
     std::uint64_t crash_digest = 0;
     std::optional<reported_evacuations> evacuations;
+    std::optional<fleet_size> nodes;
+    cold_notices cold;
   };
 
   fleet_exchange(asio::any_io_executor executor, support::clock& time,
--- a/include/camphorlug/gateway/fleet_message.h
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "camphorlug/gateway/cold_notice.h"
 #include "camphorlug/gateway/evacuation_list.h"
+#include "camphorlug/gateway/fleet_size.h"
 #include "camphorlug/gateway/fleet_summary.h"
 #include "camphorlug/gateway/node_status.h"
 
@@ -51,6 +53,10 @@
   /// What the sender knows of evacuations; nothing if it knows of no read of their rows, as in
   /// each message of an older build.
   std::optional<reported_evacuations> evacuations;
+  /// How many nodes the sender knows; nothing from an older build.
+  std::optional<fleet_size> nodes;
+  /// Targets that said in a response that they are cold, as far as their rows do not say so.
+  cold_notices cold;
   /// Of the sender alone (request of an attached node), of all nodes but the receiver (response
   /// to it), or of the sender's section (between hubs).
   fleet_summary summary;
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -16,6 +16,7 @@
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
   std::size_t evacuated_data_centres = 0;
+  std::size_t cold_targets = 0;
   bool leads = false;
 };
 
@@ -36,6 +37,9 @@
   void count_silence(const std::string& outcome);
   /// Counts a new notice of a target. `notice` must be one of a few fixed values.
   void count_notice(const std::string& notice);
+  /// Counts a request that got no slot, or got one late, while a cold target had a free one.
+  /// `outcome` must be one of a few fixed values.
+  void count_cold_wait(const std::string& outcome);
 
   /// Returns all metrics in the text format.
   std::string serialize(const gateway_gauges& gauges);
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -69,6 +69,7 @@
   /// Reports the trial when its stream has gone on for long enough.
   void check_trial();
   /// The wait that a refusal reports.
+  void count_cold_wait(bool has_slot, std::chrono::nanoseconds waited);
   std::chrono::nanoseconds wait_after_refusal();
   support::clock::time_point slot_deadline();
   bool may_retry(attempt_result last);
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -69,10 +69,15 @@
   bool has_alternative(const target_pool& pool, const std::set<std::string>& avoided) {
     return chooser_.has_unsuspected_slot(pool, avoided);
   }
-  /// See target_chooser::paused_until.
+  /// See target_chooser::paused_until. What a scheduler may assign does not pause.
   std::optional<support::clock::time_point> paused_until(const target_pool& pool,
                                                          const std::set<std::string>& avoided) {
-    return chooser_.paused_until(pool, avoided);
+    return is_scheduled(pool) ? chooser_.refused_until(pool, avoided)
+                              : chooser_.paused_until(pool, avoided);
+  }
+  /// See target_chooser::withholds_cold.
+  bool withholds_cold(const target_pool& pool, const std::set<std::string>& avoided) {
+    return chooser_.withholds_cold(pool, avoided);
   }
   /// Whether a target whose slot was assigned earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const {
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -84,6 +84,12 @@
   /// request; the maximum if all targets are in `avoided`.
   std::optional<support::clock::time_point> paused_until(const target_pool& pool,
                                                          const std::set<std::string>& avoided);
+  /// The same if a scheduler assigns the targets, which divides the bound of cold ones itself.
+  std::optional<support::clock::time_point> refused_until(const target_pool& pool,
+                                                          const std::set<std::string>& avoided);
+  /// Whether a target outside `avoided` has a free slot and is cold, so that it gets only a part
+  /// of what it has room for.
+  bool withholds_cold(const target_pool& pool, const std::set<std::string>& avoided);
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool);
   /// Whether any target of the pool has a free slot.
@@ -125,6 +131,11 @@
   }
   bool paused(const candidate& each) const { return paused_until(each).has_value(); }
   bool any_cold(const target_pool& pool);
+  /// The earliest end of what `end_of` returns for the targets, as `paused_until` tells it.
+  template<class end_function>
+  std::optional<support::clock::time_point> earliest_end(const target_pool& pool,
+                                                         const std::set<std::string>& avoided,
+                                                         const end_function& end_of);
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
--- a/include/camphorlug/gateway/target_notice.h
+++ b/include/camphorlug/gateway/target_notice.h
@@ -14,6 +14,8 @@
   /// Requests a second that it takes from all nodes together, for as long as it says so; nothing
   /// if it names no limit.
   std::optional<double> request_limit;
+  /// It is cold and stays so for this long.
+  std::optional<std::chrono::milliseconds> cold_remaining;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/cold_notice.h"
 #include "camphorlug/gateway/target_entry.h"
 #include "camphorlug/support/clock.h"
 
@@ -24,10 +25,12 @@
   /// after the target leaves its group, although its entry then names no model.
   std::string resident_model;
   /// When its remaining warm-up time is over. Counted from the time at which the row was read,
-  /// which is later than it was written.
+  /// which is later than it was written, or said by the target in a response.
   support::clock::time_point cold_until{};
-  /// Whether a row since its start has named a remaining warm-up time.
+  /// Whether a row or a response since its start has named a remaining warm-up time.
   bool was_cold = false;
+  /// The same time as its rows alone tell it.
+  support::clock::time_point row_cold_until{};
 };
 
 /// In-memory copy of the target registry. Updates and deletions with an older
@@ -38,6 +41,11 @@
   /// Entries can expire in the store during an outage. Live targets register
   /// again within this time after the store recovers.
   static constexpr std::chrono::milliseconds outage_grace_period{1800};
+  /// No target counts as cold for longer than this from a row or a response on.
+  static constexpr std::chrono::hours max_cold_time{1};
+  /// News that a target is cold for this much longer than known is the same that was known, later
+  /// by the time on the way. Without it the end would move on with each exchange.
+  static constexpr std::chrono::milliseconds cold_tolerance{500};
 
   explicit target_registry(support::clock& time) : time_(time) {}
 
@@ -63,6 +71,15 @@
   /// The registered targets that said so, with the start of each, to be sent to peers.
   std::map<std::string, std::int64_t> leaving() const;
 
+  /// Records that the target said in a response that it is cold. Its row, which may have been
+  /// written before, does not end that. Returns whether this is news.
+  bool mark_cold(const std::string& id, const cold_notice& notice);
+  /// What targets said in responses, to be sent to peers, as far as their rows do not say so.
+  cold_notices cold_notices_to_report() const;
+
+  /// Number of targets that are cold.
+  std::size_t cold_count() const;
+
   /// Starts the grace period: the store answers again after an outage, since `age`.
   void mark_store_recovered(std::chrono::nanoseconds age = std::chrono::nanoseconds(0)) {
     store_recovered_at_ =
@@ -92,6 +109,8 @@
 private:
   bool in_grace_period() const;
   void follow_warm_up(registered_target& target);
+  /// Applies what the target said in responses since its start.
+  void apply_cold_notice(registered_target& target);
   void confirm_unchanged(registered_target& target, std::uint64_t version);
   /// Returns whether a row of a later era was written before the last deletion of its target.
   bool is_restored_after_removal(const std::string& id, std::uint64_t version,
@@ -112,6 +131,12 @@
   std::map<std::string, removal> removed_;
   /// Start of each target that said in a response that it is shutting down.
   std::map<std::string, std::int64_t> leaving_;
+  struct noticed_cold {
+    std::int64_t started_at_ms = 0;
+    support::clock::time_point until;
+  };
+  /// What targets said in responses, kept as long as it concerns what they get.
+  std::map<std::string, noticed_cold> noticed_cold_;
   std::optional<support::clock::time_point> store_recovered_at_;
   std::uint64_t revision_ = 0;
   std::uint64_t newest_version_ = 0;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -355,9 +355,13 @@
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
+  for (const auto& [target, notice] : message.cold)
+    registry_.mark_cold(target, notice);
   limits_.merge(message.summary.limits);
   if (message.evacuations)
     evacuations_.merge(*message.evacuations);
+  if (message.nodes)
+    cold_targets_.learn_size(*message.nodes);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   crash_keeper_.apply_peer_message(message);
@@ -546,6 +550,8 @@
   report.crash_digest = crash_causes_.evidence().digest();
   if (evacuations_.was_read())
     report.evacuations = evacuations_.known();
+  report.nodes = cold_targets_.size();
+  report.cold = registry_.cold_notices_to_report();
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -660,6 +666,7 @@
                                    suspicions_,
                                    crash_causes_.evidence(),
                                    evacuations_,
+                                   cold_targets_,
                                    paths_,
                                    retries_,
                                    lease_,
@@ -709,6 +716,7 @@
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
+  gauges.cold_targets = registry_.cold_count();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -146,6 +146,23 @@
   return evacuations;
 }
 
+/// The targets that are cold, those that stay so longest first.
+static ordered_json cold_targets_to_json(const state_report_input& state) {
+  std::vector<std::pair<std::int64_t, const gateway::target_entry*>> cold;
+  for (const auto& [id, target] : state.registry.all()) {
+    if (const std::int64_t left = -age_ms(state.time, target.cold_until); left > 0)
+      cold.emplace_back(left, &target.entry);
+  }
+  std::sort(cold.begin(), cold.end(), [](const auto& one, const auto& other) {
+    return std::pair(-one.first, one.second->id) < std::pair(-other.first, other.second->id);
+  });
+  ordered_json targets = ordered_json::array();
+  for (const auto& [left, entry] : cold)
+    targets.push_back(
+        {{"target", entry->id}, {"data_centre", entry->data_centre}, {"left_ms", left}});
+  return targets;
+}
+
 ordered_json make_state_report(const state_report_input& state) {
   ordered_json targets = ordered_json::array();
   for (const auto& [id, target] : state.registry.all())
@@ -168,6 +185,9 @@
                       {"targets", std::move(targets)},
                       {"peers", peers_to_json(state)},
                       {"evacuations", evacuations_to_json(state)},
+                      {"cold_targets", cold_targets_to_json(state)},
+                      {"known_nodes", state.cold_targets.known_nodes()},
+                      {"heard_part", state.cold_targets.heard_fraction()},
                       {"banned_parts", banned_parts_to_json(state)},
                       {"unreachable_services", state.paths.lost_services()},
                       {"retries", retries_to_json(state)}};
--- a/lib/gateway/cold_targets.cpp
+++ b/lib/gateway/cold_targets.cpp
@@ -25,6 +25,8 @@
   hears_none_ = others.empty();
   for (const std::string& each : others)
     heard_at_[each] = now;
+  record_heard_fraction(static_cast<double>(others.size() + 1) /
+                        static_cast<double>(known_nodes()));
   const bool was_minority = is_minority_;
   is_minority_ = (others.size() + 1) * 2 <= known_nodes();
   const auto memory = is_minority_ ? minority_node_memory : node_memory;
@@ -42,6 +44,41 @@
                 [&](const auto& each) { return now - each.second > 2 * counted_time + ramp_time; });
 }
 
+void cold_targets::record_heard_fraction(double fraction) {
+  const auto now = time_.now();
+  while (!heard_parts_.empty() && heard_parts_.back().fraction >= fraction)
+    heard_parts_.pop_back();
+  heard_parts_.push_back({now, fraction});
+  while (now - heard_parts_.front().at > settling_time)
+    heard_parts_.pop_front();
+}
+
+double cold_targets::heard_fraction() const {
+  return heard_parts_.empty() ? 0 : heard_parts_.front().fraction;
+}
+
+void cold_targets::learn_size(const fleet_size& reported) {
+  if (reported.age < milliseconds(0) || reported.age > node_memory ||
+      reported.nodes > fleet_size::max_nodes)
+    return;
+  const auto counted_at = time_.now() - reported.age;
+  const bool is_over = time_.now() - learned_at_ > node_memory;
+  if (reported.nodes > learned_nodes_ || is_over) {
+    learned_nodes_ = reported.nodes;
+    learned_at_ = counted_at;
+  } else if (reported.nodes == learned_nodes_) {
+    learned_at_ = std::max(learned_at_, counted_at);
+  }
+}
+
+fleet_size cold_targets::size() const {
+  const std::size_t own = heard_at_.size() + 1;
+  const auto age = time_.now() - learned_at_;
+  if (learned_nodes_ <= own || age > node_memory)
+    return {own, milliseconds(0)};
+  return {learned_nodes_, duration_cast<milliseconds>(age)};
+}
+
 double cold_targets::ramp_factor(const cold_state& state) const {
   const duration<double> passed = time_.now() - state.until;
   const double part = std::clamp(passed / duration<double>(ramp_time), 0.0, 1.0);
@@ -56,9 +93,9 @@
 std::optional<double> cold_targets::scheduler_rate(const cold_state& state) const {
   if (!is_bounded(state))
     return std::nullopt;
-  const bool may_be_one_of_many = is_minority_ || time_.now() < settled_at_;
-  return full_scheduler_rate(state) * ramp_factor(state) *
-         (may_be_one_of_many ? minority_fraction : 1);
+  const bool has_just_started = time_.now() < created_at_ + settling_time;
+  const double part = std::min(heard_fraction(), has_just_started ? starting_fraction : 1.0);
+  return full_scheduler_rate(state) * ramp_factor(state) * part;
 }
 
 std::size_t cold_targets::quota(const std::string& target, const cold_state& state) const {
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -44,6 +44,8 @@
   message.store_era = report.store_era;
   message.crash_digest = report.crash_digest;
   message.evacuations = std::move(report.evacuations);
+  message.nodes = report.nodes;
+  message.cold = std::move(report.cold);
   return message;
 }
 
--- a/lib/gateway/fleet_message.cpp
+++ b/lib/gateway/fleet_message.cpp
@@ -36,6 +36,10 @@
     value["crash"] = crash_digest;
   if (evacuations)
     value["evac"] = *evacuations;
+  if (nodes)
+    value["nodes"] = *nodes;
+  if (!cold.empty())
+    value["cold"] = cold;
   if (!sections.empty())
     value["sec"] = to_list(sections);
   for (const auto& [owner, age] : owners)
@@ -55,6 +59,10 @@
   message.crash_digest = value.value("crash", std::uint64_t{0});
   if (const auto evacuations = value.find("evac"); evacuations != value.end())
     message.evacuations = evacuations->get<reported_evacuations>();
+  if (const auto nodes = value.find("nodes"); nodes != value.end())
+    message.nodes = nodes->get<fleet_size>();
+  if (const auto cold = value.find("cold"); cold != value.end())
+    cold->get_to(message.cold);
   value.at("sum").get_to(message.summary);
   for (const auto& [owner, stamp] : value.at("have").items())
     message.known[owner] = {stamp.at(0), stamp.at(1)};
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -36,6 +36,11 @@
           .Name("camphorlug_gateway_notices_total")
           .Help("What targets newly said about themselves in their responses")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& cold_waits =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_cold_waits_total")
+          .Help("Requests held back or refused while a cold target had a free slot")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_byte =
       prometheus::BuildHistogram()
           .Name("camphorlug_gateway_first_byte_seconds")
@@ -80,6 +85,10 @@
   implementation_->notices.Add({{"notice", notice}}).Increment();
 }
 
+void gateway_metrics::count_cold_wait(const std::string& outcome) {
+  implementation_->cold_waits.Add({{"outcome", outcome}}).Increment();
+}
+
 std::string gateway_metrics::serialize(const gateway_gauges& gauges) {
   const auto set = [this](const char* name, double value) {
     implementation_->gauges.Add({{"value", name}}).Set(value);
@@ -90,6 +99,7 @@
   set("config_version", static_cast<double>(gauges.config_version));
   set("store_era", static_cast<double>(gauges.store_era));
   set("evacuated_data_centres", static_cast<double>(gauges.evacuated_data_centres));
+  set("cold_targets", static_cast<double>(gauges.cold_targets));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/lib/gateway/notice_handler.cpp
+++ b/lib/gateway/notice_handler.cpp
@@ -10,6 +10,8 @@
     pauses_.pause(target, started_at_ms, *notice.retry_after);
     metrics_.count_notice("retry_after");
   }
+  if (notice.cold_remaining && registry_.mark_cold(target, {started_at_ms, *notice.cold_remaining}))
+    metrics_.count_notice("cold");
   if (notice.request_limit)
     limits_.observe(target, started_at_ms, notice.request_limit);
 }
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -24,6 +24,8 @@
 /// Interval at which a request whose targets are silent looks for a replacement.
 static constexpr milliseconds replacement_check_interval{50};
 static constexpr milliseconds min_retry_after{100};
+/// A message to the scheduler and its answer take less.
+static constexpr milliseconds noticeable_wait{20};
 /// A ban ends only when its cause is gone, so an earlier return would be in vain.
 static constexpr milliseconds banned_retry_after{60'000};
 /// Callers accept a Retry-After of up to a third of their remaining time.
@@ -112,8 +114,10 @@
     finish_failed_request(last_result_);
     co_return false;
   }
+  const auto waits_since = env_.time.now();
   slot_queue::slot_result waited = co_await wait_for_permitted_slot();
   scheduled_retry_after_ = waited.retry_after;
+  count_cold_wait(static_cast<bool>(waited), env_.time.now() - waits_since);
   if (caller_gone_)
     co_return true;
   // The request may have been banned while it waited.
@@ -337,6 +341,14 @@
   return request;
 }
 
+/// Counts a request that got no slot, or only after a while, beside a cold target with a free one.
+void request_forwarder::count_cold_wait(bool has_slot, nanoseconds waited) {
+  if (has_slot && waited < noticeable_wait)
+    return;
+  if (env_.queue.withholds_cold(pool(), tried_targets_))
+    env_.metrics.count_cold_wait(has_slot ? "held_back" : "refused");
+}
+
 nanoseconds request_forwarder::wait_after_refusal() {
   return scheduled_retry_after_ ? *scheduled_retry_after_
                                 : env_.queue.expected_wait(pool(), {priority_, shared_->deadline});
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -202,10 +202,32 @@
 target_chooser::paused_until(const target_pool& pool, const std::set<std::string>& avoided) {
   if (pauses_.empty() && limits_.empty() && !any_cold(pool))
     return std::nullopt;
+  return earliest_end(pool, avoided, [this](const candidate& each) { return paused_until(each); });
+}
+
+std::optional<support::clock::time_point>
+target_chooser::refused_until(const target_pool& pool, const std::set<std::string>& avoided) {
+  if (pauses_.empty() && limits_.empty())
+    return std::nullopt;
+  return earliest_end(pool, avoided, [this](const candidate& each) { return refused_until(each); });
+}
+
+bool target_chooser::withholds_cold(const target_pool& pool, const std::set<std::string>& avoided) {
+  const std::vector<candidate>& all = view_of(pool).candidates;
+  return cold_ && std::any_of(all.begin(), all.end(), [&](const candidate& each) {
+           return cold_->is_bounded(each.cold) && !avoided.contains(each.target.id) &&
+                  !refused_until(each) && has_free_slot(each);
+         });
+}
+
+template<class end_function>
+std::optional<support::clock::time_point>
+target_chooser::earliest_end(const target_pool& pool, const std::set<std::string>& avoided,
+                             const end_function& end_of) {
   auto earliest = support::clock::time_point::max();
   bool any_pauses = false;
   for (const candidate& each : view_of(pool).candidates) {
-    const auto end = paused_until(each);
+    const auto end = end_of(each);
     any_pauses = any_pauses || end;
     if (avoided.contains(each.target.id))
       continue;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -3,8 +3,14 @@
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_version.h"
 
+#include <algorithm>
+
 namespace camphorlug::gateway {
 
+/// What a target said of being cold is kept for this long after it is over, since what it gets
+/// rises only gradually then.
+static constexpr std::chrono::seconds noticed_cold_memory{30};
+
 const char* to_string(membership_state state) {
   switch (state) {
   case membership_state::joining:
@@ -67,6 +73,8 @@
     return;
   }
   entry->draining = entry->draining || is_leaving(id, entry->started_at_ms);
+  entry->warm_up_remaining = std::clamp<std::chrono::milliseconds>(
+      entry->warm_up_remaining, std::chrono::milliseconds(0), max_cold_time);
   if (held != targets_.end()) {
     const bool was_read = version == held->second.version;
     if (!was_read)
@@ -91,13 +99,18 @@
   const bool is_same_start =
       held != targets_.end() && held->second.entry.started_at_ms == entry->started_at_ms;
   const bool is_cold = entry->warm_up_remaining > std::chrono::milliseconds(0);
+  const bool is_counted_cold = is_same_start && time_.now() < held->second.cold_until;
+  if (is_cold && !is_counted_cold)
+    log_target("target_cold", id, version);
   const bool was_cold = is_cold || (is_same_start && held->second.was_cold);
   auto cold_until = time_.now() + entry->warm_up_remaining;
   // A row that names no remaining time ends one that is running, but not one that is over.
   if (!is_cold && is_same_start)
-    cold_until = std::min(cold_until, held->second.cold_until);
-  targets_[id] = {std::move(*entry),         version,    time_.now(), std::nullopt,
-                  std::move(resident_model), cold_until, was_cold};
+    cold_until = std::min(cold_until, held->second.row_cold_until);
+  registered_target& updated = targets_[id];
+  updated = {std::move(*entry),         version,    time_.now(), std::nullopt,
+             std::move(resident_model), cold_until, was_cold,    cold_until};
+  apply_cold_notice(updated);
   mark_changed();
 }
 
@@ -105,8 +118,63 @@
 void target_registry::follow_warm_up(registered_target& target) {
   if (target.entry.warm_up_remaining <= std::chrono::milliseconds(0))
     return;
-  target.cold_until = time_.now() + target.entry.warm_up_remaining;
+  target.cold_until = target.row_cold_until = time_.now() + target.entry.warm_up_remaining;
+  apply_cold_notice(target);
+  mark_changed();
+}
+
+void target_registry::apply_cold_notice(registered_target& target) {
+  const auto noticed = noticed_cold_.find(target.entry.id);
+  if (noticed == noticed_cold_.end() || noticed->second.started_at_ms != target.entry.started_at_ms)
+    return;
+  target.cold_until = std::max(target.row_cold_until, noticed->second.until);
+  target.was_cold = true;
+}
+
+bool target_registry::mark_cold(const std::string& id, const cold_notice& notice) {
+  if (notice.remaining <= std::chrono::milliseconds(0))
+    return false;
+  const auto held = targets_.find(id);
+  if (held != targets_.end() && notice.started_at_ms < held->second.entry.started_at_ms)
+    return false;
+  const auto until =
+      time_.now() + std::min<std::chrono::milliseconds>(notice.remaining, max_cold_time);
+  if (const auto known = noticed_cold_.find(id); known != noticed_cold_.end()) {
+    const noticed_cold& noticed = known->second;
+    const bool is_same_start = noticed.started_at_ms == notice.started_at_ms;
+    if (notice.started_at_ms < noticed.started_at_ms ||
+        (is_same_start && until <= noticed.until + cold_tolerance))
+      return false;
+  }
+  noticed_cold_[id] = {notice.started_at_ms, until};
+  if (held == targets_.end() || held->second.entry.started_at_ms != notice.started_at_ms)
+    return true;
+  if (held->second.cold_until <= time_.now())
+    log_target("target_cold", id, held->second.version);
+  apply_cold_notice(held->second);
   mark_changed();
+  return true;
+}
+
+std::size_t target_registry::cold_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(targets_.begin(), targets_.end(), [now = time_.now()](const auto& each) {
+        return now < each.second.cold_until;
+      }));
+}
+
+cold_notices target_registry::cold_notices_to_report() const {
+  cold_notices notices;
+  for (const auto& [id, noticed] : noticed_cold_) {
+    const auto held = targets_.find(id);
+    const bool is_in_row =
+        held != targets_.end() && noticed.until <= held->second.row_cold_until + cold_tolerance;
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(noticed.until - time_.now());
+    if (!is_in_row && left > std::chrono::milliseconds(0))
+      notices[id] = {noticed.started_at_ms, left};
+  }
+  return notices;
 }
 
 /// Targets rewrite their rows periodically, mostly with the same content. Such a
@@ -189,6 +257,9 @@
 }
 
 void target_registry::expire() {
+  std::erase_if(noticed_cold_, [this](const auto& each) {
+    return time_.now() - each.second.until > noticed_cold_memory;
+  });
   if (in_grace_period())
     return;
   std::vector<std::string> expired;
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -81,6 +81,11 @@
                 flag_suffix(evacuation["closed"], "CLOSED"));
 }
 
+static void print_cold_target(const ordered_json& target) {
+  print_wrapped(to_text(target["target"]) + " in " + to_text(target["data_centre"]) +
+                " cold for another " + to_text(target["left_ms"]) + " ms");
+}
+
 static void print_overview(const ordered_json& state) {
   print_wrapped(to_text(state["node"]) + " in " + to_text(state["data_centre"]) +
                 (state["ready"].get<bool>() ? " serves" : " does not serve") +
@@ -110,6 +115,11 @@
     for (const ordered_json& each : state["evacuations"])
       print_wrapped("EVACUATED: " + to_text(each["data_centre"]) + "; see: edge evacuations");
   }
+  if (state.contains("cold_targets") && !state["cold_targets"].empty())
+    print_wrapped(std::to_string(state["cold_targets"].size()) +
+                  " COLD targets; see: edge cold_targets. This node hears " +
+                  to_text(state["heard_part"]) + " of " + to_text(state["known_nodes"]) +
+                  " known nodes");
   if (state.contains("banned_parts") && !state["banned_parts"].empty())
     print_wrapped(std::to_string(state["banned_parts"].size()) +
                   " BANNED parts or requests; see: edge banned_parts");
@@ -119,10 +129,10 @@
 
 static const std::map<std::string, line_printer>& part_printers() {
   static const std::map<std::string, line_printer> printers{
-      {"routes", print_route},          {"groups", print_group},
-      {"targets", print_target},        {"peers", print_peer},
-      {"retries", print_retry_budget},  {"banned_parts", print_banned_part},
-      {"evacuations", print_evacuation}};
+      {"routes", print_route},           {"groups", print_group},
+      {"targets", print_target},         {"peers", print_peer},
+      {"retries", print_retry_budget},   {"banned_parts", print_banned_part},
+      {"evacuations", print_evacuation}, {"cold_targets", print_cold_target}};
   return printers;
 }
 
--- a/tools/camphorlugctl/edge_commands.h
+++ b/tools/camphorlugctl/edge_commands.h
@@ -11,7 +11,8 @@
 
 /// Prints how the edge node whose peer port is `address` sees the cluster; its view may be stale
 /// or differ from that of other nodes. Prints an overview when `part` is
-/// empty, else one part of it (routes, groups, targets, peers, retries, banned_parts, evacuations).
+/// empty, else one part of it (routes, groups, targets, peers, retries, banned_parts, evacuations,
+/// cold_targets).
 /// Returns the exit code.
 support::task<int> show_edge(net::http_client& client, std::string address, std::string part,
                              output_options output);
--- a/tools/camphorlugctl/main.cpp
+++ b/tools/camphorlugctl/main.cpp
@@ -42,7 +42,7 @@
  request PATH      send a request
  edge              an edge node's own view
  edge routes|groups|targets|peers|retries
- edge banned_parts|evacuations
+ edge banned_parts|evacuations|cold_targets
  edge lift REQUEST  end a request's ban
  edge lift S PART   end the ban of a prompt
                    part of service S
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -44,6 +44,9 @@
   route.attempts = 1;
   config->add_route(route);
   config->services["shop"].name = "shop";
+  const std::size_t rate_start = text.find(' ');
+  if (rate_start != std::string::npos)
+    config->services["shop"].cold_requests_per_second = std::stod(text.substr(rate_start));
   return config;
 }
 
@@ -52,7 +55,11 @@
   gateway::target_entry entry;
   entry.id = id;
   entry.slots = 4;
-  std::istringstream(text) >> entry.service >> entry.address >> entry.data_centre;
+  std::int64_t warm_up_ms = 0;
+  std::istringstream words(text);
+  words >> entry.service >> entry.address;
+  if (words >> entry.data_centre && words >> warm_up_ms)
+    entry.warm_up_remaining = std::chrono::milliseconds(warm_up_ms);
   return entry;
 }
 
@@ -162,12 +169,18 @@
   clock.shut_down();
 }
 
-void edge_cluster::set_config(std::uint64_t version) {
-  tables.put(config_table, config_key, std::to_string(version));
+void edge_cluster::set_config(std::uint64_t version, double cold_rate) {
+  tables.put(config_table, config_key, std::to_string(version) + " " + std::to_string(cold_rate));
 }
 
-void edge_cluster::add_target(const std::string& id, const std::string& data_centre) {
-  tables.put(target_table, id, "shop " + id + " " + data_centre);
+void edge_cluster::add_target(const std::string& id, const std::string& data_centre,
+                              std::chrono::milliseconds warm_up_remaining) {
+  tables.put(target_table, id,
+             "shop " + id + " " + data_centre + " " + std::to_string(warm_up_remaining.count()));
+}
+
+void edge_cluster::remove_target(const std::string& id) {
+  tables.remove(target_table, id);
 }
 
 void edge_cluster::evacuate(const std::string& data_centre) {
@@ -240,6 +253,7 @@
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
   settings.evacuation_time_limit = evacuation_time_limit;
+  settings.cold = cold_limit;
   edge->node = std::make_unique<edge::edge_node>(
       edge::edge_context{context.get_executor(),
                          clock,
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -20,9 +20,9 @@
 
 namespace camphorlug::fakes {
 
-/// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE`
-/// for a target, the last of them optional.
+/// Decodes the rows that the test fixtures write: `VERSION COLD_RATE` for a configuration with the
+/// routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE WARM_UP_MS` for a
+/// target; what comes last may be missing.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -83,6 +83,9 @@
   std::string self_;
 };
 
+/// Bound of what cold targets get, in all clusters.
+inline constexpr gateway::cold_bound cold_limit{1.5, 5};
+
 /// One edge node with its own connections to the store, the change feed and the network.
 struct running_edge {
   std::string id;
@@ -111,8 +114,11 @@
   edge_cluster& operator=(const edge_cluster&) = delete;
 
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
-  void set_config(std::uint64_t version);
-  void add_target(const std::string& id, const std::string& data_centre = "");
+  /// Cold targets take `cold_rate` requests a second; 0 for any number.
+  void set_config(std::uint64_t version, double cold_rate = 0);
+  void add_target(const std::string& id, const std::string& data_centre = "",
+                  std::chrono::milliseconds warm_up_remaining = {});
+  void remove_target(const std::string& id);
   /// Asks the nodes to evacuate a data centre, or ends that.
   void evacuate(const std::string& data_centre);
   void end_evacuation(const std::string& data_centre);
--- a/unittests/gateway/slot_queue_test.cpp
+++ b/unittests/gateway/slot_queue_test.cpp
@@ -114,3 +114,38 @@
   // A more urgent request doesn't wait for them.
   BOOST_TEST((queue.expected_wait(pool, {1, clock.now()}) == behind_one));
 }
+
+namespace {
+
+/// Schedules all pools and grants nothing.
+struct distant_scheduler final : gateway::slot_scheduler {
+  bool schedules(const gateway::target_pool&) override { return true; }
+  support::task<gateway::scheduled_slot> acquire(gateway::slot_request,
+                                                 support::clock::time_point) override {
+    co_return gateway::scheduled_slot{};
+  }
+  void release(const gateway::target_pool&, const std::string&) override {}
+};
+
+} // namespace
+
+// A node without a share of a cold target would send nothing by itself, but its scheduler may.
+BOOST_FIXTURE_TEST_CASE(scheduler_is_asked_when_all_targets_are_cold, queue_fixture) {
+  gateway::cold_targets cold(clock);
+  auto changed = std::make_shared<gateway::routing_config>(*config.current());
+  changed->services["shop"].cold_requests_per_second = 26;
+  ++changed->version;
+  config.update_if_newer(changed);
+  chooser.set_cold_targets(&cold, &config);
+  add_target("one");
+  registry.mark_cold("one", {registry.find("one")->started_at_ms, 60s});
+  const gateway::target_pool pool{"shop", ""};
+  BOOST_TEST(queue.paused_until(pool, {}).has_value());
+  distant_scheduler scheduler;
+  queue.set_scheduler(&scheduler);
+  BOOST_TEST(!queue.paused_until(pool, {}).has_value());
+  BOOST_TEST(queue.withholds_cold(pool, {}));
+  pauses.pause("one", registry.find("one")->started_at_ms, 60s);
+  BOOST_TEST(queue.paused_until(pool, {}).has_value());
+  queue.set_scheduler(nullptr);
+}
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -158,6 +158,43 @@
 
 namespace {
 
+struct cold_case {
+  const char* text;
+  std::optional<std::chrono::milliseconds> expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const cold_case& each) {
+  return out << (each.text ? each.text : "no header");
+}
+
+const std::vector<cold_case> cold_cases = {
+    {nullptr, std::nullopt},
+    {"2500", 2500ms},
+    {"0.4", 1ms},
+    {"0", std::nullopt},
+    {"-5", std::nullopt},
+    {"soon", std::nullopt},
+    {"", std::nullopt},
+    {"12 s", std::nullopt},
+    {"nan", std::nullopt},
+    {"99999999999999999999999", 24h},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(cold_targets_say_for_how_long,
+                     data::make({200, 503, 421}) * data::make(cold_cases), status, each) {
+  gateway::caller_request request;
+  request.id = "id1";
+  net::response_head head = head_of(status, {{"X-Request-Id", "id1"}});
+  if (each.text)
+    head.headers.add("X-Cold-Ms", each.text);
+  const auto response = protocol.parse_response_head(request, head);
+  BOOST_TEST((response.notice.cold_remaining == each.expected));
+}
+
+namespace {
+
 struct wait_case {
   int status;
   const char* text;
--- a/unittests/scheduling/cold_fleet.h
+++ b/unittests/scheduling/cold_fleet.h
@@ -41,6 +41,8 @@
     std::unique_ptr<pool_scheduler> scheduler;
     /// The list of other live nodes that it holds, and the one that replaces it.
     std::vector<std::string> others;
+    /// The first node of the list: its hub, which is the scheduler in a large fleet.
+    std::string hub;
     std::optional<std::vector<std::string>> next_others;
     support::clock::time_point next_at;
     /// What it knows of the target.
@@ -53,6 +55,7 @@
     each.cold->change_bound(bound);
     each.scheduler.reset();
     each.others.clear();
+    each.hub = each.name;
     each.next_others.reset();
     change_lists();
   }
@@ -82,16 +85,32 @@
       each.known = state;
   }
 
-  const std::string& scheduler_of(const node& each) const {
+  static const std::string& scheduler_of(const node& each) {
     static const std::string none;
-    if (gateway::fleet_roles::is_full_mesh(each.others.size() + 1))
-      return none;
-    return std::min(each.name, *std::min_element(each.others.begin(), each.others.end()));
+    return gateway::fleet_roles::is_full_mesh(each.others.size() + 1) ? none : each.hub;
+  }
+
+  /// Messages pass between a node and its hub, the first one of its list, if it reaches it.
+  void exchange_sizes(node& each) {
+    if (each.hub == each.name)
+      return;
+    const auto hub = std::find_if(nodes.begin(), nodes.end(), [&](const node& other) {
+      return other.alive && other.part == each.part && other.name == each.hub;
+    });
+    if (hub == nodes.end())
+      return;
+    each.cold->learn_size(hub->cold->size());
+    hub->cold->learn_size(each.cold->size());
   }
 
   void update(node& each) {
-    if (each.next_others && each.next_at <= clock.now())
+    if (each.next_others && each.next_at <= clock.now()) {
       each.others = *std::exchange(each.next_others, std::nullopt);
+      each.hub = each.name;
+      for (const std::string& other : each.others)
+        each.hub = std::min(each.hub, other);
+    }
+    exchange_sizes(each);
     each.cold->update(each.others, each.name, true);
     if (scheduler_of(each) != each.name)
       each.scheduler.reset();
--- a/unittests/scheduling/cold_targets_test.cpp
+++ b/unittests/scheduling/cold_targets_test.cpp
@@ -51,7 +51,7 @@
 }
 
 BOOST_DATA_TEST_CASE(a_cold_target_gets_no_more_than_its_bound_in_a_disturbed_fleet,
-                     data::make({6, 13, 71}) * data::xrange(8), count, seed) {
+                     data::make({6, 13, 26, 71}) * data::xrange(12), count, seed) {
   cold_fleet fleet(static_cast<std::size_t>(count), static_cast<std::uint64_t>(seed));
   fleet.know({fleet.clock.now() + 1h, cold_fleet::rate});
   fleet.run(10s);
