--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -231,9 +231,10 @@
 
 /// Estimates the wait of a new ask that will be overdue, behind those that are or will be too.
 nanoseconds pool_scheduler::expected_wait_of_overdue(const slot_ask& ask) const {
-  const auto overdue = static_cast<double>(
-      std::count_if(waiting_.begin(), waiting_.end(),
-                    [this](const auto& each) { return is_overdue(each.second.ask); }));
+  const auto overdue =
+      static_cast<double>(std::count_if(waiting_.begin(), waiting_.end(), [this](const auto& each) {
+        return is_overdue(each.second.ask);
+      }));
   const duration<double> left_in_time = ask.in_time_until - time_.now();
   const double served_in_time = drain_rate() * std::max(left_in_time.count(), 0.0);
   const double in_time = static_cast<double>(waiting_.size()) - overdue;
