--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -135,7 +135,7 @@
   /// The part of it that the requests in time leave to the others.
   double spare_rate() const;
   std::chrono::nanoseconds expected_wait(const slot_ask& ask);
-  std::chrono::nanoseconds expected_wait_of_overdue();
+  std::chrono::nanoseconds expected_wait_of_overdue(const slot_ask& ask);
   /// Whether the ask gets a slot while that is of use.
   bool can_be_served(const slot_ask& ask);
   decision refuse(const slot_ask& ask);
@@ -153,6 +153,11 @@
   std::set<std::pair<support::clock::time_point, target_state*>> reading_targets_;
   std::size_t slots_ = 0;
   std::size_t usable_targets_ = 0;
+  /// The slots and targets that take as many requests as they have room for, and the starts a
+  /// second of those that are cold.
+  std::size_t warm_slots_ = 0;
+  std::size_t warm_targets_ = 0;
+  double cold_starts_per_second_ = 0;
   std::map<std::string, node_state> nodes_;
   waiting_asks waiting_;
   std::uint64_t last_number_ = 0;
