Two builds side by side: pass on what later builds say

Cause: nothing tested what an earlier build sends and stores, and a hub dropped what it did not know of the nodes behind it; evidence with one record of another kind was dropped whole; a node whose peers are all of an earlier build learned of no evacuation announced after its start.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -176,6 +176,8 @@
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
   gateway::stall_detector stalls_;
+  /// When a peer last told of evacuations, or this node last read their rows itself.
+  support::clock::time_point evacuations_heard_at_;
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::usual_time_limits usual_limits_;
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -48,8 +48,8 @@
   /// second target within a millisecond, and the order of crashes decides. With `only`, just the
   /// records that accuse this cause, without other suspects.
   std::string to_json(support::clock::time_point now, const crash_cause* only = nullptr) const;
-  /// Merges records in that form. Returns whether the evidence has changed. Throws
-  /// nlohmann::json::exception if `text` is not valid.
+  /// Merges records in that form; passes over those that it cannot read. Returns whether the
+  /// evidence has changed. Throws nlohmann::json::exception if `text` is not a list.
   bool merge_json(const std::string& text, support::clock::time_point now);
 
 private:
--- a/include/camphorlug/gateway/crash_record.h
+++ b/include/camphorlug/gateway/crash_record.h
@@ -44,6 +44,8 @@
   std::chrono::microseconds waited{0};
   /// A target has answered such a request since, so that the suspect is not the cause.
   bool cleared = false;
+  /// Elements that a later build has added.
+  std::string unknown_elements{};
 
   bool operator==(const crash_suspect&) const = default;
 };
@@ -54,6 +56,8 @@
   support::clock::time_point crashed_at;
   /// By id of the cause.
   std::map<std::string, crash_suspect> suspects;
+  /// Elements that a later build has added.
+  std::string unknown_elements{};
 
   crash_cause cause(const std::string& id) const { return make_cause(service, id); }
   /// Whether the cause is a suspect that has not been cleared.
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -3,6 +3,7 @@
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/load_tracker.h"
 #include "camphorlug/gateway/target_limits.h"
+#include "camphorlug/support/unknown_fields.h"
 
 #include <chrono>
 #include <cstddef>
@@ -40,6 +41,9 @@
   std::optional<std::chrono::milliseconds> store_answer_age;
   /// Time since the store answered again after an outage; nullopt if it had none.
   std::optional<std::chrono::milliseconds> store_recovery_age;
+  /// What nodes of a later build report; a hub of this build merges it as
+  /// `support::merge_unknown_fields` does.
+  support::unknown_fields unknown;
 
   /// Adds `other`, which was received `elapsed` ago, so that its ages have grown by that.
   void add(const fleet_summary& other, std::chrono::nanoseconds elapsed);
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -37,6 +37,9 @@
   /// which do not report it.
   int protocol = scheduling_protocol;
 
+  /// Elements that a later build reports, see `support::read_unknown_elements`.
+  std::string unknown_elements{};
+
   bool operator==(const node_status&) const = default;
 
   /// Whether this status replaces `other` of the same node.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -34,6 +34,8 @@
 /// Interval of the checks whether a starting node knows of evacuations.
 static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
+/// A node that no peer told of evacuations for this long reads their rows itself.
+static constexpr std::chrono::milliseconds max_silence_about_evacuations{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
 /// Target rows are fetched from a more current peer if the store has not answered for this
@@ -192,11 +194,11 @@
 support::task<> edge_node::learn_evacuations() {
   for (;;) {
     co_await context_.time.sleep_for(evacuation_learning_interval);
-    if (evacuations_.was_read())
-      co_return;
-    // A peer of an older build has the configuration, but says nothing of evacuations.
-    if (config_.current())
-      co_await config_follower_.read_now();
+    if (is_told_of_evacuations() || !config_.current())
+      continue;
+    // Peers of an older build have the configuration, but say nothing of evacuations.
+    evacuations_heard_at_ = context_.time.now();
+    co_await config_follower_.read_now();
   }
 }
 
@@ -356,7 +358,7 @@
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
   limits_.merge(message.summary.limits);
-  if (message.evacuations)
+  if (message.evacuations) {
     evacuations_.merge(*message.evacuations);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
@@ -388,6 +390,8 @@
   const flag_reset reset(fetching_target_rows_);
   net::client_request request;
   request.address = peer_address;
+    evacuations_heard_at_ = context_.time.now();
+  }
   request.target =
       std::string(gateway::entries_path) + "?since=" + std::to_string(target_rows_.version());
   const std::optional<std::string> text = co_await fetch_from_peer(
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -1,6 +1,8 @@
 #include "camphorlug/gateway/crash_evidence.h"
 
 #include "camphorlug/gateway/request_identity.h"
+#include "camphorlug/support/log.h"
+#include "camphorlug/support/unknown_fields.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -14,11 +16,15 @@
 using std::chrono::microseconds;
 using record_entry = std::pair<const target_start, crash_record>;
 
+static constexpr std::size_t record_elements = 5;
+static constexpr std::size_t suspect_elements = 3;
+
 static bool merge_suspect(crash_suspect& held, const crash_suspect& other) {
   const crash_suspect before = held;
   held.position = std::max(held.position, other.position);
   held.waited = std::min(held.waited, other.waited);
   held.cleared = held.cleared || other.cleared;
+  held.unknown_elements = std::max(held.unknown_elements, other.unknown_elements);
   return held != before;
 }
 
@@ -28,6 +34,10 @@
   // Evidence that took long on its way here makes a crash seem younger than it is.
   bool changed = is_new || record.crashed_at < held->second.crashed_at;
   held->second.crashed_at = std::min(held->second.crashed_at, record.crashed_at);
+  if (held->second.unknown_elements < record.unknown_elements) {
+    held->second.unknown_elements = record.unknown_elements;
+    changed = true;
+  }
   for (const auto& [id, suspect] : record.suspects) {
     const auto known = held->second.suspects.find(id);
     if (known != held->second.suspects.end()) {
@@ -152,7 +162,8 @@
   std::string text = start.target + " " + std::to_string(start.started_at_ms);
   for (const auto& [id, suspect] : record.suspects)
     text += " " + id + (suspect.cleared ? "-" : "+") + std::to_string(suspect.position) + "," +
-            std::to_string(suspect.waited.count());
+            std::to_string(suspect.waited.count()) + suspect.unknown_elements;
+  text += record.unknown_elements;
   return XXH3_64bits(text.data(), text.size());
 }
 
@@ -182,25 +193,43 @@
       continue;
     nlohmann::json suspects = nlohmann::json::object();
     for (const auto& [id, suspect] : record.suspects) {
-      if (!only || id == only->id)
-        suspects[id] = {suspect.position, suspect.waited.count(), suspect.cleared};
+      if (only && id != only->id)
+        continue;
+      nlohmann::json& entry = suspects[id];
+      entry = {suspect.position, suspect.waited.count(), suspect.cleared};
+      support::write_unknown_elements(entry, suspect.unknown_elements);
     }
     const auto age = std::chrono::duration_cast<microseconds>(now - record.crashed_at);
     list.push_back({start.target, start.started_at_ms, record.service, age.count(), suspects});
+    support::write_unknown_elements(list.back(), record.unknown_elements);
   }
   return list.dump();
 }
 
+static record_entry read_entry(const nlohmann::json& entry, support::clock::time_point now) {
+  crash_record record{entry.at(2),
+                      now - microseconds(entry.at(3).get<std::int64_t>()),
+                      {},
+                      support::read_unknown_elements(entry, record_elements)};
+  for (const auto& [id, suspect] : entry.at(4).items())
+    record.suspects[id] = {suspect.at(0), microseconds(suspect.at(1).get<std::int64_t>()),
+                           suspect.at(2),
+                           support::read_unknown_elements(suspect, suspect_elements)};
+  return {{entry.at(0), entry.at(1)}, std::move(record)};
+}
+
 bool crash_evidence::merge_json(const std::string& text, support::clock::time_point now) {
   const auto list = nlohmann::json::parse(text);
   bool changed = false;
-  for (const auto& entry : list) {
-    const target_start start{entry.at(0), entry.at(1)};
-    crash_record record{entry.at(2), now - microseconds(entry.at(3).get<std::int64_t>()), {}};
-    for (const auto& [id, suspect] : entry.at(4).items())
-      record.suspects[id] = {suspect.at(0), microseconds(suspect.at(1).get<std::int64_t>()),
-                             suspect.at(2)};
-    changed = merge_without_update(start, record) || changed;
+  for (const auto& entry : list.get_ref<const nlohmann::json::array_t&>()) {
+    try {
+      const auto [start, record] = read_entry(entry, now);
+      changed = merge_without_update(start, record) || changed;
+    } catch (const nlohmann::json::exception& error) {
+      // A later build may write records of a kind that this one does not know.
+      support::log_event(support::log_level::warning, "crash_record_unreadable",
+                         {{"error", error.what()}});
+    }
   }
   if (changed)
     update();
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -40,6 +40,7 @@
   has_served = has_served || other.has_served;
   keep_smaller(store_answer_age, other.store_answer_age, elapsed);
   keep_smaller(store_recovery_age, other.store_recovery_age, elapsed);
+  support::merge_unknown_fields(unknown, other.unknown);
 }
 
 static nlohmann::json to_list(const slot_demand& demand) {
@@ -86,6 +87,7 @@
     value["lead"] = summary.leader;
   write_age(value, "store", summary.store_answer_age);
   write_age(value, "back", summary.store_recovery_age);
+  support::write_unknown_fields(value, summary.unknown);
 }
 
 void from_json(const nlohmann::json& value, fleet_summary& summary) {
@@ -104,6 +106,9 @@
   summary.leader = value.value("lead", "");
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
+  // All fields above; others belong to later builds.
+  summary.unknown = support::read_unknown_fields(
+      value, {"load", "srv", "need", "stall", "sus", "leave", "lim", "lead", "store", "back"});
 }
 
 } // namespace camphorlug::gateway
--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -57,13 +57,14 @@
         self.settings = cluster.folder / f"edge-{index}.yaml"
         self.log = cluster.folder / f"edge-{index}.log"
         self.process = None
+        # Another build's in tests of replacements.
+        self.binary = cluster.binary
 
     def write_settings(self, **changes):
         settings = {
             "nodeName": f"edge-{self.index}", "zone": ZONES[self.index % len(ZONES)], "ip": "127.0.0.1",
-            "listen": self.addresses, "seeds": [self.cluster.gateways[0].addresses["control"]
-                                                if self.cluster.gateways else
-                                                self.addresses["control"]],
+            "listen": self.addresses,
+            "seeds": [self.cluster.gateways[0].addresses["control"], *self.cluster.seeds],
             "policyParams": {"graceS": 8, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 100,
                              "ttl_max_s": 5},
             "provider": {"address": f"127.0.0.1:{self.cluster.port}"}, **changes}
@@ -75,7 +76,7 @@
     def start(self):
         with open(self.log, "a") as log:
             self.process = subprocess.Popen(
-                [str(BIN / "camphorlug-gateway"), f"--settings={self.settings}",
+                [str(self.binary), f"--settings={self.settings}",
                  f"--metrics_port={self.metrics_port}"], stdout=log, stderr=subprocess.STDOUT)
 
     def signal(self, number):
@@ -115,9 +116,11 @@
 class PlatformCluster:
     """Three gateways, ten engine instances in two domains and two plain instances."""
 
-    def __init__(self, port, folder):
+    def __init__(self, port, folder, binary=BIN / "camphorlug-gateway", seeds=()):
         self.port = port
+        self.seeds = list(seeds)
         self.folder = folder
+        self.binary = binary
         self.folder.mkdir(parents=True, exist_ok=True)
         self.requests = 0
         self.lock = threading.Lock()
@@ -157,11 +160,11 @@
             return f"r{os.getpid()}-{self.requests}"
 
     def call(self, path, gateway=0, events=20, model="large", identity=None, limit_ms=8000,
-             address=None, parts=None):
+             address=None, parts=None, key=KEY):
         """Sends a request. `whole` of the response is False if the connection closed early."""
         connection = http.client.HTTPConnection(
             address or self.gateways[gateway].addresses["http"], timeout=15)
-        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "X-Deadline-Ms": str(limit_ms),
+        headers = {"Host": HOST, "Authorization": f"Bearer {key}", "X-Deadline-Ms": str(limit_ms),
                    "X-Request-Id": identity or self.next_id()}
         if path.startswith("/chat/"):
             headers.update({"X-Model": model, "X-Token-Counts": f"10,{events}"})
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -1,8 +1,10 @@
 #include "fakes/edge_cluster.h"
 
 #include "camphorlug/edge/state_report.h"
+#include "camphorlug/gateway/fleet_exchange.h"
 #include "camphorlug/net/transport_error.h"
 
+#include "fakes/earlier_build.h"
 #include "fakes/gateway_fixture.h"
 
 #include <sstream>
@@ -103,8 +105,16 @@
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
     ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
-    request.body = request_.body;
-    co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+    request.body = translate(request.path, request_.body);
+    if (network_.earlier_builds.contains(request_.address) &&
+        !earlier_build::knows_path(request.path)) {
+      answer_.status = 404;
+    } else {
+      const std::string path = request.path;
+      co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+      if (answer_.status == 200)
+        answer_.body = translate(path, answer_.body);
+    }
     co_await time_.sleep_for(network_delay);
     if (answer_.aborted)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
@@ -132,6 +142,16 @@
 };
 
 } // namespace
+  /// Returns a body as an earlier build at one of the ends writes or reads it.
+  std::string translate(const std::string& path, const std::string& body) const {
+    if (body.empty() || (!network_.earlier_builds.contains(self_) &&
+                         !network_.earlier_builds.contains(request_.address)))
+      return body;
+    if (path == gateway::fleet_path)
+      return earlier_build::pass_on(body);
+    return path == gateway::crashes_path ? earlier_build::pass_on_evidence(body) : body;
+  }
+
 
 std::unique_ptr<net::http_exchange> node_client::open(net::client_request request) {
   if (request.address.starts_with("peer"))
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -63,6 +63,8 @@
   /// Addresses that are disconnected in both directions.
   std::set<std::string> cut;
   /// Number of requests between nodes by path, without the query.
+  /// Addresses of nodes whose messages are those of an earlier build, see `earlier_build`.
+  std::set<std::string> earlier_builds;
   std::map<std::string, std::size_t> requests;
 };
 
@@ -135,7 +137,7 @@
   /// Returns the state report of a node.
   nlohmann::ordered_json state(std::size_t index);
   std::vector<std::string> entries(std::size_t index, const std::string& data_centre) {
-    return edges[index]->node->entry_points(data_centre);
+    return edges[index]->node->entry_points(data_centre, "example");
   }
 
   asio::io_context context;
