Homes: routes and organisations bound to regions

Cause: `allowedRegions` was not read; targets, second tries, relays and the directory knew no regions.

Change: the homes of a request are the regions that its route and its organisation both allow. They are part of its target pool, so that choice, wait, second tries and estimates know no target outside; nodes outside relay nothing; the directory names nodes in the homes or in the caller's region. Requests without a home left are refused at once.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -71,7 +71,9 @@
 
   /// Returns the addresses of the nodes that a caller in `data_centre` should use now: the
   /// directory of entry points.
-  std::vector<std::string> entry_points(const std::string& data_centre);
+  std::vector<std::string> entry_points(const std::string& data_centre,
+                                        const std::string& host = "",
+                                        const std::string& region = "");
 
   /// Announces the shutdown to the peers, gives up the planner lease, and returns when callers
   /// should have switched to other nodes or half of the termination grace period is over.
@@ -131,7 +133,9 @@
   void apply_config(const std::string& text);
   void apply_config_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
-  /// Reads the rows of evacuations itself if no peer that this node hears knows them.
+  std::string region_of(const std::string& data_centre) const;
+  bool is_told_of_evacuations() const;
+  /// Reads the rows of evacuations itself while no peer that this node hears tells of them.
   support::task<> learn_evacuations();
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/cold_bound.h"
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/gateway/retry_limiter.h"
 
 #include <chrono>
@@ -15,6 +16,8 @@
 struct edge_settings {
   std::string id;
   std::string data_centre;
+  /// Region of each data centre, this one's too.
+  gateway::region_map regions;
   /// `ip:port` for callers.
   std::string public_address;
   /// `ip:port` for peers.
--- a/include/camphorlug/gateway/caller_request.h
+++ b/include/camphorlug/gateway/caller_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/net/header_list.h"
 
 #include <algorithm>
@@ -37,6 +38,11 @@
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> resume_after;
   std::size_t header_bytes = 0;
+  /// Holder for which the node's memory is counted: the organisation, or the connection if the
+  /// configuration names no organisations.
+  std::string memory_holder{};
+  /// Regions in which the route and the organisation allow targets and relays.
+  home_regions homes{};
 
   /// Longest time until the final response on a route with that timeout.
   std::chrono::milliseconds time_limit_within(std::chrono::milliseconds timeout) const {
--- a/include/camphorlug/gateway/organisation_key.h
+++ b/include/camphorlug/gateway/organisation_key.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "camphorlug/gateway/home_regions.h"
+
 #include <optional>
 #include <string>
 
@@ -10,6 +12,7 @@
   std::string organisation;
   /// Overrides the priority of the route if present.
   std::optional<int> priority;
+  home_regions homes{};
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/route.h
+++ b/include/camphorlug/gateway/route.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/gateway/request_kind.h"
 
 #include <chrono>
@@ -37,6 +38,7 @@
   /// A stream may be resumed at another target after a given event.
   bool resumable = false;
   std::vector<weighted_service> services;
+  home_regions homes{};
 
   /// Whether a request may be executed more than once.
   bool repeatable() const {
--- a/include/camphorlug/gateway/routing_config.h
+++ b/include/camphorlug/gateway/routing_config.h
@@ -50,6 +50,9 @@
   /// must not include a query string.
   std::shared_ptr<const route> find_route(std::string_view host, std::string_view path) const;
 
+  /// The regions that all routes of the host allow.
+  home_regions homes_of(std::string_view host) const;
+
 private:
   std::vector<std::shared_ptr<const route>> routes_;
   /// Keyed by the normalised host, a line break and the path prefix.
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -41,6 +41,12 @@
         pauses_(pauses), limits_(limits), evacuations_(evacuations), random_(random),
         data_centre_(std::move(data_centre)) {}
 
+  /// Sets the regions of data centres, by which the homes of requests are judged.
+  void set_regions(region_map regions) {
+    regions_ = std::move(regions);
+    views_.clear();
+  }
+
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
 
@@ -109,7 +115,11 @@
 
   const pool_view& view_of(const target_pool& pool);
   std::vector<candidate> candidates(const target_pool& pool);
-  bool is_in_closed_data_centre(const serving_group& group) const;
+  /// Whether requests of the pool may go to the data centre.
+  bool is_usable(const target_pool& pool, const std::string& data_centre) const {
+    return !evacuations_.is_closed(data_centre) && pool.homes.allows(data_centre, regions_);
+  }
+  bool has_unusable_member(const target_pool& pool, const serving_group& group) const;
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
@@ -144,6 +154,7 @@
   evacuation_list& evacuations_;
   support::random_source& random_;
   std::string data_centre_;
+  region_map regions_;
   std::size_t node_count_ = 1;
   cold_targets* cold_ = nullptr;
   const active_config* config_ = nullptr;
--- a/include/camphorlug/gateway/target_pool.h
+++ b/include/camphorlug/gateway/target_pool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "camphorlug/gateway/home_regions.h"
+
 #include <string>
 
 namespace camphorlug::gateway {
@@ -9,6 +11,8 @@
   std::string service;
   /// Empty for a service without groups.
   std::string model;
+  /// Regions outside of which no target belongs to the pool.
+  home_regions homes{};
 
   auto operator<=>(const target_pool&) const = default;
 };
--- a/include/camphorlug/gateway/target_sender.h
+++ b/include/camphorlug/gateway/target_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/chosen_target.h"
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/gateway/path_monitor.h"
 #include "camphorlug/net/http_client.h"
 #include "camphorlug/net/transport_error.h"
@@ -22,6 +23,7 @@
   std::string peer_address;
   /// Share of the requests that it gets; see `node_status::cores`.
   double weight = 1;
+  std::string region{};
 };
 
 /// Sends requests to targets: on this node's own connections or, if these lead nowhere, through
@@ -39,12 +41,14 @@
   class exchange;
 
   /// Starts sending `request`, which is addressed to `target`.
+  /// It is relayed only by nodes in `homes`.
   std::unique_ptr<exchange> open(const std::string& service, const chosen_target& target,
-                                 net::client_request request);
+                                 net::client_request request, home_regions homes = {});
 
   /// Returns the peer address of a random node outside `tried` that may relay requests.
-  std::optional<std::string> choose_relay(const std::set<std::string>& tried);
-  bool has_relay() { return choose_relay({}).has_value(); }
+  std::optional<std::string> choose_relay(const std::set<std::string>& tried,
+                                          const home_regions& homes = {});
+  bool has_relay(const home_regions& homes = {}) { return choose_relay({}, homes).has_value(); }
 
 private:
   support::clock& time_;
@@ -57,7 +61,7 @@
 class target_sender::exchange final : public net::http_exchange {
 public:
   exchange(target_sender& sender, std::string service, chosen_target target,
-           net::client_request request);
+           net::client_request request, home_regions homes);
 
   support::task<net::response_head> head(std::chrono::nanoseconds timeout) override;
   support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) override;
@@ -91,6 +95,7 @@
   std::string service_;
   chosen_target target_;
   net::client_request request_;
+  home_regions homes_;
   std::unique_ptr<net::http_exchange> current_;
   support::clock::time_point opened_at_;
   /// While the request is on a connection of this node.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -3,6 +3,7 @@
 #include "camphorlug/edge/lift_path.h"
 #include "camphorlug/edge/state_report.h"
 #include "camphorlug/gateway/gateway_selection.h"
+#include "camphorlug/gateway/home_faults.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
@@ -125,6 +126,7 @@
       [this](const gateway::fleet_message& message) { apply_peer_message(message); });
 }
 
+  chooser_.set_regions(settings_.regions);
 edge_node::~edge_node() = default;
 
 void edge_node::start() {
@@ -161,6 +163,8 @@
 }
 
 void edge_node::apply_notice(const std::string& instance, const gateway::target_notice& notice) {
+  settings_.regions = settings.regions;
+  chooser_.set_regions(settings_.regions);
   if (const gateway::target_entry* entry = registry_.find(instance))
     notices_.apply(instance, entry->started_at_ms, notice);
 }
@@ -204,8 +208,13 @@
 
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
-  if (config && config_.update_if_newer(std::move(config)))
-    config_text_ = text;
+  if (!config || !config_.update_if_newer(std::move(config)))
+    return;
+  config_text_ = text;
+  for (const gateway::home_fault& fault :
+       gateway::find_home_faults(*config_.current(), settings_.regions))
+    support::log_event(support::log_level::warning, "homes_cannot_be_kept",
+                       {{"subject", fault.subject}, {"reason", fault.reason}});
 }
 
 void edge_node::apply_target_rows(const table::feed_batch& batch, bool is_full_table) {
@@ -437,7 +446,8 @@
   for (const auto& [id, other] : fleet_.others()) {
     const gateway::node_status& status = other.status;
     if (status.ready && !status.leaving && status.reaches_targets)
-      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight)});
+      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight),
+                       region_of(status.data_centre)});
   }
   return found;
 }
@@ -453,6 +463,12 @@
 }
 
 support::task<> edge_node::confirm_silence(std::string service) {
+/// Returns an empty name, which is no home, if the region is unknown.
+std::string edge_node::region_of(const std::string& data_centre) const {
+  const auto found = settings_.regions.find(data_centre);
+  return found == settings_.regions.end() ? "" : found->second;
+}
+
   const bool answered = co_await probe_any_target(service);
   if (!answered)
     paths_.record_silence(service);
@@ -590,7 +606,9 @@
   return heads;
 }
 
-std::vector<std::string> edge_node::entry_points(const std::string& data_centre) {
+std::vector<std::string> edge_node::entry_points(const std::string& data_centre,
+                                                 const std::string& host,
+                                                 const std::string& region) {
   std::vector<gateway::node_status> nodes;
   for (const auto& [id, other] : fleet_.others())
     nodes.push_back(other.status);
@@ -616,6 +634,13 @@
     if (config_text_.empty())
       net::send_problem(writer, {404, "no-configuration", "ask another node or the store"});
     else
+  if (config_.current()) {
+    const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
+        region.empty() ? region_of(data_centre) : region);
+    std::erase_if(nodes, [&](const gateway::node_status& each) {
+      return !homes.allows(each.data_centre, settings_.regions);
+    });
+  }
       net::send_json(writer, 200, config_text_);
     co_return;
   }
--- a/lib/gateway/demand_meter.cpp
+++ b/lib/gateway/demand_meter.cpp
@@ -12,6 +12,11 @@
 static constexpr double arrival_time_constant_seconds =
     std::chrono::duration<double>(demand_meter::arrival_time_constant).count();
 
+/// Groups are formed for models, whichever homes their requests have.
+static target_pool without_homes(const target_pool& pool) {
+  return {pool.service, pool.model};
+}
+
 double demand_meter::decay(const pool_statistics& statistics, support::clock::time_point now) {
   const double age = std::chrono::duration<double>(now - statistics.updated_at).count();
   return std::exp(-age / arrival_time_constant_seconds);
@@ -19,11 +24,11 @@
 
 void demand_meter::count_arrival(const target_pool& pool, std::chrono::nanoseconds reading) {
   const auto now = time_.now();
-  const auto [found, is_new] = statistics_.try_emplace(pool);
+  const auto [found, is_new] = statistics_.try_emplace(without_homes(pool));
   // Callers choose the names of models, so pools that get no requests any more are dropped.
   if (is_new)
     std::erase_if(statistics_, [&](const auto& each) {
-      return each.first != pool && each.second.rate * decay(each.second, now) < min_rate;
+      return each.first != found->first && each.second.rate * decay(each.second, now) < min_rate;
     });
   pool_statistics& statistics = found->second;
   const double factor = decay(statistics, now);
@@ -35,7 +40,7 @@
 }
 
 void demand_meter::record_hold(const target_pool& pool, std::chrono::nanoseconds held) {
-  pool_statistics& statistics = statistics_[pool];
+  pool_statistics& statistics = statistics_[without_homes(pool)];
   const double seconds = std::chrono::duration<double>(held).count();
   statistics.hold_seconds =
       statistics.hold_seconds == 0
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -61,7 +61,8 @@
     if (pick < 0)
       break;
   }
-  pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
+  pool_ = {service_, env_.config.current()->selecting_model(service_, request.model),
+           request.homes};
   std::vector<std::string> suspects = crash_suspects_of(request, organisation);
   shared_ = std::make_shared<attempted_request>(attempted_request{std::move(request), route_,
                                                                   service_, std::move(organisation),
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -11,6 +11,19 @@
 /// The caller can retry at another node at once.
 static constexpr std::chrono::milliseconds other_node_retry_after{50};
 
+/// Only another configuration helps, which an operator has to write.
+static constexpr std::chrono::milliseconds no_home_retry_after{10'000};
+
+/// What a request takes beside its body: headers, the state of its coroutines, and what the client
+/// has read of its response, see curl_client.cpp.
+static constexpr std::size_t request_overhead_bytes = 48 * 1024;
+/// Copies of a body that the gateway holds beside the server's: its own and the one that is sent.
+static constexpr std::size_t body_copies = 2;
+/// Memory is free again when responses have been read, mostly within a second. The spread keeps
+/// refused callers from returning together.
+static constexpr std::chrono::milliseconds min_memory_retry_after{300};
+static constexpr std::chrono::milliseconds max_memory_retry_after{1500};
+
 namespace {
 
 /// Lists a forwarder while it runs.
@@ -77,6 +90,7 @@
   std::string organisation;
   int priority = chosen->priority;
   if (config->has_organisations && !chosen->is_public) {
+  request.homes = chosen->homes;
     const auto key_entry = request.key ? config->keys.find(*request.key) : config->keys.end();
     if (key_entry == config->keys.end()) {
       reject(request, writer, 401, "the key is missing or unknown");
@@ -85,6 +99,12 @@
     organisation = key_entry->second.organisation;
     priority = key_entry->second.priority.value_or(priority);
   }
+    request.homes = request.homes.common_with(key_entry->second.homes);
+  }
+  if (request.homes.allows_none()) {
+    reject(request, writer, 503, "no region is a home of both the route and the organisation",
+           no_home_retry_after);
+    co_return;
   const shutdown_state shutdown = shutdown_();
   const bool is_shutting_down = shutdown.phase != shutdown_phase::none;
   if (is_shutting_down && is_left_to_others(shutdown, *chosen, request)) {
@@ -112,7 +132,8 @@
   std::chrono::nanoseconds longest{0};
   for (const weighted_service& each : chosen.services) {
     const target_pool pool{each.service,
-                           env_.config.current()->selecting_model(each.service, request.model)};
+                           env_.config.current()->selecting_model(each.service, request.model),
+                           request.homes};
     longest = std::max(longest, env_.queue.mean_hold(pool).value_or(longest));
   }
   return longest;
--- a/lib/gateway/routing_config.cpp
+++ b/lib/gateway/routing_config.cpp
@@ -66,4 +66,14 @@
   return nullptr;
 }
 
+home_regions routing_config::homes_of(std::string_view host) const {
+  const std::string wanted = normalise_host(host);
+  home_regions homes;
+  for (const std::shared_ptr<const route>& each : routes_) {
+    if (normalise_host(each->host) == wanted)
+      homes = homes.common_with(each->homes);
+  }
+  return homes;
+}
+
 } // namespace camphorlug::gateway
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -159,7 +159,7 @@
     });
   monitored_ = monitored ? &*monitored : nullptr;
   const std::unique_ptr<target_sender::exchange> exchange =
-      env_.sender.open(shared_->service, target_, make_target_request());
+      env_.sender.open(shared_->service, target_, make_target_request(), shared_->request.homes);
   exchange_ = exchange.get();
   const pointer_reset reset(exchange_, monitored_);
   auto result = attempt_result::unknown;
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -24,10 +24,11 @@
 /// The same number when loads are summed up over hubs and are several hundred milliseconds old.
 static constexpr int samples_per_scope_with_old_loads = 2;
 
-bool target_chooser::is_in_closed_data_centre(const serving_group& group) const {
-  return std::any_of(group.members.begin(), group.members.end(), [this](const std::string& id) {
+bool target_chooser::has_unusable_member(const target_pool& pool,
+                                         const serving_group& group) const {
+  return std::any_of(group.members.begin(), group.members.end(), [&](const std::string& id) {
     const target_entry* member = registry_.find(id);
-    return member && evacuations_.is_closed(member->data_centre);
+    return member && !is_usable(pool, member->data_centre);
   });
 }
 
@@ -51,14 +52,14 @@
   if (!pool.model.empty()) {
     for (const serving_group& group : groups_.serving(pool.service, pool.model)) {
       const auto head = registry_.all().find(group.members.front());
-      if (head != registry_.all().end() && !is_in_closed_data_centre(group))
+      if (head != registry_.all().end() && !has_unusable_member(pool, group))
         add(head->second, group.epoch);
     }
     return found;
   }
   for (const auto& [id, target] : registry_.all()) {
     if (target.entry.service == pool.service && !target.entry.draining &&
-        !evacuations_.is_closed(target.entry.data_centre))
+        is_usable(pool, target.entry.data_centre))
       add(target, 0);
   }
   return found;
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -22,9 +22,12 @@
 /// request.
 static constexpr std::chrono::milliseconds early_failure_limit{20};
 
-std::optional<std::string> target_sender::choose_relay(const std::set<std::string>& tried) {
+std::optional<std::string> target_sender::choose_relay(const std::set<std::string>& tried,
+                                                       const home_regions& homes) {
   std::vector<relay_node> relays = relays_();
-  std::erase_if(relays, [&](const relay_node& each) { return tried.contains(each.peer_address); });
+  std::erase_if(relays, [&](const relay_node& each) {
+    return tried.contains(each.peer_address) || !homes.allows_region(each.region);
+  });
   double sum = 0;
   for (const relay_node& each : relays)
     sum += each.weight;
@@ -39,15 +42,16 @@
 
 std::unique_ptr<target_sender::exchange> target_sender::open(const std::string& service,
                                                              const chosen_target& target,
-                                                             net::client_request request) {
-  return std::make_unique<exchange>(*this, service, target, std::move(request));
+                                                             net::client_request request,
+                                                             home_regions homes) {
+  return std::make_unique<exchange>(*this, service, target, std::move(request), std::move(homes));
 }
 
 target_sender::exchange::exchange(target_sender& sender, std::string service, chosen_target target,
-                                  net::client_request request)
+                                  net::client_request request, home_regions homes)
     : sender_(sender), service_(std::move(service)), target_(std::move(target)),
-      request_(std::move(request)) {
-  if (!sender_.paths_.has_lost(service_) || !sender_.has_relay())
+      request_(std::move(request)), homes_(std::move(homes)) {
+  if (!sender_.paths_.has_lost(service_) || !sender_.has_relay(homes_))
     open_direct();
 }
 
@@ -112,7 +116,7 @@
 /// is relayed only if other targets show that this node is the cause.
 bool target_sender::exchange::may_relay(const transport_error& failure) {
   return failure.progress() == request_progress::not_sent && !withheld_ && !cancelled_ &&
-         (!failure.timed_out() || sender_.paths_.has_lost(service_)) && sender_.has_relay();
+         (!failure.timed_out() || sender_.paths_.has_lost(service_)) && sender_.has_relay(homes_);
 }
 
 support::task<net::response_head> target_sender::exchange::head(nanoseconds timeout) {
@@ -167,7 +171,7 @@
   while ((result == relay_result::try_another || result == relay_result::no_connection) &&
          tried.size() < max_relays_per_attempt && gone < max_gone_relays_per_attempt) {
     const nanoseconds left = until - sender_.time_.now();
-    const std::optional<std::string> peer = sender_.choose_relay(tried);
+    const std::optional<std::string> peer = sender_.choose_relay(tried, homes_);
     if (!peer || cancelled_ || left <= nanoseconds(0))
       break;
     tried.insert(*peer);
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -25,25 +25,37 @@
 std::shared_ptr<const gateway::routing_config>
 minimal_row_decoder::read_config(const std::string& text) const {
   auto config = std::make_shared<gateway::routing_config>();
-  config->version = std::stoull(text);
+  std::istringstream words(text);
+  words >> config->version;
+  std::map<std::string, gateway::home_regions> homes;
+  for (std::string word; words >> word;) {
+    std::istringstream names(word.substr(word.find('=') + 1));
+    std::set<std::string> allowed;
+    for (std::string name; std::getline(names, name, ',');)
+      allowed.insert(name);
+    homes[word.substr(0, word.find('='))] = gateway::home_regions(std::move(allowed));
+  }
   gateway::route route;
   route.name = "plain";
   route.host = "example";
   route.path_prefix = "/plain/";
   route.kind = gateway::request_kind::idempotent;
   route.services = {{"shop", 1}};
+  route.homes = homes["plain"];
   config->add_route(route);
   route.name = "stream";
   route.path_prefix = "/stream/";
   route.kind = gateway::request_kind::stream;
   route.resumable = true;
   route.attempts = 2;
+  route.homes = homes["stream"];
   config->add_route(route);
   route.name = "once";
   route.path_prefix = "/once/";
   route.kind = gateway::request_kind::non_idempotent;
   route.resumable = false;
   route.attempts = 1;
+  route.homes = homes["once"];
   config->add_route(route);
   config->services["shop"].name = "shop";
   return config;
@@ -182,8 +194,8 @@
   clock.shut_down();
 }
 
-void edge_cluster::set_config(std::uint64_t version) {
-  tables.put(config_table, config_key, std::to_string(version));
+void edge_cluster::set_config(std::uint64_t version, const std::string& homes) {
+  tables.put(config_table, config_key, std::to_string(version) + " " + homes);
 }
 
 void edge_cluster::add_target(const std::string& id, const std::string& data_centre) {
@@ -255,7 +267,8 @@
   edge->prober = std::make_unique<node_prober>(orders, edge->peer_address);
   edge::edge_settings settings;
   settings.id = edge->id;
-  settings.data_centre = index % 2 == 0 ? "east" : "west";
+  settings.data_centre = data_centres[index % data_centres.size()];
+  settings.regions = regions;
   settings.public_address = "public-" + edge->peer_address;
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -21,8 +21,9 @@
 namespace camphorlug::fakes {
 
 /// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE`
-/// for a target, the last of them optional.
+/// configuration with the routes `/plain/`, `/stream/` and `/once/`, followed by the homes of some
+/// routes as `ROUTE=REGION,REGION`; `SERVICE ADDRESS DATA_CENTRE` for a target, the last of them
+/// optional.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -113,7 +114,7 @@
   edge_cluster& operator=(const edge_cluster&) = delete;
 
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
-  void set_config(std::uint64_t version);
+  void set_config(std::uint64_t version, const std::string& homes = "");
   void add_target(const std::string& id, const std::string& data_centre = "");
   /// Asks the nodes to evacuate a data centre, or ends that.
   void evacuate(const std::string& data_centre);
@@ -152,6 +153,9 @@
   minimal_protocol protocol;
   minimal_row_decoder decoder;
   null_instance_client orders;
+  /// Data centres of the nodes, in turn.
+  std::vector<std::string> data_centres{"east", "west"};
+  gateway::region_map regions;
   std::vector<std::unique_ptr<running_edge>> edges;
   /// Killed processes; they are disconnected from everything.
   std::vector<std::unique_ptr<running_edge>> retired;
--- a/unittests/platform/row_decoder_test.cpp
+++ b/unittests/platform/row_decoder_test.cpp
@@ -5,7 +5,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
@@ -67,6 +69,29 @@
 
 const platform::platform_row_decoder decoder;
 
+struct home_value {
+  const char* value;
+  /// Nothing if they allow all regions.
+  std::optional<std::set<std::string>> regions;
+};
+
+std::ostream& operator<<(std::ostream& out, const home_value& each) {
+  return out << each.value;
+}
+
+const home_value home_values[] = {
+    {R"(["north","south"])", {{"north", "south"}}},
+    {R"(["north","north"])", {{"north"}}},
+    {"null", std::nullopt},
+    {"[]", std::nullopt},
+    {R"("north")", std::set<std::string>()},
+    {"7", std::set<std::string>()},
+    {R"({"north":1})", std::set<std::string>()},
+    {R"(["north",7])", std::set<std::string>()},
+    {R"(["north",""])", std::set<std::string>()},
+    {R"([["north"]])", std::set<std::string>()},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(target_entry_is_fully_decoded) {
@@ -134,6 +159,21 @@
   BOOST_TEST(config->keys.at("k2").priority.value_or(0) == 3);
 }
 
+BOOST_DATA_TEST_CASE(homes_are_read_or_allow_nothing, data::make(home_values), each) {
+  for (const bool of_route : {true, false}) {
+    json config = valid_config();
+    json& owner = of_route ? config["routes"][0] : config["tenants"][0];
+    owner["allowedRegions"] = json::parse(each.value);
+    const auto read = platform::platform_row_decoder().read_config(config.dump());
+    BOOST_REQUIRE(read);
+    const gateway::home_regions homes =
+        of_route ? read->find_route("a.example", "/x/1")->homes : read->keys.at("k1").homes;
+    BOOST_TEST((homes.regions() == each.regions));
+    // Others are not bound by them.
+    BOOST_TEST(!read->find_route("a.example", "/y/1")->homes.is_restricted());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unknown_fields_of_newer_versions_are_ignored) {
   json config = valid_config();
   config["later"] = {{"a", 1}};
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -53,6 +53,8 @@
     {"  evacuateMs: 5000\n", "  evacuateMs: soon\n", "policyParams.evacuateMs"},
     {"seeds:\n  - \"10.1.0.40:3\"\n", "seeds: {a: 1}\n", "seeds"},
     {"zone: \"east\"\n", "zone: [\n", "YAML"},
+    {"later: 7\n", "zones: [east]\n", "zones"},
+    {"later: 7\n", "limits: {memoryMb: much}\n", "limits.memoryMb"},
 };
 
 std::string apply_edit(const settings_edit& edit) {
@@ -119,6 +121,22 @@
     platform::require_fixed_fields_unchanged(before, after);
     BOOST_ERROR("a change to a fixed field was accepted");
   } catch (const platform::settings_error& error) {
+BOOST_DATA_TEST_CASE(memory_is_within_its_bounds, data::make(memory_values), each) {
+  const auto settings = platform::read_settings(apply_edit({"later: 7", each.text, ""}));
+  BOOST_TEST(settings.node.memory_bytes == each.mebibytes * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(regions_of_zones_are_read) {
+  const gateway::region_map both{{"east", "a"}, {"west", "b"}};
+  const auto read = [](const char* text) {
+    return platform::read_settings(apply_edit({"later: 7", text, ""})).node.regions;
+  };
+  BOOST_TEST((read("zones: {east: a, west: b}") == both));
+  BOOST_TEST((read("zones: {west: b}\nregion: a") == both));
+  BOOST_TEST((read("region: a") == gateway::region_map{{"east", "a"}}));
+  BOOST_TEST(read("later: 8").empty());
+}
+
     const std::string message = error.what();
     BOOST_TEST(message.find(std::string(each.field) + ": expected") != std::string::npos, message);
     BOOST_TEST(message.find("starts again") != std::string::npos, message);
