Bound what a node holds in memory for slow callers and targets

Cause: each stream and body had a bound, the node had none: 60 callers that read nothing of 8 MB responses took 290 MB on, 100 bodies that stopped midway 196 MB, in processes that are given 160 MB.

Change: two budgets from `memoryMb` (support::memory_budget), one for what is being received, in the servers' sockets (net/metered_socket), one for bodies and responses that are held. Beyond half of a budget a holder (organisation, connection, caller's address) gets an equal share. Callers are read more slowly or refused before their request runs; targets are held up. libcurl reads 32 KB ahead in place of 256 KB.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -165,6 +165,7 @@
   /// The era in which this node wrote its own row.
   std::optional<std::uint64_t> registered_in_era_;
 
+  support::memory_budget memory_;
   gateway::active_config config_;
   gateway::target_registry registry_;
   /// The target rows as read from the store, served to peers that cannot reach it.
@@ -175,13 +176,13 @@
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
   gateway::evacuation_list evacuations_;
+  /// When a peer last told of evacuations, or this node last read their rows itself.
+  support::clock::time_point evacuations_heard_at_;
   gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
   gateway::retry_limiter retries_;
   gateway::stall_detector stalls_;
-  /// When a peer last told of evacuations, or this node last read their rows itself.
-  support::clock::time_point evacuations_heard_at_;
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::usual_time_limits usual_limits_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -26,6 +26,8 @@
   double cores = 1;
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
+  /// Bytes that the process may use; 0 if there is no limit.
+  std::size_t memory_bytes = 0;
   gateway::retry_limits retries;
   gateway::cold_bound cold;
   /// Time between the termination signal and the kill of the process.
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -15,6 +15,7 @@
 #include "camphorlug/gateway/trial_permits.h"
 #include "camphorlug/gateway/usual_time_limits.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/support/memory_budget.h"
 #include "camphorlug/support/random_source.h"
 
 namespace camphorlug::gateway {
@@ -37,6 +38,8 @@
   demand_meter& demand;
   gateway_metrics& metrics;
   usual_time_limits& usual_limits;
+  /// For the bodies and responses that the node holds.
+  support::memory_budget& memory;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -16,6 +16,11 @@
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
   std::size_t evacuated_data_centres = 0;
+  /// Bytes that the node holds of requests and responses, and the limit; 0 if there is none.
+  std::size_t held_bytes = 0;
+  std::size_t held_bytes_limit = 0;
+  /// Times that something was refused or put off because of that limit.
+  std::uint64_t memory_denials = 0;
   bool leads = false;
 };
 
--- a/include/camphorlug/gateway/request_relay.h
+++ b/include/camphorlug/gateway/request_relay.h
@@ -9,6 +9,7 @@
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/net/server_request.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/support/memory_budget.h"
 
 #include <cstddef>
 
@@ -24,7 +25,7 @@
 
   request_relay(support::clock& time, net::http_client& client, const caller_protocol& protocol,
                 const target_registry& registry, const slot_queue& queue, path_monitor& paths,
-                double cores);
+                double cores, support::memory_budget& memory);
 
   std::size_t in_progress() const { return in_progress_; }
 
@@ -49,6 +50,7 @@
   const target_registry& registry_;
   const slot_queue& queue_;
   path_monitor& paths_;
+  support::memory_budget& memory_;
   std::size_t max_in_progress_;
   std::size_t in_progress_ = 0;
 };
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -116,6 +116,9 @@
   void record_completion();
   void record_loss();
   support::task<bool> wait_until_queue_is_drained();
+  /// Takes memory for the `held` bytes of the response, before more of it is read; the next read
+  /// is part of what the request was given at its start. Returns false when the wait was too long.
+  support::task<bool> wait_for_memory(std::size_t held);
   bool is_stream() const;
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
 
@@ -148,6 +151,8 @@
   /// Nothing is read while the caller has too much still to take.
   bool is_reading_paused_ = false;
   std::string body_;
+  /// What is held of the response.
+  support::memory_budget::charge received_;
   std::optional<attempt_result> result_;
   std::string failure_;
 };
--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/net/server_request.h"
+#include "camphorlug/support/memory_budget.h"
 
 #include <asio/io_context.hpp>
 #include <chrono>
@@ -17,6 +18,9 @@
   std::size_t max_header_value_bytes = 16 * 1024;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
   std::chrono::seconds idle_timeout{60};
+  /// Bounds what all connections of the servers on one context have received of requests that are
+  /// not complete or not answered; nullptr if there is no bound.
+  support::memory_budget* receiving = nullptr;
 };
 
 /// Handles one request in a coroutine of its own.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -34,9 +34,9 @@
 static constexpr std::chrono::milliseconds registration_retry_interval{500};
 /// Interval of the checks whether a starting node knows of evacuations.
 static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
-static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 /// A node that no peer told of evacuations for this long reads their rows itself.
 static constexpr std::chrono::milliseconds max_silence_about_evacuations{1000};
+static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
 /// Target rows are fetched from a more current peer if the store has not answered for this
@@ -54,16 +54,27 @@
 static constexpr double min_relay_weight = 0.05;
 /// Until a loss is over, each probe of a target is charged for.
 static constexpr std::chrono::milliseconds lost_service_probe_interval{500};
+/// Part of the process's memory for what it holds of requests and responses. The rest is for
+/// requests that are being received, the tables and the program itself.
+static constexpr double held_memory_fraction = 0.3;
 /// Requests in progress are cut this long before the platform kills the process.
 static constexpr std::chrono::milliseconds termination_margin{300};
 
+static std::size_t held_bytes_limit(const edge_settings& settings) {
+  return settings.memory_bytes == 0
+             ? support::memory_budget::unlimited
+             : static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) *
+                                        held_memory_fraction);
+}
+
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
       incarnation_(support::make_incarnation(context_.time)),
-      reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
-      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      pauses_(context_.time), limits_(context_.time),
-      evacuations_(context_.time, settings_.evacuation_time_limit), cold_targets_(context_.time),
+      reading_(context_.time, context_.random), memory_(held_bytes_limit(settings_)),
+      config_(context_.time), registry_(context_.time), groups_(registry_, config_),
+      loads_(context_.time), suspicions_(context_.time), pauses_(context_.time),
+      limits_(context_.time), evacuations_(context_.time, settings_.evacuation_time_limit),
+      cold_targets_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, evacuations_,
                context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
@@ -76,10 +87,10 @@
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
-             settings_.cores),
+             settings_.cores, memory_),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
                  slot_queue_, suspicions_, notices_, crash_causes_, trials_, retries_, stalls_,
-                 demand_, metrics_, usual_limits_},
+                 demand_, metrics_, usual_limits_, memory_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       scheduler_service_(context_.time, chooser_, config_, settings_.id),
@@ -115,6 +126,7 @@
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   chooser_.set_cold_targets(&cold_targets_, &config_);
+  chooser_.set_regions(settings_.regions);
   registry_.add_listener([this] {
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
@@ -126,7 +138,6 @@
       [this](const gateway::fleet_message& message) { apply_peer_message(message); });
 }
 
-  chooser_.set_regions(settings_.regions);
 edge_node::~edge_node() = default;
 
 void edge_node::start() {
@@ -152,8 +163,12 @@
   for (const std::string& seed : settings.seeds)
     exchange_.add_address(seed);
   settings_.seeds = settings.seeds;
+  settings_.regions = settings.regions;
+  chooser_.set_regions(settings_.regions);
   settings_.retries = settings.retries;
   retries_.change_limits(settings.retries);
+  settings_.memory_bytes = settings.memory_bytes;
+  memory_.change_limit(held_bytes_limit(settings_));
   settings_.cold = settings.cold;
   cold_targets_.change_bound(settings.cold);
   settings_.termination_grace = settings.termination_grace;
@@ -163,8 +178,6 @@
 }
 
 void edge_node::apply_notice(const std::string& instance, const gateway::target_notice& notice) {
-  settings_.regions = settings.regions;
-  chooser_.set_regions(settings_.regions);
   if (const gateway::target_entry* entry = registry_.find(instance))
     notices_.apply(instance, entry->started_at_ms, notice);
 }
@@ -195,6 +208,14 @@
     evacuations_.retain(present, batch.version);
 }
 
+/// Whether the store or a peer tells this node of evacuations as soon as they are announced.
+bool edge_node::is_told_of_evacuations() const {
+  if (!evacuations_.was_read())
+    return false;
+  return reading_.is_active() ||
+         context_.time.now() - evacuations_heard_at_ < max_silence_about_evacuations;
+}
+
 support::task<> edge_node::learn_evacuations() {
   for (;;) {
     co_await context_.time.sleep_for(evacuation_learning_interval);
@@ -369,6 +390,8 @@
   limits_.merge(message.summary.limits);
   if (message.evacuations) {
     evacuations_.merge(*message.evacuations);
+    evacuations_heard_at_ = context_.time.now();
+  }
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   crash_keeper_.apply_peer_message(message);
@@ -399,8 +422,6 @@
   const flag_reset reset(fetching_target_rows_);
   net::client_request request;
   request.address = peer_address;
-    evacuations_heard_at_ = context_.time.now();
-  }
   request.target =
       std::string(gateway::entries_path) + "?since=" + std::to_string(target_rows_.version());
   const std::optional<std::string> text = co_await fetch_from_peer(
@@ -441,6 +462,12 @@
   }
 }
 
+/// Returns an empty name, which is no home, if the region is unknown.
+std::string edge_node::region_of(const std::string& data_centre) const {
+  const auto found = settings_.regions.find(data_centre);
+  return found == settings_.regions.end() ? "" : found->second;
+}
+
 std::vector<gateway::relay_node> edge_node::relays() {
   std::vector<gateway::relay_node> found;
   for (const auto& [id, other] : fleet_.others()) {
@@ -463,12 +490,6 @@
 }
 
 support::task<> edge_node::confirm_silence(std::string service) {
-/// Returns an empty name, which is no home, if the region is unknown.
-std::string edge_node::region_of(const std::string& data_centre) const {
-  const auto found = settings_.regions.find(data_centre);
-  return found == settings_.regions.end() ? "" : found->second;
-}
-
   const bool answered = co_await probe_any_target(service);
   if (!answered)
     paths_.record_silence(service);
@@ -613,6 +634,13 @@
   for (const auto& [id, other] : fleet_.others())
     nodes.push_back(other.status);
   nodes.push_back(status());
+  if (config_.current()) {
+    const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
+        region.empty() ? region_of(data_centre) : region);
+    std::erase_if(nodes, [&](const gateway::node_status& each) {
+      return !homes.allows(each.data_centre, settings_.regions);
+    });
+  }
   return gateway::select_gateway_addresses(nodes, data_centre, settings_.min_entry_points);
 }
 
@@ -634,13 +662,6 @@
     if (config_text_.empty())
       net::send_problem(writer, {404, "no-configuration", "ask another node or the store"});
     else
-  if (config_.current()) {
-    const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
-        region.empty() ? region_of(data_centre) : region);
-    std::erase_if(nodes, [&](const gateway::node_status& each) {
-      return !homes.allows(each.data_centre, settings_.regions);
-    });
-  }
       net::send_json(writer, 200, config_text_);
     co_return;
   }
@@ -738,6 +759,9 @@
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
+  gauges.held_bytes = memory_.used();
+  gauges.held_bytes_limit = memory_.is_limited() ? memory_.limit() : 0;
+  gauges.memory_denials = memory_.denials();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -90,6 +90,9 @@
   set("config_version", static_cast<double>(gauges.config_version));
   set("store_era", static_cast<double>(gauges.store_era));
   set("evacuated_data_centres", static_cast<double>(gauges.evacuated_data_centres));
+  set("held_bytes", static_cast<double>(gauges.held_bytes));
+  set("held_bytes_limit", static_cast<double>(gauges.held_bytes_limit));
+  set("memory_denials", static_cast<double>(gauges.memory_denials));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -67,6 +67,7 @@
 
 support::task<> request_gateway::handle(net::server_request raw, net::response_writer& writer) {
   ++handled_;
+  const std::uint64_t connection = raw.connection_id;
   caller_request request = env_.protocol.parse_request(std::move(raw));
   // Holds a reference, because a newer version may replace this one while the request runs.
   const std::shared_ptr<const routing_config> config = env_.config.current();
@@ -89,8 +90,8 @@
   }
   std::string organisation;
   int priority = chosen->priority;
-  if (config->has_organisations && !chosen->is_public) {
   request.homes = chosen->homes;
+  if (config->has_organisations && !chosen->is_public) {
     const auto key_entry = request.key ? config->keys.find(*request.key) : config->keys.end();
     if (key_entry == config->keys.end()) {
       reject(request, writer, 401, "the key is missing or unknown");
@@ -98,19 +99,29 @@
     }
     organisation = key_entry->second.organisation;
     priority = key_entry->second.priority.value_or(priority);
-  }
     request.homes = request.homes.common_with(key_entry->second.homes);
   }
   if (request.homes.allows_none()) {
     reject(request, writer, 503, "no region is a home of both the route and the organisation",
            no_home_retry_after);
     co_return;
+  }
   const shutdown_state shutdown = shutdown_();
   const bool is_shutting_down = shutdown.phase != shutdown_phase::none;
   if (is_shutting_down && is_left_to_others(shutdown, *chosen, request)) {
     reject(request, writer, 503, "this node ends; connect to another one", other_node_retry_after);
     co_return;
   }
+  request.memory_holder =
+      organisation.empty() ? "connection " + std::to_string(connection) : organisation;
+  support::memory_budget::charge memory(env_.memory, request.memory_holder);
+  if (!memory.try_add(request_overhead_bytes + body_copies * request.body.size())) {
+    const auto spread =
+        (max_memory_retry_after - min_memory_retry_after) * env_.random.uniform_real();
+    reject(request, writer, 503, "no memory is left for the request",
+           min_memory_retry_after + std::chrono::duration_cast<std::chrono::milliseconds>(spread));
+    co_return;
+  }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
                               priority, is_shutting_down);
   const in_progress_entry entry(in_progress_, forwarder);
--- a/lib/gateway/request_relay.cpp
+++ b/lib/gateway/request_relay.cpp
@@ -14,6 +14,11 @@
 /// For nodes that do not know their processor share.
 static constexpr std::size_t min_in_progress = 32;
 
+/// All requests of peers together get the share of one organisation.
+static constexpr const char* memory_holder = "peers";
+/// What a request takes beside its body; pieces of its response are passed on one by one.
+static constexpr std::size_t request_overhead_bytes = 80 * 1024;
+
 /// Headers that concern only one connection; both sides make their own.
 static constexpr std::array connection_headers{"Connection", "Keep-Alive", "Transfer-Encoding",
                                                "Content-Length", "Expect"};
@@ -55,9 +60,10 @@
 
 request_relay::request_relay(support::clock& time, net::http_client& client,
                              const caller_protocol& protocol, const target_registry& registry,
-                             const slot_queue& queue, path_monitor& paths, double cores)
+                             const slot_queue& queue, path_monitor& paths, double cores,
+                             support::memory_budget& memory)
     : time_(time), client_(client), protocol_(protocol), registry_(registry), queue_(queue),
-      paths_(paths),
+      paths_(paths), memory_(memory),
       max_in_progress_(
           std::max(min_in_progress, static_cast<std::size_t>(cores * max_in_progress_per_core))) {}
 
@@ -100,6 +106,11 @@
     send_failure(writer, relay_failure_busy);
     co_return;
   }
+  support::memory_budget::charge memory(memory_, memory_holder);
+  if (!memory.try_add(request_overhead_bytes + request.body.size())) {
+    send_failure(writer, relay_failure_busy);
+    co_return;
+  }
   const counted_request counted(in_progress_);
   if (!entry || !accepts_requests(*parameters)) {
     send_failure(writer, relay_failure_not_sent);
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -26,6 +26,12 @@
 /// all memory of the node.
 static constexpr std::size_t max_body_bytes = 32 * 1024 * 1024;
 
+/// While the node's memory is short, a response waits this long at most before more of it is read.
+static constexpr milliseconds max_memory_wait{2000};
+static constexpr milliseconds memory_check_interval{20};
+/// A body's buffer grows by this part, so that it takes little more than it holds.
+static constexpr std::size_t body_growth_divisor = 4;
+
 static nanoseconds scaled(nanoseconds span, double factor) {
   return std::chrono::duration_cast<nanoseconds>(span * factor);
 }
@@ -69,7 +75,8 @@
       on_change_(std::move(on_change)), started_at_(environment.time.now()),
       last_progress_(started_at_),
       first_part_limit_(gateway::first_part_limit(*shared_->chosen, remaining_time())),
-      queue_drained_(environment.time) {
+      queue_drained_(environment.time),
+      received_(environment.memory, shared_->request.memory_holder) {
   slot_.emplace(std::move(slot));
 }
 
@@ -249,12 +256,22 @@
 
 support::task<attempt_result> target_attempt::read_body(net::http_exchange& exchange) {
   for (;;) {
+    const bool may_read = co_await wait_for_memory(body_.capacity());
+    if (!may_read) {
+      body_ = {};
+      received_.reset();
+      failure_ += " (no memory is left for its response)";
+      co_return attempt_result::unknown;
+    }
     std::optional<std::string> piece = co_await exchange.read(remaining_time());
     if (!piece)
       break;
+    if (body_.capacity() < body_.size() + piece->size())
+      body_.reserve(body_.size() + piece->size() + body_.size() / body_growth_divisor);
     body_ += *piece;
     if (body_.size() > max_body_bytes) {
       body_ = {};
+      received_.reset();
       co_return fail(attempt_result::unknown, "body too large", "it sent a body without end");
     }
   }
@@ -267,6 +284,26 @@
   co_return attempt_result::answered;
 }
 
+/// The wait does not count as silence of the target.
+support::task<bool> target_attempt::wait_for_memory(std::size_t held) {
+  // Until now it was counted while it was being written.
+  if (held < received_.bytes())
+    received_.set(held);
+  if (received_.try_add(held - received_.bytes()))
+    co_return true;
+  const auto until = env_.time.now() + std::min<nanoseconds>(max_memory_wait, remaining_time());
+  is_reading_paused_ = true;
+  if (monitored_)
+    monitored_->pause();
+  while (!received_.has_room(held - received_.bytes()) && !closed_ && env_.time.now() < until)
+    co_await env_.time.sleep_for(memory_check_interval);
+  is_reading_paused_ = false;
+  last_progress_ = env_.time.now();
+  if (monitored_)
+    monitored_->resume();
+  co_return received_.try_add(held - received_.bytes());
+}
+
 void target_attempt::record_progress() {
   last_progress_ = env_.time.now();
   has_progressed_ = true;
@@ -301,6 +338,11 @@
         co_return attempt_result::unknown;
       }
     }
+    const bool may_read = co_await wait_for_memory(queued_bytes_ + splitter.partial_event_size());
+    if (!may_read) {
+      failure_ += " (no memory is left for its response)";
+      co_return attempt_result::unknown;
+    }
     std::optional<std::string> piece = co_await exchange.read(remaining_time());
     if (!piece)
       break;
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -14,7 +14,7 @@
 
 /// Reading from the connection pauses when a slow consumer leaves this much of the body
 /// unread.
-static constexpr std::size_t max_buffered_bytes = 256 * 1024;
+static constexpr std::size_t max_buffered_bytes = 32 * 1024;
 
 /// A connection is closed when sent data stays unacknowledged for this long.
 static constexpr std::chrono::milliseconds tcp_user_timeout{5000};
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/net/http_server.h"
 
+#include "metered_socket.h"
+
 #include "camphorlug/net/problem.h"
 #include "camphorlug/support/log.h"
 
@@ -74,6 +76,7 @@
   using request_handler_t =
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
   using connection_state_listener_t = disconnect_callbacks;
+  using stream_socket_t = metered_socket;
 };
 
 using server_type = restinio::http_server_t<server_traits>;
@@ -325,11 +328,17 @@
     --in_progress;
   }
 
+  /// Returns the memory that the request takes, which has been received completely.
+  support::memory_budget::charge take_memory(const restinio::request_handle_t& request) {
+    return asio::use_service<receive_meters>(context).take(request->remote_endpoint());
+  }
+
   /// Passes the requests of a connection to the handler one after the other. The response to a
   /// request may close the connection, and one that follows it must not be executed then, because
   /// it could not be answered.
   static support::task<> handle_request(std::shared_ptr<implementation> self,
-                                        restinio::request_handle_t handle) {
+                                        restinio::request_handle_t handle,
+                                        support::memory_budget::charge) {
     ++self->in_progress;
     const auto connection = handle->connection_id();
     const auto turn = std::make_shared<request_turn>();
@@ -369,6 +378,8 @@
 http_server::http_server(asio::io_context& context, const std::string& address,
                          request_handler handler, server_limits limits)
     : implementation_(std::make_shared<implementation>(context, std::move(handler), limits)) {
+  if (limits.receiving)
+    asio::use_service<receive_meters>(context).set_budget(limits.receiving);
   const std::size_t colon = address.rfind(':');
   const std::string host = address.substr(0, colon);
   const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
@@ -377,8 +388,9 @@
     const auto self = weak.lock();
     if (!self)
       return restinio::request_rejected();
+    support::memory_budget::charge memory = self->take_memory(request);
     support::spawn(self->context.get_executor(), "request",
-                   implementation::handle_request(self, std::move(request)));
+                   implementation::handle_request(self, std::move(request), std::move(memory)));
     return restinio::request_accepted();
   };
   auto configure = [&](auto& settings) {
--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -181,8 +181,11 @@
         finally:
             connection.close()
 
-    def open_slow_reader(self, path, gateway=0):
-        """Sends a request on a connection with a small receive buffer and reads nothing."""
+    def open_slow_reader(self, path, gateway=0, body=b"x", announced=None):
+        """Sends a request on a connection with a small receive buffer and reads nothing.
+
+        With `announced`, the body goes on after `body` up to so many bytes.
+        """
         host, port = self.gateways[gateway].addresses["http"].split(":")
         reader = socket.socket()
         reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
@@ -190,7 +193,7 @@
         reader.connect((host, int(port)))
         reader.sendall(f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
                        f"X-Deadline-Ms: 6000\r\nX-Request-Id: {self.next_id()}\r\n"
-                       "Content-Length: 1\r\n\r\nx".encode())
+                       f"Content-Length: {announced or len(body)}\r\n\r\n".encode() + body)
         return reader
 
     @staticmethod
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -12,7 +12,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from cluster import BIN, ROOT, wait_until  # noqa: E402
-from platform_cluster import ROUTES, BackgroundCallers, PlatformCluster, get, route  # noqa: E402
+from platform_cluster import (ROUTES, SERVICES, TENANTS, BackgroundCallers,  # noqa: E402
+                              PlatformCluster, get, route)
 
 # Another first port lets work trees of one machine run the tests side by side.
 PORT = int(os.environ.get("CAMPHORLUG_TEST_PORT", "28500"))
@@ -454,6 +455,75 @@
             time.sleep(0.02)
 
 
+class MemoryTests(PlatformTest):
+    """A node of 160 MB before callers that read and send slowly."""
+
+    MEMORY_MB = 160
+    READERS = 60
+    ANSWER_BYTES = 8_000_000
+    SENDERS = 100
+    BODY_BYTES = 1_900_000
+
+    def setUp(self):
+        self.gateway = cluster.gateways[1]
+        self.gateway.kill()
+        self.gateway.write_settings(limits={"memoryMb": self.MEMORY_MB})
+        self.gateway.start()
+        # Of another organisation than the slow callers.
+        tenants = TENANTS + [{"name": "other", "apiKeys": ["key-2"]}]
+        cluster.standins.run_coroutine(cluster.standins.set_config(ROUTES, SERVICES, tenants))
+        cluster.wait_for_groups()
+        self.connections = []
+
+    def tearDown(self):
+        for connection in self.connections:
+            connection.close()
+        for runner in cluster.standins.runners.values():
+            runner.answer_bytes = 0
+        cluster.set_config(ROUTES)
+        self.gateway.kill()
+        super().tearDown()
+
+    def peak_mb(self):
+        status = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
+        return next(int(line.split()[1]) // 1024 for line in status.splitlines()
+                    if line.startswith("VmHWM"))
+
+    def check_others_are_served(self):
+        for runner in cluster.standins.runners.values():
+            runner.answer_bytes = 0
+        statuses = [cluster.call(path, 1, key="key-2").status
+                    for path in ("/read/x", "/buy/x", "/chat/x") for _ in range(5)]
+        self.assertEqual(statuses, [200] * 15)
+        self.assertIsNone(self.gateway.process.poll())
+        print(f"peak {self.peak_mb()} MB", flush=True)
+        self.assertLess(self.peak_mb(), self.MEMORY_MB)
+
+    def test_slow_readers_of_large_responses_stay_within_the_memory(self):
+        for runner in cluster.standins.runners.values():
+            runner.answer_bytes = self.ANSWER_BYTES
+        for _ in range(self.READERS):
+            self.connections.append(cluster.open_slow_reader("/read/x", 1))
+        time.sleep(4)
+        self.check_others_are_served()
+
+    def test_large_bodies_that_stop_midway_stay_within_the_memory(self):
+        for _ in range(self.SENDERS):
+            connection = cluster.open_slow_reader("/read/x", 1, announced=self.BODY_BYTES)
+            connection.setblocking(False)
+            self.connections.append(connection)
+        unsent = {connection: self.BODY_BYTES - 2 for connection in self.connections}
+        end = time.monotonic() + 4
+        while time.monotonic() < end:
+            for connection, left in unsent.items():
+                try:
+                    unsent[connection] -= connection.send(b"y" * min(left, 65536)) if left else 0
+                except (BlockingIOError, ConnectionError):
+                    pass  # the node reads no more, or has refused the request
+            time.sleep(0.01)
+        self.check_others_are_served()
+
+
 class OperatorTests(PlatformTest):
     def change_settings(self, gateway, **changes):
         before = len(gateway.log_lines("settings_reloaded")) + len(
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -142,6 +142,16 @@
   void cancel() override {}
 
 private:
+  /// Returns a body as an earlier build at one of the ends writes or reads it.
+  std::string translate(const std::string& path, const std::string& body) const {
+    if (body.empty() || (!network_.earlier_builds.contains(self_) &&
+                         !network_.earlier_builds.contains(request_.address)))
+      return body;
+    if (path == gateway::fleet_path)
+      return earlier_build::pass_on(body);
+    return path == gateway::crashes_path ? earlier_build::pass_on_evidence(body) : body;
+  }
+
   /// What follows in a path are parameters.
   static constexpr std::size_t path_length_counted = std::string_view("/camphorlug/v1/").size();
 
@@ -154,16 +164,6 @@
 };
 
 } // namespace
-  /// Returns a body as an earlier build at one of the ends writes or reads it.
-  std::string translate(const std::string& path, const std::string& body) const {
-    if (body.empty() || (!network_.earlier_builds.contains(self_) &&
-                         !network_.earlier_builds.contains(request_.address)))
-      return body;
-    if (path == gateway::fleet_path)
-      return earlier_build::pass_on(body);
-    return path == gateway::crashes_path ? earlier_build::pass_on_evidence(body) : body;
-  }
-
 
 std::unique_ptr<net::http_exchange> node_client::open(net::client_request request) {
   if (request.address.starts_with("peer"))
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -63,9 +63,9 @@
       nodes;
   /// Addresses that are disconnected in both directions.
   std::set<std::string> cut;
-  /// Number of requests between nodes by path, without the query.
   /// Addresses of nodes whose messages are those of an earlier build, see `earlier_build`.
   std::set<std::string> earlier_builds;
+  /// Number of requests between nodes by path, without the query.
   std::map<std::string, std::size_t> requests;
 };
 
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -58,6 +58,7 @@
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
   gateway::usual_time_limits usual_limits{clock};
+  support::memory_budget memory;
   gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::crash_cause_list crash_causes{clock};
   open_trial_permits trials;
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -83,6 +83,27 @@
     {"later: 7", "later: 8", "later"},
 };
 
+struct memory_value {
+  const char* text;
+  std::size_t mebibytes;
+};
+
+std::ostream& operator<<(std::ostream& out, const memory_value& each) {
+  return out << each.text;
+}
+
+const memory_value memory_values[] = {
+    {"later: 8", 0},
+    {"limits: {memoryMb: 160}", 160},
+    {"limits: {memoryMb: null}", 0},
+    {"limits: {memoryMb: 0}", 64},
+    {"limits: {memoryMb: -5}", 64},
+    {"limits: {memoryMb: 3}", 64},
+    {"limits: {memoryMb: .nan}", 64},
+    {"limits: {memoryMb: .inf}", 1024 * 1024},
+    {"limits: {memoryMb: 1e30}", 1024 * 1024},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(all_settings_are_read) {
@@ -100,6 +121,22 @@
   BOOST_TEST(settings.store_address == "10.200.1.7:5");
 }
 
+BOOST_DATA_TEST_CASE(memory_is_within_its_bounds, data::make(memory_values), each) {
+  const auto settings = platform::read_settings(apply_edit({"later: 7", each.text, ""}));
+  BOOST_TEST(settings.node.memory_bytes == each.mebibytes * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(regions_of_zones_are_read) {
+  const gateway::region_map both{{"east", "a"}, {"west", "b"}};
+  const auto read = [](const char* text) {
+    return platform::read_settings(apply_edit({"later: 7", text, ""})).node.regions;
+  };
+  BOOST_TEST((read("zones: {east: a, west: b}") == both));
+  BOOST_TEST((read("zones: {west: b}\nregion: a") == both));
+  BOOST_TEST((read("region: a") == gateway::region_map{{"east", "a"}}));
+  BOOST_TEST(read("later: 8").empty());
+}
+
 BOOST_DATA_TEST_CASE(invalid_settings_error_names_the_field, data::make(invalid_edits), each) {
   const std::string text = apply_edit(each);
   try {
@@ -121,22 +158,6 @@
     platform::require_fixed_fields_unchanged(before, after);
     BOOST_ERROR("a change to a fixed field was accepted");
   } catch (const platform::settings_error& error) {
-BOOST_DATA_TEST_CASE(memory_is_within_its_bounds, data::make(memory_values), each) {
-  const auto settings = platform::read_settings(apply_edit({"later: 7", each.text, ""}));
-  BOOST_TEST(settings.node.memory_bytes == each.mebibytes * 1024 * 1024);
-}
-
-BOOST_AUTO_TEST_CASE(regions_of_zones_are_read) {
-  const gateway::region_map both{{"east", "a"}, {"west", "b"}};
-  const auto read = [](const char* text) {
-    return platform::read_settings(apply_edit({"later: 7", text, ""})).node.regions;
-  };
-  BOOST_TEST((read("zones: {east: a, west: b}") == both));
-  BOOST_TEST((read("zones: {west: b}\nregion: a") == both));
-  BOOST_TEST((read("region: a") == gateway::region_map{{"east", "a"}}));
-  BOOST_TEST(read("later: 8").empty());
-}
-
     const std::string message = error.what();
     BOOST_TEST(message.find(std::string(each.field) + ": expected") != std::string::npos, message);
     BOOST_TEST(message.find("starts again") != std::string::npos, message);
