--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -71,7 +71,9 @@
 
   /// Returns the addresses of the nodes that a caller in `data_centre` should use now: the
   /// directory of entry points.
-  std::vector<std::string> entry_points(const std::string& data_centre);
+  std::vector<std::string> entry_points(const std::string& data_centre,
+                                        const std::string& host = "",
+                                        const std::string& region = "");
 
   /// Announces the shutdown to the peers, gives up the planner lease, and returns when callers
   /// should have switched to other nodes or half of the termination grace period is over.
@@ -134,7 +136,9 @@
   void apply_config(const std::string& text);
   void apply_config_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
-  /// Reads the rows of evacuations itself if no peer that this node hears knows them.
+  std::string region_of(const std::string& data_centre) const;
+  bool is_told_of_evacuations() const;
+  /// Reads the rows of evacuations itself while no peer that this node hears tells of them.
   support::task<> learn_evacuations();
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
@@ -166,6 +170,7 @@
   /// The era in which this node wrote its own row.
   std::optional<std::uint64_t> registered_in_era_;
 
+  support::memory_budget memory_;
   gateway::active_config config_;
   gateway::target_registry registry_;
   /// The target rows as read from the store, served to peers that cannot reach it.
@@ -176,6 +181,8 @@
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
   gateway::evacuation_list evacuations_;
+  /// When a peer last told of evacuations, or this node last read their rows itself.
+  support::clock::time_point evacuations_heard_at_;
   gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "camphorlug/gateway/cold_bound.h"
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/gateway/retry_limiter.h"
 
 #include <chrono>
@@ -15,6 +16,8 @@
 struct edge_settings {
   std::string id;
   std::string data_centre;
+  /// Region of each data centre, this one's too.
+  gateway::region_map regions;
   /// `ip:port` for callers.
   std::string public_address;
   /// `ip:port` for peers.
@@ -25,6 +28,8 @@
   bool is_first_start = true;
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
+  /// Bytes that the process may use; 0 if there is no limit.
+  std::size_t memory_bytes = 0;
   gateway::retry_limits retries;
   gateway::cold_bound cold;
   /// Time between the termination signal and the kill of the process.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -3,6 +3,7 @@
 #include "camphorlug/edge/lift_path.h"
 #include "camphorlug/edge/state_report.h"
 #include "camphorlug/gateway/gateway_selection.h"
+#include "camphorlug/gateway/home_faults.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
@@ -38,6 +39,8 @@
 static constexpr std::chrono::milliseconds registration_retry_interval{500};
 /// Interval of the checks whether a starting node knows of evacuations.
 static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
+/// A node that no peer told of evacuations for this long reads their rows itself.
+static constexpr std::chrono::milliseconds max_silence_about_evacuations{1000};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
@@ -56,16 +59,27 @@
 static constexpr double min_relay_weight = 0.05;
 /// Until a loss is over, each probe of a target is charged for.
 static constexpr std::chrono::milliseconds lost_service_probe_interval{500};
+/// Part of the process's memory for what it holds of requests and responses. The rest is for
+/// requests that are being received, the tables and the program itself.
+static constexpr double held_memory_fraction = 0.3;
 /// Requests in progress are cut this long before the platform kills the process.
 static constexpr std::chrono::milliseconds termination_margin{300};
 
+static std::size_t held_bytes_limit(const edge_settings& settings) {
+  return settings.memory_bytes == 0
+             ? support::memory_budget::unlimited
+             : static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) *
+                                        held_memory_fraction);
+}
+
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
       incarnation_(support::make_incarnation(context_.time)),
-      reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
-      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      pauses_(context_.time), limits_(context_.time),
-      evacuations_(context_.time, settings_.evacuation_time_limit), cold_targets_(context_.time),
+      reading_(context_.time, context_.random), memory_(held_bytes_limit(settings_)),
+      config_(context_.time), registry_(context_.time), groups_(registry_, config_),
+      loads_(context_.time), suspicions_(context_.time), pauses_(context_.time),
+      limits_(context_.time), evacuations_(context_.time, settings_.evacuation_time_limit),
+      cold_targets_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, evacuations_,
                context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
@@ -78,10 +92,10 @@
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
-             settings_.cores),
+             settings_.cores, memory_),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
                  slot_queue_, suspicions_, notices_, crash_causes_, trials_, retries_, stalls_,
-                 demand_, metrics_, usual_limits_},
+                 demand_, metrics_, usual_limits_, memory_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       scheduler_service_(context_.time, chooser_, config_, settings_.id),
@@ -117,6 +131,7 @@
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   chooser_.set_cold_targets(&cold_targets_, &config_);
+  chooser_.set_regions(settings_.regions);
   registry_.add_listener([this] {
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
@@ -155,8 +170,12 @@
   for (const std::string& seed : settings.seeds)
     exchange_.add_address(seed);
   settings_.seeds = settings.seeds;
+  settings_.regions = settings.regions;
+  chooser_.set_regions(settings_.regions);
   settings_.retries = settings.retries;
   retries_.change_limits(settings.retries);
+  settings_.memory_bytes = settings.memory_bytes;
+  memory_.change_limit(held_bytes_limit(settings_));
   settings_.cold = settings.cold;
   cold_targets_.change_bound(settings.cold);
   settings_.termination_grace = settings.termination_grace;
@@ -196,21 +215,34 @@
     evacuations_.retain(present, batch.version);
 }
 
+/// Whether the store or a peer tells this node of evacuations as soon as they are announced.
+bool edge_node::is_told_of_evacuations() const {
+  if (!evacuations_.was_read())
+    return false;
+  return reading_.is_active() ||
+         context_.time.now() - evacuations_heard_at_ < max_silence_about_evacuations;
+}
+
 support::task<> edge_node::learn_evacuations() {
   for (;;) {
     co_await context_.time.sleep_for(evacuation_learning_interval);
-    if (evacuations_.was_read())
-      co_return;
-    // A peer of an older build has the configuration, but says nothing of evacuations.
-    if (config_.current())
-      co_await config_follower_.read_now();
+    if (is_told_of_evacuations() || !config_.current())
+      continue;
+    // Peers of an older build have the configuration, but say nothing of evacuations.
+    evacuations_heard_at_ = context_.time.now();
+    co_await config_follower_.read_now();
   }
 }
 
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
-  if (config && config_.update_if_newer(std::move(config)))
-    config_text_ = text;
+  if (!config || !config_.update_if_newer(std::move(config)))
+    return;
+  config_text_ = text;
+  for (const gateway::home_fault& fault :
+       gateway::find_home_faults(*config_.current(), settings_.regions))
+    support::log_event(support::log_level::warning, "homes_cannot_be_kept",
+                       {{"subject", fault.subject}, {"reason", fault.reason}});
 }
 
 void edge_node::apply_target_rows(const table::feed_batch& batch, bool is_full_table) {
@@ -384,8 +416,10 @@
     registry_.mark_cold(target, notice);
   limits_.merge(message.summary.limits);
   peer_has_config_ = peer_has_config_ || message.config_version > 0;
-  if (message.evacuations)
+  if (message.evacuations) {
     evacuations_.merge(*message.evacuations);
+    evacuations_heard_at_ = context_.time.now();
+  }
   if (message.nodes)
     cold_targets_.learn_size(*message.nodes);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
@@ -458,12 +492,19 @@
   }
 }
 
+/// Returns an empty name, which is no home, if the region is unknown.
+std::string edge_node::region_of(const std::string& data_centre) const {
+  const auto found = settings_.regions.find(data_centre);
+  return found == settings_.regions.end() ? "" : found->second;
+}
+
 std::vector<gateway::relay_node> edge_node::relays() {
   std::vector<gateway::relay_node> found;
   for (const auto& [id, other] : fleet_.others()) {
     const gateway::node_status& status = other.status;
     if (status.ready && !status.leaving && status.reaches_targets)
-      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight)});
+      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight),
+                       region_of(status.data_centre)});
   }
   return found;
 }
@@ -618,11 +659,20 @@
   return heads;
 }
 
-std::vector<std::string> edge_node::entry_points(const std::string& data_centre) {
+std::vector<std::string> edge_node::entry_points(const std::string& data_centre,
+                                                 const std::string& host,
+                                                 const std::string& region) {
   std::vector<gateway::node_status> nodes;
   for (const auto& [id, other] : fleet_.others())
     nodes.push_back(other.status);
   nodes.push_back(status());
+  if (config_.current()) {
+    const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
+        region.empty() ? region_of(data_centre) : region);
+    std::erase_if(nodes, [&](const gateway::node_status& each) {
+      return !homes.allows(each.data_centre, settings_.regions);
+    });
+  }
   return gateway::select_gateway_addresses(nodes, data_centre, settings_.min_entry_points);
 }
 
@@ -743,6 +793,9 @@
   gauges.store_era = store_era_;
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
   gauges.cold_targets = registry_.cold_count();
+  gauges.held_bytes = memory_.used();
+  gauges.held_bytes_limit = memory_.is_limited() ? memory_.limit() : 0;
+  gauges.memory_denials = memory_.denials();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -1,8 +1,10 @@
 #include "fakes/edge_cluster.h"
 
 #include "camphorlug/edge/state_report.h"
+#include "camphorlug/gateway/fleet_exchange.h"
 #include "camphorlug/net/transport_error.h"
 
+#include "fakes/earlier_build.h"
 #include "fakes/gateway_fixture.h"
 
 #include <sstream>
@@ -23,30 +25,43 @@
 std::shared_ptr<const gateway::routing_config>
 minimal_row_decoder::read_config(const std::string& text) const {
   auto config = std::make_shared<gateway::routing_config>();
-  config->version = std::stoull(text);
+  std::istringstream words(text);
+  words >> config->version;
+  std::map<std::string, gateway::home_regions> homes;
+  for (std::string word; words >> word;) {
+    if (word.find('=') == std::string::npos) {
+      config->services["shop"].cold_requests_per_second = std::stod(word);
+      continue;
+    }
+    std::istringstream names(word.substr(word.find('=') + 1));
+    std::set<std::string> allowed;
+    for (std::string name; std::getline(names, name, ',');)
+      allowed.insert(name);
+    homes[word.substr(0, word.find('='))] = gateway::home_regions(std::move(allowed));
+  }
   gateway::route route;
   route.name = "plain";
   route.host = "example";
   route.path_prefix = "/plain/";
   route.kind = gateway::request_kind::idempotent;
   route.services = {{"shop", 1}};
+  route.homes = homes["plain"];
   config->add_route(route);
   route.name = "stream";
   route.path_prefix = "/stream/";
   route.kind = gateway::request_kind::stream;
   route.resumable = true;
   route.attempts = 2;
+  route.homes = homes["stream"];
   config->add_route(route);
   route.name = "once";
   route.path_prefix = "/once/";
   route.kind = gateway::request_kind::non_idempotent;
   route.resumable = false;
   route.attempts = 1;
+  route.homes = homes["once"];
   config->add_route(route);
   config->services["shop"].name = "shop";
-  const std::size_t rate_start = text.find(' ');
-  if (rate_start != std::string::npos)
-    config->services["shop"].cold_requests_per_second = std::stod(text.substr(rate_start));
   return config;
 }
 
@@ -110,8 +125,16 @@
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
     ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
-    request.body = request_.body;
-    co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+    request.body = translate(request.path, request_.body);
+    if (network_.earlier_builds.contains(request_.address) &&
+        !earlier_build::knows_path(request.path)) {
+      answer_.status = 404;
+    } else {
+      const std::string path = request.path;
+      co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+      if (answer_.status == 200)
+        answer_.body = translate(path, answer_.body);
+    }
     co_await time_.sleep_for(network_delay);
     if (answer_.aborted)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
@@ -127,6 +150,16 @@
   void cancel() override {}
 
 private:
+  /// Returns a body as an earlier build at one of the ends writes or reads it.
+  std::string translate(const std::string& path, const std::string& body) const {
+    if (body.empty() || (!network_.earlier_builds.contains(self_) &&
+                         !network_.earlier_builds.contains(request_.address)))
+      return body;
+    if (path == gateway::fleet_path)
+      return earlier_build::pass_on(body);
+    return path == gateway::crashes_path ? earlier_build::pass_on_evidence(body) : body;
+  }
+
   /// What follows in a path are parameters.
   static constexpr std::size_t path_length_counted = std::string_view("/camphorlug/v1/").size();
 
@@ -170,7 +203,11 @@
 }
 
 void edge_cluster::set_config(std::uint64_t version, double cold_rate) {
-  tables.put(config_table, config_key, std::to_string(version) + " " + std::to_string(cold_rate));
+  set_config(version, std::to_string(cold_rate));
+}
+
+void edge_cluster::set_config(std::uint64_t version, const std::string& details) {
+  tables.put(config_table, config_key, std::to_string(version) + " " + details);
 }
 
 void edge_cluster::add_target(const std::string& id, const std::string& data_centre,
@@ -248,7 +285,8 @@
   edge->prober = std::make_unique<node_prober>(orders, edge->peer_address);
   edge::edge_settings settings;
   settings.id = edge->id;
-  settings.data_centre = index % 2 == 0 ? "east" : "west";
+  settings.data_centre = data_centres[index % data_centres.size()];
+  settings.regions = regions;
   settings.public_address = "public-" + edge->peer_address;
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -20,9 +20,10 @@
 
 namespace camphorlug::fakes {
 
-/// Decodes the rows that the test fixtures write: `VERSION COLD_RATE` for a configuration with the
-/// routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE WARM_UP_MS` for a
-/// target; what comes last may be missing.
+/// Decodes the rows that the test fixtures write: `VERSION DETAILS` for a configuration with the
+/// routes `/plain/`, `/stream/` and `/once/`, where a detail is the rate of cold targets or the
+/// homes of a route as `ROUTE=REGION,REGION`; `SERVICE ADDRESS DATA_CENTRE WARM_UP_MS` for a
+/// target, the last two of them optional.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -62,6 +63,8 @@
       nodes;
   /// Addresses that are disconnected in both directions.
   std::set<std::string> cut;
+  /// Addresses of nodes whose messages are those of an earlier build, see `earlier_build`.
+  std::set<std::string> earlier_builds;
   /// Number of requests between nodes by path, without the query.
   std::map<std::string, std::size_t> requests;
 };
@@ -116,6 +119,8 @@
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
   /// Cold targets take `cold_rate` requests a second; 0 for any number.
   void set_config(std::uint64_t version, double cold_rate = 0);
+  /// The same with all details, as `minimal_row_decoder` reads them.
+  void set_config(std::uint64_t version, const std::string& details);
   void add_target(const std::string& id, const std::string& data_centre = "",
                   std::chrono::milliseconds warm_up_remaining = {});
   void remove_target(const std::string& id);
@@ -141,7 +146,7 @@
   /// Returns the state report of a node.
   nlohmann::ordered_json state(std::size_t index);
   std::vector<std::string> entries(std::size_t index, const std::string& data_centre) {
-    return edges[index]->node->entry_points(data_centre);
+    return edges[index]->node->entry_points(data_centre, "example");
   }
 
   asio::io_context context;
@@ -156,6 +161,9 @@
   minimal_protocol protocol;
   minimal_row_decoder decoder;
   null_instance_client orders;
+  /// Data centres of the nodes, in turn.
+  std::vector<std::string> data_centres{"east", "west"};
+  gateway::region_map regions;
   std::vector<std::unique_ptr<running_edge>> edges;
   /// Killed processes; they are disconnected from everything.
   std::vector<std::unique_ptr<running_edge>> retired;
