Take scattered time limits of callers for those of first requests

Cause: where each caller has a time limit of its own, no limit of a route is usual; the longest one then counted as such, and a first request seemed to have waited up to the whole spread before. Change: without a usual limit, those of first requests are taken to be spread evenly up to the upper decile; what is shorter than all of them is a return. Test: scattered_first_limits_count_as_first (limits 15 % below the longest; no, 10 and 30 % returns).

--- a/include/camphorlug/gateway/usual_time_limits.h
+++ b/include/camphorlug/gateway/usual_time_limits.h
@@ -14,9 +14,10 @@
 /// Learns the time limits with which callers of a route begin, to recognise requests that return
 /// after a refusal: their limit is shorter by the time that has passed.
 ///
-/// Callers choose their limits, and those of one route may begin with different ones. Limits of
-/// first requests are equal, those of returns are scattered, so a limit counts as usual if many
-/// requests have it.
+/// Callers choose their limits, and those of one route may begin with different ones. Where first
+/// requests have equal limits and those of returns are scattered, a limit counts as usual if many
+/// requests have it. Where each caller has a limit of its own, those of first requests are taken to
+/// be spread evenly, and only what is shorter than all of them is a return.
 class usual_time_limits {
 public:
   /// A limit counts for this long at least after its last use.
@@ -31,8 +32,15 @@
 
   explicit usual_time_limits(support::clock& time) : time_(time) {}
 
+  /// Quantiles of a route's limits, and the distance of the least limit of first requests below the
+  /// upper one, as a multiple of the distance between them.
+  static constexpr double lower_quantile = 0.5;
+  static constexpr double upper_quantile = 0.9;
+  static constexpr double spread_factor = upper_quantile / (upper_quantile - lower_quantile);
+
   /// Counts a request and returns how much of the next longer usual limit has passed before it; 0
-  /// if its own is usual or it has none. If no limit is usual, the longest one counts as such.
+  /// if its own is usual or it has none. If no limit is usual, the least one of first requests
+  /// counts as such.
   std::chrono::nanoseconds time_used(const std::string& route,
                                      std::optional<std::chrono::milliseconds> limit);
 
@@ -46,9 +54,9 @@
     limit_counts previous;
     support::clock::time_point since;
 
-    /// Usual limits and the longest one, as of `updated_at`.
+    /// Usual limits and the least one of first requests, as of `updated_at`.
     std::set<std::chrono::milliseconds> usual;
-    std::chrono::milliseconds longest{0};
+    std::chrono::milliseconds least_first{0};
     support::clock::time_point updated_at;
 
     void update();
--- a/lib/gateway/usual_time_limits.cpp
+++ b/lib/gateway/usual_time_limits.cpp
@@ -10,6 +10,20 @@
 /// Further limits of a route are not remembered, since callers choose them.
 static constexpr std::size_t max_limits = 1000;
 
+/// The limit that the given part of the requests doesn't exceed.
+static milliseconds quantile(const std::map<milliseconds, std::size_t>& counts, double part) {
+  std::size_t total = 0;
+  for (const auto& [limit, count] : counts)
+    total += count;
+  double left = part * static_cast<double>(total);
+  for (const auto& [limit, count] : counts) {
+    left -= static_cast<double>(count);
+    if (left <= 0)
+      return limit;
+  }
+  return counts.empty() ? milliseconds(0) : counts.rbegin()->first;
+}
+
 void usual_time_limits::route_limits::update() {
   std::map<milliseconds, std::size_t> sums = previous.by_limit;
   for (const auto& [limit, count] : current.by_limit)
@@ -21,7 +35,13 @@
     if (static_cast<double>(count) >= least)
       usual.insert(limit);
   }
-  longest = sums.empty() ? milliseconds(0) : sums.rbegin()->first;
+  least_first = sums.empty() ? milliseconds(0) : sums.rbegin()->first;
+  const bool is_few = current.total + previous.total <= 2 * min_count;
+  if (is_few || !usual.empty())
+    return;
+  const milliseconds upper = quantile(sums, upper_quantile);
+  const milliseconds spread = upper - quantile(sums, lower_quantile);
+  least_first = upper - std::chrono::duration_cast<milliseconds>(spread * spread_factor);
 }
 
 std::chrono::nanoseconds usual_time_limits::time_used(const std::string& route,
@@ -44,7 +64,7 @@
     seen.updated_at = now;
   }
   if (seen.usual.empty())
-    return std::max(seen.longest, *limit) - *limit;
+    return std::max(seen.least_first, *limit) - *limit;
   const auto next = seen.usual.lower_bound(*limit);
   return next == seen.usual.end() ? milliseconds(0) : *next - *limit;
 }
--- a/unittests/scheduling/usual_time_limits_test.cpp
+++ b/unittests/scheduling/usual_time_limits_test.cpp
@@ -1,4 +1,5 @@
 #include "camphorlug/gateway/usual_time_limits.h"
+#include "camphorlug/support/random_source.h"
 #include "camphorlug/support/virtual_clock.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -90,3 +91,26 @@
   }
   BOOST_TEST((limits.time_used("r", 4s) >= 970ms));
 }
+
+/// Each caller has a limit of its own, 15 % below the route's at most, and some return.
+BOOST_DATA_TEST_CASE_F(limits_fixture, scattered_first_limits_count_as_first,
+                       data::make({0.0, 0.1, 0.3}), part_of_returns) {
+  support::random_source random{1};
+  const auto draw = [&] {
+    return std::chrono::milliseconds(5100 + static_cast<int>(random.below(901)));
+  };
+  int late = 0;
+  int recognised = 0, returns = 0;
+  for (int i = 0; i < 2000; ++i) {
+    if (random.uniform_real() < part_of_returns) {
+      const auto used = limits.time_used("r", draw() - 1500ms);
+      recognised += used >= 300ms ? 1 : 0;
+      ++returns;
+    } else {
+      late += limits.time_used("r", draw()) > 30ms ? 1 : 0;
+    }
+    clock.run_for(20ms);
+  }
+  BOOST_TEST(late <= 0.05 * (2000 - returns));
+  BOOST_TEST(recognised >= 0.5 * returns);
+}
