--- a/unittests/platform/row_decoder_test.cpp
+++ b/unittests/platform/row_decoder_test.cpp
@@ -1,6 +1,10 @@
 #include "base64.h"
 #include "platform_row_decoder.h"
 
+#include "camphorlug/table/row_mirror.h"
+
+#include "fakes/recorded_build.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -174,6 +178,28 @@
   }
 }
 
+// Nodes pass the rows of targets on to each other as the store has them.
+BOOST_AUTO_TEST_CASE(target_rows_from_a_node_of_an_earlier_build_are_read) {
+  const auto batch = table::batch_from_json(fakes::recorded_build::read("entries.json"));
+  BOOST_TEST(batch.rows.size() == 12U);
+  BOOST_TEST(batch.history_truncated);
+  const platform::platform_row_decoder decoder;
+  std::size_t heads = 0;
+  for (const table::feed_row& row : batch.rows) {
+    const auto entry = decoder.read_target(row.key, row.value);
+    BOOST_REQUIRE(entry);
+    heads += entry->membership && entry->membership->rank == 0 ? 1 : 0;
+    json later = json::parse(row.value);
+    later["addedLater"] = {{"field", 1}};
+    BOOST_TEST(decoder.read_target(row.key, later.dump()).has_value());
+  }
+  BOOST_TEST(heads > 0U);
+  // What a node of this build passes on is the same.
+  const auto again = table::batch_from_json(table::to_json(batch));
+  BOOST_TEST(again.rows.size() == batch.rows.size());
+  BOOST_TEST(again.rows.front().value == batch.rows.front().value);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_fields_of_newer_versions_are_ignored) {
   json config = valid_config();
   config["later"] = {{"a", 1}};
