--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -634,6 +634,11 @@
   for (const auto& [id, other] : fleet_.others())
     nodes.push_back(other.status);
   nodes.push_back(status());
+  // A node that has just started would refuse what it gets; callers ask another one.
+  const bool any_serves = std::any_of(nodes.begin(), nodes.end(),
+                                      [](const auto& each) { return each.ready && !each.leaving; });
+  if (!any_serves && !config_.current())
+    return {};
   if (config_.current()) {
     const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
         region.empty() ? region_of(data_centre) : region);
--- a/unittests/edge/edge_node_test.cpp
+++ b/unittests/edge/edge_node_test.cpp
@@ -111,6 +111,32 @@
   BOOST_TEST(world.targets.received.empty());
 }
 
+BOOST_AUTO_TEST_CASE(node_that_starts_names_itself_only_once_it_can_serve) {
+  fakes::edge_cluster world(1);
+  world.run_for(1s);
+  BOOST_TEST(world.entries(0, "east").empty());
+  world.set_config(1);
+  world.add_target("t1");
+  world.run_for(3s);
+  BOOST_TEST(world.edges[0]->node->ready());
+  BOOST_TEST(world.entries(0, "east") == std::vector<std::string>{"public-peer-0"},
+             boost::test_tools::per_element());
+  // The same in a fleet, from the moment of the start.
+  fakes::edge_cluster fleet(6);
+  fleet.set_config(1);
+  fleet.add_target("t1");
+  fleet.run_for(3s);
+  fleet.kill(1);
+  fleet.start(1);
+  for (auto passed = 0ms; passed < 3000ms; passed += 10ms) {
+    const bool serves = fleet.edges[1]->node->ready();
+    const auto named = fleet.entries(1, "west");
+    const bool names_itself = std::find(named.begin(), named.end(), "public-peer-1") != named.end();
+    BOOST_TEST((serves || !names_itself));
+    fleet.run_for(10ms);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(leaving_node_is_removed_from_all_entry_points, small_edge) {
   support::spawn(context.get_executor(), "leave", edges[1]->node->leave());
   run_for(50ms);
