Ask for another target if an assigned one cannot be used

Cause: a scheduler learns of a target before other nodes do; a node that got one that it did not know, or that pauses, chose by itself at once, beside a scheduler that answered. Change: it gives the slot back and asks again without that target, four times at most.

--- a/include/camphorlug/scheduling/scheduler_client.h
+++ b/include/camphorlug/scheduling/scheduler_client.h
@@ -35,6 +35,8 @@
   static constexpr int max_attempts = 5;
   /// A scheduler that has answered nothing meanwhile is silent after this many attempts.
   static constexpr int attempts_until_silent = 3;
+  /// Assigned targets that this node cannot use before it chooses by itself.
+  static constexpr int max_unknown_targets = 4;
 
   /// External dependencies. Every referenced object must outlive the client.
   struct context {
@@ -109,6 +111,8 @@
   support::task<gateway::scheduled_slot> exchange(scheduler_message message, std::string address,
                                                   std::chrono::nanoseconds timeout,
                                                   const bool* cancelled);
+  support::task<gateway::scheduled_slot> ask(const gateway::slot_request& request,
+                                             support::clock::time_point until);
   support::task<gateway::scheduled_slot> ask_local(scheduler_message message,
                                                    const bool* cancelled);
   support::task<attempt_result> attempt(net::client_request request,
--- a/lib/scheduling/scheduler_client.cpp
+++ b/lib/scheduling/scheduler_client.cpp
@@ -199,41 +199,50 @@
 
 support::task<scheduled_slot> scheduler_client::acquire(gateway::slot_request request,
                                                         support::clock::time_point until) {
+  for (int unknown = 0; unknown < max_unknown_targets; ++unknown) {
+    scheduled_slot answer = co_await ask(request, until);
+    const bool is_late = context_.time.now() > until + answer_allowance;
+    if (answer.result == scheduled_slot::outcome::unavailable && is_late)
+      answer.result = scheduled_slot::outcome::refused;
+    if (answer.result != scheduled_slot::outcome::granted)
+      co_return answer;
+    const auto target = context_.chooser.find_usable(request.pool, answer.target.id);
+    const bool is_cancelled = request.cancelled && *request.cancelled;
+    if (target && !is_cancelled && !is_late) {
+      answer.target = *target;
+      co_return answer;
+    }
+    release(request.pool, answer.target.id);
+    scheduled_slot none;
+    // The slot of a late answer may be assigned to another node by now.
+    if (is_late)
+      none.result = scheduled_slot::outcome::refused;
+    if (is_late || is_cancelled)
+      co_return none;
+    // The scheduler may know this target from newer entries, or not know yet that it pauses.
+    request.avoided.insert(answer.target.id);
+  }
+  co_return scheduled_slot{};
+}
+
+support::task<scheduled_slot> scheduler_client::ask(const gateway::slot_request& request,
+                                                    support::clock::time_point until) {
   const gateway::node_status* scheduler = context_.assignment.scheduler_of(request.pool);
   if (!scheduler)
     co_return scheduled_slot{};
   const std::string address = scheduler->peer_address;
   scheduler_message message = make_message(request.pool, address);
-  slot_ask& ask = message.ask.emplace();
-  ask.node = context_.self;
-  ask.data_centre = context_.data_centre;
-  ask.organisation = request.organisation;
-  ask.priority = request.rank.priority;
-  ask.in_time_until = request.in_time_until;
-  ask.latest_start = until;
-  ask.prompt_tokens = request.prompt_tokens;
-  ask.avoided = request.avoided;
+  slot_ask& asked = message.ask.emplace();
+  asked.node = context_.self;
+  asked.data_centre = context_.data_centre;
+  asked.organisation = request.organisation;
+  asked.priority = request.rank.priority;
+  asked.in_time_until = request.in_time_until;
+  asked.latest_start = until;
+  asked.prompt_tokens = request.prompt_tokens;
+  asked.avoided = request.avoided;
   const nanoseconds timeout = std::max<nanoseconds>(until - context_.time.now(), nanoseconds(0));
-  scheduled_slot answer =
-      co_await exchange(std::move(message), address, timeout, request.cancelled);
-  const bool is_late = context_.time.now() > until + answer_allowance;
-  if (answer.result == scheduled_slot::outcome::unavailable && is_late)
-    answer.result = scheduled_slot::outcome::refused;
-  if (answer.result != scheduled_slot::outcome::granted)
-    co_return answer;
-  // The scheduler may know this target from newer entries, or not know yet that it pauses.
-  const auto target = context_.chooser.find_usable(request.pool, answer.target.id);
-  const bool is_cancelled = request.cancelled && *request.cancelled;
-  // The slot of a late answer may be assigned to another node by now.
-  if (target && !is_cancelled && !is_late) {
-    answer.target = *target;
-    co_return answer;
-  }
-  release(request.pool, answer.target.id);
-  scheduled_slot none;
-  if (is_late)
-    none.result = scheduled_slot::outcome::refused;
-  co_return none;
+  co_return co_await exchange(std::move(message), address, timeout, request.cancelled);
 }
 
 void scheduler_client::release(const target_pool& pool, const std::string& target) {
--- a/unittests/scheduling/scheduler_failure_test.cpp
+++ b/unittests/scheduling/scheduler_failure_test.cpp
@@ -119,6 +119,16 @@
        fleet.change_lists(0ms);
      },
      nothing, false, true},
+    {"targets that only the scheduler can use",
+     [](slot_fleet& fleet) {
+       for (std::size_t i = 0; i < fleet.size; ++i) {
+         if (i == fleet.scheduler())
+           continue;
+         fleet.processes[i]->pauses.pause("t0", 0, 3s);
+         fleet.processes[i]->pauses.pause("t1", 0, 3s);
+       }
+     },
+     nothing, false, true},
     {"asking nodes frozen",
      [](slot_fleet& fleet) {
        for (std::size_t i = 0; i < 3; ++i) {
--- a/unittests/scheduling/slot_fleet.h
+++ b/unittests/scheduling/slot_fleet.h
@@ -22,11 +22,13 @@
 
 namespace camphorlug::scheduling {
 
-/// Nodes with their scheduler clients and services in virtual time, before targets that only count.
-/// Nodes learn late who lives; by their own choice they act on sums of loads that are 400 ms old.
+/// Nodes with their scheduler clients and services in virtual time, before targets at which
+/// requests beyond the slots begin later. Nodes learn late who lives; by their own choice they act
+/// on sums of loads that are 400 ms old, or 100 ms in a fleet without schedulers.
 struct slot_fleet {
   static constexpr std::chrono::milliseconds housekeeping_interval{50};
   static constexpr std::chrono::milliseconds sum_age{400};
+  static constexpr std::chrono::milliseconds sum_age_in_mesh{100};
   static constexpr std::chrono::milliseconds mean_hold{300};
   /// Longest wait for a slot that a request states.
   static constexpr std::chrono::milliseconds longest_wait{1000};
@@ -94,10 +96,24 @@
     std::map<std::string, std::size_t> running;
   };
 
+  /// What a request asks for, and who sends it.
+  struct description {
+    std::string organisation;
+    int priority = 2;
+    double prompt_tokens = 0;
+    /// How often its caller repeats it at once while it is refused.
+    int repetitions = 0;
+  };
+
   /// What became of a request.
   struct outcome {
+    description asked;
+    std::string data_centre;
+    bool is_repetition = false;
     support::clock::time_point arrived_at;
     support::clock::time_point ended_at;
+    /// When the target begins to run it.
+    support::clock::time_point begun_at;
     /// Longest time until its end, without the time in which its node stood still.
     std::chrono::nanoseconds most{0};
     bool is_of_frozen_node = false;
@@ -188,37 +204,63 @@
     return size;
   }
 
-  void send(std::size_t index) {
+  void send(std::size_t index, const description& asked, bool is_repetition = false) {
     process* const own = processes[index];
     if (!own->alive)
       return;
     outcome& sent = outcomes.emplace_back();
+    sent.asked = asked;
+    sent.data_centre = own->status.data_centre;
+    sent.is_repetition = is_repetition;
     sent.arrived_at = clock.now();
     sent.most = longest_wait;
     open_of[own].push_back(&sent);
     support::spawn(context.get_executor(), "request", run(own, &sent));
   }
 
+  using slot_result = gateway::slot_queue::slot_result;
+
+  /// Waits for a slot as the gateway does.
+  support::task<slot_result> wait(process& own, gateway::slot_request request) {
+    const auto now = own.clock.now();
+    const bool is_scheduled = own.queue.is_scheduled(pool());
+    const auto until = now + (is_scheduled ? longest_wait : objective_wait);
+    if (!is_scheduled && now + own.queue.expected_wait(pool(), request.rank) > until)
+      co_return slot_result{};
+    co_return co_await own.queue.acquire(std::move(request), until);
+  }
+
   support::task<> run(process* own, outcome* sent) {
     co_await own->clock.wait_until_resumed();
-    gateway::slot_request request{pool(), {2, own->clock.now() + objective_wait}, {}, nullptr};
-    request.organisation = "o" + std::to_string(random.below(5));
+    gateway::slot_request request{
+        pool(), {sent->asked.priority, own->clock.now() + objective_wait}, {}, nullptr};
+    request.organisation = sent->asked.organisation;
+    request.prompt_tokens = sent->asked.prompt_tokens;
     request.in_time_until = own->clock.now() + objective_wait;
-    const auto until = own->clock.now() + longest_wait;
-    gateway::slot_queue::slot_result got = co_await own->queue.acquire(std::move(request), until);
+    slot_result got = co_await wait(*own, std::move(request));
     sent->has_ended = true;
     sent->ended_at = clock.now();
     sent->is_of_frozen_node = own->clock.was_frozen();
     sent->has_slot = bool(got);
+    if (!got && sent->asked.repetitions > 0) {
+      description again = sent->asked;
+      --again.repetitions;
+      send(random.below(size), again, true);
+    }
     if (!got || !own->alive)
       co_return;
     const std::string target = got.slot->target().id;
     ++own->running[target];
     note_load(target);
+    const std::size_t load = running_at(target);
+    const double rounds = static_cast<double>(load - std::min(load, slots)) / slots;
+    const auto delay = std::chrono::duration_cast<std::chrono::nanoseconds>(mean_hold * rounds);
+    sent->begun_at = clock.now() + delay;
     const auto hold = std::chrono::duration_cast<std::chrono::nanoseconds>(
         mean_hold * (0.5 + random.uniform_real()));
+    own->queue.update_hold_estimate(pool(), delay + hold);
     // The target goes on while its node stands still.
-    co_await clock.sleep_for(hold);
+    co_await clock.sleep_for(delay + hold);
     if (own->running[target] > 0)
       --own->running[target];
     co_await own->clock.wait_until_resumed();
@@ -254,18 +296,28 @@
           each.is_of_frozen_node)
         continue;
       ++sent;
-      got += each.has_slot && each.ended_at - each.arrived_at <= within ? 1 : 0;
+      got += each.has_slot && each.begun_at - each.arrived_at <= within ? 1 : 0;
     }
     return sent > 0 ? got / sent : 1;
   }
 
   /// Sends requests for `span` at a multiple of what the targets can take.
   void run_load(std::chrono::milliseconds span, double load) {
-    const auto ends = clock.now() + span;
-    const double rate = load * static_cast<double>(target_count * slots) /
-                        std::chrono::duration<double>(mean_hold).count();
+    run_load(
+        span, [load](double) { return load; },
+        [this] { return description{"o" + std::to_string(random.below(5))}; });
+  }
+  /// The same at a multiple that changes with time, in seconds from the start.
+  void run_load(std::chrono::milliseconds span, const std::function<double(double)>& load,
+                const std::function<description()>& draw) {
+    const auto begin = clock.now();
+    const auto ends = begin + span;
     while (clock.now() < ends) {
-      send(random.below(size));
+      const double at = std::chrono::duration<double>(clock.now() - begin).count();
+      const double rate = load(at) * static_cast<double>(target_count * slots) /
+                          std::chrono::duration<double>(mean_hold).count();
+      const description asked = draw();
+      send(random.below(size), asked);
       exchange_sums();
       const std::chrono::duration<double> gap(-std::log(1 - random.uniform_real()) / rate);
       clock.run_for(std::chrono::duration_cast<std::chrono::nanoseconds>(gap));
@@ -292,7 +344,7 @@
     }
   }
   support::task<> apply_sums(process* each, std::string of, gateway::target_loads sums) {
-    co_await clock.sleep_for(sum_age);
+    co_await clock.sleep_for(gateway::fleet_roles::is_full_mesh(size) ? sum_age_in_mesh : sum_age);
     each->loads.update_peer(of, std::move(sums));
   }
 
