Try a target that has started again once more after a refused connection

Seen: test-gateway/target_that_has_started_again_is_tried_again_after_a_refused_ connection, 503 in place of 200: a request whose connection was refused never chose the target again, also when the registry knew of its new start 50 ms later and no other target was there. Change: what was tried is a target's start; a waiting request whose attempts reached no target looks again every 50 ms (not where a scheduler assigns slots: it decides once for the whole wait).

Test: fails before, holds now; all of test-gateway holds.

--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -4,6 +4,8 @@
 #include "camphorlug/gateway/target_attempt.h"
 #include "camphorlug/net/response_writer.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -97,6 +99,8 @@
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
   const target_pool& pool() const { return pool_; }
   slot_request make_slot_request() const;
+  /// The targets that were tried and have not started again since.
+  std::set<std::string> tried_targets() const;
   /// The slot time of a group that reading the prompt takes; 0 if unknown.
   std::chrono::nanoseconds reading_slot_time() const;
   queue_rank rank() const { return {priority_, arrived_at_ + route_->objective}; }
@@ -118,7 +122,8 @@
   /// Notified when an attempt goes on or ends, and when the caller disconnects.
   support::notification activity_;
   std::vector<open_attempt> open_;
-  std::set<std::string> tried_targets_;
+  /// The targets that were tried, each with the start that was.
+  std::map<std::string, std::int64_t> tried_starts_;
   std::size_t attempts_ = 0;
   /// Those of them that have ended without reaching a target.
   std::size_t unsent_attempts_ = 0;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -26,6 +26,7 @@
 /// Attempts that reach no target do not count as attempts, up to this number: each of them may cost
 /// the time to connect.
 static constexpr std::size_t max_unsent_attempts = 3;
+static constexpr milliseconds restart_check_interval{50};
 static constexpr milliseconds min_retry_after{100};
 /// A ban ends only when its cause is gone, so an earlier return would be in vain.
 static constexpr milliseconds banned_retry_after{60'000};
@@ -144,7 +145,7 @@
 
 void request_forwarder::start_attempt(slot_guard slot, const asio::any_io_executor& executor) {
   ++attempts_;
-  tried_targets_.insert(slot.target().id);
+  tried_starts_[slot.target().id] = slot.target().started_at_ms;
   trail_.push_back(slot.target().id);
   auto attempt = std::make_shared<target_attempt>(env_, shared_, std::move(slot), position_,
                                                   [this] { activity_.notify(); });
@@ -169,7 +170,7 @@
   });
   if (open_.empty() || !all_silent || banned_cause() || is_suspected() || !route_->repeatable() ||
       !has_attempts_left() || !env_.retries.can_retry(service_) ||
-      !env_.queue.has_alternative(pool(), tried_targets_))
+      !env_.queue.has_alternative(pool(), tried_targets()))
     return;
   std::optional<slot_guard> slot = env_.queue.try_acquire(make_slot_request());
   if (!slot || !env_.retries.try_acquire(service_))
@@ -338,7 +339,7 @@
 }
 
 slot_request request_forwarder::make_slot_request() const {
-  slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
+  slot_request request{pool(), rank(), tried_targets(), &caller_gone_};
   request.organisation = shared_->organisation;
   request.in_time_until =
       arrived_at_ - time_since_first_attempt_ + env_.queue.usable_wait(pool(), route_->objective);
@@ -356,11 +357,31 @@
   // The first attempt fails at once if the expected wait exceeds the limit.
   const bool may_wait = attempts_ > 0 || env_.queue.is_scheduled(pool()) ||
                         env_.time.now() + env_.queue.expected_wait(pool(), rank()) <= until;
-  const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+  const auto resumes_at = env_.queue.paused_until(pool(), tried_targets());
   if (!may_wait || (resumes_at && *resumes_at > until))
     co_return slot_queue::slot_result{};
-  slot_request request = make_slot_request();
-  co_return co_await env_.queue.acquire(std::move(request), until);
+  for (;;) {
+    // A target that was not reached may start again meanwhile.
+    const bool rechecks = unsent_attempts_ > 0 && !env_.queue.is_scheduled(pool());
+    const auto checked_at =
+        rechecks ? std::min(until, env_.time.now() + restart_check_interval) : until;
+    slot_request request = make_slot_request();
+    slot_queue::slot_result waited = co_await env_.queue.acquire(std::move(request), checked_at);
+    const bool goes_on = !waited && !waited.retry_after && !caller_gone_ && checked_at < until &&
+                         env_.time.now() >= checked_at;
+    if (!goes_on)
+      co_return waited;
+  }
+}
+
+std::set<std::string> request_forwarder::tried_targets() const {
+  std::set<std::string> ids;
+  for (const auto& [id, started_at_ms] : tried_starts_) {
+    const target_entry* entry = env_.registry.find(id);
+    if (!entry || entry->started_at_ms == started_at_ms)
+      ids.insert(id);
+  }
+  return ids;
 }
 
 void request_forwarder::report_trial(trial_step step) {
@@ -411,7 +432,7 @@
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
     return give_up("the time limit has passed");
-  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets());
       resumes_at && *resumes_at > slot_deadline())
     return give_up("all targets have asked for a pause");
   if (!env_.retries.try_acquire(service_)) {
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -154,6 +154,23 @@
   BOOST_TEST(world.client.received.size() == (each.status == 200 ? 1 : 0));
 }
 
+// The registry learns of the new start while the request waits for a target.
+BOOST_AUTO_TEST_CASE(target_that_has_started_again_is_tried_again_after_a_refused_connection) {
+  gateway_fixture world;
+  world.add_target("one");
+  world.answer("one", script_of(target_behaviour::not_connected));
+  recording_writer writer;
+  world.begin("/plain/x", writer);
+  world.clock.run_for(50ms);
+  gateway::target_entry restarted =
+      world.registry.find("one") ? *world.registry.find("one") : gateway::target_entry{};
+  restarted.started_at_ms = 1000;
+  world.answer("one", complete_answer());
+  world.registry.update("one", 100, restarted);
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(request_that_a_target_has_refused_has_used_its_attempt) {
   gateway_fixture world;
   world.add_target("one");
