--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -496,7 +496,6 @@
                     for path in ("/read/x", "/buy/x", "/chat/x") for _ in range(5)]
         self.assertEqual(statuses, [200] * 15)
         self.assertIsNone(self.gateway.process.poll())
-        print(f"peak {self.peak_mb()} MB", flush=True)
         self.assertLess(self.peak_mb(), self.MEMORY_MB)
 
     def test_slow_readers_of_large_responses_stay_within_the_memory(self):
