--- a/unittests/replicas/evacuation_planning_test.cpp
+++ b/unittests/replicas/evacuation_planning_test.cpp
@@ -105,6 +105,12 @@
        for (int i = 0; i < 20; i += 3)
          world.pool.kill("i" + std::to_string(i));
      }},
+    {"orders are carried out late", 0ms,
+     [](evacuated_pool& world) {
+       world.pool.late_order_probability = 0.5;
+       world.run_for(15s);
+       world.pool.late_order_probability = 0;
+     }},
     {"another one follows", 2000ms, [](evacuated_pool& world) { world.evacuated.insert("west"); }},
 };
 
@@ -119,6 +125,7 @@
       break;
     case 1:
       world.pool.kill("i" + std::to_string(random() % 60));
+      world.pool.late_order_probability = random() % 2 == 0 ? 0.3 : 0;
       break;
     default:
       const std::string place = places[random() % 3];
@@ -148,6 +155,24 @@
   BOOST_TEST(world.pool.violations().empty());
 }
 
+// Groups were being formed there when it was announced, by orders that take effect long after that.
+BOOST_DATA_TEST_CASE(orders_that_take_effect_late_leave_nothing_open, data::xrange(8), seed) {
+  evacuated_pool world(static_cast<std::uint64_t>(seed));
+  world.pool.late_order_probability = 0.5;
+  for (int i = seed % 3; i < 20; i += 3)
+    world.pool.kill("i" + std::to_string(i));
+  world.run_for(1s * (seed % 4));
+  world.evacuated = {"east"};
+  if (seed % 2 == 1)
+    world.change_planner();
+  world.run_for(15s);
+  world.pool.late_order_probability = 0;
+  world.run_for(20s);
+  BOOST_TEST(world.open_in("east") == 0);
+  BOOST_TEST(world.orders_there == 0);
+  BOOST_TEST(world.pool.violations().empty());
+}
+
 // Groups form elsewhere from spares before those there are closed.
 BOOST_AUTO_TEST_CASE(capacity_moves_before_groups_are_closed) {
   evacuated_pool world;
