Second tries for slow requests that may be repeated

Change: first_part_times keeps quantiles of the time to the first part by route, pool and prompt size; second_try_policy decides; request_forwarder sends the request to a second target, forwards what comes first and closes the other.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -179,6 +179,8 @@
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::usual_time_limits usual_limits_;
+  gateway::first_part_times first_parts_;
+  gateway::second_try_policy second_tries_;
   gateway::notice_handler notices_;
   gateway::crash_cause_list crash_causes_;
   fleet_trial_permits trials_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/cold_bound.h"
 #include "camphorlug/gateway/retry_limiter.h"
+#include "camphorlug/gateway/second_try_limits.h"
 
 #include <chrono>
 #include <cstddef>
@@ -25,6 +26,8 @@
   std::vector<std::string> seeds;
   gateway::retry_limits retries;
   gateway::cold_bound cold;
+  /// Fixed until the process starts again.
+  gateway::second_try_limits second_tries;
   /// Time between the termination signal and the kill of the process.
   std::chrono::milliseconds termination_grace{8000};
   /// Time from the announcement of an evacuation within which the last request may be sent to a
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -4,9 +4,11 @@
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/crash_cause_list.h"
 #include "camphorlug/gateway/demand_meter.h"
+#include "camphorlug/gateway/first_part_times.h"
 #include "camphorlug/gateway/gateway_metrics.h"
 #include "camphorlug/gateway/notice_handler.h"
 #include "camphorlug/gateway/retry_limiter.h"
+#include "camphorlug/gateway/second_try_policy.h"
 #include "camphorlug/gateway/slot_queue.h"
 #include "camphorlug/gateway/stall_detector.h"
 #include "camphorlug/gateway/suspicion_list.h"
@@ -37,6 +39,8 @@
   demand_meter& demand;
   gateway_metrics& metrics;
   usual_time_limits& usual_limits;
+  first_part_times& first_parts;
+  second_try_policy& second_tries;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -34,6 +34,8 @@
   /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
   /// fixed values.
   void count_silence(const std::string& outcome);
+  /// Counts second tries of slow requests. `event` must be one of a few fixed values.
+  void count_second_try(const std::string& event);
   /// Counts a new notice of a target. `notice` must be one of a few fixed values.
   void count_notice(const std::string& notice);
 
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -49,6 +49,14 @@
   support::task<bool> start_first_open_attempt(const asio::any_io_executor& executor);
   void start_attempt(slot_guard slot, const asio::any_io_executor& executor);
   void seek_replacement(const asio::any_io_executor& executor);
+  /// Sends the request to a second target if the first one is slow and the policy permits it.
+  void seek_second_try(const asio::any_io_executor& executor);
+  std::optional<std::chrono::nanoseconds> usual_time() const;
+  /// The maximum if no second try is possible.
+  std::chrono::nanoseconds time_until_second_try() const;
+  /// Counts what became of a silence or of a second try.
+  void count_kept_attempt(const target_attempt& kept);
+  void record_first_part(const target_attempt& kept);
   std::chrono::nanoseconds time_until_check() const;
   support::task<bool> forward_ready_parts();
   support::task<bool> forward_events(target_attempt& attempt);
@@ -110,6 +118,7 @@
   std::string service_;
   target_pool pool_;
   support::clock::time_point arrived_at_;
+  response_class class_;
   /// How long the caller has waited before, in earlier attempts.
   std::chrono::nanoseconds time_since_first_attempt_{0};
   std::optional<support::clock::time_point> first_byte_at_;
@@ -135,6 +144,10 @@
   std::vector<std::string> trail_;
   /// When the scheduler expects to have a slot, if it refused the last wait.
   std::optional<std::chrono::nanoseconds> scheduled_retry_after_;
+  /// When a second try was last considered.
+  std::optional<support::clock::time_point> second_try_considered_at_;
+  /// Place of the second try in `trail_`, if there is one.
+  std::optional<std::size_t> second_try_;
   /// Time that the request has waited for slots.
   std::chrono::nanoseconds slot_wait_{0};
   /// Whether other equal requests wait for what becomes of this one.
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -81,6 +81,15 @@
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool) { return chooser_.slots(pool); }
   std::size_t waiting() const;
+  /// Requests of this node that wait for a slot of the pool, without those that a scheduler queues.
+  std::size_t waiting(const target_pool& pool) const;
+  /// See target_chooser::free_share; 0 while a data centre is evacuated, since the others then need
+  /// their slots.
+  double spare_share(const target_pool& pool) {
+    return chooser_.is_any_data_centre_evacuated() ? 0 : chooser_.free_share(pool);
+  }
+  /// See target_chooser::cold_ids.
+  std::set<std::string> cold_ids(const target_pool& pool) { return chooser_.cold_ids(pool); }
 
 private:
   struct waiter;
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -91,6 +91,13 @@
   /// Whether a target that is neither in `avoided` nor suspected has a free slot.
   bool has_unsuspected_slot(const target_pool& pool, const std::set<std::string>& avoided);
 
+  /// Share of the pool's slots that are free at targets that are neither suspected nor paused; an
+  /// estimate from random targets in a large pool.
+  double free_share(const target_pool& pool);
+  /// Targets of the pool that have started lately and tolerate less than others.
+  std::set<std::string> cold_ids(const target_pool& pool);
+  bool is_any_data_centre_evacuated() const { return !evacuations_.evacuated().empty(); }
+
 private:
   /// Cached targets of a pool, valid while neither entries nor groups nor evacuations change.
   struct pool_view {
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -66,6 +66,7 @@
       slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time), usual_limits_(context_.time),
+      first_parts_(context_.time), second_tries_(settings_.second_tries),
       notices_(registry_, pauses_, limits_, metrics_), crash_causes_(context_.time),
       trials_(
           {context_.executor, context_.time, context_.client, fleet_, crash_causes_, settings_.id}),
@@ -76,7 +77,7 @@
              settings_.cores),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
                  slot_queue_, suspicions_, notices_, crash_causes_, trials_, retries_, stalls_,
-                 demand_, metrics_, usual_limits_},
+                 demand_, metrics_, usual_limits_, first_parts_, second_tries_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       scheduler_service_(context_.time, chooser_, config_, settings_.id),
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -31,6 +31,12 @@
           .Name("camphorlug_gateway_silences_total")
           .Help("Requests sent to a further target because of a silence, by which target went on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& second_tries =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_second_tries_total")
+          .Help("Second tries of slow requests: started, won (answered first), lost (the first "
+                "target did)")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& notices =
       prometheus::BuildCounter()
           .Name("camphorlug_gateway_notices_total")
@@ -76,6 +82,10 @@
   implementation_->silences.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::count_second_try(const std::string& event) {
+  implementation_->second_tries.Add({{"event", event}}).Increment();
+}
+
 void gateway_metrics::count_notice(const std::string& notice) {
   implementation_->notices.Add({{"notice", notice}}).Increment();
 }
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -26,6 +26,8 @@
 /// Attempts that reach no target do not count as attempts, up to this number: each of them may cost
 /// the time to connect.
 static constexpr std::size_t max_unsent_attempts = 3;
+/// Interval at which a slow request that got no second try asks again.
+static constexpr milliseconds second_try_interval{200};
 static constexpr milliseconds min_retry_after{100};
 /// A ban ends only when its cause is gone, so an earlier return would be in vain.
 static constexpr milliseconds banned_retry_after{60'000};
@@ -50,7 +52,7 @@
                                      std::string organisation, int priority, bool closes_connection)
     : env_(environment), writer_(writer), route_(std::move(chosen)), priority_(priority),
       closes_connection_(closes_connection), arrived_at_(environment.time.now()),
-      activity_(environment.time) {
+      class_(route_->name, {}, request.prompt_tokens), activity_(environment.time) {
   time_since_first_attempt_ = env_.usual_limits.time_used(route_->name, request.time_limit);
   const auto deadline = arrived_at_ + request.time_limit_within(route_->timeout);
   position_.last_event_id = request.resume_after;
@@ -65,6 +67,7 @@
       break;
   }
   pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
+  class_.pool = pool_;
   std::vector<std::string> suspects = crash_suspects_of(request, organisation);
   shared_ = std::make_shared<attempted_request>(attempted_request{std::move(request), route_,
                                                                   service_, std::move(organisation),
@@ -87,6 +90,7 @@
     co_return;
   }
   env_.retries.count_request(service_);
+  env_.second_tries.count_request(service_);
   env_.demand.count_arrival(pool(), reading_slot_time());
   bool finished = false;
   while (!finished && !caller_gone_) {
@@ -98,8 +102,10 @@
     if (caller_gone_)
       break;
     finished = co_await forward_ready_parts();
-    if (!finished && !caller_gone_)
+    if (!finished && !caller_gone_) {
       seek_replacement(executor);
+      seek_second_try(executor);
+    }
   }
   for (const open_attempt& each : std::exchange(open_, {}))
     end_attempt(each);
@@ -193,8 +199,59 @@
   support::clock::time_point silent_at = open_.front().attempt->silent_at();
   for (const open_attempt& each : open_)
     silent_at = std::max(silent_at, each.attempt->silent_at());
-  return std::clamp<nanoseconds>(silent_at - env_.time.now(), replacement_check_interval,
-                                 std::max<nanoseconds>(until_deadline, replacement_check_interval));
+  const auto until_silent =
+      std::clamp<nanoseconds>(silent_at - env_.time.now(), replacement_check_interval,
+                              std::max<nanoseconds>(until_deadline, replacement_check_interval));
+  return std::min(until_silent, time_until_second_try());
+}
+
+std::optional<nanoseconds> request_forwarder::usual_time() const {
+  return env_.first_parts.quantile(class_, env_.second_tries.quantile());
+}
+
+nanoseconds request_forwarder::time_until_second_try() const {
+  if (!env_.second_tries.enabled() || attempts_ != 1 || first_byte_at_)
+    return nanoseconds::max();
+  const auto usual = usual_time();
+  if (!usual)
+    return nanoseconds::max();
+  if (second_try_considered_at_)
+    return std::max<nanoseconds>(*second_try_considered_at_ + second_try_interval - env_.time.now(),
+                                 min_remaining_time);
+  return std::max<nanoseconds>(*usual - open_.front().attempt->held(), nanoseconds(0)) +
+         milliseconds(1);
+}
+
+void request_forwarder::seek_second_try(const asio::any_io_executor& executor) {
+  if (!env_.second_tries.enabled() || open_.size() != 1 || attempts_ != 1 || first_byte_at_)
+    return;
+  const nanoseconds wait = open_.front().attempt->held();
+  const auto usual = usual_time();
+  if (!usual || wait <= *usual)
+    return;
+  const auto now = env_.time.now();
+  if (second_try_considered_at_ && now - *second_try_considered_at_ < second_try_interval)
+    return;
+  second_try_considered_at_ = now;
+  const second_try_case request{service_, route_->repeatable() && has_attempts_left(),  attempts_,
+                                false,    is_suspected() || banned_cause().has_value(), wait,
+                                usual};
+  if (!env_.second_tries.is_due(request) || !env_.retries.can_retry(service_) ||
+      !env_.second_tries.has_room(env_.queue.waiting(pool()), env_.queue.spare_share(pool())))
+    return;
+  slot_request wanted = make_slot_request();
+  wanted.avoided.merge(env_.queue.cold_ids(pool()));
+  if (!env_.queue.has_alternative(pool(), wanted.avoided))
+    return;
+  std::optional<slot_guard> slot = env_.queue.try_acquire(wanted);
+  if (!slot || !env_.retries.try_acquire(service_))
+    return;
+  env_.second_tries.count_second_try(service_);
+  env_.metrics.count_retry("slow");
+  env_.metrics.count_second_try("started");
+  note(open_.front(), "slow, second try");
+  second_try_ = trail_.size();
+  start_attempt(std::move(*slot), executor);
 }
 
 /// Forwards what the attempts have received. Returns whether the request has ended.
@@ -229,6 +286,7 @@
       first_byte_at_ = env_.time.now();
       if (attempts_ == 1)
         env_.queue.update_first_part_estimate(pool(), attempt.held());
+      record_first_part(attempt);
       writer_.start(response.status, with_connection_header(response.forwarded_headers));
     }
     check_trial();
@@ -249,6 +307,7 @@
     detail = std::to_string(position_.events) + " events";
   } else {
     first_byte_at_ = env_.time.now();
+    record_first_part(attempt);
     const target_response& response = attempt.response();
     writer_.send(response.status, with_connection_header(response.forwarded_headers),
                  attempt.take_body());
@@ -273,12 +332,31 @@
     }
   }
   if (open_.size() > 1)
-    env_.metrics.count_silence(trail_.back() == kept.target_id() ? "replaced" : "resumed");
+    count_kept_attempt(kept);
   std::erase_if(open_, [&](const open_attempt& each) { return each.attempt.get() != &kept; });
 }
 
+/// A request whose only further target is a second try was not silent.
+void request_forwarder::count_kept_attempt(const target_attempt& kept) {
+  if (!second_try_ || open_.size() > 2)
+    env_.metrics.count_silence(trail_.back() == kept.target_id() ? "replaced" : "resumed");
+  for (const open_attempt& each : open_) {
+    if (second_try_ && each.attempt.get() == &kept)
+      env_.metrics.count_second_try(each.trail_index == *second_try_ ? "won" : "lost");
+  }
+}
+
+/// Only the first target's time counts, because all others get slow requests only.
+void request_forwarder::record_first_part(const target_attempt& kept) {
+  if (env_.second_tries.enabled() && open_.front().attempt.get() == &kept &&
+      open_.front().trail_index == 0)
+    env_.first_parts.record(class_, kept.held());
+}
+
 void request_forwarder::end_attempt(const open_attempt& ended) {
   ended.attempt->close();
+  if (env_.second_tries.enabled() && ended.trail_index == 0 && !first_byte_at_)
+    env_.first_parts.record_minimum(class_, ended.attempt->held(), env_.second_tries.quantile());
   env_.queue.update_hold_estimate(pool(), ended.attempt->held());
 }
 
--- a/lib/gateway/slot_queue.cpp
+++ b/lib/gateway/slot_queue.cpp
@@ -182,6 +182,11 @@
   return std::chrono::duration_cast<std::chrono::nanoseconds>(found->second);
 }
 
+std::size_t slot_queue::waiting(const target_pool& pool) const {
+  const auto found = queues_.find(pool);
+  return found == queues_.end() ? 0 : found->second.size();
+}
+
 std::size_t slot_queue::waiting() const {
   std::size_t sum = 0;
   for (const auto& [pool, waiters] : queues_)
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -233,6 +233,29 @@
   return false;
 }
 
+double target_chooser::free_share(const target_pool& pool) {
+  const std::vector<candidate>& all = view_of(pool).candidates;
+  std::size_t free = 0;
+  std::size_t total = 0;
+  const std::size_t examined = std::min(all.size(), max_scanned_pool);
+  for (std::size_t i = 0; i < examined; ++i) {
+    const candidate& each = all[all.size() > max_scanned_pool ? random_.below(all.size()) : i];
+    total += each.target.slots;
+    if (has_free_slot(each) && !paused(each) && !suspicions_.suspected(each.target.id))
+      free += each.target.slots - loads_.in_flight(each.target.id);
+  }
+  return total == 0 ? 0 : static_cast<double>(free) / static_cast<double>(total);
+}
+
+std::set<std::string> target_chooser::cold_ids(const target_pool& pool) {
+  std::set<std::string> found;
+  for (const candidate& each : view_of(pool).candidates) {
+    if (each.warming_up || (cold_ && cold_->is_bounded(each.cold)))
+      found.insert(each.target.id);
+  }
+  return found;
+}
+
 bool target_chooser::has_unsuspected_slot(const target_pool& pool,
                                           const std::set<std::string>& avoided) {
   const std::vector<candidate>& candidates = view_of(pool).candidates;
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -58,6 +58,8 @@
   gateway::demand_meter demand{clock};
   gateway::gateway_metrics metrics;
   gateway::usual_time_limits usual_limits{clock};
+  gateway::first_part_times first_parts{clock};
+  gateway::second_try_policy second_tries{{}};
   gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::crash_cause_list crash_causes{clock};
   open_trial_permits trials;
