--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -436,7 +436,7 @@
 void request_forwarder::count_cold_wait(bool has_slot, nanoseconds waited) {
   if (has_slot && waited < noticeable_wait)
     return;
-  if (env_.queue.withholds_cold(pool(), tried_targets_))
+  if (env_.queue.withholds_cold(pool(), tried_targets()))
     env_.metrics.count_cold_wait(has_slot ? "held_back" : "refused");
 }
 
