Show operators which organisation asks for more than its share

Counts by organisation are tested. The count of waiting asks by organisation goes, since nothing calls it.

--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -11,6 +11,8 @@
 /// Gauge values, read when the metrics are exported.
 struct gateway_gauges {
   std::size_t waiting_requests = 0;
+  /// Requests of all nodes that wait for slots which this node schedules.
+  std::size_t scheduled_requests = 0;
   std::size_t known_targets = 0;
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace camphorlug::scheduling {
@@ -73,6 +74,14 @@
   /// Ends waits that are in vain and drops nodes that have gone. Call it several times a second.
   void expire();
 
+  /// Requests of an organisation that got a slot or were refused one.
+  struct slot_counts {
+    std::size_t granted = 0;
+    std::size_t refused = 0;
+  };
+  /// Returns the counts of all organisations since the last call.
+  std::map<std::string, slot_counts> take_counts() { return std::exchange(counts_, {}); }
+
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t in_flight(const std::string& target) const;
   std::size_t total_in_flight() const;
@@ -155,6 +164,7 @@
   std::size_t usable_targets_ = 0;
   std::map<std::string, node_state> nodes_;
   waiting_asks waiting_;
+  std::map<std::string, slot_counts> counts_;
   std::uint64_t last_number_ = 0;
   support::clock::time_point assigned_at_;
   double tokens_per_second_ = 0;
--- a/include/camphorlug/scheduling/scheduler_service.h
+++ b/include/camphorlug/scheduling/scheduler_service.h
@@ -33,6 +33,9 @@
   /// The scheduler of the pool, or null if this node does not schedule it.
   const pool_scheduler* find(const gateway::target_pool& pool) const;
 
+  /// Requests that wait for slots of all pools that this node schedules.
+  std::size_t waiting() const;
+
   /// Applies a message and returns the answer to its ask, if it has one. The message's ask is
   /// dropped once `cancelled` is true. If it has to wait, `waits` is called before.
   support::task<gateway::scheduled_slot> apply(
@@ -43,12 +46,15 @@
 
 private:
   void update_targets(const gateway::target_pool& pool, pool_scheduler& scheduler);
+  /// Logs which organisation was refused most slots, for each pool in which some were.
+  void report_scarcity();
 
   support::clock& time_;
   gateway::target_chooser& chooser_;
   const gateway::active_config& config_;
   std::string self_;
   std::map<gateway::target_pool, std::shared_ptr<pool_scheduler>> schedulers_;
+  support::clock::time_point scarcity_reported_at_;
 };
 
 } // namespace camphorlug::scheduling
--- a/include/camphorlug/scheduling/waiting_asks.h
+++ b/include/camphorlug/scheduling/waiting_asks.h
@@ -54,8 +54,6 @@
   std::size_t overdue();
   std::size_t size() const { return asks_.size(); }
   bool empty() const { return asks_.empty(); }
-  /// Waiting asks of each organisation.
-  std::map<std::string, std::size_t> by_organisation() const;
 
 private:
   /// By the end of the objective, then in the order of arrival.
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -704,6 +704,7 @@
 std::string edge_node::metrics() {
   gateway::gateway_gauges gauges;
   gauges.waiting_requests = slot_queue_.waiting();
+  gauges.scheduled_requests = scheduler_service_.waiting();
   gauges.known_targets = registry_.all().size();
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -85,6 +85,7 @@
     implementation_->gauges.Add({{"value", name}}).Set(value);
   };
   set("waiting_requests", static_cast<double>(gauges.waiting_requests));
+  set("scheduled_requests", static_cast<double>(gauges.scheduled_requests));
   set("known_targets", static_cast<double>(gauges.known_targets));
   set("live_peers", static_cast<double>(gauges.live_peers));
   set("config_version", static_cast<double>(gauges.config_version));
--- a/lib/scheduling/pool_scheduler.cpp
+++ b/lib/scheduling/pool_scheduler.cpp
@@ -190,6 +190,7 @@
   held.starts.push_back(now);
   mean_prompt_tokens_ += (prompt_tokens - mean_prompt_tokens_) * hold_smoothing_factor;
   waiting_.charge(ask.priority, ask.organisation, prompt_tokens + generation_charge);
+  ++counts_[ask.organisation].granted;
   decision granted;
   granted.result = decision::outcome::granted;
   granted.target = chosen.info.target;
@@ -237,6 +238,7 @@
   const auto now = time_.now();
   const auto latest = now + max_return_delay;
   next_return_ = std::clamp(next_return_, std::min(now + expected_wait(ask), latest), latest);
+  ++counts_[ask.organisation].refused;
   decision refused;
   refused.result = decision::outcome::refused;
   refused.retry_after = next_return_ - now;
--- a/lib/scheduling/scheduler_service.cpp
+++ b/lib/scheduling/scheduler_service.cpp
@@ -16,6 +16,7 @@
 static constexpr std::chrono::milliseconds poll_interval{20};
 /// Targets that have room by now are looked for at most this often by all waiting asks together.
 static constexpr std::chrono::milliseconds min_assign_interval{5};
+static constexpr std::chrono::seconds scarcity_report_interval{1};
 
 void scheduler_service::update(const scheduler_assignment& assignment) {
   for (const auto& [pool, node] : assignment.all()) {
@@ -39,6 +40,44 @@
   update_targets();
   for (const auto& [pool, scheduler] : schedulers_)
     scheduler->expire();
+  if (time_.now() - scarcity_reported_at_ >= scarcity_report_interval)
+    report_scarcity();
+}
+
+std::size_t scheduler_service::waiting() const {
+  std::size_t sum = 0;
+  for (const auto& [pool, scheduler] : schedulers_)
+    sum += scheduler->waiting();
+  return sum;
+}
+
+void scheduler_service::report_scarcity() {
+  scarcity_reported_at_ = time_.now();
+  for (const auto& [pool, scheduler] : schedulers_) {
+    const auto counts = scheduler->take_counts();
+    std::size_t granted = 0;
+    std::size_t refused = 0;
+    for (const auto& [organisation, each] : counts) {
+      granted += each.granted;
+      refused += each.refused;
+    }
+    if (refused == 0)
+      continue;
+    const auto most = std::max_element(counts.begin(), counts.end(), [](auto& one, auto& other) {
+      return one.second.refused < other.second.refused;
+    });
+    support::log_event(support::log_level::warning, "slots_scarce",
+                       {{"service", pool.service},
+                        {"model", pool.model},
+                        {"slots", std::to_string(scheduler->slots())},
+                        {"granted", std::to_string(granted)},
+                        {"refused", std::to_string(refused)},
+                        {"waiting", std::to_string(scheduler->waiting())},
+                        {"organisations", std::to_string(counts.size())},
+                        {"most_refused", most->first},
+                        {"its_granted", std::to_string(most->second.granted)},
+                        {"its_refused", std::to_string(most->second.refused)}});
+  }
 }
 
 void scheduler_service::update_targets() {
--- a/lib/scheduling/waiting_asks.cpp
+++ b/lib/scheduling/waiting_asks.cpp
@@ -192,11 +192,4 @@
   return asks_.size() - in_time_asks_.size();
 }
 
-std::map<std::string, std::size_t> waiting_asks::by_organisation() const {
-  std::map<std::string, std::size_t> counts;
-  for (const auto& [key, each] : flows_)
-    counts[each.organisation] += each.waiting;
-  return counts;
-}
-
 } // namespace camphorlug::scheduling
--- a/unittests/scheduling/pool_scheduler_test.cpp
+++ b/unittests/scheduling/pool_scheduler_test.cpp
@@ -323,6 +323,20 @@
   BOOST_TEST(world.scheduler.waiting() <= 20u);
 }
 
+BOOST_AUTO_TEST_CASE(grants_and_refusals_are_counted_by_organisation) {
+  scheduler_fixture world(1, 2);
+  for (int i = 0; i < 5; ++i)
+    world.ask({.organisation = "greedy", .in_time = 0ms, .latest = 1ms});
+  world.release("n0", "t0");
+  world.ask({.organisation = "modest"});
+  const auto counts = world.scheduler.take_counts();
+  BOOST_TEST(counts.at("greedy").granted == 2u);
+  BOOST_TEST(counts.at("greedy").refused == 3u);
+  BOOST_TEST(counts.at("modest").granted == 1u);
+  BOOST_TEST(counts.at("modest").refused == 0u);
+  BOOST_TEST(world.scheduler.take_counts().empty());
+}
+
 /// Decisions may lead to the next request at once.
 BOOST_AUTO_TEST_CASE(decision_handlers_may_call_the_scheduler) {
   scheduler_fixture world(2, 1);
--- a/unittests/scheduling/slot_fleet.h
+++ b/unittests/scheduling/slot_fleet.h
@@ -29,7 +29,6 @@
   static constexpr std::chrono::milliseconds housekeeping_interval{50};
   static constexpr std::chrono::milliseconds sum_age{400};
   static constexpr std::chrono::milliseconds sum_age_in_mesh{100};
-  static constexpr std::chrono::milliseconds mean_hold{300};
   /// Longest wait for a slot that a request states.
   static constexpr std::chrono::milliseconds longest_wait{1000};
   static constexpr std::chrono::milliseconds objective_wait{200};
@@ -350,6 +349,8 @@
 
   std::size_t size;
   std::size_t target_count;
+  /// Mean time that a request runs.
+  std::chrono::milliseconds mean_hold{300};
   asio::io_context context;
   support::virtual_clock clock{context};
   support::random_source random;
--- a/unittests/scheduling/waiting_asks_test.cpp
+++ b/unittests/scheduling/waiting_asks_test.cpp
@@ -154,14 +154,3 @@
                   world.plain.ahead_of(priority, organisation));
   }
 }
-
-BOOST_AUTO_TEST_CASE(counts_are_by_organisation) {
-  asks_fixture world(1);
-  for (int i = 0; i < 50; ++i)
-    world.add();
-  world.set_aside();
-  std::map<std::string, std::size_t> expected;
-  for (const auto& [number, each] : world.plain.all)
-    ++expected[each.ask.organisation];
-  BOOST_TEST((world.asks.by_organisation() == expected));
-}
