Groups serve on while a member that lost only its entry is seen

Change: the entry of a ready member (not the head) is kept; its group serves on while the member answers a question, or streams of its group progress at any node (target_registry, held_member_checker, `seen` in fleet summaries). The planner leaves such groups alone.

--- a/include/camphorlug/edge/assisted_prober.h
+++ b/include/camphorlug/edge/assisted_prober.h
@@ -24,6 +24,9 @@
 
   support::task<bool> probe(gateway::target_entry entry) override;
 
+  /// Asks from this node alone.
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
+
   /// Probes for another node: responds with 200 if the instance answers, and with 404 otherwise.
   support::task<> handle(net::server_request request, const gateway::target_registry& registry,
                          net::response_writer& writer);
--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -14,6 +14,7 @@
 #include "camphorlug/gateway/request_relay.h"
 #include "camphorlug/gateway/target_sender.h"
 #include "camphorlug/groups/table_lease.h"
+#include "camphorlug/replicas/held_member_checker.h"
 #include "camphorlug/replicas/replica_controller.h"
 #include "camphorlug/scheduling/scheduler_assignment.h"
 #include "camphorlug/scheduling/scheduler_client.h"
@@ -105,6 +106,10 @@
   void update_reading();
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
+  /// Whether streams of the group that the entry names progress at this node.
+  bool group_progresses(const gateway::target_entry& member) const;
+  /// This node's place among the planners that reach the targets; nothing if it is not one.
+  std::optional<std::size_t> place_among_planners();
   void update_limits();
   void update_cold_targets();
   void update_schedulers();
@@ -194,6 +199,7 @@
   gateway::fleet_exchange exchange_;
   groups::table_lease lease_;
   replicas::replica_controller replica_controller_;
+  replicas::held_member_checker member_checker_;
   crash_evidence_keeper crash_keeper_;
   table::table_follower config_follower_;
   table::table_follower target_follower_;
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/load_tracker.h"
+#include "camphorlug/gateway/member_sighting.h"
 #include "camphorlug/gateway/target_limits.h"
 
 #include <chrono>
@@ -32,6 +33,8 @@
   /// What targets said about their limits. Nodes also report what they learned from others, so
   /// that a limit outlives the nodes that it was told.
   reported_limits limits;
+  /// What members of groups whose entries have lapsed answered to the node that asks them.
+  member_sightings sightings;
   /// Id of the node that plans the groups; empty if none of these nodes does.
   std::string leader;
   /// Whether any of the nodes has handled a request since it started.
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -16,6 +16,8 @@
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
   std::size_t evacuated_data_centres = 0;
+  /// Members of groups that serve although the members' entries have lapsed.
+  std::size_t held_members = 0;
   bool leads = false;
 };
 
--- a/include/camphorlug/gateway/group_directory.h
+++ b/include/camphorlug/gateway/group_directory.h
@@ -13,7 +13,7 @@
 /// Derives the groups that can receive requests from their members' registry
 /// entries. A group qualifies when its head is open, every rank is present
 /// exactly once and ready under the same group name and epoch, and no member is draining or
-/// missing.
+/// missing. A member whose entry has lapsed is not missing while the registry holds it.
 class group_directory {
 public:
   group_directory(const target_registry& registry, const active_config& config)
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/gateway/member_sighting.h"
 #include "camphorlug/gateway/target_entry.h"
 #include "camphorlug/support/clock.h"
 
@@ -9,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace camphorlug::gateway {
 
@@ -18,7 +20,7 @@
   /// Commit number of the row that the entry was read from.
   std::uint64_t version = 0;
   support::clock::time_point read_at;
-  /// When the row was found missing, if that was during the grace period after a store outage.
+  /// When the row was found missing, if the entry is kept for a while nevertheless.
   std::optional<support::clock::time_point> missing_since;
   /// The last model loaded since the target started. The weights stay in memory
   /// after the target leaves its group, although its entry then names no model.
@@ -28,6 +30,22 @@
   support::clock::time_point cold_until{};
   /// Whether a row since its start has named a remaining warm-up time.
   bool was_cold = false;
+  /// Set while the row of a group's member is missing but the member may still run: until when the
+  /// entry is kept.
+  std::optional<support::clock::time_point> held_until{};
+  /// Whether the member is known to run since its row is missing.
+  bool is_seen = false;
+
+  /// Whether the target counts as a member of its group.
+  bool is_present() const { return !missing_since || (held_until && is_seen); }
+};
+
+/// A member of a group whose row has lapsed and which may still run.
+struct held_member {
+  target_entry entry;
+  /// When it was last seen, or else when its row was found missing.
+  support::clock::time_point seen_at;
+  bool was_seen = false;
 };
 
 /// In-memory copy of the target registry. Updates and deletions with an older
@@ -38,6 +56,11 @@
   /// Entries can expire in the store during an outage. Live targets register
   /// again within this time after the store recovers.
   static constexpr std::chrono::milliseconds outage_grace_period{1800};
+  /// How long the entry of a member is kept after its row has lapsed until the member is seen: the
+  /// answer of the member and the way of the news through hubs.
+  static constexpr std::chrono::milliseconds first_sighting_time{1200};
+  /// How long a group serves after its member was seen.
+  static constexpr std::chrono::milliseconds sighting_lifetime{3000};
 
   explicit target_registry(support::clock& time) : time_(time) {}
 
@@ -46,7 +69,8 @@
   void update(const std::string& id, std::uint64_t version, std::optional<target_entry> entry);
 
   /// Applies the deletion of a row. During the grace period after a store outage
-  /// the target is only marked as missing, unless it is draining.
+  /// the target is only marked as missing, unless it is draining. The entry of a member that does
+  /// not get requests itself is held for a moment, since it may be cut off from the store alone.
   void remove(const std::string& id, std::uint64_t version);
 
   /// Applies a full read of the registry as of `version`: applies `remove` to
@@ -63,6 +87,13 @@
   /// The registered targets that said so, with the start of each, to be sent to peers.
   std::map<std::string, std::int64_t> leaving() const;
 
+  /// Applies the answer of a member whose row has lapsed: its group serves on, or stops at once.
+  void apply_sighting(const std::string& id, const member_sighting& sighting);
+  /// Applies what other nodes have seen.
+  void merge_sightings(const member_sightings& sightings);
+  /// The members whose rows are missing and which may still run.
+  std::vector<held_member> held_members() const;
+
   /// Starts the grace period: the store answers again after an outage, since `age`.
   void mark_store_recovered(std::chrono::nanoseconds age = std::chrono::nanoseconds(0)) {
     store_recovered_at_ =
@@ -71,8 +102,8 @@
   /// Time since the store last answered again after an outage; nullopt if it had none.
   std::optional<std::chrono::nanoseconds> store_recovery_age() const;
 
-  /// Drops entries that are still missing after the grace period. Call it a few
-  /// times a second.
+  /// Drops entries that are still missing after the grace period and those of members that were
+  /// not seen for too long. Call it a few times a second.
   void expire();
 
   const std::map<std::string, registered_target>& all() const { return targets_; }
@@ -87,10 +118,18 @@
   /// Whether a full read of the registry has completed.
   bool was_read() const { return was_read_; }
 
+  /// Sets the function that tells whether the group of a member still answers, so that it serves on
+  /// until the member is seen.
+  void set_group_progress(std::function<bool(const target_entry& member)> progresses) {
+    group_progresses_ = std::move(progresses);
+  }
   void add_listener(std::function<void()> on_change) { listeners_.push_back(std::move(on_change)); }
 
 private:
   bool in_grace_period() const;
+  /// Holds a member, or ends that, as its latest sighting tells.
+  void follow_sighting(const std::string& id);
+  void end_hold(const std::string& id, const char* reason);
   void follow_warm_up(registered_target& target);
   void confirm_unchanged(registered_target& target, std::uint64_t version);
   /// Returns whether a row of a later era was written before the last deletion of its target.
@@ -112,6 +151,14 @@
   std::map<std::string, removal> removed_;
   /// Start of each target that said in a response that it is shutting down.
   std::map<std::string, std::int64_t> leaving_;
+  struct seen_member {
+    member_sighting sighting;
+    support::clock::time_point seen_at;
+  };
+  /// The latest sightings, also of members whose rows this node still holds: the news of a
+  /// deletion may arrive later than those of a sighting.
+  std::map<std::string, seen_member> sightings_;
+  std::function<bool(const target_entry& member)> group_progresses_;
   std::optional<support::clock::time_point> store_recovered_at_;
   std::uint64_t revision_ = 0;
   std::uint64_t newest_version_ = 0;
--- a/include/camphorlug/replicas/instance_prober.h
+++ b/include/camphorlug/replicas/instance_prober.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "camphorlug/gateway/target_entry.h"
+#include "camphorlug/replicas/instance_report.h"
 #include "camphorlug/support/task.h"
 
 namespace camphorlug::replicas {
 
-/// Checks whether an instance is alive. Each probe is charged for.
+/// Asks instances directly. Each question is charged for.
 class instance_prober {
 public:
   instance_prober() = default;
@@ -15,6 +16,9 @@
 
   /// Returns whether the probe is answered by the instance that `entry` names.
   virtual support::task<bool> probe(gateway::target_entry entry) = 0;
+
+  /// Returns what the instance that `entry` names says about itself.
+  virtual support::task<report_result> report(gateway::target_entry entry) = 0;
 };
 
 } // namespace camphorlug::replicas
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -21,6 +21,10 @@
   co_return co_await ask_peer(std::move(id));
 }
 
+support::task<replicas::report_result> assisted_prober::report(gateway::target_entry entry) {
+  return prober_.report(std::move(entry));
+}
+
 support::task<bool> assisted_prober::hears_targets_since(support::clock::time_point start) {
   const auto until = time_.now() + gateway::path_monitor::doubt_after;
   while (!paths_.answered_since(start) && time_.now() < until)
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -94,6 +94,9 @@
            [this] { return target_follower_.read_now(); },
            [this] { return !is_cut_off_from_targets(); },
            [this] { return evacuations_.evacuated(); }}),
+      member_checker_(
+          context_.executor, context_.time, registry_, prober_,
+          [this](const gateway::target_entry& member) { return group_progresses(member); }),
       crash_keeper_({context_.executor, context_.time, context_.client, context_.store, prober_,
                      registry_, crash_causes_, [this] { return replica_controller_.leads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
@@ -112,6 +115,8 @@
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   chooser_.set_cold_targets(&cold_targets_, &config_);
+  registry_.set_group_progress(
+      [this](const gateway::target_entry& member) { return group_progresses(member); });
   registry_.add_listener([this] {
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
@@ -356,6 +361,7 @@
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
   limits_.merge(message.summary.limits);
+  registry_.merge_sightings(message.summary.sightings);
   if (message.evacuations)
     evacuations_.merge(*message.evacuations);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
@@ -405,6 +411,7 @@
 support::task<> edge_node::run_housekeeping() {
   for (;;) {
     registry_.expire();
+    member_checker_.update(place_among_planners());
     pauses_.expire();
     observe_store_era(context_.store.era());
     observe_store_era(table::era_of(target_rows_.version()));
@@ -467,6 +474,27 @@
   co_return co_await context_.prober.probe(std::move(probed));
 }
 
+bool edge_node::group_progresses(const gateway::target_entry& member) const {
+  const auto& targets = registry_.all();
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& each) {
+    const gateway::target_entry& entry = each.second.entry;
+    return entry.membership && entry.membership->rank == 0 && entry.service == member.service &&
+           entry.membership->group == member.membership->group &&
+           entry.membership->epoch == member.membership->epoch && stalls_.is_writing(entry.id);
+  });
+}
+
+std::optional<std::size_t> edge_node::place_among_planners() {
+  std::size_t place = 0;
+  for (const std::string& id : fleet_.roles().planners) {
+    if (id == settings_.id)
+      return paths_.has_lost_all() ? std::nullopt : std::optional(place);
+    const auto other = fleet_.others().find(id);
+    place += other != fleet_.others().end() && other->second.status.reaches_targets ? 1 : 0;
+  }
+  return std::nullopt;
+}
+
 void edge_node::update_limits() {
   if (limits_.empty())
     return;
@@ -558,6 +586,7 @@
   }
   summary.leaving = registry_.leaving();
   summary.limits = limits_.known();
+  summary.sightings = member_checker_.sightings();
   if (replica_controller_.leads())
     summary.leader = settings_.id;
   summary.has_served = requests_.handled() > 0;
@@ -708,6 +737,7 @@
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
+  gauges.held_members = registry_.held_members().size();
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -66,6 +66,7 @@
                       {"row_age_ms", age_ms(state.time, target.read_at)},
                       {"draining", entry.draining},
                       {"missing", target.missing_since.has_value()},
+                      {"held", target.held_until.has_value()},
                       {"suspected", state.suspicions.suspected(entry.id)},
                       {"in_flight", state.loads.in_flight(entry.id)},
                       {"model", target.resident_model}};
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -35,6 +35,7 @@
     latest = std::max(latest, started_at_ms);
   }
   keep_newest(limits, other.limits, elapsed);
+  keep_newest(sightings, other.sightings, elapsed);
   if (leader.empty())
     leader = other.leader;
   has_served = has_served || other.has_served;
@@ -82,6 +83,8 @@
     value["leave"] = summary.leaving;
   if (!summary.limits.empty())
     value["lim"] = summary.limits;
+  if (!summary.sightings.empty())
+    value["seen"] = summary.sightings;
   if (!summary.leader.empty())
     value["lead"] = summary.leader;
   write_age(value, "store", summary.store_answer_age);
@@ -101,6 +104,8 @@
     leaving->get_to(summary.leaving);
   if (const auto limits = value.find("lim"); limits != value.end())
     limits->get_to(summary.limits);
+  if (const auto sightings = value.find("seen"); sightings != value.end())
+    sightings->get_to(summary.sightings);
   summary.leader = value.value("lead", "");
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -90,6 +90,7 @@
   set("config_version", static_cast<double>(gauges.config_version));
   set("store_era", static_cast<double>(gauges.store_era));
   set("evacuated_data_centres", static_cast<double>(gauges.evacuated_data_centres));
+  set("held_members", static_cast<double>(gauges.held_members));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/lib/gateway/group_directory.cpp
+++ b/lib/gateway/group_directory.cpp
@@ -21,7 +21,7 @@
 
 static void observe(observed_group& group, const registered_target& target) {
   const group_membership& membership = *target.entry.membership;
-  const bool eligible = !target.entry.draining && !target.missing_since && serves(membership.state);
+  const bool eligible = !target.entry.draining && target.is_present() && serves(membership.state);
   // If two instances claim the same rank, one of them has an outdated member list.
   const bool is_unique = group.members.emplace(membership.rank, target.entry.id).second;
   group.eligible = group.eligible && eligible && is_unique;
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -114,6 +114,8 @@
 void target_registry::confirm_unchanged(registered_target& target, std::uint64_t version) {
   target.version = version;
   target.read_at = time_.now();
+  target.held_until.reset();
+  target.is_seen = false;
   if (std::exchange(target.missing_since, std::nullopt))
     mark_changed();
 }
@@ -156,6 +158,12 @@
   return time_.now() - *store_recovered_at_;
 }
 
+/// The head gets requests, which nodes may not send to it for long after its row was removed.
+static bool may_hold(const target_entry& entry) {
+  return entry.membership && entry.membership->rank != 0 &&
+         entry.membership->state == membership_state::ready && !entry.draining;
+}
+
 void target_registry::remove(const std::string& id, std::uint64_t version) {
   newest_version_ = std::max(newest_version_, version);
   removal& removed = removed_[id];
@@ -168,15 +176,87 @@
   removed.version = std::max(removed.version, version);
   if (!is_current)
     return;
-  if (in_grace_period() && !held->second.entry.draining) {
-    held->second.missing_since = time_.now();
+  registered_target& target = held->second;
+  if (target.held_until)
+    return;
+  const bool is_held = may_hold(target.entry);
+  if (is_held || (in_grace_period() && !target.entry.draining)) {
+    target.missing_since = time_.now();
+    if (is_held) {
+      log_target("member_held", id, version);
+      target.held_until = time_.now() + first_sighting_time;
+      target.is_seen = group_progresses_ && group_progresses_(target.entry);
+    }
     mark_changed();
+    follow_sighting(id);
     return;
   }
   log_target("target_removed", id, version);
   erase(id);
 }
 
+void target_registry::apply_sighting(const std::string& id, const member_sighting& sighting) {
+  const auto seen_at = time_.now() - sighting.age;
+  if (time_.now() - seen_at >= sighting_lifetime)
+    return;
+  const auto [place, is_new] = sightings_.try_emplace(id, seen_member{sighting, seen_at});
+  seen_member& known = place->second;
+  if (!is_new && !sighting.replaces(known.sighting, seen_at > known.seen_at))
+    return;
+  known = {sighting, seen_at};
+  follow_sighting(id);
+}
+
+void target_registry::merge_sightings(const member_sightings& sightings) {
+  for (const auto& [id, sighting] : sightings)
+    apply_sighting(id, sighting);
+}
+
+void target_registry::follow_sighting(const std::string& id) {
+  const auto seen = sightings_.find(id);
+  const auto held = targets_.find(id);
+  if (seen == sightings_.end() || held == targets_.end() || !held->second.held_until)
+    return;
+  registered_target& target = held->second;
+  const auto& [sighting, seen_at] = seen->second;
+  if (time_.now() - seen_at >= sighting_lifetime)
+    return;
+  if (sighting.started_at_ms != target.entry.started_at_ms ||
+      sighting.epoch != target.entry.membership->epoch)
+    return;
+  if (!sighting.is_member) {
+    end_hold(id, "it is no longer a member");
+    return;
+  }
+  target.held_until = std::max(*target.held_until, seen_at + sighting_lifetime);
+  if (!std::exchange(target.is_seen, true))
+    mark_changed();
+}
+
+std::vector<held_member> target_registry::held_members() const {
+  std::vector<held_member> members;
+  for (const auto& [id, target] : targets_) {
+    if (!target.held_until)
+      continue;
+    const auto seen = sightings_.find(id);
+    const bool was_seen = seen != sightings_.end();
+    members.push_back(
+        {target.entry, was_seen ? seen->second.seen_at : *target.missing_since, was_seen});
+  }
+  return members;
+}
+
+void target_registry::end_hold(const std::string& id, const char* reason) {
+  support::log_event(support::log_level::info, "member_hold_ended",
+                     {{"target", id}, {"reason", reason}});
+  if (!in_grace_period()) {
+    erase(id);
+    return;
+  }
+  targets_[id].held_until.reset();
+  mark_changed();
+}
+
 void target_registry::retain(const std::set<std::string>& present, std::uint64_t version) {
   was_read_ = true;
   std::vector<std::string> missing;
@@ -189,13 +269,19 @@
 }
 
 void target_registry::expire() {
-  if (in_grace_period())
-    return;
+  const auto now = time_.now();
+  std::erase_if(sightings_,
+                [&](const auto& each) { return now - each.second.seen_at >= sighting_lifetime; });
+  std::vector<std::string> unseen;
   std::vector<std::string> expired;
   for (const auto& [id, target] : targets_) {
-    if (target.missing_since)
+    if (target.held_until && now >= *target.held_until)
+      unseen.push_back(id);
+    else if (target.missing_since && !target.held_until && !in_grace_period())
       expired.push_back(id);
   }
+  for (const std::string& id : unseen)
+    end_hold(id, "it was not seen for too long");
   for (const std::string& id : expired) {
     log_target("target_lapsed", id, targets_[id].version);
     erase(id);
--- a/lib/replicas/replica_planner.cpp
+++ b/lib/replicas/replica_planner.cpp
@@ -101,7 +101,8 @@
     }
     if (!target && group.member_entry_lost)
       continue;
-    if (!target || target->missing_since) {
+    const bool forms = group.phase == group_phase::forming || group.phase == group_phase::opening;
+    if (!target || (target->missing_since && (forms || !target->held_until))) {
       enter_phase(group, group_phase::dissolving, member.id + " is gone");
       return;
     }
--- a/unittests/fakes/controller_cluster.cpp
+++ b/unittests/fakes/controller_cluster.cpp
@@ -63,6 +63,16 @@
   co_return lost ? order_result::unknown : result;
 }
 
+support::task<replicas::report_result> pool_client::report(gateway::target_entry entry) {
+  using outcome = replicas::report_result::outcome;
+  const bool is_alive = co_await probe(entry);
+  if (!is_alive)
+    co_return replicas::report_result{outcome::unanswered, {}};
+  const emulated_instance& runner = pool_.at(entry.id);
+  co_return replicas::report_result{outcome::answered,
+                                    {runner.started_at_ms, runner.draining, runner.membership}};
+}
+
 support::task<bool> pool_client::probe(gateway::target_entry entry) {
   co_await simulate_transfer();
   const auto found = pool_.runners().find(entry.id);
--- a/unittests/fakes/controller_cluster.h
+++ b/unittests/fakes/controller_cluster.h
@@ -51,6 +51,7 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
 private:
   support::task<> simulate_transfer();
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -5,6 +5,7 @@
 
 #include "fakes/gateway_fixture.h"
 
+#include <cstdio>
 #include <sstream>
 
 namespace camphorlug::fakes {
@@ -44,6 +45,16 @@
   route.attempts = 1;
   config->add_route(route);
   config->services["shop"].name = "shop";
+  if (std::size_t size = 0; std::sscanf(text.c_str(), "%*u engines %zu", &size) == 1) {
+    gateway::service_spec& engines = config->services["engines"];
+    engines.name = "engines";
+    engines.engine.emplace();
+    engines.engine->batch_slots = 4;
+    gateway::model_profile model;
+    model.name = "model";
+    model.size = size;
+    engines.engine->models.push_back(model);
+  }
   return config;
 }
 
@@ -52,12 +63,21 @@
   gateway::target_entry entry;
   entry.id = id;
   entry.slots = 4;
-  std::istringstream(text) >> entry.service >> entry.address >> entry.data_centre;
+  std::istringstream words(text);
+  words >> entry.service >> entry.address >> entry.data_centre;
+  gateway::group_membership membership;
+  if (words >> entry.started_at_ms >> membership.group >> membership.epoch >> membership.rank) {
+    entry.model = "model";
+    membership.state =
+        membership.rank == 0 ? gateway::membership_state::open : gateway::membership_state::ready;
+    entry.membership = membership;
+  }
   return entry;
 }
 
-support::task<replicas::order_result> null_instance_client::send(replicas::replica_order,
+support::task<replicas::order_result> null_instance_client::send(replicas::replica_order order,
                                                                  std::function<bool()>) {
+  orders.push_back(std::move(order));
   co_return replicas::order_result::not_sent;
 }
 
@@ -71,8 +91,31 @@
   co_return co_await instances_.probe(std::move(entry));
 }
 
+support::task<replicas::report_result> null_instance_client::report(gateway::target_entry entry) {
+  ++reports;
+  if (!report_of)
+    co_return replicas::report_result{};
+  co_return report_of(entry.id);
+}
+
+support::task<replicas::report_result> node_prober::report(gateway::target_entry entry) {
+  if (instances_.is_cut_off && instances_.is_cut_off(self_))
+    co_return replicas::report_result{};
+  instances_.last_reporter = self_;
+  co_return co_await instances_.report(std::move(entry));
+}
+
 namespace {
 
+/// Drops what a node of an earlier build neither sends nor reads.
+std::string without_sightings(const std::string& message) {
+  nlohmann::json value = nlohmann::json::parse(message, nullptr, false);
+  if (value.is_discarded() || !value.contains("sum"))
+    return message;
+  value["sum"].erase("seen");
+  return value.dump();
+}
+
 /// A request to a peer, which handles it in the same process.
 class peer_exchange final : public net::http_exchange {
 public:
@@ -103,8 +146,12 @@
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
     ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
-    request.body = request_.body;
+    const bool is_earlier = network_.without_sightings.contains(self_) ||
+                            network_.without_sightings.contains(request_.address);
+    request.body = is_earlier ? without_sightings(request_.body) : request_.body;
     co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+    if (is_earlier)
+      answer_.body = without_sightings(answer_.body);
     co_await time_.sleep_for(network_delay);
     if (answer_.aborted)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
@@ -166,6 +213,11 @@
   tables.put(config_table, config_key, std::to_string(version));
 }
 
+void edge_cluster::set_config_with_engines(std::uint64_t version, std::size_t size) {
+  tables.put(config_table, config_key,
+             std::to_string(version) + " engines " + std::to_string(size));
+}
+
 void edge_cluster::add_target(const std::string& id, const std::string& data_centre) {
   tables.put(target_table, id, "shop " + id + " " + data_centre);
 }
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -21,8 +21,10 @@
 namespace camphorlug::fakes {
 
 /// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE`
-/// for a target, the last of them optional.
+/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `VERSION engines SIZE` for one
+/// that also has a service with groups of a model. `SERVICE ADDRESS DATA_CENTRE` for a target, the
+/// last of them optional; `START GROUP EPOCH RANK` may follow for a member that is ready, or open
+/// if it is the head.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -37,7 +39,16 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
-
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
+
+  /// Returns what an instance answers when it is asked for its report; none answers if it is empty.
+  std::function<replicas::report_result(const std::string& id)> report_of;
+  /// Number of reports that were asked for, and the node that asked for the latest, by peer
+  /// address.
+  std::size_t reports = 0;
+  std::string last_reporter;
+  /// The orders that nodes wanted to send.
+  std::vector<replicas::replica_order> orders;
   /// Decides which instances answer a probe; all do if it is empty.
   std::function<bool(const std::string& id)> is_alive;
   /// Decides which nodes, by peer address, reach no instance; all reach them if it is empty.
@@ -50,6 +61,7 @@
   node_prober(null_instance_client& instances, std::string self)
       : instances_(instances), self_(std::move(self)) {}
   support::task<bool> probe(gateway::target_entry entry) override;
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
 private:
   null_instance_client& instances_;
@@ -62,6 +74,8 @@
       nodes;
   /// Addresses that are disconnected in both directions.
   std::set<std::string> cut;
+  /// Addresses of nodes of an earlier build, which know no sightings of members in messages.
+  std::set<std::string> without_sightings;
   /// Number of requests between nodes by path, without the query.
   std::map<std::string, std::size_t> requests;
 };
@@ -112,6 +126,8 @@
 
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
   void set_config(std::uint64_t version);
+  /// Writes a configuration with a service `engines` whose model has groups of `size`.
+  void set_config_with_engines(std::uint64_t version, std::size_t size);
   void add_target(const std::string& id, const std::string& data_centre = "");
   /// Asks the nodes to evacuate a data centre, or ends that.
   void evacuate(const std::string& data_centre);
