--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
   std::size_t held_bytes_limit = 0;
   /// Times that something was refused or put off because of that limit.
   std::uint64_t memory_denials = 0;
+  /// Members of groups that serve although the members' entries have lapsed.
+  std::size_t held_members = 0;
   bool leads = false;
 };
 
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -114,6 +114,7 @@
   set("held_bytes", static_cast<double>(gauges.held_bytes));
   set("held_bytes_limit", static_cast<double>(gauges.held_bytes_limit));
   set("memory_denials", static_cast<double>(gauges.memory_denials));
+  set("held_members", static_cast<double>(gauges.held_members));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -7,6 +7,7 @@
 #include "fakes/earlier_build.h"
 #include "fakes/gateway_fixture.h"
 
+#include <cstdio>
 #include <sstream>
 
 namespace camphorlug::fakes {
@@ -29,6 +30,10 @@
   words >> config->version;
   std::map<std::string, gateway::home_regions> homes;
   for (std::string word; words >> word;) {
+    if (word == "engines") {
+      words >> word;
+      continue;
+    }
     if (word.find('=') == std::string::npos) {
       config->services["shop"].cold_requests_per_second = std::stod(word);
       continue;
@@ -62,6 +67,16 @@
   route.homes = homes["once"];
   config->add_route(route);
   config->services["shop"].name = "shop";
+  if (std::size_t size = 0; std::sscanf(text.c_str(), "%*u engines %zu", &size) == 1) {
+    gateway::service_spec& engines = config->services["engines"];
+    engines.name = "engines";
+    engines.engine.emplace();
+    engines.engine->batch_slots = 4;
+    gateway::model_profile model;
+    model.name = "model";
+    model.size = size;
+    engines.engine->models.push_back(model);
+  }
   return config;
 }
 
@@ -70,16 +85,26 @@
   gateway::target_entry entry;
   entry.id = id;
   entry.slots = 4;
-  std::int64_t warm_up_ms = 0;
   std::istringstream words(text);
-  words >> entry.service >> entry.address;
-  if (words >> entry.data_centre && words >> warm_up_ms)
-    entry.warm_up_remaining = std::chrono::milliseconds(warm_up_ms);
+  words >> entry.service >> entry.address >> entry.data_centre;
+  std::int64_t number = 0;
+  words >> number;
+  gateway::group_membership membership;
+  if (words >> membership.group >> membership.epoch >> membership.rank) {
+    entry.started_at_ms = number;
+    entry.model = "model";
+    membership.state =
+        membership.rank == 0 ? gateway::membership_state::open : gateway::membership_state::ready;
+    entry.membership = membership;
+  } else {
+    entry.warm_up_remaining = std::chrono::milliseconds(number);
+  }
   return entry;
 }
 
-support::task<replicas::order_result> null_instance_client::send(replicas::replica_order,
+support::task<replicas::order_result> null_instance_client::send(replicas::replica_order order,
                                                                  std::function<bool()>) {
+  orders.push_back(std::move(order));
   co_return replicas::order_result::not_sent;
 }
 
@@ -93,8 +118,31 @@
   co_return co_await instances_.probe(std::move(entry));
 }
 
+support::task<replicas::report_result> null_instance_client::report(gateway::target_entry entry) {
+  ++reports;
+  if (!report_of)
+    co_return replicas::report_result{};
+  co_return report_of(entry.id);
+}
+
+support::task<replicas::report_result> node_prober::report(gateway::target_entry entry) {
+  if (instances_.is_cut_off && instances_.is_cut_off(self_))
+    co_return replicas::report_result{};
+  instances_.last_reporter = self_;
+  co_return co_await instances_.report(std::move(entry));
+}
+
 namespace {
 
+/// Drops what a node of an earlier build neither sends nor reads.
+std::string without_sightings(const std::string& message) {
+  nlohmann::json value = nlohmann::json::parse(message, nullptr, false);
+  if (value.is_discarded() || !value.contains("sum"))
+    return message;
+  value["sum"].erase("seen");
+  return value.dump();
+}
+
 /// A request to a peer, which handles it in the same process.
 class peer_exchange final : public net::http_exchange {
 public:
@@ -125,7 +173,11 @@
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
     ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
+    const bool knows_no_sightings = network_.without_sightings.contains(self_) ||
+                                    network_.without_sightings.contains(request_.address);
     request.body = translate(request.path, request_.body);
+    if (knows_no_sightings)
+      request.body = without_sightings(request.body);
     if (network_.earlier_builds.contains(request_.address) &&
         !earlier_build::knows_path(request.path)) {
       answer_.status = 404;
@@ -135,6 +187,8 @@
       if (answer_.status == 200)
         answer_.body = translate(path, answer_.body);
     }
+    if (knows_no_sightings)
+      answer_.body = without_sightings(answer_.body);
     co_await time_.sleep_for(network_delay);
     if (answer_.aborted)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
@@ -210,6 +264,10 @@
   tables.put(config_table, config_key, std::to_string(version) + " " + details);
 }
 
+void edge_cluster::set_config_with_engines(std::uint64_t version, std::size_t size) {
+  set_config(version, "engines " + std::to_string(size));
+}
+
 void edge_cluster::add_target(const std::string& id, const std::string& data_centre,
                               std::chrono::milliseconds warm_up_remaining) {
   tables.put(target_table, id,
