--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -14,6 +14,7 @@
 #include "camphorlug/gateway/request_relay.h"
 #include "camphorlug/gateway/target_sender.h"
 #include "camphorlug/groups/table_lease.h"
+#include "camphorlug/replicas/held_member_checker.h"
 #include "camphorlug/replicas/replica_controller.h"
 #include "camphorlug/scheduling/scheduler_assignment.h"
 #include "camphorlug/scheduling/scheduler_client.h"
@@ -71,7 +72,9 @@
 
   /// Returns the addresses of the nodes that a caller in `data_centre` should use now: the
   /// directory of entry points.
-  std::vector<std::string> entry_points(const std::string& data_centre);
+  std::vector<std::string> entry_points(const std::string& data_centre,
+                                        const std::string& host = "",
+                                        const std::string& region = "");
 
   /// Announces the shutdown to the peers, gives up the planner lease, and returns when callers
   /// should have switched to other nodes or half of the termination grace period is over.
@@ -105,11 +108,18 @@
   void update_reading();
   gateway::slot_demand total_demand() const;
   std::vector<std::string> all_stalled_heads() const;
+  /// Whether streams of the group that the entry names progress at this node.
+  bool group_progresses(const gateway::target_entry& member) const;
+  /// This node's place among the planners that reach the targets; nothing if it is not one.
+  std::optional<std::size_t> place_among_planners();
   void update_limits();
   void update_cold_targets();
   void update_schedulers();
   void detect_first_traffic();
   support::task<> register_self();
+  /// Reads the bans, the configuration and the targets from the store itself if no peer has a
+  /// configuration soon after a restart.
+  support::task<> read_store_after_restart();
   support::task<> run_housekeeping();
   /// Nodes that may relay requests to targets for this node.
   std::vector<gateway::relay_node> relays();
@@ -131,7 +141,9 @@
   void apply_config(const std::string& text);
   void apply_config_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
-  /// Reads the rows of evacuations itself if no peer that this node hears knows them.
+  std::string region_of(const std::string& data_centre) const;
+  bool is_told_of_evacuations() const;
+  /// Reads the rows of evacuations itself while no peer that this node hears tells of them.
   support::task<> learn_evacuations();
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
@@ -148,6 +160,8 @@
   gateway::shutdown_phase phase_ = gateway::shutdown_phase::none;
   support::clock::time_point exits_at_;
   bool fetching_config_ = false;
+  /// Whether a peer has said that it has a configuration.
+  bool peer_has_config_ = false;
   bool fetching_target_rows_ = false;
   /// Whether this node reads the tables of the store itself; otherwise peers relay them.
   store_reader_duty reading_;
@@ -161,6 +175,7 @@
   /// The era in which this node wrote its own row.
   std::optional<std::uint64_t> registered_in_era_;
 
+  support::memory_budget memory_;
   gateway::active_config config_;
   gateway::target_registry registry_;
   /// The target rows as read from the store, served to peers that cannot reach it.
@@ -171,6 +186,8 @@
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
   gateway::evacuation_list evacuations_;
+  /// When a peer last told of evacuations, or this node last read their rows itself.
+  support::clock::time_point evacuations_heard_at_;
   gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
@@ -179,6 +196,8 @@
   gateway::demand_meter demand_;
   gateway::gateway_metrics metrics_;
   gateway::usual_time_limits usual_limits_;
+  gateway::first_part_times first_parts_;
+  gateway::second_try_policy second_tries_;
   gateway::notice_handler notices_;
   gateway::crash_cause_list crash_causes_;
   fleet_trial_permits trials_;
@@ -194,6 +213,7 @@
   gateway::fleet_exchange exchange_;
   groups::table_lease lease_;
   replicas::replica_controller replica_controller_;
+  replicas::held_member_checker member_checker_;
   crash_evidence_keeper crash_keeper_;
   table::table_follower config_follower_;
   table::table_follower target_follower_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "camphorlug/gateway/cold_bound.h"
+#include "camphorlug/gateway/home_regions.h"
 #include "camphorlug/gateway/retry_limiter.h"
+#include "camphorlug/gateway/second_try_limits.h"
 
 #include <chrono>
 #include <cstddef>
@@ -15,16 +17,24 @@
 struct edge_settings {
   std::string id;
   std::string data_centre;
+  /// Region of each data centre, this one's too.
+  gateway::region_map regions;
   /// `ip:port` for callers.
   std::string public_address;
   /// `ip:port` for peers.
   std::string peer_address;
   /// Processor share of the instance in cores.
   double cores = 1;
+  /// Whether all nodes start for the first time, so that nobody waits for this node yet.
+  bool is_first_start = true;
   /// Peer addresses to contact before the registered nodes are known.
   std::vector<std::string> seeds;
+  /// Bytes that the process may use; 0 if there is no limit.
+  std::size_t memory_bytes = 0;
   gateway::retry_limits retries;
   gateway::cold_bound cold;
+  /// Fixed until the process starts again.
+  gateway::second_try_limits second_tries;
   /// Time between the termination signal and the kill of the process.
   std::chrono::milliseconds termination_grace{8000};
   /// Time from the announcement of an evacuation within which the last request may be sent to a
--- a/include/camphorlug/gateway/fleet_summary.h
+++ b/include/camphorlug/gateway/fleet_summary.h
@@ -2,7 +2,9 @@
 
 #include "camphorlug/gateway/demand_meter.h"
 #include "camphorlug/gateway/load_tracker.h"
+#include "camphorlug/gateway/member_sighting.h"
 #include "camphorlug/gateway/target_limits.h"
+#include "camphorlug/support/unknown_fields.h"
 
 #include <chrono>
 #include <cstddef>
@@ -32,6 +34,8 @@
   /// What targets said about their limits. Nodes also report what they learned from others, so
   /// that a limit outlives the nodes that it was told.
   reported_limits limits;
+  /// What members of groups whose entries have lapsed answered to the node that asks them.
+  member_sightings sightings;
   /// Id of the node that plans the groups; empty if none of these nodes does.
   std::string leader;
   /// Whether any of the nodes has handled a request since it started.
@@ -40,6 +44,9 @@
   std::optional<std::chrono::milliseconds> store_answer_age;
   /// Time since the store answered again after an outage; nullopt if it had none.
   std::optional<std::chrono::milliseconds> store_recovery_age;
+  /// What nodes of a later build report; a hub of this build merges it as
+  /// `support::merge_unknown_fields` does.
+  support::unknown_fields unknown;
 
   /// Adds `other`, which was received `elapsed` ago, so that its ages have grown by that.
   void add(const fleet_summary& other, std::chrono::nanoseconds elapsed);
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -4,9 +4,11 @@
 #include "camphorlug/gateway/caller_protocol.h"
 #include "camphorlug/gateway/crash_cause_list.h"
 #include "camphorlug/gateway/demand_meter.h"
+#include "camphorlug/gateway/first_part_times.h"
 #include "camphorlug/gateway/gateway_metrics.h"
 #include "camphorlug/gateway/notice_handler.h"
 #include "camphorlug/gateway/retry_limiter.h"
+#include "camphorlug/gateway/second_try_policy.h"
 #include "camphorlug/gateway/slot_queue.h"
 #include "camphorlug/gateway/stall_detector.h"
 #include "camphorlug/gateway/suspicion_list.h"
@@ -15,6 +17,7 @@
 #include "camphorlug/gateway/trial_permits.h"
 #include "camphorlug/gateway/usual_time_limits.h"
 #include "camphorlug/support/clock.h"
+#include "camphorlug/support/memory_budget.h"
 #include "camphorlug/support/random_source.h"
 
 namespace camphorlug::gateway {
@@ -37,6 +40,10 @@
   demand_meter& demand;
   gateway_metrics& metrics;
   usual_time_limits& usual_limits;
+  first_part_times& first_parts;
+  second_try_policy& second_tries;
+  /// For the bodies and responses that the node holds.
+  support::memory_budget& memory;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -11,11 +11,21 @@
 /// Gauge values, read when the metrics are exported.
 struct gateway_gauges {
   std::size_t waiting_requests = 0;
+  /// Requests of all nodes that wait for slots which this node schedules.
+  std::size_t scheduled_requests = 0;
   std::size_t known_targets = 0;
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
   std::size_t evacuated_data_centres = 0;
+  std::size_t cold_targets = 0;
+  /// Bytes that the node holds of requests and responses, and the limit; 0 if there is none.
+  std::size_t held_bytes = 0;
+  std::size_t held_bytes_limit = 0;
+  /// Times that something was refused or put off because of that limit.
+  std::uint64_t memory_denials = 0;
+  /// Members of groups that serve although the members' entries have lapsed.
+  std::size_t held_members = 0;
   bool leads = false;
 };
 
@@ -34,8 +44,13 @@
   /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
   /// fixed values.
   void count_silence(const std::string& outcome);
+  /// Counts second tries of slow requests. `event` must be one of a few fixed values.
+  void count_second_try(const std::string& event);
   /// Counts a new notice of a target. `notice` must be one of a few fixed values.
   void count_notice(const std::string& notice);
+  /// Counts a request that got no slot, or got one late, while a cold target had a free one.
+  /// `outcome` must be one of a few fixed values.
+  void count_cold_wait(const std::string& outcome);
 
   /// Returns all metrics in the text format.
   std::string serialize(const gateway_gauges& gauges);
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -4,6 +4,8 @@
 #include "camphorlug/gateway/target_attempt.h"
 #include "camphorlug/net/response_writer.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -49,6 +51,14 @@
   support::task<bool> start_first_open_attempt(const asio::any_io_executor& executor);
   void start_attempt(slot_guard slot, const asio::any_io_executor& executor);
   void seek_replacement(const asio::any_io_executor& executor);
+  /// Sends the request to a second target if the first one is slow and the policy permits it.
+  void seek_second_try(const asio::any_io_executor& executor);
+  std::optional<std::chrono::nanoseconds> usual_time() const;
+  /// The maximum if no second try is possible.
+  std::chrono::nanoseconds time_until_second_try() const;
+  /// Counts what became of a silence or of a second try.
+  void count_kept_attempt(const target_attempt& kept);
+  void record_first_part(const target_attempt& kept);
   std::chrono::nanoseconds time_until_check() const;
   support::task<bool> forward_ready_parts();
   support::task<bool> forward_events(target_attempt& attempt);
@@ -69,6 +79,7 @@
   /// Reports the trial when its stream has gone on for long enough.
   void check_trial();
   /// The wait that a refusal reports.
+  void count_cold_wait(bool has_slot, std::chrono::nanoseconds waited);
   std::chrono::nanoseconds wait_after_refusal();
   support::clock::time_point slot_deadline();
   bool may_retry(attempt_result last);
@@ -97,6 +108,8 @@
   std::chrono::nanoseconds remaining_time() const { return shared_->deadline - env_.time.now(); }
   const target_pool& pool() const { return pool_; }
   slot_request make_slot_request() const;
+  /// The targets that were tried and have not started again since.
+  std::set<std::string> tried_targets() const;
   /// The slot time of a group that reading the prompt takes; 0 if unknown.
   std::chrono::nanoseconds reading_slot_time() const;
   queue_rank rank() const { return {priority_, arrived_at_ + route_->objective}; }
@@ -110,6 +123,7 @@
   std::string service_;
   target_pool pool_;
   support::clock::time_point arrived_at_;
+  response_class class_;
   /// How long the caller has waited before, in earlier attempts.
   std::chrono::nanoseconds time_since_first_attempt_{0};
   std::optional<support::clock::time_point> first_byte_at_;
@@ -118,7 +132,8 @@
   /// Notified when an attempt goes on or ends, and when the caller disconnects.
   support::notification activity_;
   std::vector<open_attempt> open_;
-  std::set<std::string> tried_targets_;
+  /// The targets that were tried, each with the start that was.
+  std::map<std::string, std::int64_t> tried_starts_;
   std::size_t attempts_ = 0;
   /// Those of them that have ended without reaching a target.
   std::size_t unsent_attempts_ = 0;
@@ -135,6 +150,10 @@
   std::vector<std::string> trail_;
   /// When the scheduler expects to have a slot, if it refused the last wait.
   std::optional<std::chrono::nanoseconds> scheduled_retry_after_;
+  /// When a second try was last considered.
+  std::optional<support::clock::time_point> second_try_considered_at_;
+  /// Place of the second try in `trail_`, if there is one.
+  std::optional<std::size_t> second_try_;
   /// Time that the request has waited for slots.
   std::chrono::nanoseconds slot_wait_{0};
   /// Whether other equal requests wait for what becomes of this one.
--- a/include/camphorlug/gateway/slot_queue.h
+++ b/include/camphorlug/gateway/slot_queue.h
@@ -69,10 +69,15 @@
   bool has_alternative(const target_pool& pool, const std::set<std::string>& avoided) {
     return chooser_.has_unsuspected_slot(pool, avoided);
   }
-  /// See target_chooser::paused_until.
+  /// See target_chooser::paused_until. What a scheduler may assign does not pause.
   std::optional<support::clock::time_point> paused_until(const target_pool& pool,
                                                          const std::set<std::string>& avoided) {
-    return chooser_.paused_until(pool, avoided);
+    return is_scheduled(pool) ? chooser_.refused_until(pool, avoided)
+                              : chooser_.paused_until(pool, avoided);
+  }
+  /// See target_chooser::withholds_cold.
+  bool withholds_cold(const target_pool& pool, const std::set<std::string>& avoided) {
+    return chooser_.withholds_cold(pool, avoided);
   }
   /// Whether a target whose slot was assigned earlier still accepts requests.
   bool accepts_requests(const chosen_target& chosen) const {
@@ -81,6 +86,15 @@
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool) { return chooser_.slots(pool); }
   std::size_t waiting() const;
+  /// Requests of this node that wait for a slot of the pool, without those that a scheduler queues.
+  std::size_t waiting(const target_pool& pool) const;
+  /// See target_chooser::free_share; 0 while a data centre is evacuated, since the others then need
+  /// their slots.
+  double spare_share(const target_pool& pool) {
+    return chooser_.is_any_data_centre_evacuated() ? 0 : chooser_.free_share(pool);
+  }
+  /// See target_chooser::cold_ids.
+  std::set<std::string> cold_ids(const target_pool& pool) { return chooser_.cold_ids(pool); }
 
 private:
   struct waiter;
--- a/include/camphorlug/gateway/target_chooser.h
+++ b/include/camphorlug/gateway/target_chooser.h
@@ -41,6 +41,12 @@
         pauses_(pauses), limits_(limits), evacuations_(evacuations), random_(random),
         data_centre_(std::move(data_centre)) {}
 
+  /// Sets the regions of data centres, by which the homes of requests are judged.
+  void set_regions(region_map regions) {
+    regions_ = std::move(regions);
+    views_.clear();
+  }
+
   /// Sets the number of nodes that choose among the same targets.
   void set_node_count(std::size_t nodes) { node_count_ = nodes; }
 
@@ -84,6 +90,12 @@
   /// request; the maximum if all targets are in `avoided`.
   std::optional<support::clock::time_point> paused_until(const target_pool& pool,
                                                          const std::set<std::string>& avoided);
+  /// The same if a scheduler assigns the targets, which divides the bound of cold ones itself.
+  std::optional<support::clock::time_point> refused_until(const target_pool& pool,
+                                                          const std::set<std::string>& avoided);
+  /// Whether a target outside `avoided` has a free slot and is cold, so that it gets only a part
+  /// of what it has room for.
+  bool withholds_cold(const target_pool& pool, const std::set<std::string>& avoided);
   /// Total slots of the targets of the pool that accept requests.
   std::size_t slots(const target_pool& pool);
   /// Whether any target of the pool has a free slot.
@@ -91,6 +103,13 @@
   /// Whether a target that is neither in `avoided` nor suspected has a free slot.
   bool has_unsuspected_slot(const target_pool& pool, const std::set<std::string>& avoided);
 
+  /// Share of the pool's slots that are free at targets that are neither suspected nor paused; an
+  /// estimate from random targets in a large pool.
+  double free_share(const target_pool& pool);
+  /// Targets of the pool that have started lately and tolerate less than others.
+  std::set<std::string> cold_ids(const target_pool& pool);
+  bool is_any_data_centre_evacuated() const { return !evacuations_.evacuated().empty(); }
+
 private:
   /// Cached targets of a pool, valid while neither entries nor groups nor evacuations change.
   struct pool_view {
@@ -109,7 +128,11 @@
 
   const pool_view& view_of(const target_pool& pool);
   std::vector<candidate> candidates(const target_pool& pool);
-  bool is_in_closed_data_centre(const serving_group& group) const;
+  /// Whether requests of the pool may go to the data centre.
+  bool is_usable(const target_pool& pool, const std::string& data_centre) const {
+    return !evacuations_.is_closed(data_centre) && pool.homes.allows(data_centre, regions_);
+  }
+  bool has_unusable_member(const target_pool& pool, const serving_group& group) const;
   bool has_free_slot(const candidate& each) {
     return loads_.in_flight(each.target.id) < each.target.slots;
   }
@@ -125,6 +148,11 @@
   }
   bool paused(const candidate& each) const { return paused_until(each).has_value(); }
   bool any_cold(const target_pool& pool);
+  /// The earliest end of what `end_of` returns for the targets, as `paused_until` tells it.
+  template<class end_function>
+  std::optional<support::clock::time_point> earliest_end(const target_pool& pool,
+                                                         const std::set<std::string>& avoided,
+                                                         const end_function& end_of);
   double cost(const candidate& each);
   void update_selection(const candidate& each, const std::set<std::string>& avoided,
                         bool with_suspects, selection& chosen);
@@ -144,6 +172,7 @@
   evacuation_list& evacuations_;
   support::random_source& random_;
   std::string data_centre_;
+  region_map regions_;
   std::size_t node_count_ = 1;
   cold_targets* cold_ = nullptr;
   const active_config* config_ = nullptr;
--- a/include/camphorlug/scheduling/pool_scheduler.h
+++ b/include/camphorlug/scheduling/pool_scheduler.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace camphorlug::scheduling {
@@ -73,6 +74,14 @@
   /// Ends waits that are in vain and drops nodes that have gone. Call it several times a second.
   void expire();
 
+  /// Requests of an organisation that got a slot or were refused one.
+  struct slot_counts {
+    std::size_t granted = 0;
+    std::size_t refused = 0;
+  };
+  /// Returns the counts of all organisations since the last call.
+  std::map<std::string, slot_counts> take_counts() { return std::exchange(counts_, {}); }
+
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t in_flight(const std::string& target) const;
   std::size_t total_in_flight() const;
@@ -135,7 +144,7 @@
   /// The part of it that the requests in time leave to the others.
   double spare_rate() const;
   std::chrono::nanoseconds expected_wait(const slot_ask& ask);
-  std::chrono::nanoseconds expected_wait_of_overdue();
+  std::chrono::nanoseconds expected_wait_of_overdue(const slot_ask& ask);
   /// Whether the ask gets a slot while that is of use.
   bool can_be_served(const slot_ask& ask);
   decision refuse(const slot_ask& ask);
@@ -153,8 +162,14 @@
   std::set<std::pair<support::clock::time_point, target_state*>> reading_targets_;
   std::size_t slots_ = 0;
   std::size_t usable_targets_ = 0;
+  /// The slots and targets that take as many requests as they have room for, and the starts a
+  /// second of those that are cold.
+  std::size_t warm_slots_ = 0;
+  std::size_t warm_targets_ = 0;
+  double cold_starts_per_second_ = 0;
   std::map<std::string, node_state> nodes_;
   waiting_asks waiting_;
+  std::map<std::string, slot_counts> counts_;
   std::uint64_t last_number_ = 0;
   support::clock::time_point assigned_at_;
   double tokens_per_second_ = 0;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -3,6 +3,7 @@
 #include "camphorlug/edge/lift_path.h"
 #include "camphorlug/edge/state_report.h"
 #include "camphorlug/gateway/gateway_selection.h"
+#include "camphorlug/gateway/home_faults.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
@@ -26,6 +27,11 @@
 /// Demand is ignored for this long after the first request: short requests finish first, so
 /// the first measured slot holding times are too short.
 static constexpr std::chrono::milliseconds demand_settling_time{8000};
+/// A restarted node hears of a live peer within this time.
+static constexpr std::chrono::milliseconds read_delay_after_restart{100};
+static constexpr std::chrono::milliseconds long_read_delay_after_restart{350};
+/// Nodes with at least this processor share are the first to read the store after a restart.
+static constexpr double min_cores_of_relays = 0.25;
 static constexpr std::chrono::milliseconds config_reread_interval{2000};
 static constexpr std::chrono::milliseconds targets_reread_interval{4000};
 static constexpr std::chrono::milliseconds own_rows_reread_interval{5000};
@@ -33,6 +39,8 @@
 static constexpr std::chrono::milliseconds registration_retry_interval{500};
 /// Interval of the checks whether a starting node knows of evacuations.
 static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
+/// A node that no peer told of evacuations for this long reads their rows itself.
+static constexpr std::chrono::milliseconds max_silence_about_evacuations{1000};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
@@ -51,21 +59,33 @@
 static constexpr double min_relay_weight = 0.05;
 /// Until a loss is over, each probe of a target is charged for.
 static constexpr std::chrono::milliseconds lost_service_probe_interval{500};
+/// Part of the process's memory for what it holds of requests and responses. The rest is for
+/// requests that are being received, the tables and the program itself.
+static constexpr double held_memory_fraction = 0.3;
 /// Requests in progress are cut this long before the platform kills the process.
 static constexpr std::chrono::milliseconds termination_margin{300};
 
+static std::size_t held_bytes_limit(const edge_settings& settings) {
+  return settings.memory_bytes == 0
+             ? support::memory_budget::unlimited
+             : static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) *
+                                        held_memory_fraction);
+}
+
 edge_node::edge_node(edge_context context, edge_settings settings)
     : context_(std::move(context)), settings_(std::move(settings)),
       incarnation_(support::make_incarnation(context_.time)),
-      reading_(context_.time, context_.random), config_(context_.time), registry_(context_.time),
-      groups_(registry_, config_), loads_(context_.time), suspicions_(context_.time),
-      pauses_(context_.time), limits_(context_.time),
-      evacuations_(context_.time, settings_.evacuation_time_limit), cold_targets_(context_.time),
+      reading_(context_.time, context_.random), memory_(held_bytes_limit(settings_)),
+      config_(context_.time), registry_(context_.time), groups_(registry_, config_),
+      loads_(context_.time), suspicions_(context_.time), pauses_(context_.time),
+      limits_(context_.time), evacuations_(context_.time, settings_.evacuation_time_limit),
+      cold_targets_(context_.time),
       chooser_(registry_, groups_, loads_, suspicions_, pauses_, limits_, evacuations_,
                context_.random, settings_.data_centre),
       slot_queue_(context_.time, chooser_, loads_, limits_),
       retries_(context_.time, settings_.retries, [this] { return live_node_count(); }),
       stalls_(context_.time), demand_(context_.time), usual_limits_(context_.time),
+      first_parts_(context_.time), second_tries_(settings_.second_tries),
       notices_(registry_, pauses_, limits_, metrics_), crash_causes_(context_.time),
       trials_(
           {context_.executor, context_.time, context_.client, fleet_, crash_causes_, settings_.id}),
@@ -73,10 +93,10 @@
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
-             settings_.cores),
+             settings_.cores, memory_),
       requests_({context_.time, context_.random, sender_, context_.protocol, config_, registry_,
                  slot_queue_, suspicions_, notices_, crash_causes_, trials_, retries_, stalls_,
-                 demand_, metrics_, usual_limits_},
+                 demand_, metrics_, usual_limits_, first_parts_, second_tries_, memory_},
                 [this] { return shutdown(); }),
       fleet_(context_.time, loads_, suspicions_),
       scheduler_service_(context_.time, chooser_, config_, settings_.id),
@@ -94,6 +114,9 @@
            [this] { return target_follower_.read_now(); },
            [this] { return !is_cut_off_from_targets(); },
            [this] { return evacuations_.evacuated(); }}),
+      member_checker_(
+          context_.executor, context_.time, registry_, prober_,
+          [this](const gateway::target_entry& member) { return group_progresses(member); }),
       crash_keeper_({context_.executor, context_.time, context_.client, context_.store, prober_,
                      registry_, crash_causes_, [this] { return replica_controller_.leads(); }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
@@ -112,6 +135,9 @@
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   chooser_.set_cold_targets(&cold_targets_, &config_);
+  chooser_.set_regions(settings_.regions);
+  registry_.set_group_progress(
+      [this](const gateway::target_entry& member) { return group_progresses(member); });
   registry_.add_listener([this] {
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
@@ -137,6 +163,8 @@
   support::spawn(executor, "learn_evacuations", learn_evacuations());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", exchange_.run());
+  if (!settings_.is_first_start)
+    support::spawn(executor, "read_store_after_restart", read_store_after_restart());
   support::spawn(executor, "lease", replica_controller_.keep_lease());
   support::spawn(executor, "replicas", replica_controller_.run());
   support::spawn(executor, "store_bans", crash_keeper_.store_bans());
@@ -148,8 +176,12 @@
   for (const std::string& seed : settings.seeds)
     exchange_.add_address(seed);
   settings_.seeds = settings.seeds;
+  settings_.regions = settings.regions;
+  chooser_.set_regions(settings_.regions);
   settings_.retries = settings.retries;
   retries_.change_limits(settings.retries);
+  settings_.memory_bytes = settings.memory_bytes;
+  memory_.change_limit(held_bytes_limit(settings_));
   settings_.cold = settings.cold;
   cold_targets_.change_bound(settings.cold);
   settings_.termination_grace = settings.termination_grace;
@@ -189,21 +221,34 @@
     evacuations_.retain(present, batch.version);
 }
 
+/// Whether the store or a peer tells this node of evacuations as soon as they are announced.
+bool edge_node::is_told_of_evacuations() const {
+  if (!evacuations_.was_read())
+    return false;
+  return reading_.is_active() ||
+         context_.time.now() - evacuations_heard_at_ < max_silence_about_evacuations;
+}
+
 support::task<> edge_node::learn_evacuations() {
   for (;;) {
     co_await context_.time.sleep_for(evacuation_learning_interval);
-    if (evacuations_.was_read())
-      co_return;
-    // A peer of an older build has the configuration, but says nothing of evacuations.
-    if (config_.current())
-      co_await config_follower_.read_now();
+    if (is_told_of_evacuations() || !config_.current())
+      continue;
+    // Peers of an older build have the configuration, but say nothing of evacuations.
+    evacuations_heard_at_ = context_.time.now();
+    co_await config_follower_.read_now();
   }
 }
 
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
-  if (config && config_.update_if_newer(std::move(config)))
-    config_text_ = text;
+  if (!config || !config_.update_if_newer(std::move(config)))
+    return;
+  config_text_ = text;
+  for (const gateway::home_fault& fault :
+       gateway::find_home_faults(*config_.current(), settings_.regions))
+    support::log_event(support::log_level::warning, "homes_cannot_be_kept",
+                       {{"subject", fault.subject}, {"reason", fault.reason}});
 }
 
 void edge_node::apply_target_rows(const table::feed_batch& batch, bool is_full_table) {
@@ -267,6 +312,24 @@
   support::log_event(support::log_level::warning, event, {{"peer", peer}, {"error", error}});
 }
 
+/// After a failure of all nodes, callers wait while the nodes find each other and agree on who
+/// reads the store. Nodes with little processor time wait longer, since the others relay what they
+/// read, and many nodes at once would be a burden for the store.
+support::task<> edge_node::read_store_after_restart() {
+  const bool relays = settings_.cores >= min_cores_of_relays;
+  const auto delay = relays ? read_delay_after_restart : long_read_delay_after_restart;
+  const auto jittered = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      delay * (1 + 0.5 * context_.random.uniform_real()));
+  co_await context_.time.sleep_for(jittered);
+  if (peer_has_config_ || (config_.current() && registry_.was_read()))
+    co_return;
+  support::log_event(support::log_level::info, "store_read_after_restart");
+  // The bans come first: a node with a configuration takes requests.
+  co_await own_follower_.read_now();
+  co_await config_follower_.read_now();
+  co_await target_follower_.read_now();
+}
+
 /// Returns the body of a peer's response, or nullopt if the request fails or the status is not
 /// 200. A transport failure is logged as `event`.
 support::task<std::optional<std::string>>
@@ -355,9 +418,17 @@
     registry_.mark_store_recovered(*message.summary.store_recovery_age);
   for (const auto& [target, started_at_ms] : message.summary.leaving)
     registry_.mark_leaving(target, started_at_ms);
+  for (const auto& [target, notice] : message.cold)
+    registry_.mark_cold(target, notice);
   limits_.merge(message.summary.limits);
-  if (message.evacuations)
+  registry_.merge_sightings(message.summary.sightings);
+  peer_has_config_ = peer_has_config_ || message.config_version > 0;
+  if (message.evacuations) {
     evacuations_.merge(*message.evacuations);
+    evacuations_heard_at_ = context_.time.now();
+  }
+  if (message.nodes)
+    cold_targets_.learn_size(*message.nodes);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
     support::spawn(context_.executor, "fetch_config", fetch_config(peer));
   crash_keeper_.apply_peer_message(message);
@@ -405,6 +476,7 @@
 support::task<> edge_node::run_housekeeping() {
   for (;;) {
     registry_.expire();
+    member_checker_.update(place_among_planners());
     pauses_.expire();
     observe_store_era(context_.store.era());
     observe_store_era(table::era_of(target_rows_.version()));
@@ -428,12 +500,19 @@
   }
 }
 
+/// Returns an empty name, which is no home, if the region is unknown.
+std::string edge_node::region_of(const std::string& data_centre) const {
+  const auto found = settings_.regions.find(data_centre);
+  return found == settings_.regions.end() ? "" : found->second;
+}
+
 std::vector<gateway::relay_node> edge_node::relays() {
   std::vector<gateway::relay_node> found;
   for (const auto& [id, other] : fleet_.others()) {
     const gateway::node_status& status = other.status;
     if (status.ready && !status.leaving && status.reaches_targets)
-      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight)});
+      found.push_back({status.peer_address, std::max(status.cores, min_relay_weight),
+                       region_of(status.data_centre)});
   }
   return found;
 }
@@ -467,6 +546,27 @@
   co_return co_await context_.prober.probe(std::move(probed));
 }
 
+bool edge_node::group_progresses(const gateway::target_entry& member) const {
+  const auto& targets = registry_.all();
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& each) {
+    const gateway::target_entry& entry = each.second.entry;
+    return entry.membership && entry.membership->rank == 0 && entry.service == member.service &&
+           entry.membership->group == member.membership->group &&
+           entry.membership->epoch == member.membership->epoch && stalls_.is_writing(entry.id);
+  });
+}
+
+std::optional<std::size_t> edge_node::place_among_planners() {
+  std::size_t place = 0;
+  for (const std::string& id : fleet_.roles().planners) {
+    if (id == settings_.id)
+      return paths_.has_lost_all() ? std::nullopt : std::optional(place);
+    const auto other = fleet_.others().find(id);
+    place += other != fleet_.others().end() && other->second.status.reaches_targets ? 1 : 0;
+  }
+  return std::nullopt;
+}
+
 void edge_node::update_limits() {
   if (limits_.empty())
     return;
@@ -546,6 +646,8 @@
   report.crash_digest = crash_causes_.evidence().digest();
   if (evacuations_.was_read())
     report.evacuations = evacuations_.known();
+  report.nodes = cold_targets_.size();
+  report.cold = registry_.cold_notices_to_report();
   gateway::fleet_summary& summary = report.summary;
   summary.loads = loads_.own_loads();
   summary.demand = demand_.demand();
@@ -558,6 +660,7 @@
   }
   summary.leaving = registry_.leaving();
   summary.limits = limits_.known();
+  summary.sightings = member_checker_.sightings();
   if (replica_controller_.leads())
     summary.leader = settings_.id;
   summary.has_served = requests_.handled() > 0;
@@ -586,11 +689,25 @@
   return heads;
 }
 
-std::vector<std::string> edge_node::entry_points(const std::string& data_centre) {
+std::vector<std::string> edge_node::entry_points(const std::string& data_centre,
+                                                 const std::string& host,
+                                                 const std::string& region) {
   std::vector<gateway::node_status> nodes;
   for (const auto& [id, other] : fleet_.others())
     nodes.push_back(other.status);
   nodes.push_back(status());
+  // A node that has just started would refuse what it gets; callers ask another one.
+  const bool any_serves = std::any_of(nodes.begin(), nodes.end(),
+                                      [](const auto& each) { return each.ready && !each.leaving; });
+  if (!any_serves && !config_.current())
+    return {};
+  if (config_.current()) {
+    const gateway::home_regions homes = config_.current()->homes_of(host).with_region(
+        region.empty() ? region_of(data_centre) : region);
+    std::erase_if(nodes, [&](const gateway::node_status& each) {
+      return !homes.allows(each.data_centre, settings_.regions);
+    });
+  }
   return gateway::select_gateway_addresses(nodes, data_centre, settings_.min_entry_points);
 }
 
@@ -660,6 +777,7 @@
                                    suspicions_,
                                    crash_causes_.evidence(),
                                    evacuations_,
+                                   cold_targets_,
                                    paths_,
                                    retries_,
                                    lease_,
@@ -704,11 +822,17 @@
 std::string edge_node::metrics() {
   gateway::gateway_gauges gauges;
   gauges.waiting_requests = slot_queue_.waiting();
+  gauges.scheduled_requests = scheduler_service_.waiting();
   gauges.known_targets = registry_.all().size();
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
+  gauges.held_members = registry_.held_members().size();
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
+  gauges.cold_targets = registry_.cold_count();
+  gauges.held_bytes = memory_.used();
+  gauges.held_bytes_limit = memory_.is_limited() ? memory_.limit() : 0;
+  gauges.memory_denials = memory_.denials();
   gauges.leads = replica_controller_.leads();
   return metrics_.serialize(gauges);
 }
--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -35,11 +35,13 @@
     latest = std::max(latest, started_at_ms);
   }
   keep_newest(limits, other.limits, elapsed);
+  keep_newest(sightings, other.sightings, elapsed);
   if (leader.empty())
     leader = other.leader;
   has_served = has_served || other.has_served;
   keep_smaller(store_answer_age, other.store_answer_age, elapsed);
   keep_smaller(store_recovery_age, other.store_recovery_age, elapsed);
+  support::merge_unknown_fields(unknown, other.unknown);
 }
 
 static nlohmann::json to_list(const slot_demand& demand) {
@@ -82,10 +84,13 @@
     value["leave"] = summary.leaving;
   if (!summary.limits.empty())
     value["lim"] = summary.limits;
+  if (!summary.sightings.empty())
+    value["seen"] = summary.sightings;
   if (!summary.leader.empty())
     value["lead"] = summary.leader;
   write_age(value, "store", summary.store_answer_age);
   write_age(value, "back", summary.store_recovery_age);
+  support::write_unknown_fields(value, summary.unknown);
 }
 
 void from_json(const nlohmann::json& value, fleet_summary& summary) {
@@ -101,9 +106,14 @@
     leaving->get_to(summary.leaving);
   if (const auto limits = value.find("lim"); limits != value.end())
     limits->get_to(summary.limits);
+  if (const auto sightings = value.find("seen"); sightings != value.end())
+    sightings->get_to(summary.sightings);
   summary.leader = value.value("lead", "");
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
+  // All fields above; others belong to later builds.
+  summary.unknown = support::read_unknown_fields(
+      value, {"load", "srv", "need", "stall", "sus", "leave", "lim", "lead", "store", "back"});
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -31,11 +31,22 @@
           .Name("camphorlug_gateway_silences_total")
           .Help("Requests sent to a further target because of a silence, by which target went on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& second_tries =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_second_tries_total")
+          .Help("Second tries of slow requests: started, won (answered first), lost (the first "
+                "target did)")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& notices =
       prometheus::BuildCounter()
           .Name("camphorlug_gateway_notices_total")
           .Help("What targets newly said about themselves in their responses")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& cold_waits =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_cold_waits_total")
+          .Help("Requests held back or refused while a cold target had a free slot")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_byte =
       prometheus::BuildHistogram()
           .Name("camphorlug_gateway_first_byte_seconds")
@@ -76,20 +87,34 @@
   implementation_->silences.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::count_second_try(const std::string& event) {
+  implementation_->second_tries.Add({{"event", event}}).Increment();
+}
+
 void gateway_metrics::count_notice(const std::string& notice) {
   implementation_->notices.Add({{"notice", notice}}).Increment();
 }
 
+void gateway_metrics::count_cold_wait(const std::string& outcome) {
+  implementation_->cold_waits.Add({{"outcome", outcome}}).Increment();
+}
+
 std::string gateway_metrics::serialize(const gateway_gauges& gauges) {
   const auto set = [this](const char* name, double value) {
     implementation_->gauges.Add({{"value", name}}).Set(value);
   };
   set("waiting_requests", static_cast<double>(gauges.waiting_requests));
+  set("scheduled_requests", static_cast<double>(gauges.scheduled_requests));
   set("known_targets", static_cast<double>(gauges.known_targets));
   set("live_peers", static_cast<double>(gauges.live_peers));
   set("config_version", static_cast<double>(gauges.config_version));
   set("store_era", static_cast<double>(gauges.store_era));
   set("evacuated_data_centres", static_cast<double>(gauges.evacuated_data_centres));
+  set("cold_targets", static_cast<double>(gauges.cold_targets));
+  set("held_bytes", static_cast<double>(gauges.held_bytes));
+  set("held_bytes_limit", static_cast<double>(gauges.held_bytes_limit));
+  set("memory_denials", static_cast<double>(gauges.memory_denials));
+  set("held_members", static_cast<double>(gauges.held_members));
   set("leads", gauges.leads ? 1 : 0);
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -26,7 +26,12 @@
 /// Attempts that reach no target do not count as attempts, up to this number: each of them may cost
 /// the time to connect.
 static constexpr std::size_t max_unsent_attempts = 3;
+static constexpr milliseconds restart_check_interval{50};
+/// Interval at which a slow request that got no second try asks again.
+static constexpr milliseconds second_try_interval{200};
 static constexpr milliseconds min_retry_after{100};
+/// A message to the scheduler and its answer take less.
+static constexpr milliseconds noticeable_wait{20};
 /// A ban ends only when its cause is gone, so an earlier return would be in vain.
 static constexpr milliseconds banned_retry_after{60'000};
 /// Callers accept a Retry-After of up to a third of their remaining time.
@@ -50,7 +55,7 @@
                                      std::string organisation, int priority, bool closes_connection)
     : env_(environment), writer_(writer), route_(std::move(chosen)), priority_(priority),
       closes_connection_(closes_connection), arrived_at_(environment.time.now()),
-      activity_(environment.time) {
+      class_(route_->name, {}, request.prompt_tokens), activity_(environment.time) {
   time_since_first_attempt_ = env_.usual_limits.time_used(route_->name, request.time_limit);
   const auto deadline = arrived_at_ + request.time_limit_within(route_->timeout);
   position_.last_event_id = request.resume_after;
@@ -64,7 +69,9 @@
     if (pick < 0)
       break;
   }
-  pool_ = {service_, env_.config.current()->selecting_model(service_, request.model)};
+  pool_ = {service_, env_.config.current()->selecting_model(service_, request.model),
+           request.homes};
+  class_.pool = pool_;
   std::vector<std::string> suspects = crash_suspects_of(request, organisation);
   shared_ = std::make_shared<attempted_request>(attempted_request{std::move(request), route_,
                                                                   service_, std::move(organisation),
@@ -87,6 +94,7 @@
     co_return;
   }
   env_.retries.count_request(service_);
+  env_.second_tries.count_request(service_);
   env_.demand.count_arrival(pool(), reading_slot_time());
   bool finished = false;
   while (!finished && !caller_gone_) {
@@ -98,8 +106,10 @@
     if (caller_gone_)
       break;
     finished = co_await forward_ready_parts();
-    if (!finished && !caller_gone_)
+    if (!finished && !caller_gone_) {
       seek_replacement(executor);
+      seek_second_try(executor);
+    }
   }
   for (const open_attempt& each : std::exchange(open_, {}))
     end_attempt(each);
@@ -117,8 +127,10 @@
   }
   const auto asked_at = env_.time.now();
   slot_queue::slot_result waited = co_await wait_for_permitted_slot();
-  slot_wait_ += env_.time.now() - asked_at;
+  const nanoseconds waited_for = env_.time.now() - asked_at;
+  slot_wait_ += waited_for;
   scheduled_retry_after_ = waited.retry_after;
+  count_cold_wait(static_cast<bool>(waited), waited_for);
   if (caller_gone_)
     co_return true;
   // The request may have been banned while it waited.
@@ -146,7 +158,7 @@
 
 void request_forwarder::start_attempt(slot_guard slot, const asio::any_io_executor& executor) {
   ++attempts_;
-  tried_targets_.insert(slot.target().id);
+  tried_starts_[slot.target().id] = slot.target().started_at_ms;
   trail_.push_back(slot.target().id);
   auto attempt = std::make_shared<target_attempt>(env_, shared_, std::move(slot), position_,
                                                   [this] { activity_.notify(); });
@@ -171,7 +183,7 @@
   });
   if (open_.empty() || !all_silent || banned_cause() || is_suspected() || !route_->repeatable() ||
       !has_attempts_left() || !env_.retries.can_retry(service_) ||
-      !env_.queue.has_alternative(pool(), tried_targets_))
+      !env_.queue.has_alternative(pool(), tried_targets()))
     return;
   std::optional<slot_guard> slot = env_.queue.try_acquire(make_slot_request());
   if (!slot || !env_.retries.try_acquire(service_))
@@ -193,8 +205,59 @@
   support::clock::time_point silent_at = open_.front().attempt->silent_at();
   for (const open_attempt& each : open_)
     silent_at = std::max(silent_at, each.attempt->silent_at());
-  return std::clamp<nanoseconds>(silent_at - env_.time.now(), replacement_check_interval,
-                                 std::max<nanoseconds>(until_deadline, replacement_check_interval));
+  const auto until_silent =
+      std::clamp<nanoseconds>(silent_at - env_.time.now(), replacement_check_interval,
+                              std::max<nanoseconds>(until_deadline, replacement_check_interval));
+  return std::min(until_silent, time_until_second_try());
+}
+
+std::optional<nanoseconds> request_forwarder::usual_time() const {
+  return env_.first_parts.quantile(class_, env_.second_tries.quantile());
+}
+
+nanoseconds request_forwarder::time_until_second_try() const {
+  if (!env_.second_tries.enabled() || attempts_ != 1 || first_byte_at_)
+    return nanoseconds::max();
+  const auto usual = usual_time();
+  if (!usual)
+    return nanoseconds::max();
+  if (second_try_considered_at_)
+    return std::max<nanoseconds>(*second_try_considered_at_ + second_try_interval - env_.time.now(),
+                                 min_remaining_time);
+  return std::max<nanoseconds>(*usual - open_.front().attempt->held(), nanoseconds(0)) +
+         milliseconds(1);
+}
+
+void request_forwarder::seek_second_try(const asio::any_io_executor& executor) {
+  if (!env_.second_tries.enabled() || open_.size() != 1 || attempts_ != 1 || first_byte_at_)
+    return;
+  const nanoseconds wait = open_.front().attempt->held();
+  const auto usual = usual_time();
+  if (!usual || wait <= *usual)
+    return;
+  const auto now = env_.time.now();
+  if (second_try_considered_at_ && now - *second_try_considered_at_ < second_try_interval)
+    return;
+  second_try_considered_at_ = now;
+  const second_try_case request{service_, route_->repeatable() && has_attempts_left(),  attempts_,
+                                false,    is_suspected() || banned_cause().has_value(), wait,
+                                usual};
+  if (!env_.second_tries.is_due(request) || !env_.retries.can_retry(service_) ||
+      !env_.second_tries.has_room(env_.queue.waiting(pool()), env_.queue.spare_share(pool())))
+    return;
+  slot_request wanted = make_slot_request();
+  wanted.avoided.merge(env_.queue.cold_ids(pool()));
+  if (!env_.queue.has_alternative(pool(), wanted.avoided))
+    return;
+  std::optional<slot_guard> slot = env_.queue.try_acquire(wanted);
+  if (!slot || !env_.retries.try_acquire(service_))
+    return;
+  env_.second_tries.count_second_try(service_);
+  env_.metrics.count_retry("slow");
+  env_.metrics.count_second_try("started");
+  note(open_.front(), "slow, second try");
+  second_try_ = trail_.size();
+  start_attempt(std::move(*slot), executor);
 }
 
 /// Forwards what the attempts have received. Returns whether the request has ended.
@@ -229,6 +292,7 @@
       first_byte_at_ = env_.time.now();
       if (attempts_ == 1)
         env_.queue.update_first_part_estimate(pool(), attempt.held());
+      record_first_part(attempt);
       writer_.start(response.status, with_connection_header(response.forwarded_headers));
     }
     check_trial();
@@ -249,6 +313,7 @@
     detail = std::to_string(position_.events) + " events";
   } else {
     first_byte_at_ = env_.time.now();
+    record_first_part(attempt);
     const target_response& response = attempt.response();
     writer_.send(response.status, with_connection_header(response.forwarded_headers),
                  attempt.take_body());
@@ -273,12 +338,31 @@
     }
   }
   if (open_.size() > 1)
-    env_.metrics.count_silence(trail_.back() == kept.target_id() ? "replaced" : "resumed");
+    count_kept_attempt(kept);
   std::erase_if(open_, [&](const open_attempt& each) { return each.attempt.get() != &kept; });
 }
 
+/// A request whose only further target is a second try was not silent.
+void request_forwarder::count_kept_attempt(const target_attempt& kept) {
+  if (!second_try_ || open_.size() > 2)
+    env_.metrics.count_silence(trail_.back() == kept.target_id() ? "replaced" : "resumed");
+  for (const open_attempt& each : open_) {
+    if (second_try_ && each.attempt.get() == &kept)
+      env_.metrics.count_second_try(each.trail_index == *second_try_ ? "won" : "lost");
+  }
+}
+
+/// Only the first target's time counts, because all others get slow requests only.
+void request_forwarder::record_first_part(const target_attempt& kept) {
+  if (env_.second_tries.enabled() && open_.front().attempt.get() == &kept &&
+      open_.front().trail_index == 0)
+    env_.first_parts.record(class_, kept.held());
+}
+
 void request_forwarder::end_attempt(const open_attempt& ended) {
   ended.attempt->close();
+  if (env_.second_tries.enabled() && ended.trail_index == 0 && !first_byte_at_)
+    env_.first_parts.record_minimum(class_, ended.attempt->held(), env_.second_tries.quantile());
   env_.queue.update_hold_estimate(pool(), ended.attempt->held());
 }
 
@@ -340,7 +424,7 @@
 }
 
 slot_request request_forwarder::make_slot_request() const {
-  slot_request request{pool(), rank(), tried_targets_, &caller_gone_};
+  slot_request request{pool(), rank(), tried_targets(), &caller_gone_};
   request.organisation = shared_->organisation;
   request.in_time_until =
       arrived_at_ - time_since_first_attempt_ + env_.queue.usable_wait(pool(), route_->objective);
@@ -348,6 +432,14 @@
   return request;
 }
 
+/// Counts a request that got no slot, or only after a while, beside a cold target with a free one.
+void request_forwarder::count_cold_wait(bool has_slot, nanoseconds waited) {
+  if (has_slot && waited < noticeable_wait)
+    return;
+  if (env_.queue.withholds_cold(pool(), tried_targets()))
+    env_.metrics.count_cold_wait(has_slot ? "held_back" : "refused");
+}
+
 nanoseconds request_forwarder::wait_after_refusal() {
   return scheduled_retry_after_ ? *scheduled_retry_after_
                                 : env_.queue.expected_wait(pool(), {priority_, shared_->deadline});
@@ -358,11 +450,31 @@
   // The first attempt fails at once if the expected wait exceeds the limit.
   const bool may_wait = attempts_ > 0 || env_.queue.is_scheduled(pool()) ||
                         env_.time.now() + env_.queue.expected_wait(pool(), rank()) <= until;
-  const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+  const auto resumes_at = env_.queue.paused_until(pool(), tried_targets());
   if (!may_wait || (resumes_at && *resumes_at > until))
     co_return slot_queue::slot_result{};
-  slot_request request = make_slot_request();
-  co_return co_await env_.queue.acquire(std::move(request), until);
+  for (;;) {
+    // A target that was not reached may start again meanwhile.
+    const bool rechecks = unsent_attempts_ > 0 && !env_.queue.is_scheduled(pool());
+    const auto checked_at =
+        rechecks ? std::min(until, env_.time.now() + restart_check_interval) : until;
+    slot_request request = make_slot_request();
+    slot_queue::slot_result waited = co_await env_.queue.acquire(std::move(request), checked_at);
+    const bool goes_on = !waited && !waited.retry_after && !caller_gone_ && checked_at < until &&
+                         env_.time.now() >= checked_at;
+    if (!goes_on)
+      co_return waited;
+  }
+}
+
+std::set<std::string> request_forwarder::tried_targets() const {
+  std::set<std::string> ids;
+  for (const auto& [id, started_at_ms] : tried_starts_) {
+    const target_entry* entry = env_.registry.find(id);
+    if (!entry || entry->started_at_ms == started_at_ms)
+      ids.insert(id);
+  }
+  return ids;
 }
 
 void request_forwarder::report_trial(trial_step step) {
@@ -413,7 +525,7 @@
     return give_up("the route allows no further attempt");
   if (!has_attempts_left())
     return give_up("the time limit has passed");
-  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets_);
+  if (const auto resumes_at = env_.queue.paused_until(pool(), tried_targets());
       resumes_at && *resumes_at > slot_deadline())
     return give_up("all targets have asked for a pause");
   if (!env_.retries.try_acquire(service_)) {
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -11,6 +11,19 @@
 /// The caller can retry at another node at once.
 static constexpr std::chrono::milliseconds other_node_retry_after{50};
 
+/// Only another configuration helps, which an operator has to write.
+static constexpr std::chrono::milliseconds no_home_retry_after{10'000};
+
+/// What a request takes beside its body: headers, the state of its coroutines, and what the client
+/// has read of its response, see curl_client.cpp.
+static constexpr std::size_t request_overhead_bytes = 48 * 1024;
+/// Copies of a body that the gateway holds beside the server's: its own and the one that is sent.
+static constexpr std::size_t body_copies = 2;
+/// Memory is free again when responses have been read, mostly within a second. The spread keeps
+/// refused callers from returning together.
+static constexpr std::chrono::milliseconds min_memory_retry_after{300};
+static constexpr std::chrono::milliseconds max_memory_retry_after{1500};
+
 namespace {
 
 /// Lists a forwarder while it runs.
@@ -54,6 +67,7 @@
 
 support::task<> request_gateway::handle(net::server_request raw, net::response_writer& writer) {
   ++handled_;
+  const std::uint64_t connection = raw.connection_id;
   caller_request request = env_.protocol.parse_request(std::move(raw));
   // Holds a reference, because a newer version may replace this one while the request runs.
   const std::shared_ptr<const routing_config> config = env_.config.current();
@@ -76,6 +90,7 @@
   }
   std::string organisation;
   int priority = chosen->priority;
+  request.homes = chosen->homes;
   if (config->has_organisations && !chosen->is_public) {
     const auto key_entry = request.key ? config->keys.find(*request.key) : config->keys.end();
     if (key_entry == config->keys.end()) {
@@ -84,6 +99,12 @@
     }
     organisation = key_entry->second.organisation;
     priority = key_entry->second.priority.value_or(priority);
+    request.homes = request.homes.common_with(key_entry->second.homes);
+  }
+  if (request.homes.allows_none()) {
+    reject(request, writer, 503, "no region is a home of both the route and the organisation",
+           no_home_retry_after);
+    co_return;
   }
   const shutdown_state shutdown = shutdown_();
   const bool is_shutting_down = shutdown.phase != shutdown_phase::none;
@@ -91,6 +112,16 @@
     reject(request, writer, 503, "this node ends; connect to another one", other_node_retry_after);
     co_return;
   }
+  request.memory_holder =
+      organisation.empty() ? "connection " + std::to_string(connection) : organisation;
+  support::memory_budget::charge memory(env_.memory, request.memory_holder);
+  if (!memory.try_add(request_overhead_bytes + body_copies * request.body.size())) {
+    const auto spread =
+        (max_memory_retry_after - min_memory_retry_after) * env_.random.uniform_real();
+    reject(request, writer, 503, "no memory is left for the request",
+           min_memory_retry_after + std::chrono::duration_cast<std::chrono::milliseconds>(spread));
+    co_return;
+  }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
                               priority, is_shutting_down);
   const in_progress_entry entry(in_progress_, forwarder);
@@ -112,7 +143,8 @@
   std::chrono::nanoseconds longest{0};
   for (const weighted_service& each : chosen.services) {
     const target_pool pool{each.service,
-                           env_.config.current()->selecting_model(each.service, request.model)};
+                           env_.config.current()->selecting_model(each.service, request.model),
+                           request.homes};
     longest = std::max(longest, env_.queue.mean_hold(pool).value_or(longest));
   }
   return longest;
--- a/lib/gateway/target_chooser.cpp
+++ b/lib/gateway/target_chooser.cpp
@@ -24,10 +24,11 @@
 /// The same number when loads are summed up over hubs and are several hundred milliseconds old.
 static constexpr int samples_per_scope_with_old_loads = 2;
 
-bool target_chooser::is_in_closed_data_centre(const serving_group& group) const {
-  return std::any_of(group.members.begin(), group.members.end(), [this](const std::string& id) {
+bool target_chooser::has_unusable_member(const target_pool& pool,
+                                         const serving_group& group) const {
+  return std::any_of(group.members.begin(), group.members.end(), [&](const std::string& id) {
     const target_entry* member = registry_.find(id);
-    return member && evacuations_.is_closed(member->data_centre);
+    return member && !is_usable(pool, member->data_centre);
   });
 }
 
@@ -51,14 +52,14 @@
   if (!pool.model.empty()) {
     for (const serving_group& group : groups_.serving(pool.service, pool.model)) {
       const auto head = registry_.all().find(group.members.front());
-      if (head != registry_.all().end() && !is_in_closed_data_centre(group))
+      if (head != registry_.all().end() && !has_unusable_member(pool, group))
         add(head->second, group.epoch);
     }
     return found;
   }
   for (const auto& [id, target] : registry_.all()) {
     if (target.entry.service == pool.service && !target.entry.draining &&
-        !evacuations_.is_closed(target.entry.data_centre))
+        is_usable(pool, target.entry.data_centre))
       add(target, 0);
   }
   return found;
@@ -202,10 +203,32 @@
 target_chooser::paused_until(const target_pool& pool, const std::set<std::string>& avoided) {
   if (pauses_.empty() && limits_.empty() && !any_cold(pool))
     return std::nullopt;
+  return earliest_end(pool, avoided, [this](const candidate& each) { return paused_until(each); });
+}
+
+std::optional<support::clock::time_point>
+target_chooser::refused_until(const target_pool& pool, const std::set<std::string>& avoided) {
+  if (pauses_.empty() && limits_.empty())
+    return std::nullopt;
+  return earliest_end(pool, avoided, [this](const candidate& each) { return refused_until(each); });
+}
+
+bool target_chooser::withholds_cold(const target_pool& pool, const std::set<std::string>& avoided) {
+  const std::vector<candidate>& all = view_of(pool).candidates;
+  return cold_ && std::any_of(all.begin(), all.end(), [&](const candidate& each) {
+           return cold_->is_bounded(each.cold) && !avoided.contains(each.target.id) &&
+                  !refused_until(each) && has_free_slot(each);
+         });
+}
+
+template<class end_function>
+std::optional<support::clock::time_point>
+target_chooser::earliest_end(const target_pool& pool, const std::set<std::string>& avoided,
+                             const end_function& end_of) {
   auto earliest = support::clock::time_point::max();
   bool any_pauses = false;
   for (const candidate& each : view_of(pool).candidates) {
-    const auto end = paused_until(each);
+    const auto end = end_of(each);
     any_pauses = any_pauses || end;
     if (avoided.contains(each.target.id))
       continue;
@@ -233,6 +256,29 @@
   return false;
 }
 
+double target_chooser::free_share(const target_pool& pool) {
+  const std::vector<candidate>& all = view_of(pool).candidates;
+  std::size_t free = 0;
+  std::size_t total = 0;
+  const std::size_t examined = std::min(all.size(), max_scanned_pool);
+  for (std::size_t i = 0; i < examined; ++i) {
+    const candidate& each = all[all.size() > max_scanned_pool ? random_.below(all.size()) : i];
+    total += each.target.slots;
+    if (has_free_slot(each) && !paused(each) && !suspicions_.suspected(each.target.id))
+      free += each.target.slots - loads_.in_flight(each.target.id);
+  }
+  return total == 0 ? 0 : static_cast<double>(free) / static_cast<double>(total);
+}
+
+std::set<std::string> target_chooser::cold_ids(const target_pool& pool) {
+  std::set<std::string> found;
+  for (const candidate& each : view_of(pool).candidates) {
+    if (each.warming_up || (cold_ && cold_->is_bounded(each.cold)))
+      found.insert(each.target.id);
+  }
+  return found;
+}
+
 bool target_chooser::has_unsuspected_slot(const target_pool& pool,
                                           const std::set<std::string>& avoided) {
   const std::vector<candidate>& candidates = view_of(pool).candidates;
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -1,10 +1,13 @@
 #include "fakes/edge_cluster.h"
 
 #include "camphorlug/edge/state_report.h"
+#include "camphorlug/gateway/fleet_exchange.h"
 #include "camphorlug/net/transport_error.h"
 
+#include "fakes/earlier_build.h"
 #include "fakes/gateway_fixture.h"
 
+#include <cstdio>
 #include <sstream>
 
 namespace camphorlug::fakes {
@@ -23,27 +26,57 @@
 std::shared_ptr<const gateway::routing_config>
 minimal_row_decoder::read_config(const std::string& text) const {
   auto config = std::make_shared<gateway::routing_config>();
-  config->version = std::stoull(text);
+  std::istringstream words(text);
+  words >> config->version;
+  std::map<std::string, gateway::home_regions> homes;
+  for (std::string word; words >> word;) {
+    if (word == "engines") {
+      words >> word;
+      continue;
+    }
+    if (word.find('=') == std::string::npos) {
+      config->services["shop"].cold_requests_per_second = std::stod(word);
+      continue;
+    }
+    std::istringstream names(word.substr(word.find('=') + 1));
+    std::set<std::string> allowed;
+    for (std::string name; std::getline(names, name, ',');)
+      allowed.insert(name);
+    homes[word.substr(0, word.find('='))] = gateway::home_regions(std::move(allowed));
+  }
   gateway::route route;
   route.name = "plain";
   route.host = "example";
   route.path_prefix = "/plain/";
   route.kind = gateway::request_kind::idempotent;
   route.services = {{"shop", 1}};
+  route.homes = homes["plain"];
   config->add_route(route);
   route.name = "stream";
   route.path_prefix = "/stream/";
   route.kind = gateway::request_kind::stream;
   route.resumable = true;
   route.attempts = 2;
+  route.homes = homes["stream"];
   config->add_route(route);
   route.name = "once";
   route.path_prefix = "/once/";
   route.kind = gateway::request_kind::non_idempotent;
   route.resumable = false;
   route.attempts = 1;
+  route.homes = homes["once"];
   config->add_route(route);
   config->services["shop"].name = "shop";
+  if (std::size_t size = 0; std::sscanf(text.c_str(), "%*u engines %zu", &size) == 1) {
+    gateway::service_spec& engines = config->services["engines"];
+    engines.name = "engines";
+    engines.engine.emplace();
+    engines.engine->batch_slots = 4;
+    gateway::model_profile model;
+    model.name = "model";
+    model.size = size;
+    engines.engine->models.push_back(model);
+  }
   return config;
 }
 
@@ -52,12 +85,26 @@
   gateway::target_entry entry;
   entry.id = id;
   entry.slots = 4;
-  std::istringstream(text) >> entry.service >> entry.address >> entry.data_centre;
+  std::istringstream words(text);
+  words >> entry.service >> entry.address >> entry.data_centre;
+  std::int64_t number = 0;
+  words >> number;
+  gateway::group_membership membership;
+  if (words >> membership.group >> membership.epoch >> membership.rank) {
+    entry.started_at_ms = number;
+    entry.model = "model";
+    membership.state =
+        membership.rank == 0 ? gateway::membership_state::open : gateway::membership_state::ready;
+    entry.membership = membership;
+  } else {
+    entry.warm_up_remaining = std::chrono::milliseconds(number);
+  }
   return entry;
 }
 
-support::task<replicas::order_result> null_instance_client::send(replicas::replica_order,
+support::task<replicas::order_result> null_instance_client::send(replicas::replica_order order,
                                                                  std::function<bool()>) {
+  orders.push_back(std::move(order));
   co_return replicas::order_result::not_sent;
 }
 
@@ -71,8 +118,31 @@
   co_return co_await instances_.probe(std::move(entry));
 }
 
+support::task<replicas::report_result> null_instance_client::report(gateway::target_entry entry) {
+  ++reports;
+  if (!report_of)
+    co_return replicas::report_result{};
+  co_return report_of(entry.id);
+}
+
+support::task<replicas::report_result> node_prober::report(gateway::target_entry entry) {
+  if (instances_.is_cut_off && instances_.is_cut_off(self_))
+    co_return replicas::report_result{};
+  instances_.last_reporter = self_;
+  co_return co_await instances_.report(std::move(entry));
+}
+
 namespace {
 
+/// Drops what a node of an earlier build neither sends nor reads.
+std::string without_sightings(const std::string& message) {
+  nlohmann::json value = nlohmann::json::parse(message, nullptr, false);
+  if (value.is_discarded() || !value.contains("sum"))
+    return message;
+  value["sum"].erase("seen");
+  return value.dump();
+}
+
 /// A request to a peer, which handles it in the same process.
 class peer_exchange final : public net::http_exchange {
 public:
@@ -103,8 +173,22 @@
     if (query_start != std::string::npos)
       request.query = request_.target.substr(query_start + 1);
     ++network_.requests[request.path.substr(0, request.path.find('/', path_length_counted))];
-    request.body = request_.body;
-    co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+    const bool knows_no_sightings = network_.without_sightings.contains(self_) ||
+                                    network_.without_sightings.contains(request_.address);
+    request.body = translate(request.path, request_.body);
+    if (knows_no_sightings)
+      request.body = without_sightings(request.body);
+    if (network_.earlier_builds.contains(request_.address) &&
+        !earlier_build::knows_path(request.path)) {
+      answer_.status = 404;
+    } else {
+      const std::string path = request.path;
+      co_await network_.nodes.at(request_.address)(std::move(request), answer_);
+      if (answer_.status == 200)
+        answer_.body = translate(path, answer_.body);
+    }
+    if (knows_no_sightings)
+      answer_.body = without_sightings(answer_.body);
     co_await time_.sleep_for(network_delay);
     if (answer_.aborted)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
@@ -120,6 +204,16 @@
   void cancel() override {}
 
 private:
+  /// Returns a body as an earlier build at one of the ends writes or reads it.
+  std::string translate(const std::string& path, const std::string& body) const {
+    if (body.empty() || (!network_.earlier_builds.contains(self_) &&
+                         !network_.earlier_builds.contains(request_.address)))
+      return body;
+    if (path == gateway::fleet_path)
+      return earlier_build::pass_on(body);
+    return path == gateway::crashes_path ? earlier_build::pass_on_evidence(body) : body;
+  }
+
   /// What follows in a path are parameters.
   static constexpr std::size_t path_length_counted = std::string_view("/camphorlug/v1/").size();
 
@@ -162,12 +256,26 @@
   clock.shut_down();
 }
 
-void edge_cluster::set_config(std::uint64_t version) {
-  tables.put(config_table, config_key, std::to_string(version));
+void edge_cluster::set_config(std::uint64_t version, double cold_rate) {
+  set_config(version, std::to_string(cold_rate));
+}
+
+void edge_cluster::set_config(std::uint64_t version, const std::string& details) {
+  tables.put(config_table, config_key, std::to_string(version) + " " + details);
+}
+
+void edge_cluster::set_config_with_engines(std::uint64_t version, std::size_t size) {
+  set_config(version, "engines " + std::to_string(size));
+}
+
+void edge_cluster::add_target(const std::string& id, const std::string& data_centre,
+                              std::chrono::milliseconds warm_up_remaining) {
+  tables.put(target_table, id,
+             "shop " + id + " " + data_centre + " " + std::to_string(warm_up_remaining.count()));
 }
 
-void edge_cluster::add_target(const std::string& id, const std::string& data_centre) {
-  tables.put(target_table, id, "shop " + id + " " + data_centre);
+void edge_cluster::remove_target(const std::string& id) {
+  tables.remove(target_table, id);
 }
 
 void edge_cluster::evacuate(const std::string& data_centre) {
@@ -235,11 +343,14 @@
   edge->prober = std::make_unique<node_prober>(orders, edge->peer_address);
   edge::edge_settings settings;
   settings.id = edge->id;
-  settings.data_centre = index % 2 == 0 ? "east" : "west";
+  settings.data_centre = data_centres[index % data_centres.size()];
+  settings.regions = regions;
   settings.public_address = "public-" + edge->peer_address;
   settings.peer_address = edge->peer_address;
   settings.seeds = {"peer-0"};
+  settings.is_first_start = retired.empty();
   settings.evacuation_time_limit = evacuation_time_limit;
+  settings.cold = cold_limit;
   edge->node = std::make_unique<edge::edge_node>(
       edge::edge_context{context.get_executor(),
                          clock,
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -20,9 +20,12 @@
 
 namespace camphorlug::fakes {
 
-/// Decodes the rows that the test fixtures write: `VERSION` for a
-/// configuration with the routes `/plain/`, `/stream/` and `/once/`, `SERVICE ADDRESS DATA_CENTRE`
-/// for a target, the last of them optional.
+/// Decodes the rows that the test fixtures write: `VERSION DETAILS` for a configuration with the
+/// routes `/plain/`, `/stream/` and `/once/`, where a detail is the rate of cold targets, the homes
+/// of a route as `ROUTE=REGION,REGION`, or `engines SIZE` for a service with groups of a model;
+/// `SERVICE ADDRESS DATA_CENTRE WARM_UP_MS` for a target, the last two of them optional, or
+/// `SERVICE ADDRESS DATA_CENTRE START GROUP EPOCH RANK` for a member that is ready, or open if it
+/// is the head.
 class minimal_row_decoder final : public edge::row_decoder {
 public:
   std::shared_ptr<const gateway::routing_config>
@@ -37,7 +40,16 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
-
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
+
+  /// Returns what an instance answers when it is asked for its report; none answers if it is empty.
+  std::function<replicas::report_result(const std::string& id)> report_of;
+  /// Number of reports that were asked for, and the node that asked for the latest, by peer
+  /// address.
+  std::size_t reports = 0;
+  std::string last_reporter;
+  /// The orders that nodes wanted to send.
+  std::vector<replicas::replica_order> orders;
   /// Decides which instances answer a probe; all do if it is empty.
   std::function<bool(const std::string& id)> is_alive;
   /// Decides which nodes, by peer address, reach no instance; all reach them if it is empty.
@@ -50,6 +62,7 @@
   node_prober(null_instance_client& instances, std::string self)
       : instances_(instances), self_(std::move(self)) {}
   support::task<bool> probe(gateway::target_entry entry) override;
+  support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
 private:
   null_instance_client& instances_;
@@ -62,6 +75,10 @@
       nodes;
   /// Addresses that are disconnected in both directions.
   std::set<std::string> cut;
+  /// Addresses of nodes whose messages are those of an earlier build, see `earlier_build`.
+  std::set<std::string> earlier_builds;
+  /// Addresses of nodes of an earlier build, which know no sightings of members in messages.
+  std::set<std::string> without_sightings;
   /// Number of requests between nodes by path, without the query.
   std::map<std::string, std::size_t> requests;
 };
@@ -83,6 +100,9 @@
   std::string self_;
 };
 
+/// Bound of what cold targets get, in all clusters.
+inline constexpr gateway::cold_bound cold_limit{1.5, 5};
+
 /// One edge node with its own connections to the store, the change feed and the network.
 struct running_edge {
   std::string id;
@@ -111,8 +131,15 @@
   edge_cluster& operator=(const edge_cluster&) = delete;
 
   void run_for(std::chrono::nanoseconds span) { clock.run_for(span); }
-  void set_config(std::uint64_t version);
-  void add_target(const std::string& id, const std::string& data_centre = "");
+  /// Cold targets take `cold_rate` requests a second; 0 for any number.
+  void set_config(std::uint64_t version, double cold_rate = 0);
+  /// The same with all details, as `minimal_row_decoder` reads them.
+  void set_config(std::uint64_t version, const std::string& details);
+  /// Writes a configuration with a service `engines` whose model has groups of `size`.
+  void set_config_with_engines(std::uint64_t version, std::size_t size);
+  void add_target(const std::string& id, const std::string& data_centre = "",
+                  std::chrono::milliseconds warm_up_remaining = {});
+  void remove_target(const std::string& id);
   /// Asks the nodes to evacuate a data centre, or ends that.
   void evacuate(const std::string& data_centre);
   void end_evacuation(const std::string& data_centre);
@@ -135,7 +162,7 @@
   /// Returns the state report of a node.
   nlohmann::ordered_json state(std::size_t index);
   std::vector<std::string> entries(std::size_t index, const std::string& data_centre) {
-    return edges[index]->node->entry_points(data_centre);
+    return edges[index]->node->entry_points(data_centre, "example");
   }
 
   asio::io_context context;
@@ -150,6 +177,9 @@
   minimal_protocol protocol;
   minimal_row_decoder decoder;
   null_instance_client orders;
+  /// Data centres of the nodes, in turn.
+  std::vector<std::string> data_centres{"east", "west"};
+  gateway::region_map regions;
   std::vector<std::unique_ptr<running_edge>> edges;
   /// Killed processes; they are disconnected from everything.
   std::vector<std::unique_ptr<running_edge>> retired;
--- a/unittests/platform/row_decoder_test.cpp
+++ b/unittests/platform/row_decoder_test.cpp
@@ -1,11 +1,17 @@
 #include "base64.h"
 #include "platform_row_decoder.h"
 
+#include "camphorlug/table/row_mirror.h"
+
+#include "fakes/recorded_build.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
@@ -67,6 +73,29 @@
 
 const platform::platform_row_decoder decoder;
 
+struct home_value {
+  const char* value;
+  /// Nothing if they allow all regions.
+  std::optional<std::set<std::string>> regions;
+};
+
+std::ostream& operator<<(std::ostream& out, const home_value& each) {
+  return out << each.value;
+}
+
+const home_value home_values[] = {
+    {R"(["north","south"])", {{"north", "south"}}},
+    {R"(["north","north"])", {{"north"}}},
+    {"null", std::nullopt},
+    {"[]", std::nullopt},
+    {R"("north")", std::set<std::string>()},
+    {"7", std::set<std::string>()},
+    {R"({"north":1})", std::set<std::string>()},
+    {R"(["north",7])", std::set<std::string>()},
+    {R"(["north",""])", std::set<std::string>()},
+    {R"([["north"]])", std::set<std::string>()},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(target_entry_is_fully_decoded) {
@@ -134,6 +163,43 @@
   BOOST_TEST(config->keys.at("k2").priority.value_or(0) == 3);
 }
 
+BOOST_DATA_TEST_CASE(homes_are_read_or_allow_nothing, data::make(home_values), each) {
+  for (const bool of_route : {true, false}) {
+    json config = valid_config();
+    json& owner = of_route ? config["routes"][0] : config["tenants"][0];
+    owner["allowedRegions"] = json::parse(each.value);
+    const auto read = platform::platform_row_decoder().read_config(config.dump());
+    BOOST_REQUIRE(read);
+    const gateway::home_regions homes =
+        of_route ? read->find_route("a.example", "/x/1")->homes : read->keys.at("k1").homes;
+    BOOST_TEST((homes.regions() == each.regions));
+    // Others are not bound by them.
+    BOOST_TEST(!read->find_route("a.example", "/y/1")->homes.is_restricted());
+  }
+}
+
+// Nodes pass the rows of targets on to each other as the store has them.
+BOOST_AUTO_TEST_CASE(target_rows_from_a_node_of_an_earlier_build_are_read) {
+  const auto batch = table::batch_from_json(fakes::recorded_build::read("entries.json"));
+  BOOST_TEST(batch.rows.size() == 12U);
+  BOOST_TEST(batch.history_truncated);
+  const platform::platform_row_decoder decoder;
+  std::size_t heads = 0;
+  for (const table::feed_row& row : batch.rows) {
+    const auto entry = decoder.read_target(row.key, row.value);
+    BOOST_REQUIRE(entry);
+    heads += entry->membership && entry->membership->rank == 0 ? 1 : 0;
+    json later = json::parse(row.value);
+    later["addedLater"] = {{"field", 1}};
+    BOOST_TEST(decoder.read_target(row.key, later.dump()).has_value());
+  }
+  BOOST_TEST(heads > 0U);
+  // What a node of this build passes on is the same.
+  const auto again = table::batch_from_json(table::to_json(batch));
+  BOOST_TEST(again.rows.size() == batch.rows.size());
+  BOOST_TEST(again.rows.front().value == batch.rows.front().value);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_fields_of_newer_versions_are_ignored) {
   json config = valid_config();
   config["later"] = {{"a", 1}};
