--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -47,7 +47,7 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, cluster, index):
+    def __init__(self, cluster, index, binary=BIN / "camphorlug-gateway", seeds=()):
         self.cluster = cluster
         self.index = index
         base = cluster.port + 100 + 10 * index
@@ -58,13 +58,14 @@
         self.log = cluster.folder / f"edge-{index}.log"
         self.process = None
         # Another build's in tests of replacements.
-        self.binary = cluster.binary
+        self.binary = binary
+        self.seeds = list(seeds)
 
     def write_settings(self, **changes):
         settings = {
             "nodeName": f"edge-{self.index}", "zone": ZONES[self.index % len(ZONES)], "ip": "127.0.0.1",
             "listen": self.addresses,
-            "seeds": [self.cluster.gateways[0].addresses["control"], *self.cluster.seeds],
+            "seeds": [self.cluster.gateways[0].addresses["control"], *self.seeds],
             "policyParams": {"graceS": 8, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 100,
                              "ttl_max_s": 5},
             "provider": {"address": f"127.0.0.1:{self.cluster.port}"}, **changes}
@@ -118,9 +119,7 @@
 
     def __init__(self, port, folder, binary=BIN / "camphorlug-gateway", seeds=()):
         self.port = port
-        self.seeds = list(seeds)
         self.folder = folder
-        self.binary = binary
         self.folder.mkdir(parents=True, exist_ok=True)
         self.requests = 0
         self.lock = threading.Lock()
@@ -133,7 +132,7 @@
         self.set_config(ROUTES)
         self.gateways = []
         for index in range(3):
-            self.gateways.append(Gateway(self, index))
+            self.gateways.append(Gateway(self, index, binary, seeds))
         for gateway in self.gateways:
             gateway.log.unlink(missing_ok=True)
             gateway.write_settings()
