Tell how stale each node's copies of the store's tables may be

Messages between nodes now carry the staleness of the sender's configuration and target entries; only answers count, from the moment of the request. No decision depends on them yet.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -5,6 +5,7 @@
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/fleet_trial_permits.h"
 #include "camphorlug/edge/row_decoder.h"
+#include "camphorlug/edge/staleness_watch.h"
 #include "camphorlug/edge/store_reader_duty.h"
 #include "camphorlug/edge/table_names.h"
 #include "camphorlug/gateway/caller_protocol.h"
@@ -101,7 +102,12 @@
   /// Applies an era of the store that this node has learned from an answer or a peer: reads the
   /// tables again if it is new.
   void observe_store_era(std::uint64_t era);
-  void apply_peer_message(const gateway::fleet_message& message);
+  void apply_peer_message(const gateway::fleet_message& message,
+                          std::optional<support::clock::time_point> asked_at);
+  /// Applies how stale the copies of the peer are that sent `message` as an answer.
+  void apply_peer_staleness(const gateway::fleet_message& message,
+                            support::clock::time_point asked_at);
+  void update_staleness();
   /// Whether this node competes for the planner lease.
   bool may_plan();
   /// Starts or stops reading the tables of the store itself.
@@ -218,6 +224,8 @@
   table::table_follower config_follower_;
   table::table_follower target_follower_;
   table::table_follower own_follower_;
+  staleness_watch config_staleness_;
+  staleness_watch target_staleness_;
 };
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -40,6 +40,10 @@
   /// Time from the announcement of an evacuation within which the last request may be sent to a
   /// target there; 0 if none may.
   std::chrono::milliseconds evacuation_time_limit{0};
+  /// Time from the store's confirmation within which a new configuration must be in force, and
+  /// within which no further request may be sent to a target that drains or is gone.
+  std::chrono::milliseconds config_time_limit{2000};
+  std::chrono::milliseconds target_time_limit{2000};
   /// How long callers may cache a response of the directory of entry points. Some keep it three
   /// times as long, so a node that shuts down waits for them.
   std::chrono::milliseconds entries_valid_for{800};
--- a/include/camphorlug/edge/state_report.h
+++ b/include/camphorlug/edge/state_report.h
@@ -44,6 +44,9 @@
   std::size_t waiting_requests = 0;
   /// When the store last answered a read of the target table; nullopt if it never did.
   std::optional<support::clock::time_point> store_answered_at;
+  /// How stale the node's copies of the configuration's and the targets' tables may be.
+  std::chrono::nanoseconds config_staleness{0};
+  std::chrono::nanoseconds target_staleness{0};
 };
 
 /// Returns the node's active configuration, groups, targets, peers, evacuations, cold
--- a/include/camphorlug/gateway/fleet_exchange.h
+++ b/include/camphorlug/gateway/fleet_exchange.h
@@ -44,6 +44,8 @@
     fleet_summary summary;
     std::uint64_t config_version = 0;
     std::uint64_t entries_version = 0;
+    std::optional<std::chrono::milliseconds> config_staleness;
+    std::optional<std::chrono::milliseconds> entries_staleness;
     std::uint64_t store_era = 0;
     std::uint64_t crash_digest = 0;
     std::optional<reported_evacuations> evacuations;
@@ -68,10 +70,12 @@
   /// Sends this node's report immediately, for example when it starts to leave.
   void announce();
 
-  /// Sets the function that is called with each message of another node.
-  void on_message(std::function<void(const fleet_message&)> listener) {
-    on_message_ = std::move(listener);
-  }
+  /// Receives each message of another node. `asked_at` is when this node sent the request that the
+  /// message answers; nothing if the message is a request itself, which may have been on its way
+  /// for any time.
+  using message_listener = std::function<void(const fleet_message& message,
+                                              std::optional<support::clock::time_point> asked_at)>;
+  void on_message(message_listener listener) { on_message_ = std::move(listener); }
 
 private:
   /// State of the exchanges with one address.
@@ -105,7 +109,7 @@
   net::http_client& client_;
   fleet_view& view_;
   std::function<own_report()> make_report_;
-  std::function<void(const fleet_message&)> on_message_;
+  message_listener on_message_;
   std::uint64_t sequence_ = 0;
   std::set<std::string> addresses_;
   std::map<std::string, contact> contacts_;
--- a/include/camphorlug/gateway/fleet_message.h
+++ b/include/camphorlug/gateway/fleet_message.h
@@ -46,6 +46,10 @@
   std::uint64_t config_version = 0;
   /// Commit number of the newest target entry that can be fetched from the sender.
   std::uint64_t entries_version = 0;
+  /// How stale the sender's configuration with the evacuations, and its target entries, may be;
+  /// nothing from an older build or while it does not know.
+  std::optional<std::chrono::milliseconds> config_staleness;
+  std::optional<std::chrono::milliseconds> entries_staleness;
   /// The highest era of the store that the sender knows of.
   std::uint64_t store_era = 0;
   /// Digest of the sender's crash evidence, which can be fetched from it; 0 if it has none.
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -17,6 +17,9 @@
   std::size_t live_peers = 0;
   std::uint64_t config_version = 0;
   std::uint64_t store_era = 0;
+  /// How stale the node's copies of the configuration's and the targets' tables may be.
+  std::chrono::nanoseconds config_staleness{0};
+  std::chrono::nanoseconds target_staleness{0};
   std::size_t evacuated_data_centres = 0;
   std::size_t cold_targets = 0;
   /// Bytes that the node holds of requests and responses, and the limit; 0 if there is none.
--- a/include/camphorlug/table/table_follower.h
+++ b/include/camphorlug/table/table_follower.h
@@ -60,6 +60,10 @@
   /// When the store last responded, or nullopt if it never did.
   std::optional<support::clock::time_point> answered_at() const { return answered_at_; }
 
+  /// The latest moment of which it is known that the store held nothing that the listener has not
+  /// received; nothing before the first answer.
+  std::optional<support::clock::time_point> complete_as_of() const { return complete_as_of_; }
+
   /// Sets the function to call when the store responds again after it was reported lost,
   /// or for the first time in a new era.
   void on_reconnected(std::function<void()> action) { on_reconnected_ = std::move(action); }
@@ -72,6 +76,7 @@
   /// Whether the call to the feed that is in progress began in an earlier era.
   bool polls_earlier_era() const;
   void record_success();
+  void record_complete(support::clock::time_point as_of);
   void record_failure(const std::string& reason);
 
   support::clock& time_;
@@ -86,6 +91,7 @@
   /// The version from which the call to the feed in progress asks for changes.
   std::optional<std::uint64_t> polled_since_;
   std::optional<support::clock::time_point> answered_at_;
+  std::optional<support::clock::time_point> complete_as_of_;
   bool needs_snapshot_ = true;
   bool expects_reconnection_ = false;
   int failures_ = 0;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -131,7 +131,9 @@
                        }),
       own_follower_(context_.time, context_.random, context_.feed, context_.tables.own_table,
                     own_rows_reread_interval,
-                    [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }) {
+                    [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }),
+      config_staleness_(context_.time, config_follower_, context_.tables.config_table),
+      target_staleness_(context_.time, target_follower_, context_.tables.target_table) {
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   chooser_.set_cold_targets(&cold_targets_, &config_);
@@ -145,8 +147,9 @@
   target_follower_.on_reconnected([this] { registry_.mark_store_recovered(); });
   for (table::table_follower* each : {&config_follower_, &target_follower_, &own_follower_})
     each->set_gate([this] { return reading_.is_active(); });
-  exchange_.on_message(
-      [this](const gateway::fleet_message& message) { apply_peer_message(message); });
+  exchange_.on_message([this](const gateway::fleet_message& message, auto asked_at) {
+    apply_peer_message(message, asked_at);
+  });
 }
 
 edge_node::~edge_node() = default;
@@ -187,6 +190,8 @@
   settings_.termination_grace = settings.termination_grace;
   settings_.entries_valid_for = settings.entries_valid_for;
   evacuations_.change_time_limit(settings.evacuation_time_limit);
+  settings_.config_time_limit = settings.config_time_limit;
+  settings_.target_time_limit = settings.target_time_limit;
   settings_.min_entry_points = settings.min_entry_points;
 }
 
@@ -410,7 +415,23 @@
   support::spawn(context_.executor, "refresh_targets", target_follower_.refresh());
 }
 
-void edge_node::apply_peer_message(const gateway::fleet_message& message) {
+void edge_node::apply_peer_staleness(const gateway::fleet_message& message,
+                                     support::clock::time_point asked_at) {
+  if (message.config_staleness)
+    config_staleness_.apply_peer(message.config_version, *message.config_staleness, asked_at,
+                                 config_version());
+  if (message.entries_staleness)
+    target_staleness_.apply_peer(message.entries_version, *message.entries_staleness, asked_at,
+                                 target_rows_.newest_row_version());
+}
+
+void edge_node::update_staleness() {
+  config_staleness_.update(config_version(), settings_.config_time_limit);
+  target_staleness_.update(target_rows_.newest_row_version(), settings_.target_time_limit);
+}
+
+void edge_node::apply_peer_message(const gateway::fleet_message& message,
+                                   std::optional<support::clock::time_point> asked_at) {
   const std::string& peer = message.sender.peer_address;
   observe_store_era(message.store_era);
   if (message.summary.store_recovery_age &&
@@ -427,6 +448,8 @@
     evacuations_.merge(*message.evacuations);
     evacuations_heard_at_ = context_.time.now();
   }
+  if (asked_at)
+    apply_peer_staleness(message, *asked_at);
   if (message.nodes)
     cold_targets_.learn_size(*message.nodes);
   if (message.config_version > config_version() && !std::exchange(fetching_config_, true))
@@ -481,6 +504,7 @@
     observe_store_era(context_.store.era());
     observe_store_era(table::era_of(target_rows_.version()));
     detect_first_traffic();
+    update_staleness();
     update_reading();
     chooser_.set_node_count(live_node_count());
     update_cold_targets();
@@ -642,6 +666,8 @@
   report.status = status();
   report.config_version = config_version();
   report.entries_version = target_rows_.newest_row_version();
+  report.config_staleness = config_staleness_.staleness_to_report();
+  report.entries_staleness = target_staleness_.staleness_to_report();
   report.store_era = store_era_;
   report.crash_digest = crash_causes_.evidence().digest();
   if (evacuations_.was_read())
@@ -783,7 +809,9 @@
                                    lease_,
                                    store_era_,
                                    slot_queue_.waiting(),
-                                   target_follower_.answered_at()};
+                                   target_follower_.answered_at(),
+                                   config_staleness_.staleness(),
+                                   target_staleness_.staleness()};
     net::send_json(writer, 200, make_state_report(state).dump());
     co_return;
   }
@@ -827,6 +855,8 @@
   gauges.live_peers = fleet_.others().size();
   gauges.config_version = config_version();
   gauges.store_era = store_era_;
+  gauges.config_staleness = config_staleness_.staleness();
+  gauges.target_staleness = target_staleness_.staleness();
   gauges.held_members = registry_.held_members().size();
   gauges.evacuated_data_centres = evacuations_.evacuated().size();
   gauges.cold_targets = registry_.cold_count();
--- a/lib/edge/state_report.cpp
+++ b/lib/edge/state_report.cpp
@@ -6,8 +6,12 @@
 
 using nlohmann::ordered_json;
 
+static std::int64_t to_ms(std::chrono::nanoseconds span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 static std::int64_t age_ms(const support::clock& time, support::clock::time_point since) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time.now() - since).count();
+  return to_ms(time.now() - since);
 }
 
 static ordered_json routes_to_json(const gateway::routing_config& config) {
@@ -176,6 +180,8 @@
                       {"reads_store", state.roles.is_reader(state.self.id)},
                       {"waiting_requests", state.waiting_requests},
                       {"store_answered_ms_ago", store_answer_age_ms(state)},
+                      {"config_staleness_ms", to_ms(state.config_staleness)},
+                      {"target_staleness_ms", to_ms(state.target_staleness)},
                       {"store_era", state.store_era},
                       {"lease",
                        {{"held_here", state.lease.held()},
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -41,6 +41,8 @@
   message.sequence = ++sequence_;
   message.config_version = report.config_version;
   message.entries_version = report.entries_version;
+  message.config_staleness = report.config_staleness;
+  message.entries_staleness = report.entries_staleness;
   message.store_era = report.store_era;
   message.crash_digest = report.crash_digest;
   message.evacuations = std::move(report.evacuations);
@@ -141,6 +143,7 @@
     support::log_event(support::log_level::info, "hub_chosen", {{"hub", address}});
   fleet_message request = make_message();
   view_.complete_attach_request(request);
+  const auto asked_at = time_.now();
   const std::optional<fleet_message> reply = co_await send(address, std::move(request));
   record_result(address, reply.has_value(), failed_hub_pause);
   attaching_ = false;
@@ -157,7 +160,7 @@
   else
     view_.apply_reply(*reply);
   if (on_message_)
-    on_message_(*reply);
+    on_message_(*reply, asked_at);
 }
 
 void fleet_exchange::start_hub_exchanges() {
@@ -183,6 +186,7 @@
 support::task<> fleet_exchange::exchange_with_hub(std::string address, std::string id) {
   fleet_message message = make_message();
   view_.complete_hub_message(id, contacts_[address].held, message);
+  const auto asked_at = time_.now();
   const std::optional<fleet_message> reply = co_await send(address, std::move(message));
   const bool is_full_mesh = fleet_roles::is_full_mesh(view_.others().size() + 1);
   record_result(address, reply.has_value(), is_full_mesh ? mesh_interval : hub_interval);
@@ -192,19 +196,20 @@
   contacts_[address].held = held == reply->known.end() ? section_stamp{} : held->second;
   view_.apply_hub(*reply);
   if (on_message_)
-    on_message_(*reply);
+    on_message_(*reply, asked_at);
 }
 
 support::task<> fleet_exchange::discover(std::string address) {
   fleet_message request = make_message();
   view_.complete_attach_request(request);
+  const auto asked_at = time_.now();
   const std::optional<fleet_message> reply = co_await send(address, std::move(request));
   record_result(address, reply.has_value(), discovery_interval);
   if (!reply)
     co_return;
   view_.apply_discovery(*reply);
   if (on_message_)
-    on_message_(*reply);
+    on_message_(*reply, asked_at);
 }
 
 /// Drops contacts that belong to no known node, so that replaced nodes do not accumulate.
@@ -229,7 +234,7 @@
     view_.complete_hub_reply(message, reply);
   }
   if (on_message_)
-    on_message_(message);
+    on_message_(message, std::nullopt);
   return reply.to_json();
 }
 
--- a/lib/gateway/fleet_message.cpp
+++ b/lib/gateway/fleet_message.cpp
@@ -22,6 +22,20 @@
   return sections;
 }
 
+static void write_span(nlohmann::json& value, const char* name,
+                       const std::optional<std::chrono::milliseconds>& span) {
+  if (span)
+    value[name] = span->count();
+}
+
+static std::optional<std::chrono::milliseconds> read_span(const nlohmann::json& value,
+                                                          const char* name) {
+  const auto found = value.find(name);
+  if (found == value.end())
+    return std::nullopt;
+  return std::chrono::milliseconds(found->get<std::int64_t>());
+}
+
 std::string fleet_message::to_json() const {
   nlohmann::json stamps = nlohmann::json::object();
   for (const auto& [owner, stamp] : known)
@@ -30,6 +44,8 @@
                        {"ent", entries_version}, {"sum", summary},  {"have", stamps}};
   if (attaches)
     value["attach"] = true;
+  write_span(value, "cfg_stale", config_staleness);
+  write_span(value, "ent_stale", entries_staleness);
   if (store_era > 0)
     value["era"] = store_era;
   if (crash_digest > 0)
@@ -55,6 +71,8 @@
   value.at("seq").get_to(message.sequence);
   value.at("cfg").get_to(message.config_version);
   value.at("ent").get_to(message.entries_version);
+  message.config_staleness = read_span(value, "cfg_stale");
+  message.entries_staleness = read_span(value, "ent_stale");
   message.store_era = value.value("era", std::uint64_t{0});
   message.crash_digest = value.value("crash", std::uint64_t{0});
   if (const auto evacuations = value.find("evac"); evacuations != value.end())
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -109,6 +109,8 @@
   set("live_peers", static_cast<double>(gauges.live_peers));
   set("config_version", static_cast<double>(gauges.config_version));
   set("store_era", static_cast<double>(gauges.store_era));
+  set("config_staleness_seconds", std::chrono::duration<double>(gauges.config_staleness).count());
+  set("target_staleness_seconds", std::chrono::duration<double>(gauges.target_staleness).count());
   set("evacuated_data_centres", static_cast<double>(gauges.evacuated_data_centres));
   set("cold_targets", static_cast<double>(gauges.cold_targets));
   set("held_bytes", static_cast<double>(gauges.held_bytes));
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -42,6 +42,10 @@
   answered_at_ = time_.now();
 }
 
+void table_follower::record_complete(support::clock::time_point as_of) {
+  complete_as_of_ = complete_as_of_ ? std::max(*complete_as_of_, as_of) : as_of;
+}
+
 void table_follower::record_failure(const std::string& reason) {
   disturbed_at_ = time_.now();
   if (++failures_ == lost_after_failures)
@@ -51,6 +55,7 @@
 
 support::task<bool> table_follower::read_snapshot() {
   std::string reason;
+  const auto asked_at = time_.now();
   try {
     const feed_batch batch = co_await feed_.read_all(table_);
     record_success();
@@ -61,6 +66,7 @@
       on_reconnected_();
     version_ = batch.version;
     on_batch_(batch, true);
+    record_complete(asked_at);
     co_return true;
   } catch (const store_error& error) {
     reason = error.what();
@@ -85,6 +91,7 @@
       std::string reason;
       try {
         const std::uint64_t since = version_;
+        const auto asked_at = time_.now();
         polled_since_ = since;
         const feed_batch batch = co_await feed_.changes(table_, since, long_poll_timeout);
         polled_since_.reset();
@@ -97,6 +104,9 @@
         if (!batch.history_truncated && !is_outdated && batch.version >= since) {
           on_batch_(batch, false);
           version_ = std::max(version_, batch.version);
+          // The store answers without a row only when it has waited the whole time.
+          record_complete(batch.rows.empty() ? std::min(asked_at + long_poll_timeout, time_.now())
+                                             : asked_at);
         }
         if (!batch.rows.empty())
           co_await time_.sleep_for(batching_pause);
