--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -321,7 +321,9 @@
   }
 }
 
-void edge_cluster::cut_store(std::size_t index, bool cut) {
+void edge_cluster::cut_store(std::size_t index, bool cut, store_cut kind) {
+  edges[index]->store->kind = kind;
+  edges[index]->feed->kind = kind;
   edges[index]->store->cut = cut;
   edges[index]->feed->cut = cut;
 }
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -150,7 +150,7 @@
   void restore_store(store_copy copy, std::chrono::milliseconds rewrite_delay);
 
   /// Disconnects a node from the store and the change feed, or reconnects it.
-  void cut_store(std::size_t index, bool cut);
+  void cut_store(std::size_t index, bool cut, store_cut kind = store_cut::refused);
   /// Simulates that a node's process is killed. Its address becomes unreachable.
   void kill(std::size_t index);
   /// Starts a new process with the id of node `index`, at `address` if it isn't empty.
--- a/unittests/fakes/fake_platform_tables.cpp
+++ b/unittests/fakes/fake_platform_tables.cpp
@@ -37,15 +37,23 @@
   return batch;
 }
 
-support::task<> fake_change_feed::simulate_transfer() {
+support::task<> fake_change_feed::fail(support::clock::time_point begun_at,
+                                       std::chrono::milliseconds timeout) {
+  if (kind == store_cut::silent)
+    co_await time_.sleep_for(begun_at + timeout - time_.now());
+  throw table::store_error("cut off", false);
+}
+
+support::task<> fake_change_feed::simulate_transfer(std::chrono::milliseconds timeout) {
+  const auto begun_at = time_.now();
   ++reads;
   co_await time_.sleep_for(network_delay);
   if (cut)
-    throw table::store_error("cut off", false);
+    co_await fail(begun_at, timeout);
 }
 
 support::task<table::feed_batch> fake_change_feed::read_all(std::string name) {
-  co_await simulate_transfer();
+  co_await simulate_transfer(store_call_timeout);
   table::feed_batch batch = rows_after(name, 0);
   std::erase_if(batch.rows, [](const table::feed_row& row) { return row.deleted; });
   // The answer is on its way while the platform may restore an older copy.
@@ -55,11 +63,12 @@
 
 support::task<table::feed_batch> fake_change_feed::changes(std::string name, std::uint64_t since,
                                                            std::chrono::milliseconds wait) {
-  const auto until = time_.now() + wait;
-  co_await simulate_transfer();
+  const auto begun_at = time_.now();
+  const auto until = begun_at + wait;
+  co_await simulate_transfer(wait + feed_timeout_margin);
   for (;;) {
     if (cut)
-      throw table::store_error("cut off", false);
+      co_await fail(begun_at, wait + feed_timeout_margin);
     if (tables_.era != table::era_of(since)) {
       table::feed_batch gone;
       gone.version = table::make_version(tables_.era, 0);
--- a/unittests/fakes/fake_store.cpp
+++ b/unittests/fakes/fake_store.cpp
@@ -9,6 +9,8 @@
 
 support::task<> fake_store::simulate_transfer() {
   co_await time_.sleep_for(table_.delay);
+  if (cut && kind == store_cut::silent)
+    co_await time_.sleep_for(store_call_timeout - table_.delay);
   if (cut || table_.down)
     throw table::store_error("down", false);
 }
--- a/unittests/fakes/fake_store.h
+++ b/unittests/fakes/fake_store.h
@@ -3,6 +3,7 @@
 #include "camphorlug/support/clock.h"
 #include "camphorlug/table/table_store.h"
 
+#include "fakes/fake_platform_tables.h"
 #include "row_table.h"
 
 #include <chrono>
@@ -49,6 +50,7 @@
 
   /// Disconnects this node from the store.
   bool cut = false;
+  store_cut kind = store_cut::refused;
 
 private:
   support::task<> simulate_transfer();
