Read the store directly where a node's copy of a table is too stale

Cause: whether changes reach a node hung on beliefs about others. Readers were chosen among nodes that made no call and so had no failed one, each wrong successor cost 1.75 s, and nothing compared the sum with the time limit of changes, which the settings name.

Change: the time limit is each node's own matter. A node whose copy is stale for 0.55 to 0.82 of it reads the table itself, on a new connection; hubs first, one after the other, then attached nodes, so that others hear of the first answer before their turn. Readers poll for 0.3 of the limit. Readers and planners are the hubs that the store answered lately, then those without a call, then those with a failed one. The return of the store from an outage is believed only with a stale copy and a failed call since; before, a reader that had lost the store alone made all nodes keep removed targets for 1.8 s. The separate loop that read evacuations is gone: their rows are in the configuration's table.

New: only readers call the store while they have it, at 6 to 300 nodes. mixed_builds_test: a status has one element more, so those of later builds follow one place later.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/edge/assisted_prober.h"
 #include "camphorlug/edge/crash_evidence_keeper.h"
+#include "camphorlug/edge/direct_read_policy.h"
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/fleet_trial_permits.h"
 #include "camphorlug/edge/row_decoder.h"
@@ -108,6 +109,14 @@
   void apply_peer_staleness(const gateway::fleet_message& message,
                             support::clock::time_point asked_at);
   void update_staleness();
+  /// This node's place among the hubs; nothing if it is none.
+  std::optional<std::size_t> place_among_hubs();
+  void set_time_limits();
+  /// Reads a table itself if its copy is too stale.
+  void read_if_stale(table::table_follower& follower, const staleness_watch& watch,
+                     direct_read_policy& policy, std::chrono::milliseconds time_limit);
+  support::task<> read_directly(table::table_follower& follower, const staleness_watch& watch,
+                                direct_read_policy& policy, std::chrono::milliseconds time_limit);
   /// Whether this node competes for the planner lease.
   bool may_plan();
   /// Starts or stops reading the tables of the store itself.
@@ -141,6 +150,8 @@
                                                             std::string_view event);
   support::task<> fetch_config(std::string peer_address);
   bool store_answered_recently() const;
+  /// Whether an answer of the store shows that this node reaches it.
+  bool has_store_evidence() const;
   /// Whether rows that a peer holds should be fetched from it now.
   bool needs_rows_of_peers();
   support::task<> fetch_target_rows(std::string peer_address);
@@ -148,9 +159,6 @@
   void apply_config_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
   std::string region_of(const std::string& data_centre) const;
-  bool is_told_of_evacuations() const;
-  /// Reads the rows of evacuations itself while no peer that this node hears tells of them.
-  support::task<> learn_evacuations();
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
   void apply_own_rows(const table::feed_batch& batch);
   std::size_t live_node_count() { return fleet_.others().size() + 1; }
@@ -171,6 +179,8 @@
   bool fetching_target_rows_ = false;
   /// Whether this node reads the tables of the store itself; otherwise peers relay them.
   store_reader_duty reading_;
+  /// Whether the store seems to have been away when this node began to read it.
+  bool others_missed_store_ = false;
   /// Since when a peer has had newer target rows while the store does not answer this node.
   std::optional<support::clock::time_point> behind_peers_since_;
   /// When this node first saw that it or a peer had handled a request.
@@ -192,8 +202,6 @@
   gateway::target_pauses pauses_;
   gateway::target_limits limits_;
   gateway::evacuation_list evacuations_;
-  /// When a peer last told of evacuations, or this node last read their rows itself.
-  support::clock::time_point evacuations_heard_at_;
   gateway::cold_targets cold_targets_;
   gateway::target_chooser chooser_;
   gateway::slot_queue slot_queue_;
@@ -226,6 +234,8 @@
   table::table_follower own_follower_;
   staleness_watch config_staleness_;
   staleness_watch target_staleness_;
+  direct_read_policy config_reads_;
+  direct_read_policy target_reads_;
 };
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/edge/staleness_watch.h
+++ b/include/camphorlug/edge/staleness_watch.h
@@ -28,6 +28,12 @@
   void update(std::uint64_t held, std::chrono::milliseconds time_limit);
 
   std::chrono::nanoseconds staleness() const { return tracker_.staleness(); }
+  /// Whether nobody that this node hears has had the store for half of the time limit, as of the
+  /// last update.
+  bool is_stale() const { return is_stale_; }
+  /// Whether the store seems to have been away for all nodes, as of the last update: the copy is
+  /// stale, and a call of this node failed since it was not.
+  bool has_missed_store() const;
   /// What this node tells its peers: rounded up, or nothing if it cannot say.
   std::optional<std::chrono::milliseconds> staleness_to_report() const;
 
--- a/include/camphorlug/gateway/fleet_roles.h
+++ b/include/camphorlug/gateway/fleet_roles.h
@@ -39,7 +39,8 @@
 };
 
 /// Assigns the duties among `members`, all live nodes. Leaving nodes get none while others are
-/// left, and nodes that the store does not answer read only if it answers none of the hubs.
+/// left. Hubs that the store answered lately read and plan before those that made no call, and
+/// those before hubs that it did not answer.
 fleet_roles assign_roles(const std::vector<const node_status*>& members);
 
 /// Returns the hubs in the order in which the node `id` of `data_centre` should try to attach
--- a/include/camphorlug/gateway/node_status.h
+++ b/include/camphorlug/gateway/node_status.h
@@ -30,6 +30,9 @@
   bool leaving = false;
   /// Whether the store answered the node's last calls; true for a node that made none.
   bool reaches_store = true;
+  /// Whether an answer of the last seconds shows that the node reaches the store; false for nodes
+  /// of an earlier version, which do not report it.
+  bool shows_store = false;
   /// Whether the node's own connections to targets work.
   bool reaches_targets = true;
 
--- a/include/camphorlug/table/change_feed.h
+++ b/include/camphorlug/table/change_feed.h
@@ -40,6 +40,11 @@
   /// Throws store_error.
   virtual support::task<feed_batch> read_all(std::string table) = 0;
 
+  /// The same for a caller that cannot wait for a connection that has become silent: on a new
+  /// connection, and without an answer for no longer than `timeout`. Throws store_error.
+  virtual support::task<feed_batch> read_all_within(std::string table,
+                                                    std::chrono::milliseconds timeout) = 0;
+
   /// Returns the rows that changed after `since`, and waits up to `wait` for a change.
   /// Throws store_error.
   virtual support::task<feed_batch> changes(std::string table, std::uint64_t since,
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -37,10 +37,8 @@
 static constexpr std::chrono::milliseconds own_rows_reread_interval{5000};
 static constexpr std::chrono::milliseconds housekeeping_interval{50};
 static constexpr std::chrono::milliseconds registration_retry_interval{500};
-/// Interval of the checks whether a starting node knows of evacuations.
-static constexpr std::chrono::milliseconds evacuation_learning_interval{500};
-/// A node that no peer told of evacuations for this long reads their rows itself.
-static constexpr std::chrono::milliseconds max_silence_about_evacuations{1000};
+/// A node shows for this long after an answer of the store that it reaches it.
+static constexpr std::chrono::milliseconds store_evidence_max_age{3000};
 static constexpr std::chrono::milliseconds config_fetch_timeout{1000};
 static constexpr std::string_view config_fetch_failed_event = "config_fetch_failed";
 static constexpr std::string_view target_rows_fetch_failed_event = "entries_fetch_failed";
@@ -133,9 +131,11 @@
                     own_rows_reread_interval,
                     [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }),
       config_staleness_(context_.time, config_follower_, context_.tables.config_table),
-      target_staleness_(context_.time, target_follower_, context_.tables.target_table) {
+      target_staleness_(context_.time, target_follower_, context_.tables.target_table),
+      config_reads_(context_.time, context_.random), target_reads_(context_.time, context_.random) {
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
+  set_time_limits();
   chooser_.set_cold_targets(&cold_targets_, &config_);
   chooser_.set_regions(settings_.regions);
   registry_.set_group_progress(
@@ -144,7 +144,13 @@
     scheduler_service_.update_targets();
     slot_queue_.assign_free_slots();
   });
-  target_follower_.on_reconnected([this] { registry_.mark_store_recovered(); });
+  target_follower_.on_new_era([this] { registry_.mark_store_recovered(); });
+  // A node that lost the store alone has seen no outage: entries that are missing then are gone.
+  target_follower_.on_reconnected([this] {
+    if (target_staleness_.has_missed_store() || others_missed_store_)
+      registry_.mark_store_recovered();
+    others_missed_store_ = false;
+  });
   for (table::table_follower* each : {&config_follower_, &target_follower_, &own_follower_})
     each->set_gate([this] { return reading_.is_active(); });
   exchange_.on_message([this](const gateway::fleet_message& message, auto asked_at) {
@@ -163,7 +169,6 @@
   support::spawn(executor, "follow_targets", target_follower_.follow());
   support::spawn(executor, "reread_targets", target_follower_.reread());
   support::spawn(executor, "poll_own_rows", own_follower_.poll());
-  support::spawn(executor, "learn_evacuations", learn_evacuations());
   support::spawn(executor, "register", register_self());
   support::spawn(executor, "peers", exchange_.run());
   if (!settings_.is_first_start)
@@ -192,6 +197,7 @@
   evacuations_.change_time_limit(settings.evacuation_time_limit);
   settings_.config_time_limit = settings.config_time_limit;
   settings_.target_time_limit = settings.target_time_limit;
+  set_time_limits();
   settings_.min_entry_points = settings.min_entry_points;
 }
 
@@ -226,25 +232,6 @@
     evacuations_.retain(present, batch.version);
 }
 
-/// Whether the store or a peer tells this node of evacuations as soon as they are announced.
-bool edge_node::is_told_of_evacuations() const {
-  if (!evacuations_.was_read())
-    return false;
-  return reading_.is_active() ||
-         context_.time.now() - evacuations_heard_at_ < max_silence_about_evacuations;
-}
-
-support::task<> edge_node::learn_evacuations() {
-  for (;;) {
-    co_await context_.time.sleep_for(evacuation_learning_interval);
-    if (is_told_of_evacuations() || !config_.current())
-      continue;
-    // Peers of an older build have the configuration, but say nothing of evacuations.
-    evacuations_heard_at_ = context_.time.now();
-    co_await config_follower_.read_now();
-  }
-}
-
 void edge_node::apply_config(const std::string& text) {
   std::shared_ptr<const gateway::routing_config> config = context_.decoder.read_config(text);
   if (!config || !config_.update_if_newer(std::move(config)))
@@ -425,9 +412,50 @@
                                  target_rows_.newest_row_version());
 }
 
+static std::chrono::milliseconds part_of(std::chrono::milliseconds span, double fraction) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span * fraction);
+}
+
+void edge_node::set_time_limits() {
+  const double fraction = direct_read_policy::poll_fraction;
+  config_follower_.set_poll_time(part_of(settings_.config_time_limit, fraction));
+  target_follower_.set_poll_time(part_of(settings_.target_time_limit, fraction));
+}
+
 void edge_node::update_staleness() {
-  config_staleness_.update(config_version(), settings_.config_time_limit);
-  target_staleness_.update(target_rows_.newest_row_version(), settings_.target_time_limit);
+  const auto config_limit = settings_.config_time_limit;
+  const auto target_limit = settings_.target_time_limit;
+  config_staleness_.update(config_version(), config_limit);
+  target_staleness_.update(target_rows_.newest_row_version(), target_limit);
+  read_if_stale(config_follower_, config_staleness_, config_reads_, config_limit);
+  read_if_stale(target_follower_, target_staleness_, target_reads_, target_limit);
+}
+
+std::optional<std::size_t> edge_node::place_among_hubs() {
+  const auto& hubs = fleet_.roles().hubs;
+  const auto self = std::find_if(hubs.begin(), hubs.end(),
+                                 [&](const auto& hub) { return hub.id == settings_.id; });
+  return self == hubs.end() ? std::nullopt : std::optional<std::size_t>(self - hubs.begin());
+}
+
+void edge_node::read_if_stale(table::table_follower& follower, const staleness_watch& watch,
+                              direct_read_policy& policy, std::chrono::milliseconds time_limit) {
+  if (!policy.should_read(watch.staleness(), time_limit, place_among_hubs(),
+                          fleet_.roles().hubs.size()))
+    return;
+  policy.begin_read();
+  support::spawn(context_.executor, "read_directly",
+                 read_directly(follower, watch, policy, time_limit));
+}
+
+support::task<> edge_node::read_directly(table::table_follower& follower,
+                                         const staleness_watch& watch, direct_read_policy& policy,
+                                         std::chrono::milliseconds time_limit) {
+  if (watch.has_missed_store())
+    follower.treat_next_answer_as_reconnection();
+  const bool answered =
+      co_await follower.read_now_within(part_of(time_limit, direct_read_policy::timeout_fraction));
+  policy.end_read(answered, time_limit);
 }
 
 void edge_node::apply_peer_message(const gateway::fleet_message& message,
@@ -444,10 +472,8 @@
   limits_.merge(message.summary.limits);
   registry_.merge_sightings(message.summary.sightings);
   peer_has_config_ = peer_has_config_ || message.config_version > 0;
-  if (message.evacuations) {
+  if (message.evacuations)
     evacuations_.merge(*message.evacuations);
-    evacuations_heard_at_ = context_.time.now();
-  }
   if (asked_at)
     apply_peer_staleness(message, *asked_at);
   if (message.nodes)
@@ -467,11 +493,13 @@
 void edge_node::update_reading() {
   if (!reading_.update(fleet_.others().empty(), fleet_.roles().is_reader(settings_.id)))
     return;
-  // This node may see the store return from an outage that it has not seen itself.
-  const bool others_lost_the_store =
+  // This node may see the store return from an outage that it has not seen itself. While its copy
+  // is current, others have lost the store alone.
+  others_missed_store_ =
+      reading_.is_active() && target_staleness_.is_stale() &&
       std::any_of(fleet_.others().begin(), fleet_.others().end(),
                   [](const auto& other) { return !other.second.status.reaches_store; });
-  if (reading_.is_active() && others_lost_the_store)
+  if (others_missed_store_)
     target_follower_.treat_next_answer_as_reconnection();
   support::log_event(support::log_level::info,
                      reading_.is_active() ? "store_reader_started" : "store_reader_stopped",
@@ -649,6 +677,7 @@
   current.leaving = is_leaving();
   current.reaches_store =
       config_follower_.is_store_reachable() && target_follower_.is_store_reachable();
+  current.shows_store = current.reaches_store && has_store_evidence();
   current.reaches_targets = !paths_.has_lost_all();
   if (current != status_) {
     ++current.revision;
@@ -657,6 +686,14 @@
   return status_;
 }
 
+bool edge_node::has_store_evidence() const {
+  const auto is_recent = [this](const table::table_follower& follower) {
+    const auto answered_at = follower.answered_at();
+    return answered_at && context_.time.now() - *answered_at < store_evidence_max_age;
+  };
+  return is_recent(config_follower_) || is_recent(target_follower_);
+}
+
 static std::chrono::milliseconds to_milliseconds(std::chrono::nanoseconds span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span);
 }
--- a/lib/edge/staleness_watch.cpp
+++ b/lib/edge/staleness_watch.cpp
@@ -31,6 +31,11 @@
   log(held);
 }
 
+bool staleness_watch::has_missed_store() const {
+  const auto failed_at = follower_.failed_at();
+  return is_stale_ && failed_at && (!tracker_.as_of() || *failed_at > *tracker_.as_of());
+}
+
 /// A newer version elsewhere tells that the way between the nodes fails; without one, no node that
 /// this one hears has had an answer of the store.
 void staleness_watch::log(std::uint64_t held) {
--- a/lib/gateway/fleet_roles.cpp
+++ b/lib/gateway/fleet_roles.cpp
@@ -33,14 +33,25 @@
   return hubs;
 }
 
+/// Orders the hubs by what shows that they reach the store: an answer, no call or a failed one.
+/// That a node has no failed call says little, since nodes without a duty make none.
+static void sort_by_store_evidence(std::vector<const node_status*>& hubs) {
+  const auto rank = [](const node_status* each) {
+    return each->shows_store ? 0 : each->reaches_store ? 1 : 2;
+  };
+  std::stable_sort(
+      hubs.begin(), hubs.end(),
+      [&](const node_status* left, const node_status* right) { return rank(left) < rank(right); });
+}
+
+/// `hubs` are in the order in which they should read.
 static std::vector<std::string> choose_readers(std::vector<const node_status*> hubs) {
-  std::stable_partition(hubs.begin(), hubs.end(),
-                        [](const node_status* each) { return each->reaches_store; });
   std::vector<std::string> readers;
   if (hubs.empty())
     return readers;
   const auto elsewhere = std::find_if(hubs.begin(), hubs.end(), [&](const node_status* each) {
     return each->data_centre != hubs.front()->data_centre &&
+           each->shows_store == hubs.front()->shows_store &&
            each->reaches_store == hubs.front()->reaches_store;
   });
   if (elsewhere != hubs.end())
@@ -55,8 +66,10 @@
   std::vector<const node_status*> hubs = choose_hubs(members);
   std::sort(hubs.begin(), hubs.end(), is_more_suitable);
   fleet_roles roles;
-  for (const node_status* each : hubs) {
+  for (const node_status* each : hubs)
     roles.hubs.push_back(*each);
+  sort_by_store_evidence(hubs);
+  for (const node_status* each : hubs) {
     if (roles.planners.size() < fleet_roles::planner_count)
       roles.planners.push_back(each->id);
   }
--- a/lib/gateway/node_status.cpp
+++ b/lib/gateway/node_status.cpp
@@ -6,14 +6,14 @@
 
 namespace camphorlug::gateway {
 
-static constexpr std::size_t element_count = 12;
+static constexpr std::size_t element_count = 13;
 
 // An array in place of an object, because lists of all nodes cross data centres.
 void to_json(nlohmann::json& value, const node_status& status) {
   value = nlohmann::json::array({status.id, status.data_centre, status.public_address,
                                  status.peer_address, status.incarnation, status.revision,
                                  status.cores, status.ready, status.leaving, status.reaches_store,
-                                 status.reaches_targets, status.protocol});
+                                 status.reaches_targets, status.protocol, status.shows_store});
   support::write_unknown_elements(value, status.unknown_elements);
 }
 
@@ -31,6 +31,7 @@
   // Nodes of an earlier version do not report it.
   status.protocol = value.size() < 12 ? 0 : value.at(11).get<int>();
   status.reaches_targets = value.size() < 11 || value.at(10).get<bool>();
+  status.shows_store = value.size() >= 13 && value.at(12).get<bool>();
   status.unknown_elements = support::read_unknown_elements(value, element_count);
 }
 
--- a/lib/table/table_follower.cpp
+++ b/lib/table/table_follower.cpp
@@ -9,11 +9,11 @@
 
 namespace camphorlug::table {
 
-/// How long one call to the feed waits for a change.
-static constexpr std::chrono::milliseconds long_poll_timeout{3000};
 /// Pause after a batch of changes, so that further changes arrive in one response: each call
 /// to the store is paid for.
 static constexpr std::chrono::milliseconds batching_pause{80};
+/// Keeps outdated answers from being asked for again and again.
+static constexpr std::chrono::milliseconds min_poll_time{80};
 static constexpr std::chrono::milliseconds first_backoff{100};
 static constexpr std::chrono::milliseconds max_backoff{800};
 /// Interval at which a follower whose gate is closed checks it again.
@@ -48,22 +48,29 @@
 
 void table_follower::record_failure(const std::string& reason) {
   disturbed_at_ = time_.now();
+  failed_at_ = time_.now();
   if (++failures_ == lost_after_failures)
     support::log_event(support::log_level::warning, "store_lost",
                        {{"table", table_}, {"error", reason}});
 }
 
-support::task<bool> table_follower::read_snapshot() {
+support::task<feed_batch>
+table_follower::read_all(std::optional<std::chrono::milliseconds> timeout) {
+  return timeout ? feed_.read_all_within(table_, *timeout) : feed_.read_all(table_);
+}
+
+support::task<bool>
+table_follower::read_snapshot(std::optional<std::chrono::milliseconds> timeout) {
   std::string reason;
   const auto asked_at = time_.now();
   try {
-    const feed_batch batch = co_await feed_.read_all(table_);
+    const feed_batch batch = co_await read_all(timeout);
     record_success();
     if (batch.version < version_)
       co_return false;
     // Entries that were written again just now may be missing, as after an outage.
-    if (version_ != 0 && era_of(batch.version) > era_of(version_) && on_reconnected_)
-      on_reconnected_();
+    if (version_ != 0 && era_of(batch.version) > era_of(version_) && on_new_era_)
+      on_new_era_();
     version_ = batch.version;
     on_batch_(batch, true);
     record_complete(asked_at);
@@ -75,6 +82,16 @@
   co_return false;
 }
 
+/// An answer with rows tells only of the moment of its call, so the next call waits for as much
+/// less as that moment has passed.
+std::chrono::milliseconds table_follower::next_poll_time() const {
+  if (!complete_as_of_)
+    return poll_time_;
+  const auto passed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_.now() - *complete_as_of_);
+  return std::clamp(poll_time_ - passed, std::min(min_poll_time, poll_time_), poll_time_);
+}
+
 support::task<> table_follower::follow() {
   for (;;) {
     if (!may_read_()) {
@@ -92,8 +109,9 @@
       try {
         const std::uint64_t since = version_;
         const auto asked_at = time_.now();
+        const auto poll_time = next_poll_time();
         polled_since_ = since;
-        const feed_batch batch = co_await feed_.changes(table_, since, long_poll_timeout);
+        const feed_batch batch = co_await feed_.changes(table_, since, poll_time);
         polled_since_.reset();
         record_success();
         needs_snapshot_ = batch.history_truncated;
@@ -105,7 +123,7 @@
           on_batch_(batch, false);
           version_ = std::max(version_, batch.version);
           // The store answers without a row only when it has waited the whole time.
-          record_complete(batch.rows.empty() ? std::min(asked_at + long_poll_timeout, time_.now())
+          record_complete(batch.rows.empty() ? std::min(asked_at + poll_time, time_.now())
                                              : asked_at);
         }
         if (!batch.rows.empty())
--- a/unittests/edge/lost_readers_test.cpp
+++ b/unittests/edge/lost_readers_test.cpp
@@ -155,3 +155,23 @@
   }
   BOOST_TEST(world.late == 0);
 }
+
+// Direct reads are for losses: each call to the store is paid for.
+BOOST_DATA_TEST_CASE(only_readers_call_the_store_while_they_have_it, data::make({6, 26, 71, 300}),
+                     nodes) {
+  fakes::edge_cluster world(static_cast<std::size_t>(nodes));
+  world.set_config(1);
+  world.add_target("t1");
+  world.run_for(5s);
+  for (auto& edge : world.edges)
+    edge->feed->reads = 0;
+  for (int i = 0; i < 5; ++i) {
+    world.set_config(static_cast<std::uint64_t>(i) + 2);
+    world.run_for(2s);
+  }
+  // Each node polls its own rows only while it reads; two of them do.
+  std::size_t callers = 0;
+  for (auto& edge : world.edges)
+    callers += edge->feed->reads > 0 ? 1 : 0;
+  BOOST_TEST(callers == gateway::fleet_roles::reader_count);
+}
--- a/unittests/fakes/fake_platform_tables.cpp
+++ b/unittests/fakes/fake_platform_tables.cpp
@@ -53,7 +53,12 @@
 }
 
 support::task<table::feed_batch> fake_change_feed::read_all(std::string name) {
-  co_await simulate_transfer(store_call_timeout);
+  return read_all_within(std::move(name), store_call_timeout);
+}
+
+support::task<table::feed_batch>
+fake_change_feed::read_all_within(std::string name, std::chrono::milliseconds timeout) {
+  co_await simulate_transfer(timeout);
   table::feed_batch batch = rows_after(name, 0);
   std::erase_if(batch.rows, [](const table::feed_row& row) { return row.deleted; });
   // The answer is on its way while the platform may restore an older copy.
--- a/unittests/fakes/fake_platform_tables.h
+++ b/unittests/fakes/fake_platform_tables.h
@@ -43,6 +43,8 @@
       : time_(time), tables_(tables) {}
 
   support::task<table::feed_batch> read_all(std::string name) override;
+  support::task<table::feed_batch> read_all_within(std::string name,
+                                                   std::chrono::milliseconds timeout) override;
   support::task<table::feed_batch> changes(std::string name, std::uint64_t since,
                                            std::chrono::milliseconds wait) override;
 
--- a/unittests/gateway/fleet_view_test.cpp
+++ b/unittests/gateway/fleet_view_test.cpp
@@ -257,6 +257,30 @@
   BOOST_TEST(after.readers.size() == 2);
 }
 
+// A node that makes no call to the store has no failed one either.
+BOOST_AUTO_TEST_CASE(duties_go_to_nodes_that_the_store_answers) {
+  auto nodes = make_nodes(12, 3);
+  const gateway::fleet_roles before = roles_of(nodes);
+  std::vector<std::string> shown;
+  for (gateway::node_status& node : nodes) {
+    if (before.is_reader(node.id)) {
+      node.reaches_store = false;
+    } else if (!before.is_planner(node.id) && shown.size() < 2) {
+      node.shows_store = true;
+      shown.push_back(node.id);
+    }
+  }
+  const gateway::fleet_roles after = roles_of(nodes);
+  for (const std::string& id : shown) {
+    BOOST_TEST(after.is_reader(id));
+    BOOST_TEST(after.is_planner(id));
+  }
+  for (const std::string& id : before.readers) {
+    BOOST_TEST(!after.is_reader(id));
+    BOOST_TEST(!after.is_planner(id));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(nodes_spread_over_the_hubs_of_their_data_centre) {
   const auto nodes = make_nodes(300, 5);
   const gateway::fleet_roles roles = roles_of(nodes);
--- a/unittests/gateway/mixed_builds_test.cpp
+++ b/unittests/gateway/mixed_builds_test.cpp
@@ -119,9 +119,9 @@
   for (const json& member : sent.at("sec").at(0).at(3)) {
     if (member[0] == "one" || member[0] == "two") {
       ++found;
-      BOOST_REQUIRE(member.size() == 14U);
-      BOOST_TEST(member[12]["zone"] == 7);
-      BOOST_TEST(member[13] == 3);
+      BOOST_REQUIRE(member.size() == 15U);
+      BOOST_TEST(member[13]["zone"] == 7);
+      BOOST_TEST(member[14] == 3);
     }
   }
   BOOST_TEST(found == 2U);
--- a/unittests/platform/store_client_test.cpp
+++ b/unittests/platform/store_client_test.cpp
@@ -154,6 +154,21 @@
   BOOST_TEST(client.received[1].target == "/api/rows-get?table=t&part=&from=b%00");
 }
 
+// A connection that has become silent must not delay the read of a stale table.
+BOOST_FIXTURE_TEST_CASE(urgent_read_uses_a_new_connection, platform_client_fixture) {
+  const json page = {{"ver", 1}, {"rows", json::array()}};
+  answer(200, page);
+  answer(200, page);
+  BOOST_TEST(run([&]() -> support::task<> {
+               co_await store.read_all("t");
+               co_await store.read_all_within("t", 300ms);
+             }).empty());
+  BOOST_REQUIRE(client.received.size() == 2);
+  BOOST_TEST((client.received[0].connection == net::connection_use::pooled));
+  BOOST_TEST((client.received[1].connection == net::connection_use::fresh));
+  BOOST_TEST((client.received[1].connect_timeout == 300ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(changes_and_expired_history_are_distinguished, platform_client_fixture) {
   json dropped = row("b", 11, "");
   dropped["deleted"] = true;
--- a/unittests/table/table_follower_test.cpp
+++ b/unittests/table/table_follower_test.cpp
@@ -39,6 +39,11 @@
     co_return batch;
   }
 
+  support::task<table::feed_batch> read_all_within(std::string name,
+                                                   std::chrono::milliseconds) override {
+    return read_all(std::move(name));
+  }
+
   support::task<table::feed_batch> changes(std::string, std::uint64_t since,
                                            std::chrono::milliseconds wait) override {
     const auto until = time_.now() + wait;
@@ -179,7 +184,7 @@
 BOOST_FIXTURE_TEST_CASE(table_is_read_again_when_the_store_returns_from_an_older_copy,
                         follower_fixture) {
   bool returned = false;
-  follower.on_reconnected([&] { returned = true; });
+  follower.on_new_era([&] { returned = true; });
   for (const char* key : {"a", "b", "c"})
     feed.put(key);
   clock.run_for(300ms);
@@ -257,3 +262,19 @@
   clock.run_for(1s);
   BOOST_TEST(counted_as_new["after"]);
 }
+
+// An answer without a row shows that the store held none until it answered; one with rows tells
+// only of the moment of the call.
+BOOST_FIXTURE_TEST_CASE(answers_tell_since_when_the_table_is_complete, follower_fixture) {
+  follower.set_poll_time(500ms);
+  clock.run_for(3s);
+  BOOST_TEST((clock.now() - follower.complete_as_of().value() <= 520ms));
+  feed.is_down = true;
+  const auto lost_at = clock.now();
+  clock.run_for(3s);
+  BOOST_TEST((follower.complete_as_of().value() <= lost_at));
+  BOOST_TEST((follower.failed_at().value() > lost_at));
+  feed.is_down = false;
+  clock.run_for(2s);
+  BOOST_TEST((clock.now() - follower.complete_as_of().value() <= 520ms));
+}
