Take the turn for direct reads from the node's id, not from a draw

A draw at the construction of each node shifted the draws of everything that starts later, so that unrelated cases of test-edge fail and pass at other places than before.

--- a/include/camphorlug/edge/direct_read_policy.h
+++ b/include/camphorlug/edge/direct_read_policy.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace camphorlug::edge {
 
@@ -24,7 +25,8 @@
   /// Part of the time limit after which a direct read is given up.
   static constexpr double timeout_fraction = 0.2;
 
-  direct_read_policy(support::clock& time, support::random_source& random);
+  /// `node` is the id of this node.
+  direct_read_policy(support::clock& time, support::random_source& random, std::string_view node);
 
   /// Whether to read now. `place` is this node's place among `hubs` hubs; nothing if it is none.
   bool should_read(std::chrono::nanoseconds staleness, std::chrono::milliseconds time_limit,
--- a/lib/edge/direct_read_policy.cpp
+++ b/lib/edge/direct_read_policy.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/edge/direct_read_policy.h"
 
+#include "camphorlug/routing/rendezvous.h"
+
 #include <algorithm>
 
 namespace camphorlug::edge {
@@ -17,8 +19,15 @@
 static constexpr double first_retry_fraction = 0.25;
 static constexpr double max_retry_fraction = 0.8;
 
-direct_read_policy::direct_read_policy(support::clock& time, support::random_source& random)
-    : time_(time), random_(random), turn_(random.uniform_real()) {}
+/// Spreads the nodes evenly from 0 to 1.
+static double turn_of(std::string_view node) {
+  constexpr std::uint64_t turns = 1000;
+  return static_cast<double>(routing::rendezvous_hash(node) % turns) / turns;
+}
+
+direct_read_policy::direct_read_policy(support::clock& time, support::random_source& random,
+                                       std::string_view node)
+    : time_(time), random_(random), turn_(turn_of(node)) {}
 
 bool direct_read_policy::should_read(std::chrono::nanoseconds staleness,
                                      std::chrono::milliseconds time_limit,
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -132,7 +132,8 @@
                     [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }),
       config_staleness_(context_.time, config_follower_, context_.tables.config_table),
       target_staleness_(context_.time, target_follower_, context_.tables.target_table),
-      config_reads_(context_.time, context_.random), target_reads_(context_.time, context_.random) {
+      config_reads_(context_.time, context_.random, settings_.id),
+      target_reads_(context_.time, context_.random, settings_.id) {
   slot_queue_.set_scheduler(&scheduler_client_);
   cold_targets_.change_bound(settings_.cold);
   set_time_limits();
--- a/unittests/edge/direct_read_policy_test.cpp
+++ b/unittests/edge/direct_read_policy_test.cpp
@@ -26,7 +26,7 @@
   asio::io_context context;
   support::virtual_clock clock{context};
   support::random_source random{1};
-  edge::direct_read_policy policy{clock, random};
+  edge::direct_read_policy policy{clock, random, "edge-1"};
 };
 
 struct turn_case {
