--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -454,8 +454,14 @@
                                          std::chrono::milliseconds time_limit) {
   if (watch.has_missed_store())
     follower.treat_next_answer_as_reconnection();
-  const bool answered =
-      co_await follower.read_now_within(part_of(time_limit, direct_read_policy::timeout_fraction));
+  bool answered = false;
+  try {
+    answered = co_await follower.read_now_within(
+        part_of(time_limit, direct_read_policy::timeout_fraction));
+  } catch (...) {
+    policy.end_read(/*answered=*/false, time_limit);
+    throw;
+  }
   policy.end_read(answered, time_limit);
 }
 
--- a/unittests/edge/lost_readers_test.cpp
+++ b/unittests/edge/lost_readers_test.cpp
@@ -1,3 +1,5 @@
+#include "camphorlug/gateway/fleet_exchange.h"
+
 #include "fakes/edge_cluster.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -175,3 +177,31 @@
     callers += edge->feed->reads > 0 ? 1 : 0;
   BOOST_TEST(callers == gateway::fleet_roles::reader_count);
 }
+
+// What a reader knows must not depend on the way from it to the others either.
+BOOST_AUTO_TEST_CASE(changes_are_known_in_time_when_peers_do_not_hand_them_over) {
+  fakes::edge_cluster world(6);
+  world.set_config(1);
+  world.add_target("t1");
+  world.add_target("t2");
+  world.run_for(5s);
+  for (auto& [address, handler] : world.network.nodes)
+    handler = [&world, original = handler](net::server_request request,
+                                           net::response_writer& writer) -> support::task<> {
+      if (request.path == gateway::config_path || request.path == gateway::entries_path)
+        co_await world.clock.sleep_for(1h);
+      else
+        co_await original(std::move(request), writer);
+    };
+  for (std::uint64_t version = 2; version < 6; ++version) {
+    world.set_config(version);
+    if (version == 3)
+      world.remove_target("t1");
+    world.run_for(time_limit);
+    for (std::size_t i = 0; i < world.edges.size(); ++i) {
+      const auto report = world.state(i);
+      BOOST_TEST(report["config"]["version"].get<std::uint64_t>() >= version);
+      BOOST_TEST(report["targets"].size() == (version < 3 ? 2U : 1U));
+    }
+  }
+}
