Count sightings of members among the fields of a summary that this build knows

They were read a second time as a field of a later build and merged as such in each sum: bytes of memory, no wrong decision, since the known field is written in its place. sightings_survive_messages_and_sums failed before with the new check.

--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -113,7 +113,7 @@
   summary.store_recovery_age = read_age(value, "back");
   // All fields above; others belong to later builds.
   summary.unknown = support::read_unknown_fields(
-      value, {"load", "srv", "need", "stall", "sus", "leave", "lim", "lead", "store", "back"});
+      value, {"load", "srv", "need", "stall", "sus", "leave", "lim", "seen", "lead", "store", "back"});
 }
 
 } // namespace camphorlug::gateway
--- a/unittests/gateway/held_member_test.cpp
+++ b/unittests/gateway/held_member_test.cpp
@@ -223,6 +223,7 @@
   const nlohmann::json text = sent;
   gateway::fleet_summary sum = text.get<gateway::fleet_summary>();
   BOOST_TEST((sum.sightings == sent.sightings));
+  BOOST_TEST(sum.unknown.empty());
   gateway::fleet_summary newer;
   newer.sightings["a"] = {start, epoch, false, 100ms};
   sum.add(newer, 100ms);
