--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -29,6 +29,8 @@
   retrySlack: 50
   ttl_max_s: 0.5
   evacuateMs: 5000
+  configApplyMs: 3000
+  drainMs: 2500
 provider:
   address: "10.200.1.7:5"
 )";
@@ -51,6 +53,7 @@
     {"  address: \"10.200.1.7:5\"\n", "  other: 1\n", "provider.address"},
     {"  retryRatio: 0.25\n", "  retryRatio: many\n", "policyParams.retryRatio"},
     {"  evacuateMs: 5000\n", "  evacuateMs: soon\n", "policyParams.evacuateMs"},
+    {"  configApplyMs: 3000\n", "  configApplyMs: soon\n", "policyParams.configApplyMs"},
     {"seeds:\n  - \"10.1.0.40:3\"\n", "seeds: {a: 1}\n", "seeds"},
     {"zone: \"east\"\n", "zone: [\n", "YAML"},
     {"later: 7\n", "zones: [east]\n", "zones"},
@@ -78,6 +81,8 @@
     {"  - \"10.1.0.40:3\"", "  - \"10.1.0.50:3\"", "seeds"},
     {"graceS: 8", "graceS: 4", "policyParams.graceS"},
     {"evacuateMs: 5000", "evacuateMs: 7000.0", "policyParams.evacuateMs"},
+    {"configApplyMs: 3000", "configApplyMs: 2000", "policyParams.configApplyMs"},
+    {"drainMs: 2500", "drainMs: 2000", "policyParams.drainMs"},
     {"retrySlack: 50", "retrySlack: 20", "policyParams.retrySlack"},
     {"address: \"10.200.1.7:5\"", "address: \"10.200.1.8:5\"", "provider.address"},
     {"later: 7", "later: 8", "later"},
@@ -169,3 +174,16 @@
   const auto after = platform::read_settings(apply_edit(each));
   BOOST_CHECK_NO_THROW(platform::require_fixed_fields_unchanged(before, after));
 }
+
+// Without a usable limit the default holds, never none.
+BOOST_AUTO_TEST_CASE(time_limits_of_changes_are_read) {
+  const edge::edge_settings read = platform::read_settings(valid_settings).node;
+  BOOST_TEST((read.config_time_limit == 3000ms));
+  BOOST_TEST((read.target_time_limit == 2500ms));
+  for (const char* text : {"0", "-5", ".nan", ".inf", "1e30"}) {
+    const std::string value = "configApplyMs: " + std::string(text);
+    const std::string edited = apply_edit({"configApplyMs: 3000", value.c_str(), ""});
+    BOOST_TEST((platform::read_settings(edited).node.config_time_limit ==
+                edge::edge_settings{}.config_time_limit));
+  }
+}
