--- a/lib/gateway/fleet_summary.cpp
+++ b/lib/gateway/fleet_summary.cpp
@@ -112,8 +112,9 @@
   summary.store_answer_age = read_age(value, "store");
   summary.store_recovery_age = read_age(value, "back");
   // All fields above; others belong to later builds.
-  summary.unknown = support::read_unknown_fields(
-      value, {"load", "srv", "need", "stall", "sus", "leave", "lim", "seen", "lead", "store", "back"});
+  summary.unknown =
+      support::read_unknown_fields(value, {"load", "srv", "need", "stall", "sus", "leave", "lim",
+                                           "seen", "lead", "store", "back"});
 }
 
 } // namespace camphorlug::gateway
