Bound what the client receives of a response

Cause: http_client::fetch and collect took a body of any length, and their time limit began anew with each piece.

Change: client_request has limits on the bytes of the body and on the duration of the response, which curl_client enforces. A response over a limit is an unreadable transport_error: a failure of the target, but neither a crash nor a lost path.

Conclusion: one bound at the receiver reaches all callers.

--- a/include/camphorlug/gateway/relay_path.h
+++ b/include/camphorlug/gateway/relay_path.h
@@ -24,6 +24,9 @@
 inline constexpr std::string_view relay_failure_no_connection = "no-connection";
 /// The target may have run the request.
 inline constexpr std::string_view relay_failure_unknown = "unknown";
+/// Accompanies `relay_failure_unknown` when the target's response cannot be read. Earlier builds
+/// neither send nor read it.
+inline constexpr std::string_view relay_unreadable_header = "Camphorlug-Relay-Unreadable";
 
 /// What a relay needs to know of a request besides its headers and body.
 struct relay_parameters {
--- a/include/camphorlug/net/client_request.h
+++ b/include/camphorlug/net/client_request.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/net/header_list.h"
 #include "camphorlug/net/response_head.h"
+#include "camphorlug/net/response_limits.h"
 
 #include <chrono>
 #include <functional>
@@ -30,6 +31,8 @@
   std::string body;
   std::chrono::milliseconds connect_timeout{500};
   connection_use connection = connection_use::fresh;
+  /// A response that exceeds them ends with an unreadable transport_error.
+  response_limits limits;
   /// Called when the connection is established and before the first byte is sent.
   /// Returning false aborts the request unsent. When empty, the request is always sent.
   std::function<bool()> send_if;
--- a/include/camphorlug/net/http_client.h
+++ b/include/camphorlug/net/http_client.h
@@ -27,12 +27,11 @@
   /// Starts sending `request`.
   virtual std::unique_ptr<http_exchange> open(client_request request) = 0;
 
-  /// Sends `request` and returns the complete response. `timeout` limits each wait for
-  /// data, not the whole exchange. Throws transport_error.
+  /// Sends `request` and returns the complete response. `timeout` limits the wait for the head and
+  /// each wait for more of the body; `request.limits` bounds the response. Throws transport_error.
   support::task<client_response> fetch(client_request request, std::chrono::nanoseconds timeout);
 
-  /// Reads the complete response of an exchange. `timeout` limits each wait for data,
-  /// not the whole exchange. Throws transport_error.
+  /// Reads the complete response of an exchange, see `fetch`. Throws transport_error.
   static support::task<client_response> collect(http_exchange& exchange,
                                                 std::chrono::nanoseconds timeout);
 };
--- a/include/camphorlug/net/http_exchange.h
+++ b/include/camphorlug/net/http_exchange.h
@@ -9,7 +9,8 @@
 
 namespace camphorlug::net {
 
-/// A request in progress. Destroying it closes its connection unless the response is complete.
+/// A request in progress. A response that exceeds the request's limits ends with an unreadable
+/// transport_error. Destroying it closes its connection unless the response is complete.
 class http_exchange {
 public:
   http_exchange() = default;
--- a/lib/caller/reference_caller.cpp
+++ b/lib/caller/reference_caller.cpp
@@ -53,6 +53,7 @@
   sent.address = state.address;
   sent.target = request.target;
   sent.body = request.body;
+  sent.limits = net::response_limits::generation();
   sent.headers.add("Authorization", "Bearer " + request.key);
   sent.headers.add("Content-Type", "application/json");
   if (!request.class_name.empty())
--- a/lib/edge/crash_evidence_keeper.cpp
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -56,6 +56,7 @@
   request.address = peer;
   request.target = gateway::crashes_path;
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   std::string failure;
   try {
     const net::client_response response =
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -330,6 +330,7 @@
                            std::string_view event) {
   const std::string peer = request.address;
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   try {
     net::client_response response = co_await context_.client.fetch(std::move(request), timeout);
     if (response.status == 200)
--- a/lib/gateway/fleet_exchange.cpp
+++ b/lib/gateway/fleet_exchange.cpp
@@ -75,6 +75,7 @@
   request.body = message.to_json();
   request.connect_timeout = exchange_timeout;
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   try {
     const net::client_response response =
         co_await client_.fetch(std::move(request), exchange_timeout);
--- a/lib/gateway/request_relay.cpp
+++ b/lib/gateway/request_relay.cpp
@@ -37,9 +37,12 @@
   return kept;
 }
 
-static void send_failure(net::response_writer& writer, std::string_view reason) {
+static void send_failure(net::response_writer& writer, std::string_view reason,
+                         bool unreadable = false) {
   net::header_list headers;
   headers.add(std::string(relay_failure_header), std::string(reason));
+  if (unreadable)
+    headers.add(std::string(relay_unreadable_header), "1");
   writer.send(502, std::move(headers), "");
 }
 
@@ -84,6 +87,7 @@
   outgoing.headers = without_connection_headers(request.headers);
   outgoing.body = std::move(request.body);
   outgoing.connection = parameters.connection;
+  outgoing.limits = net::response_limits::passed_on();
   outgoing.send_if = [this, parameters] { return accepts_requests(parameters); };
   net::server_request head;
   head.method = parameters.method;
@@ -139,7 +143,7 @@
     send_failure(writer, accepts_requests(*parameters) ? relay_failure_no_connection
                                                        : relay_failure_not_sent);
   else
-    send_failure(writer, relay_failure_unknown);
+    send_failure(writer, relay_failure_unknown, failure->unreadable());
 }
 
 support::task<> request_relay::pass_on(net::http_exchange& exchange, net::response_writer& writer,
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -146,6 +146,7 @@
   details.resume_after = position_.last_event_id;
   details.reuse_connection = shared_->chosen->repeatable();
   net::client_request outgoing = env_.protocol.build_target_request(shared_->request, details);
+  outgoing.limits = net::response_limits::passed_on();
   // The target may say that it leaves while the connection is being established.
   outgoing.send_if = [attempt = shared_from_this()] { return attempt->may_send(); };
   outgoing.accept_head = [&protocol = env_.protocol, shared = shared_](const auto& head) {
@@ -217,6 +218,11 @@
 }
 
 void target_attempt::count_transport_failure(const net::transport_error& error) {
+  if (error.unreadable()) {
+    if (!closed_)
+      env_.suspicions.count_failure(target_.id, error.what());
+    return;
+  }
   const bool sent = error.progress() == net::request_progress::may_have_been_read;
   if (!closed_ && sent && !error.timed_out())
     record_loss();
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -123,14 +123,14 @@
   const auto until = sender_.time_.now() + timeout;
   if (current_) {
     co_await wait_for_head(timeout);
-    if (head_) {
+    if (head_ || failure_->unreadable())
       wait_->record_answer();
+    if (head_)
       co_return *head_;
-    }
     wait_.reset();
     if (abandoned_)
       failure_.emplace(request_progress::may_have_been_read, true, "this node reaches no target");
-    else if (!withheld_ && !cancelled_ && !failure_is_late())
+    else if (!withheld_ && !cancelled_ && !failure_->unreadable() && !failure_is_late())
       sender_.paths_.record_failure(service_, target_.id);
     failed_on_lost_path_ = abandoned_ || (sender_.paths_.has_lost(service_) && !failure_is_late());
     if (!may_relay(*failure_))
@@ -192,10 +192,13 @@
   const std::optional<std::string> reported = head_->headers.find(relay_failure_header);
   if (!reported)
     return relay_result::answered;
+  const bool unreadable = head_->headers.find(relay_unreadable_header).has_value();
   head_.reset();
   const bool not_sent = *reported != relay_failure_unknown;
   failure_.emplace(not_sent ? request_progress::not_sent : request_progress::may_have_been_read,
                    false, "the relay reports " + *reported);
+  if (!not_sent && unreadable)
+    failure_.emplace(transport_error::unreadable_response("unreadable response at the relay"));
   // The target itself is not reached from elsewhere either.
   failed_on_lost_path_ = *reported == relay_failure_busy;
   if (*reported == relay_failure_no_connection)
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -1,6 +1,8 @@
 #include "camphorlug/net/curl_client.h"
 
 #include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/log.h"
+#include "camphorlug/support/log_throttle.h"
 #include "camphorlug/support/notification.h"
 
 #include <asio/posix/stream_descriptor.hpp>
@@ -25,6 +27,23 @@
 /// An idle connection is not reused after this time.
 static constexpr long max_idle_seconds = 20;
 
+/// Each server's unreadable responses are logged once in this time, by cause.
+static constexpr std::chrono::seconds unreadable_log_interval{60};
+
+/// Returns why libcurl cannot read a response, or nullptr if its result has another cause.
+static const char* unreadable_cause(CURLcode result) {
+  switch (result) {
+  case CURLE_OUT_OF_MEMORY:
+    // libcurl bounds the length of a line.
+    return "a line of its head is too long";
+  case CURLE_WEIRD_SERVER_REPLY:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+    return "it is not HTTP";
+  default:
+    return nullptr;
+  }
+}
+
 /// Runs the sockets and the timer of libcurl's multi interface on an Asio context.
 class curl_client::driver : public std::enable_shared_from_this<curl_client::driver> {
 public:
@@ -42,6 +61,18 @@
   void add(CURL* easy) { curl_multi_add_handle(multi_, easy); }
   void remove(CURL* easy) { curl_multi_remove_handle(multi_, easy); }
 
+  void log_unreadable(const client_request& request, const std::string& cause,
+                      support::clock::time_point now) {
+    const std::optional<std::uint64_t> omitted = unreadable_log_.admit(
+        request.address + " " + cause, support::log_throttle::time_point(now.time_since_epoch()));
+    if (omitted)
+      support::log_event(support::log_level::warning, "response_unreadable",
+                         {{"address", request.address},
+                          {"path", request.target.substr(0, request.target.find('?'))},
+                          {"cause", cause},
+                          {"omitted", std::to_string(*omitted)}});
+  }
+
 private:
   struct socket_watch {
     explicit socket_watch(asio::io_context& context) : descriptor(context) {}
@@ -131,6 +162,8 @@
   asio::steady_timer timer_;
   CURLM* multi_;
   std::map<curl_socket_t, std::shared_ptr<socket_watch>> watches_;
+  support::log_throttle unreadable_log_{
+      {1 / std::chrono::duration<double>(unreadable_log_interval).count(), 1}};
 };
 
 namespace {
@@ -139,8 +172,8 @@
 public:
   curl_exchange(std::shared_ptr<curl_client::driver> driver, support::clock& time,
                 client_request request)
-      : driver_(std::move(driver)), request_(std::move(request)), update_notification_(time),
-        easy_(curl_easy_init()) {
+      : driver_(std::move(driver)), time_(time), request_(std::move(request)),
+        update_notification_(time), easy_(curl_easy_init()) {
     set_request();
     set_connection();
     set_callbacks();
@@ -154,25 +187,17 @@
   }
 
   support::task<response_head> head(std::chrono::nanoseconds timeout) override {
-    while (!head_complete_) {
-      if (finished_)
-        throw make_error();
-      const bool notified = co_await update_notification_.wait_for(timeout);
-      if (!notified)
-        throw transport_error(progress(), true, "no answer within the time limit");
-    }
+    while (!head_complete_)
+      co_await wait_for_more(timeout, "no answer within the time limit");
     co_return head_;
   }
 
   support::task<std::optional<std::string>> read(std::chrono::nanoseconds timeout) override {
+    check_duration();
     while (buffer_.empty()) {
       if (finished_ && result_ == CURLE_OK)
         co_return std::nullopt;
-      if (finished_)
-        throw make_error();
-      const bool notified = co_await update_notification_.wait_for(timeout);
-      if (!notified)
-        throw transport_error(progress(), true, "the answer stalled");
+      co_await wait_for_more(timeout, "the answer stalled");
     }
     std::string chunk = std::exchange(buffer_, {});
     if (std::exchange(paused_, false))
@@ -187,10 +212,48 @@
       return;
     finished_ = true;
     result_ = result;
+    if (const char* const cause = unreadable_cause(result))
+      give_up(cause);
     update_notification_.notify();
   }
 
 private:
+  /// Waits until the response goes on or ends. Throws transport_error.
+  support::task<> wait_for_more(std::chrono::nanoseconds timeout, const char* timeout_reason) {
+    if (finished_)
+      throw make_error();
+    const bool notified =
+        co_await update_notification_.wait_for(std::min(timeout, duration_left()));
+    if (notified)
+      co_return;
+    check_duration();
+    throw transport_error(progress(), true, timeout_reason);
+  }
+
+  std::chrono::nanoseconds duration_left() const {
+    const std::chrono::nanoseconds limit = request_.limits.duration;
+    if (!response_began_at_ || limit == response_limits::unlimited_duration)
+      return response_limits::unlimited_duration;
+    return *response_began_at_ + limit - time_.now();
+  }
+
+  /// Throws transport_error if the response still arrives after the limit of its duration.
+  void check_duration() {
+    if (finished_ || duration_left() > std::chrono::nanoseconds(0))
+      return;
+    give_up("it takes too long");
+    throw make_error();
+  }
+
+  /// Gives up a response that cannot be read. Returns false, so that libcurl reads no more of it.
+  bool give_up(const char* cause) {
+    if (unreadable_cause_)
+      return false;
+    unreadable_cause_ = cause;
+    driver_->log_unreadable(request_, cause, time_.now());
+    return false;
+  }
+
   void set_request() {
     const std::string url = "http://" + request_.address + request_.target;
     curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
@@ -275,6 +338,8 @@
 
   /// Returns false when the response must not be read further.
   bool parse_header_line(std::string_view line) {
+    if (!response_began_at_)
+      response_began_at_ = time_.now();
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
       line.remove_suffix(1);
     if (line.empty()) {
@@ -305,6 +370,11 @@
       paused_ = true;
       return CURL_WRITEFUNC_PAUSE;
     }
+    if (chunk.size() > request_.limits.body_bytes - body_bytes_) {
+      give_up("its body is too large");
+      return CURL_WRITEFUNC_ERROR;
+    }
+    body_bytes_ += chunk.size();
     buffer_ += chunk;
     update_notification_.notify();
     return chunk.size();
@@ -315,17 +385,25 @@
   }
 
   transport_error make_error() const {
+    if (unreadable_cause_)
+      return transport_error::unreadable_response(std::string("unreadable response: ") +
+                                                  unreadable_cause_);
     const bool timed_out = result_ == CURLE_OPERATION_TIMEDOUT;
     return transport_error(progress(), timed_out, curl_easy_strerror(result_));
   }
 
   std::shared_ptr<curl_client::driver> driver_;
+  support::clock& time_;
   client_request request_;
   support::notification update_notification_;
   CURL* easy_;
   curl_slist* header_lines_ = nullptr;
   response_head head_;
   std::string buffer_;
+  std::optional<support::clock::time_point> response_began_at_;
+  std::size_t body_bytes_ = 0;
+  /// Why the response cannot be read, if it cannot.
+  const char* unreadable_cause_ = nullptr;
   CURLcode result_ = CURLE_OK;
   bool head_complete_ = false;
   bool send_started_ = false;
--- a/lib/peers/http_peer_client.cpp
+++ b/lib/peers/http_peer_client.cpp
@@ -16,6 +16,7 @@
   request.body = message.to_json();
   request.headers.add(signature_header, support::hmac_sha256_hex(key_, request.body));
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   bytes_ += request.body.size();
   const net::client_response response = co_await client_.fetch(std::move(request), timeout);
   bytes_ += response.body.size();
--- a/lib/requests/forwarder.cpp
+++ b/lib/requests/forwarder.cpp
@@ -89,8 +89,10 @@
   }
   request.body = call_.request.body;
   request.connect_timeout = connect_timeout;
-  auto exchange = environment_.targets.open(std::move(request));
   const auto left = call_.deadline - environment_.time.now();
+  request.limits = net::response_limits::bulk();
+  request.limits.duration = left;
+  auto exchange = environment_.targets.open(std::move(request));
   // A model's response begins only when the whole generation is complete, so
   // `first_byte_limit` does not apply.
   const bool serves_model = call_.document().model.has_value();
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -116,6 +116,7 @@
   net::client_request request;
   request.address = target_.address;
   request.connect_timeout = connect_timeout;
+  request.limits = net::response_limits::generation();
   request.headers.add("Attempt-Id", attempt_);
   request.headers.add("Group", target_.id);
   request.headers.add("Group-Number", std::to_string(target_.number));
--- a/lib/scheduling/scheduler_client.cpp
+++ b/lib/scheduling/scheduler_client.cpp
@@ -127,6 +127,7 @@
   const std::string address = request.address;
   const nanoseconds left = std::max<nanoseconds>(until - context_.time.now(), answer_allowance);
   const nanoseconds until_head = peers_[address].begins_early ? answer_allowance : left;
+  request.limits.duration = left + answer_allowance;
   const std::unique_ptr<net::http_exchange> sent = context_.client.open(std::move(request));
   const open_exchange open(open_, address, cancelled, *sent);
   const auto sent_at = context_.time.now();
--- a/lib/table/http_instance_list.cpp
+++ b/lib/table/http_instance_list.cpp
@@ -35,6 +35,7 @@
   request.address = address_;
   request.target = "/v1/instances";
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   try {
     const net::client_response response = co_await client_.fetch(std::move(request), list_timeout);
     if (response.status != 200)
--- a/lib/table/http_table_store.cpp
+++ b/lib/table/http_table_store.cpp
@@ -51,6 +51,7 @@
   request.address = address_;
   request.target = "/v1/rows?prefix=" + prefix;
   request.connection = net::connection_use::pooled;
+  request.limits = net::response_limits::bulk();
   try {
     const net::client_response response = co_await client_.fetch(std::move(request), store_timeout);
     if (response.status != 200)
@@ -70,6 +71,7 @@
   request.address = address_;
   request.target = "/v1/transactions";
   request.body = to_body(change);
+  request.limits = net::response_limits::bulk();
   try {
     const net::client_response response = co_await client_.fetch(std::move(request), store_timeout);
     if (response.status != 200 && response.status != 409)
--- a/tools/camphorlugctl/check_command.cpp
+++ b/tools/camphorlugctl/check_command.cpp
@@ -42,6 +42,7 @@
   net::client_request request;
   request.address = std::move(node);
   request.target = gateway::config_path;
+  request.limits = net::response_limits::bulk();
   net::client_response response;
   try {
     response = co_await client.fetch(std::move(request), fetch_timeout);
--- a/tools/camphorlugctl/edge_commands.cpp
+++ b/tools/camphorlugctl/edge_commands.cpp
@@ -177,6 +177,7 @@
   net::client_request request;
   request.address = std::move(address);
   request.target = edge::state_path;
+  request.limits = net::response_limits::bulk();
   ordered_json state;
   try {
     const net::client_response response = co_await client.fetch(std::move(request), state_timeout);
--- a/tools/camphorlugctl/operator_client.cpp
+++ b/tools/camphorlugctl/operator_client.cpp
@@ -17,6 +17,7 @@
   request.target = "/operator/v1/" + path;
   request.body = std::move(body);
   request.headers.add("Authorization", "Bearer " + key_);
+  request.limits = net::response_limits::bulk();
   operator_response result;
   try {
     const net::client_response response = co_await client_.fetch(std::move(request), call_timeout);
--- a/unittests/fakes/scripted_client.cpp
+++ b/unittests/fakes/scripted_client.cpp
@@ -91,6 +91,8 @@
   support::task<> fail(std::chrono::nanoseconds timeout) {
     if (answer_.end == answer_ending::reset)
       throw transport_error(request_progress::may_have_been_read, false, "reset");
+    if (answer_.end == answer_ending::unreadable)
+      throw transport_error::unreadable_response("unreadable");
     co_await pass(timeout);
     throw transport_error(request_progress::may_have_been_read, true, "silence");
   }
--- a/unittests/fakes/scripted_client.h
+++ b/unittests/fakes/scripted_client.h
@@ -20,6 +20,8 @@
   reset,
   /// The connection stays open, but no more data arrives.
   silence,
+  /// The rest of the answer cannot be read.
+  unreadable,
 };
 
 /// How a target responds to one request.
--- a/unittests/gateway/endless_response_test.cpp
+++ b/unittests/gateway/endless_response_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace camphorlug;
 using namespace camphorlug::fakes;
@@ -97,3 +98,49 @@
                                      [](const auto& each) { return each.address == "broken"; });
   BOOST_TEST(reached == 0);
 }
+
+namespace {
+
+/// A response of which only the first `pieces` can be read.
+scripted_answer unreadable_after(std::size_t pieces) {
+  scripted_answer script = complete_answer();
+  script.pieces.resize(pieces);
+  script.end = answer_ending::unreadable;
+  return script;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(unreadable_response_is_replaced_by_that_of_another_target,
+                     data::make({std::size_t{0}, std::size_t{1}}), pieces) {
+  gateway_fixture world;
+  world.add_target("one");
+  world.answer("one", unreadable_after(pieces));
+  recording_writer writer;
+  world.begin("/plain/x", writer);
+  world.add_target("two");
+  world.answer("two", complete_answer());
+  world.clock.run_for(500ms);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.body == "whole body");
+}
+
+// A target that sends bytes without end has neither crashed nor become unreachable: its requests
+// must not be banned, and the node must not send all requests through its peers.
+BOOST_DATA_TEST_CASE(unreadable_response_is_no_crash_and_no_lost_path,
+                     data::make({std::size_t{0}, std::size_t{1}}), pieces) {
+  gateway_fixture world;
+  for (const char* id : {"one", "two", "three"}) {
+    world.add_target(id);
+    world.answer(id, unreadable_after(pieces));
+    world.answer(id, unreadable_after(pieces));
+  }
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(world.call("/plain/x")->status == 502);
+  std::set<std::string> reached;
+  for (const net::client_request& each : world.client.received)
+    reached.insert(each.address);
+  BOOST_TEST(reached.size() == 3);
+  BOOST_TEST(world.crash_causes.take_unconfirmed().empty());
+  BOOST_TEST(!world.paths.has_lost("shop"));
+}
