Bound the headers and trailers of a response

Cause: curl_client kept every line that libcurl passed to it as a header, also trailers, which libcurl does not bound.

Change: response_limits bounds all header lines of a response; trailers are not kept.

--- a/include/camphorlug/net/response_limits.h
+++ b/include/camphorlug/net/response_limits.h
@@ -13,6 +13,8 @@
   static constexpr std::chrono::nanoseconds unlimited_duration = std::chrono::nanoseconds::max();
   static constexpr std::size_t max_bulk_body_bytes = 32 * 1024 * 1024;
 
+  /// Status lines, headers and trailers, including those of interim responses (1xx).
+  std::size_t head_bytes = 64 * 1024;
   std::size_t body_bytes = 1024 * 1024;
   /// From the first line of the response to its last byte.
   std::chrono::nanoseconds duration = std::chrono::seconds(5);
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -340,6 +340,12 @@
   bool parse_header_line(std::string_view line) {
     if (!response_began_at_)
       response_began_at_ = time_.now();
+    head_bytes_ += line.size();
+    if (head_bytes_ > request_.limits.head_bytes)
+      return give_up("its headers or trailers are too large");
+    // Trailers follow the body, and nothing uses them.
+    if (head_complete_)
+      return true;
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
       line.remove_suffix(1);
     if (line.empty()) {
@@ -401,6 +407,7 @@
   response_head head_;
   std::string buffer_;
   std::optional<support::clock::time_point> response_began_at_;
+  std::size_t head_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   /// Why the response cannot be read, if it cannot.
   const char* unreadable_cause_ = nullptr;
--- a/unittests/net/response_limits_test.cpp
+++ b/unittests/net/response_limits_test.cpp
@@ -91,6 +91,7 @@
   bool done = false;
 };
 
+const std::string line = "X-Junk: " + std::string(1014, 'j') + "\r\n";
 const std::string chunk = "400\r\n" + std::string(1024, 'k') + "\r\n";
 const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -102,6 +103,15 @@
     {"a body of an error response", "HTTP/1.1 500 Error\r\n\r\n", std::string(1024, 'b')},
 };
 
+const long_response long_heads[] = {
+    {"headers", "HTTP/1.1 200 OK\r\n", line},
+    {"header lines without a colon", "HTTP/1.1 200 OK\r\nX: 1\r\n",
+     std::string(1022, 'j') + "\r\n"},
+    {"interim heads", "", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n"},
+    {"a header line", "HTTP/1.1 200 OK\r\nX-Junk: ", std::string(1024, 'j')},
+    {"trailers", chunked_head + "4\r\nbody\r\n0\r\n", line},
+};
+
 const long_response slow_responses[] = {
     {"a body that ends with its connection", "HTTP/1.1 200 OK\r\n\r\n", "b"},
     {"a body in chunks", chunked_head, "1\r\nb\r\n"},
@@ -126,6 +136,19 @@
   BOOST_TEST(!server.sent_all());
 }
 
+BOOST_DATA_TEST_CASE(headers_and_trailers_over_the_limit_are_given_up, data::make(long_heads),
+                     each) {
+  client_fixture fixture;
+  long_response_server server(fixture.context, fixture.clock, each, pieces_of_64_megabytes, 0ms);
+  net::client_request request;
+  request.address = server.address();
+  request.limits = net::response_limits::passed_on();
+  fixture.run(std::move(request));
+  BOOST_REQUIRE(fixture.failure);
+  BOOST_TEST(fixture.failure->unreadable());
+  BOOST_TEST(!server.sent_all());
+}
+
 BOOST_DATA_TEST_CASE(response_over_the_limit_of_its_duration_is_given_up,
                      data::make(slow_responses), each) {
   client_fixture fixture;
@@ -139,9 +162,10 @@
   BOOST_TEST(!server.sent_all());
 }
 
-BOOST_AUTO_TEST_CASE(response_within_the_limits_is_read) {
+BOOST_AUTO_TEST_CASE(response_within_the_limits_is_read_without_its_trailers) {
   client_fixture fixture;
-  const long_response response{"response", chunked_head + chunk + chunk + "0\r\n\r\n", ""};
+  const long_response response{"response", chunked_head + chunk + chunk + "0\r\nX-Sum: 1\r\n\r\n",
+                               ""};
   long_response_server server(fixture.context, fixture.clock, response, 1, 0ms);
   net::client_request request;
   request.address = server.address();
@@ -149,4 +173,5 @@
   fixture.run(std::move(request));
   BOOST_REQUIRE(!fixture.failure);
   BOOST_TEST(fixture.response.body.size() == 2048);
+  BOOST_TEST(!fixture.response.headers.find("X-Sum"));
 }
