Read and answer requests that still arrive when a node ends

Change: the process waits for these, up to the end of the grace period, and logs those that are still incomplete then, by id if their head has arrived. Connections without a memory limit are metered too, so that they are counted.

--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -21,6 +21,8 @@
   /// Bounds what all connections of the servers on one context have received of requests that are
   /// not complete or not answered; nullptr if there is no bound.
   support::memory_budget* receiving = nullptr;
+  /// Header by which the log names requests that were not received completely; empty if none.
+  std::string request_id_header = {};
 };
 
 /// Handles one request in a coroutine of its own.
@@ -44,6 +46,13 @@
   /// Returns how many of these responses are complete but not yet written.
   std::size_t unwritten_responses() const;
 
+  /// Returns the number of requests of which only a part has arrived. They are counted if
+  /// `server_limits::receiving` is set.
+  std::size_t receiving() const;
+
+  /// Logs the requests of which only a part has arrived; called when the process ends.
+  void log_incomplete_requests() const;
+
 private:
   struct implementation;
   std::shared_ptr<implementation> implementation_;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -333,13 +333,12 @@
     return asio::use_service<receive_meters>(context).take(request->remote_endpoint());
   }
 
-  /// Passes the requests of a connection to the handler one after the other. The response to a
-  /// request may close the connection, and one that follows it must not be executed then, because
-  /// it could not be answered.
+  /// Passes the requests of a connection, which are counted as in progress, to the handler one
+  /// after the other. The response to a request may close the connection, and one that follows it
+  /// must not be executed then, because it could not be answered.
   static support::task<> handle_request(std::shared_ptr<implementation> self,
                                         restinio::request_handle_t handle,
                                         support::memory_budget::charge) {
-    ++self->in_progress;
     const auto connection = handle->connection_id();
     const auto turn = std::make_shared<request_turn>();
     const auto previous = std::exchange(self->latest_turns[connection], turn);
@@ -379,7 +378,8 @@
                          request_handler handler, server_limits limits)
     : implementation_(std::make_shared<implementation>(context, std::move(handler), limits)) {
   if (limits.receiving)
-    asio::use_service<receive_meters>(context).set_budget(limits.receiving);
+    asio::use_service<receive_meters>(context).set_budget(limits.receiving,
+                                                          limits.request_id_header);
   const std::size_t colon = address.rfind(':');
   const std::string host = address.substr(0, colon);
   const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
@@ -389,6 +389,9 @@
     if (!self)
       return restinio::request_rejected();
     support::memory_budget::charge memory = self->take_memory(request);
+    // Counted before the coroutine starts, so that a request is always either arriving or in
+    // progress.
+    ++self->in_progress;
     support::spawn(self->context.get_executor(), "request",
                    implementation::handle_request(self, std::move(request), std::move(memory)));
     return restinio::request_accepted();
@@ -441,6 +444,19 @@
   return implementation_->in_progress;
 }
 
+std::size_t http_server::receiving() const {
+  return asio::use_service<receive_meters>(implementation_->context).incomplete().size();
+}
+
+void http_server::log_incomplete_requests() const {
+  for (const auto& meter : asio::use_service<receive_meters>(implementation_->context).incomplete())
+    support::log_event(support::log_level::warning, "request_incomplete",
+                       {{"request", meter->request_id},
+                        {"peer", meter->peer},
+                        {"received", std::to_string(meter->received)},
+                        {"announced", std::to_string(meter->announced)}});
+}
+
 std::size_t http_server::unwritten_responses() const {
   return *implementation_->unwritten_responses;
 }
--- a/lib/net/metered_socket.cpp
+++ b/lib/net/metered_socket.cpp
@@ -9,18 +9,23 @@
 
 namespace camphorlug::net {
 
-/// Returns the length of the body that a head announces, or 0.
-static std::size_t find_content_length(std::string_view head) {
-  static constexpr std::string_view name = "\ncontent-length:";
+/// Returns the value that follows `name`, a lower-case text, in a head; empty if there is none.
+static std::string_view find_value(std::string_view head, std::string_view name) {
   const auto same = [](char left, char right) {
     return std::tolower(static_cast<unsigned char>(left)) == right;
   };
   const auto found = std::search(head.begin(), head.end(), name.begin(), name.end(), same);
   if (found == head.end())
-    return 0;
+    return {};
   std::string_view value =
       head.substr(static_cast<std::size_t>(found - head.begin()) + name.size());
   value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+  return value.substr(0, value.find_first_of("\r\n"));
+}
+
+/// Returns the length of the body that a head announces, or 0.
+static std::size_t find_content_length(std::string_view head) {
+  const std::string_view value = find_value(head, "\ncontent-length:");
   std::size_t length = 0;
   std::from_chars(value.data(), value.data() + value.size(), length);
   return length;
@@ -40,6 +45,8 @@
     const std::size_t body = find_content_length(bytes);
     announced = body == 0 ? 0 : body + received;
   }
+  if (is_in_head && request_id.empty() && !id_text.empty())
+    request_id = find_value(bytes, id_text);
   if (received > memory.bytes())
     memory.add(received - memory.bytes());
 }
@@ -48,13 +55,35 @@
   has_received_request = true;
   received = 0;
   announced = 0;
+  request_id.clear();
   return std::exchange(memory, support::memory_budget::charge(limit, peer));
 }
 
+void receive_meters::set_budget(support::memory_budget* budget, const std::string& id_header) {
+  budget_ = budget;
+  id_text_.clear();
+  if (id_header.empty())
+    return;
+  id_text_ = "\n" + id_header + ":";
+  std::transform(id_text_.begin(), id_text_.end(), id_text_.begin(),
+                 [](unsigned char each) { return static_cast<char>(std::tolower(each)); });
+}
+
+std::vector<std::shared_ptr<const receive_meter>> receive_meters::incomplete() const {
+  std::vector<std::shared_ptr<const receive_meter>> found;
+  for (const auto& [peer, each] : meters_) {
+    const auto meter = each.lock();
+    if (meter && meter->received > 0)
+      found.push_back(meter);
+  }
+  return found;
+}
+
 std::shared_ptr<receive_meter> receive_meters::open(const asio::ip::tcp::endpoint& peer) {
-  if (!budget_ || !budget_->is_limited())
+  if (!budget_)
     return nullptr;
-  const auto opened = std::make_shared<receive_meter>(*budget_, peer.address().to_string());
+  const auto opened =
+      std::make_shared<receive_meter>(*budget_, peer.address().to_string(), id_text_);
   if (++opened_ % clean_up_interval == 0)
     std::erase_if(meters_, [](const auto& each) { return each.second.expired(); });
   meters_[peer] = opened;
--- a/lib/net/metered_socket.h
+++ b/lib/net/metered_socket.h
@@ -9,8 +9,10 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace camphorlug::net {
 
@@ -20,8 +22,10 @@
 struct receive_meter {
   using time_point = std::chrono::steady_clock::time_point;
 
-  receive_meter(support::memory_budget& budget, const std::string& peer_name)
-      : limit(budget), peer(peer_name), memory(budget, peer_name) {}
+  /// `id_search_text` is the lower-case text before the message's id in its head.
+  receive_meter(support::memory_budget& budget, const std::string& peer_name,
+                const std::string& id_search_text)
+      : limit(budget), peer(peer_name), memory(budget, peer_name), id_text(id_search_text) {}
 
   /// Takes the memory for the next read, or for the whole body once its length is known, so that a
   /// body that has begun can be completed. Returns false if there is none.
@@ -38,6 +42,9 @@
   /// Address of the caller, for which the memory is counted.
   std::string peer;
   support::memory_budget::charge memory;
+  std::string id_text;
+  /// The message's id as far as its head tells it.
+  std::string request_id;
   std::size_t received = 0;
   /// Length of the message as far as its head tells it.
   std::size_t announced = 0;
@@ -56,12 +63,15 @@
 
   explicit receive_meters(asio::execution_context& context) : service(context) {}
 
-  void set_budget(support::memory_budget* budget) { budget_ = budget; }
+  /// `id_header` may be empty.
+  void set_budget(support::memory_budget* budget, const std::string& id_header);
 
-  /// Returns nullptr if what connections receive has no limit.
+  /// Returns nullptr if nothing counts what connections receive.
   std::shared_ptr<receive_meter> open(const asio::ip::tcp::endpoint& peer);
   /// Returns the memory of the connection's message, which is complete now.
   support::memory_budget::charge take(const asio::ip::tcp::endpoint& peer);
+  /// Returns the meters of the connections that have received a part of a message.
+  std::vector<std::shared_ptr<const receive_meter>> incomplete() const;
   /// Ends a connection that holds memory for a message of which it receives nothing.
   void evict_stalled();
 
@@ -75,6 +85,7 @@
   void shutdown() override { meters_.clear(); }
 
   support::memory_budget* budget_ = nullptr;
+  std::string id_text_;
   std::size_t opened_ = 0;
   time_point next_eviction_at_;
   std::map<asio::ip::tcp::endpoint, std::weak_ptr<receive_meter>> meters_;
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -273,6 +273,26 @@
         for runner in shops:
             runner.answer_bytes = 0
 
+    def test_node_that_ends_answers_a_request_that_still_arrives(self):
+        gateway = cluster.gateways[0]
+        gateway.signal(signal.SIGTERM)
+        with cluster.open_slow_reader("/buy/x", body=b"x" * 10, announced=50) as sender:
+            # Goes on after the node has stopped to accept connections.
+            for _ in range(4):
+                time.sleep(1)
+                sender.sendall(b"x" * 10)
+            self.assertTrue(sender.recv(1000).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(gateway.process.wait(15), 0)
+
+    def test_node_that_ends_names_a_request_that_it_has_not_received(self):
+        gateway = cluster.gateways[0]
+        with cluster.open_slow_reader("/buy/x", body=b"x" * 10, announced=50):
+            gateway.signal(signal.SIGTERM)
+            self.assertEqual(gateway.process.wait(15), 0)
+        incomplete = gateway.log_lines("request_incomplete")
+        self.assertEqual([line["request"] for line in incomplete],
+                         [f"r{os.getpid()}-{cluster.requests}"])
+
     @staticmethod
     def directory_after_delay():
         time.sleep(0.3)
