Close the connections of all responses that a node sends while it ends

Change: decided when the response is sent.

Test: response_to_a_request_from_before_the_shutdown_closes_its_connection, run on the final code of this change only.

--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -26,7 +26,8 @@
 public:
   request_forwarder(gateway_environment& environment, net::response_writer& writer,
                     caller_request request, std::shared_ptr<const route> chosen,
-                    std::string organisation, int priority, bool closes_connection);
+                    std::string organisation, int priority,
+                    std::function<bool()> closes_connection);
 
   /// Closes the attempts that are still open, because they refer to the forwarder.
   ~request_forwarder();
@@ -119,7 +120,8 @@
   std::shared_ptr<const attempted_request> shared_;
   std::shared_ptr<const route> route_;
   int priority_;
-  bool closes_connection_;
+  /// Whether responses that are sent now should close their connection.
+  std::function<bool()> closes_connection_;
   std::string service_;
   target_pool pool_;
   support::clock::time_point arrived_at_;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -52,9 +52,10 @@
 
 request_forwarder::request_forwarder(gateway_environment& environment, net::response_writer& writer,
                                      caller_request request, std::shared_ptr<const route> chosen,
-                                     std::string organisation, int priority, bool closes_connection)
+                                     std::string organisation, int priority,
+                                     std::function<bool()> closes_connection)
     : env_(environment), writer_(writer), route_(std::move(chosen)), priority_(priority),
-      closes_connection_(closes_connection), arrived_at_(environment.time.now()),
+      closes_connection_(std::move(closes_connection)), arrived_at_(environment.time.now()),
       class_(route_->name, {}, request.prompt_tokens), activity_(environment.time) {
   time_since_first_attempt_ = env_.usual_limits.time_used(route_->name, request.time_limit);
   const auto deadline = arrived_at_ + request.time_limit_within(route_->timeout);
@@ -544,7 +545,7 @@
 }
 
 net::header_list request_forwarder::with_connection_header(net::header_list headers) const {
-  if (closes_connection_)
+  if (closes_connection_())
     headers.add("Connection", "close");
   return headers;
 }
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -123,7 +123,8 @@
     co_return;
   }
   request_forwarder forwarder(env_, writer, std::move(request), chosen, std::move(organisation),
-                              priority, is_shutting_down);
+                              priority,
+                              [this] { return shutdown_().phase != shutdown_phase::none; });
   const in_progress_entry entry(in_progress_, forwarder);
   co_await forwarder.run();
 }
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -340,6 +340,22 @@
   BOOST_TEST(world.client.received.size() == (each.status == 503 ? 0 : 1));
 }
 
+// A caller that was not told so would send its next request to the node that ends.
+BOOST_AUTO_TEST_CASE(response_to_a_request_from_before_the_shutdown_closes_its_connection) {
+  gateway_fixture world;
+  world.add_target("one");
+  scripted_answer slow = complete_answer();
+  slow.delay = 500ms;
+  world.answer("one", slow);
+  recording_writer writer;
+  world.begin("/plain/x", writer);
+  world.clock.run_for(100ms);
+  world.shutdown.phase = gateway::shutdown_phase::leaving;
+  world.clock.run_for(2s);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.headers.find("Connection").value_or("") == "close");
+}
+
 BOOST_AUTO_TEST_CASE(leaving_node_closes_connections_after_responses) {
   gateway_fixture world;
   world.shutdown.phase = gateway::shutdown_phase::leaving;
