Reject requests that a pause of their target would cut at a node's end

Cause: a node that ends took a request whose time limit did not fit if twice the usual duration did, and all requests when no other node served.

Change: in the closing phase a pause of 2 s must fit too; without another node the usual duration must fit.

Before: two cases of closing_node_takes_no_request_that_a_pause_would_cut expect 503 and were taken; after: the tables pass.

--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -31,9 +31,9 @@
   void reject(const caller_request& request, net::response_writer& writer, int status,
               std::string_view reason, std::chrono::milliseconds retry_after = {});
 
-  /// Whether a node that is shutting down leaves the request to another one.
-  bool is_left_to_others(const shutdown_state& shutdown, const route& chosen,
-                         const caller_request& request) const;
+  /// Whether a node that is shutting down rejects the request.
+  bool may_not_finish(const shutdown_state& shutdown, const route& chosen,
+                      const caller_request& request) const;
   std::chrono::nanoseconds usual_duration(const route& chosen, const caller_request& request) const;
 
   gateway_environment env_;
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -10,6 +10,8 @@
 
 /// The caller can retry at another node at once.
 static constexpr std::chrono::milliseconds other_node_retry_after{50};
+/// No other node is known to serve.
+static constexpr std::chrono::milliseconds no_node_retry_after{500};
 
 /// Only another configuration helps, which an operator has to write.
 static constexpr std::chrono::milliseconds no_home_retry_after{10'000};
@@ -107,9 +109,9 @@
     co_return;
   }
   const shutdown_state shutdown = shutdown_();
-  const bool is_shutting_down = shutdown.phase != shutdown_phase::none;
-  if (is_shutting_down && is_left_to_others(shutdown, *chosen, request)) {
-    reject(request, writer, 503, "this node ends; connect to another one", other_node_retry_after);
+  if (may_not_finish(shutdown, *chosen, request)) {
+    reject(request, writer, 503, "this node ends; connect to another one",
+           shutdown.others_serve ? other_node_retry_after : no_node_retry_after);
     co_return;
   }
   request.memory_holder =
@@ -129,12 +131,14 @@
   co_await forwarder.run();
 }
 
-bool request_gateway::is_left_to_others(const shutdown_state& shutdown, const route& chosen,
-                                        const caller_request& request) const {
+bool request_gateway::may_not_finish(const shutdown_state& shutdown, const route& chosen,
+                                     const caller_request& request) const {
+  if (shutdown.phase == shutdown_phase::none)
+    return false;
   if (shutdown.phase == shutdown_phase::closing && chosen.kind == request_kind::stream)
     return true;
-  return shutdown.should_leave_to_others(env_.time.now(), request.time_limit_within(chosen.timeout),
-                                         usual_duration(chosen, request));
+  return shutdown.should_reject(env_.time.now(), request.time_limit_within(chosen.timeout),
+                                usual_duration(chosen, request));
 }
 
 /// Returns the mean time for which requests of the route's slowest pool have used a slot; zero if
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -323,6 +323,8 @@
     {"long requests", gateway::shutdown_phase::leaving, true, 4s, 10s, 503},
     {"long requests that end in time", gateway::shutdown_phase::leaving, true, 4s, 3s, 200},
     {"long requests, no other node", gateway::shutdown_phase::leaving, false, 4s, 10s, 200},
+    {"requests that cannot end in time, no other node", gateway::shutdown_phase::leaving, false, 6s,
+     10s, 503},
 };
 
 } // namespace
@@ -340,6 +342,43 @@
   BOOST_TEST(world.client.received.size() == (each.status == 503 ? 0 : 1));
 }
 
+namespace {
+
+/// A request that may run once and reaches a node in the closing phase.
+struct last_arrival {
+  const char* name;
+  std::chrono::milliseconds until_exit;
+  std::chrono::milliseconds time_limit;
+  int status;
+};
+
+std::ostream& operator<<(std::ostream& out, const last_arrival& each) {
+  return out << each.name;
+}
+
+const last_arrival last_arrivals[] = {
+    {"its time limit ends before the node", 1900ms, 1800ms, 200},
+    {"a target that pauses ends before the node", 2500ms, 4s, 200},
+    {"a target that pauses may end after the node", 1900ms, 4s, 503},
+    {"a usual request ends before the node, just", 300ms, 4s, 503},
+};
+
+} // namespace
+
+// Load pattern: targets fall silent for a second or so, while callers go on using their open
+// connections to a node that ends.
+BOOST_DATA_TEST_CASE(closing_node_takes_no_request_that_a_pause_would_cut,
+                     data::make(last_arrivals), each) {
+  gateway_fixture world(10s);
+  world.shutdown = {gateway::shutdown_phase::closing, world.clock.now() + each.until_exit, true};
+  world.queue.update_hold_estimate({"shop", ""}, 100ms);
+  world.add_target("one");
+  world.answer("one", complete_answer());
+  const auto writer = world.call("/single/x", each.time_limit);
+  BOOST_TEST(writer->status == each.status);
+  BOOST_TEST(world.client.received.size() == (each.status == 503 ? 0 : 1));
+}
+
 // A caller that was not told so would send its next request to the node that ends.
 BOOST_AUTO_TEST_CASE(response_to_a_request_from_before_the_shutdown_closes_its_connection) {
   gateway_fixture world;
