Answer the requests that are in progress when a node ends

Cause: what was still in progress at the end of the grace period was cut, without a response (the LOST around SIGTERM).

Change: shortly before the process ends, each request whose caller has no part of a response gets one: 502 if a target may have run it, 503 otherwise. Ready responses and streams that have begun are left alone. The log names each of them with the time since SIGTERM and what was left of its time, rejected ones too.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -89,8 +89,8 @@
   /// Number of requests that this node relays for others.
   std::size_t relaying() const { return relay_.in_progress(); }
 
-  /// Logs each caller's request that has no complete response yet.
-  void log_unfinished_requests() const { requests_.log_unfinished_requests(); }
+  /// Ends the callers' requests that are in progress; called shortly before the process ends.
+  void end_requests() { requests_.end_requests(); }
 
   std::string metrics();
 
@@ -172,6 +172,8 @@
   std::uint64_t incarnation_;
   gateway::node_status status_;
   gateway::shutdown_phase phase_ = gateway::shutdown_phase::none;
+  /// Meaningless unless the node is leaving, like `exits_at_`.
+  support::clock::time_point leaves_since_;
   support::clock::time_point exits_at_;
   bool fetching_config_ = false;
   /// Whether a peer has said that it has a configuration.
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -36,8 +36,10 @@
 
   support::task<> run();
 
-  /// Logs the request's state when the process ends before the request does.
-  void log_unfinished() const;
+  /// Called when the process is about to end: logs the request's state, and sends a response if the
+  /// caller has no part of one yet. The caller then knows at once whether the request may have run,
+  /// and does not take the end of its connection for the loss of the request.
+  void end_before_exit(const std::string& since_shutdown_ms);
 
 private:
   /// An attempt that may still provide the response.
@@ -61,6 +63,8 @@
   void count_kept_attempt(const target_attempt& kept);
   void record_first_part(const target_attempt& kept);
   std::chrono::nanoseconds time_until_check() const;
+  /// Whether the attempt has provided a part of the response that is not forwarded yet.
+  static bool is_ready(const open_attempt& each);
   support::task<bool> forward_ready_parts();
   support::task<bool> forward_events(target_attempt& attempt);
   support::task<> finish_answered_request(target_attempt& attempt);
@@ -131,6 +135,8 @@
   std::optional<support::clock::time_point> first_byte_at_;
 
   bool caller_gone_ = false;
+  /// The response was sent because the process is about to end.
+  bool ended_before_exit_ = false;
   /// Notified when an attempt goes on or ends, and when the caller disconnects.
   support::notification activity_;
   std::vector<open_attempt> open_;
--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -21,8 +21,9 @@
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
-  /// Logs each request in progress; called when the process ends before they do.
-  void log_unfinished_requests() const;
+  /// Sends a response to each request in progress that has no response yet, because the process is
+  /// about to end, and logs the others.
+  void end_requests();
 
   /// Number of requests handled since the process started.
   std::uint64_t handled() const { return handled_; }
@@ -34,12 +35,13 @@
   /// Whether a node that is shutting down rejects the request.
   bool may_not_finish(const shutdown_state& shutdown, const route& chosen,
                       const caller_request& request) const;
+  std::string milliseconds_since(support::clock::time_point moment) const;
   std::chrono::nanoseconds usual_duration(const route& chosen, const caller_request& request) const;
 
   gateway_environment env_;
   std::function<shutdown_state()> shutdown_;
   std::uint64_t handled_ = 0;
-  std::set<const request_forwarder*> in_progress_;
+  std::set<request_forwarder*> in_progress_;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/shutdown_state.h
+++ b/include/camphorlug/gateway/shutdown_state.h
@@ -19,6 +19,8 @@
   support::clock::time_point exits_at;
   /// Another node takes requests.
   bool others_serve = false;
+  /// Meaningless without a shutdown.
+  support::clock::time_point began_at = {};
 
   /// Whether a request that starts now should be rejected because it may not finish in time.
   /// `time_limit` is the longest time that the request may take, `usual_duration` the mean of those
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -878,12 +878,13 @@
     return other.second.status.ready && !other.second.status.leaving;
   };
   const auto& others = fleet_.others();
-  return {phase_, exits_at_, std::any_of(others.begin(), others.end(), serves)};
+  return {phase_, exits_at_, std::any_of(others.begin(), others.end(), serves), leaves_since_};
 }
 
 support::task<> edge_node::leave() {
   phase_ = gateway::shutdown_phase::leaving;
-  exits_at_ = context_.time.now() + settings_.termination_grace - termination_margin;
+  leaves_since_ = context_.time.now();
+  exits_at_ = leaves_since_ + settings_.termination_grace - termination_margin;
   support::log_event(support::log_level::info, "leaving");
   exchange_.announce();
   support::spawn(context_.executor, "step_down", replica_controller_.step_down());
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -114,7 +114,7 @@
   }
   for (const open_attempt& each : std::exchange(open_, {}))
     end_attempt(each);
-  if (!finished)
+  if (!finished && !ended_before_exit_)
     record_outcome("abandoned", "the caller closed its connection");
 }
 
@@ -261,11 +261,12 @@
   start_attempt(std::move(*slot), executor);
 }
 
+bool request_forwarder::is_ready(const open_attempt& each) {
+  return each.attempt->has_event() || each.attempt->result() == attempt_result::answered;
+}
+
 /// Forwards what the attempts have received. Returns whether the request has ended.
 support::task<bool> request_forwarder::forward_ready_parts() {
-  const auto is_ready = [](const open_attempt& each) {
-    return each.attempt->has_event() || each.attempt->result() == attempt_result::answered;
-  };
   const auto ready = std::find_if(open_.begin(), open_.end(), is_ready);
   if (ready != open_.end()) {
     const std::shared_ptr<target_attempt> attempt = ready->attempt;
@@ -613,7 +614,7 @@
   return open_.front().attempt->result() ? "waits until its caller reads" : "waits for its target";
 }
 
-void request_forwarder::log_unfinished() const {
+void request_forwarder::end_before_exit(const std::string& since_shutdown_ms) {
   support::log_event(support::log_level::warning, "request_unfinished",
                      {{"request", shared_->request.id},
                       {"route", route_->name},
@@ -621,7 +622,21 @@
                       {"events", std::to_string(position_.events)},
                       {"targets", attempt_trail()},
                       {"age_ms", std::to_string((env_.time.now() - arrived_at_) / milliseconds(1))},
+                      {"since_shutdown_ms", since_shutdown_ms},
                       {"left_ms", std::to_string(remaining_time() / milliseconds(1))}});
+  if (writer_.started() || caller_gone_ || std::any_of(open_.begin(), open_.end(), is_ready))
+    return;
+  give_up("this node ends");
+  if (open_.empty() && !may_have_executed_) {
+    send_refusal("this node ends; connect to another one", min_retry_after);
+  } else {
+    send_local_response(502, "this node ends; a target may have run the request", {});
+    record_outcome("unknown", "this node ends");
+  }
+  ended_before_exit_ = true;
+  // Ends `run` and the attempts.
+  caller_gone_ = true;
+  activity_.notify();
 }
 
 void request_forwarder::record_outcome(std::string outcome, std::string detail) {
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -31,7 +31,7 @@
 /// Lists a forwarder while it runs.
 class in_progress_entry {
 public:
-  in_progress_entry(std::set<const request_forwarder*>& all, const request_forwarder& forwarder)
+  in_progress_entry(std::set<request_forwarder*>& all, request_forwarder& forwarder)
       : all_(all), forwarder_(forwarder) {
     all_.insert(&forwarder_);
   }
@@ -40,20 +40,28 @@
   in_progress_entry& operator=(const in_progress_entry&) = delete;
 
 private:
-  std::set<const request_forwarder*>& all_;
-  const request_forwarder& forwarder_;
+  std::set<request_forwarder*>& all_;
+  request_forwarder& forwarder_;
 };
 
 } // namespace
 
+std::string request_gateway::milliseconds_since(support::clock::time_point moment) const {
+  return std::to_string((env_.time.now() - moment) / std::chrono::milliseconds(1));
+}
+
 void request_gateway::reject(const caller_request& request, net::response_writer& writer,
                              int status, std::string_view reason,
                              std::chrono::milliseconds retry_after) {
   const bool may_retry = retry_after > std::chrono::milliseconds(0);
   net::header_list headers = env_.protocol.local_response_headers(
       request, may_retry ? std::optional(retry_after) : std::nullopt);
-  if (shutdown_().phase != shutdown_phase::none)
+  const shutdown_state shutdown = shutdown_();
+  std::string since_shutdown_ms;
+  if (shutdown.phase != shutdown_phase::none) {
     headers.add("Connection", "close");
+    since_shutdown_ms = milliseconds_since(shutdown.began_at);
+  }
   writer.send(status, std::move(headers), std::string(reason) + "\n");
   const auto& config = env_.config.current();
   env_.metrics.count_request("none", "rejected", std::chrono::nanoseconds(0));
@@ -64,6 +72,7 @@
                       {"detail", std::string(reason)},
                       {"host", request.host},
                       {"path", request.path},
+                      {"since_shutdown_ms", since_shutdown_ms},
                       {"config", std::to_string(config ? config->version : 0)}});
 }
 
@@ -155,9 +164,10 @@
   return longest;
 }
 
-void request_gateway::log_unfinished_requests() const {
-  for (const request_forwarder* each : in_progress_)
-    each->log_unfinished();
+void request_gateway::end_requests() {
+  const std::string since_shutdown_ms = milliseconds_since(shutdown_().began_at);
+  for (request_forwarder* each : in_progress_)
+    each->end_before_exit(since_shutdown_ms);
 }
 
 } // namespace camphorlug::gateway
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -273,6 +273,26 @@
         for runner in shops:
             runner.answer_bytes = 0
 
+    def test_node_that_ends_answers_requests_whose_targets_are_silent(self):
+        shops = [r for r in cluster.standins.runners.values() if r.service == "shop"]
+        for runner in shops:
+            runner.paused_until = time.monotonic() + 30
+        gateway = cluster.gateways[0]
+        gateway.signal(signal.SIGTERM)
+        responses = []
+        threads = [threading.Thread(target=lambda: responses.append(cluster.call("/buy/x")))
+                   for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([(each.status, each.whole) for each in responses], [(502, True)] * 3)
+        self.assertEqual(gateway.process.wait(15), 0)
+        # Each request is found in the log by its id.
+        self.assertEqual(len(gateway.log_lines("request_unfinished")), 3)
+        for runner in shops:
+            runner.paused_until = 0
+
     def test_node_that_ends_answers_a_request_that_still_arrives(self):
         gateway = cluster.gateways[0]
         gateway.signal(signal.SIGTERM)
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -317,6 +317,8 @@
         if self.domain:
             return await self.stream(request, connection, response_headers)
         await asyncio.sleep(EVENT_S)
+        while time.monotonic() < self.paused_until and not connection.disconnected:
+            await asyncio.sleep(EVENT_S)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return False
--- a/unittests/gateway/request_test.cpp
+++ b/unittests/gateway/request_test.cpp
@@ -379,6 +379,68 @@
   BOOST_TEST(world.client.received.size() == (each.status == 503 ? 0 : 1));
 }
 
+namespace {
+
+/// A request in progress when its node ends.
+struct unfinished_request {
+  const char* name;
+  const char* path;
+  /// The target's answer; none if the request waits for a slot.
+  std::optional<scripted_answer> answer;
+  int status;
+  bool whole;
+};
+
+std::ostream& operator<<(std::ostream& out, const unfinished_request& each) {
+  return out << each.name;
+}
+
+scripted_answer silent_answer() {
+  scripted_answer script = complete_answer();
+  script.pieces.clear();
+  script.end = answer_ending::silence;
+  return script;
+}
+
+const unfinished_request unfinished_requests[] = {
+    {"a request that may run once", "/single/x", silent_answer(), 502, true},
+    {"a repeatable request", "/plain/x", silent_answer(), 502, true},
+    {"a stream that has not begun", "/stream/x", silent_answer(), 502, true},
+    {"a request that waits for a slot", "/single/x", std::nullopt, 503, true},
+    // Only a broken connection tells its caller that the rest is missing.
+    {"a stream that has begun", "/stream/x", events(1, 2, answer_ending::silence), 200, false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requests_in_progress_are_answered_before_the_process_ends,
+                     data::make(unfinished_requests), each) {
+  gateway_fixture world(10s);
+  scripted_answer slow = complete_answer();
+  slow.delay = 9s;
+  world.add_target("one", 1);
+  world.answer("one", each.answer.value_or(slow));
+  // A short hold time, because the second request is refused at once if its wait is too long.
+  world.queue.update_hold_estimate({"shop", ""}, 50ms);
+  recording_writer earlier;
+  if (!each.answer)
+    world.begin("/single/x", earlier, 10s);
+  recording_writer writer;
+  world.begin(each.path, writer, 10s);
+  world.clock.run_for(100ms);
+  BOOST_REQUIRE(!writer.finished);
+  world.shutdown = {gateway::shutdown_phase::closing, world.clock.now(), true};
+  world.gateway.end_requests();
+  BOOST_TEST(writer.status == each.status);
+  BOOST_TEST(writer.finished == each.whole);
+  if (each.whole)
+    BOOST_TEST(writer.headers.find("Connection").value_or("") == "close");
+  const std::size_t sent = world.client.received.size();
+  world.clock.run_for(200ms);
+  BOOST_TEST(world.unfinished == (each.whole ? 0 : 1));
+  BOOST_TEST(world.client.received.size() == sent);
+}
+
 // A caller that was not told so would send its next request to the node that ends.
 BOOST_AUTO_TEST_CASE(response_to_a_request_from_before_the_shutdown_closes_its_connection) {
   gateway_fixture world;
