Keep the present start of a target when the store is restored from a copy

Cause: target_registry::update took a row of a later era for a restart if its start differed, also if it was an earlier one.

Change: a row of a later era is an older copy if its start is an earlier one, or if it is an earlier state of the same start; likewise for entries that were removed before.

--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -32,12 +32,15 @@
                      {{"target", id}, {"version", std::to_string(version)}});
 }
 
-/// Returns whether a row of a later era is an older state of the target than the one held. The
-/// target will write its present state again.
+/// Returns whether a row of a later era is an older state of the target than the one held: of an
+/// earlier start, or an earlier one of the same start. The target will write its present state
+/// again.
 static bool is_older_copy(const registered_target& held, std::uint64_t version,
                           const std::optional<target_entry>& entry) {
-  return entry && table::era_of(version) > table::era_of(held.version) &&
-         entry->started_at_ms == held.entry.started_at_ms && entry->sequence < held.entry.sequence;
+  if (!entry || table::era_of(version) <= table::era_of(held.version))
+    return false;
+  return std::pair(entry->started_at_ms, entry->sequence) <
+         std::pair(held.entry.started_at_ms, held.entry.sequence);
 }
 
 bool target_registry::is_restored_after_removal(const std::string& id, std::uint64_t version,
@@ -46,9 +49,10 @@
   if (found == removed_.end() || !entry)
     return false;
   const removal& last = found->second;
-  return table::era_of(version) > table::era_of(last.version) &&
-         entry->started_at_ms == last.started_at_ms && last.sequence != 0 &&
-         entry->sequence <= last.sequence;
+  if (table::era_of(version) <= table::era_of(last.version) || last.sequence == 0)
+    return false;
+  return std::pair(entry->started_at_ms, entry->sequence) <=
+         std::pair(last.started_at_ms, last.sequence);
 }
 
 void target_registry::update(const std::string& id, std::uint64_t version,
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -201,6 +201,37 @@
   BOOST_TEST(!world.registry.find("a")->draining);
 }
 
+namespace {
+
+gateway::target_entry started_entry(std::int64_t started_at_ms, std::uint64_t sequence) {
+  gateway::target_entry entry = written_entry(sequence, false);
+  entry.started_at_ms = started_at_ms;
+  return entry;
+}
+
+/// Whether the target's entry is removed before the store is restored.
+const bool removed_before[] = {false, true};
+
+} // namespace
+
+// Load pattern: targets crash and start again, and then the store comes back from a copy that was
+// taken before.
+BOOST_DATA_TEST_CASE(older_copy_does_not_bring_back_an_earlier_start,
+                     boost::unit_test::data::make(removed_before), is_removed) {
+  registry_fixture world;
+  world.registry.update("a", table::make_version(1, 90), started_entry(1000, 60));
+  world.registry.update("a", table::make_version(1, 100), started_entry(2000, 3));
+  if (is_removed)
+    world.registry.remove("a", table::make_version(1, 101));
+  world.registry.update("a", table::make_version(2, 40), started_entry(1000, 58));
+  const gateway::target_entry* held = world.registry.find("a");
+  BOOST_TEST((held == nullptr) == is_removed);
+  BOOST_TEST((is_removed || held->started_at_ms == 2000));
+  world.registry.update("a", table::make_version(2, 41), started_entry(2000, 4));
+  BOOST_REQUIRE(world.registry.find("a"));
+  BOOST_TEST(world.registry.find("a")->started_at_ms == 2000);
+}
+
 BOOST_FIXTURE_TEST_CASE(removed_target_returns_only_after_it_has_written_again, registry_fixture) {
   registry.update("a", table::make_version(1, 100), written_entry(5, false));
   registry.remove("a", table::make_version(1, 101));
