--- a/include/camphorlug/support/log.h
+++ b/include/camphorlug/support/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -19,9 +20,13 @@
 /// Lines below `min_level` are dropped.
 void start_json_log(std::string_view node, log_level min_level);
 
-/// Writes the omitted-line count of each inactive kind (see log_throttle) and flushes the
-/// buffered lines to standard output.
-void flush_log();
+/// Time for the reader of the log to take the last lines of a process.
+inline constexpr std::chrono::milliseconds last_lines_patience{100};
+
+/// Writes the omitted-line count of each inactive kind (see log_throttle) and the number of lines
+/// that were dropped because nobody read the log, and writes the held lines to standard output as
+/// far as the reader takes them. Waits for the reader at most for `patience`.
+void flush_log(std::chrono::milliseconds patience = std::chrono::milliseconds(0));
 
 /// Writes one line for `event`, or counts it as omitted when its kind exceeds the rate limit.
 void log_event(log_level level, std::string_view event,
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -1,10 +1,13 @@
 #include "camphorlug/support/log.h"
 
+#include "camphorlug/support/log_output.h"
 #include "camphorlug/support/log_throttle.h"
 
+#include <csignal>
 #include <cstdio>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace camphorlug::support {
 
@@ -15,6 +18,11 @@
   return instance;
 }
 
+static log_output& output() {
+  static log_output instance{STDOUT_FILENO};
+  return instance;
+}
+
 namespace {
 
 /// Writes each glog message, which is already a JSON object, as a line to standard output.
@@ -22,8 +30,7 @@
 public:
   void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime&,
             const char* message, size_t size) override {
-    std::fwrite(message, 1, size, stdout);
-    std::fputc('\n', stdout);
+    output().add({message, size});
   }
 };
 
@@ -53,21 +60,21 @@
   return "error";
 }
 
-/// Log output is buffered up to this size to reduce the number of writes on a busy node.
-static constexpr std::size_t log_buffer_bytes = 32 * 1024;
-
 static void write_line(log_level level, std::string_view event, std::uint64_t omitted,
                        std::initializer_list<log_field> fields);
 
-void flush_log() {
+void flush_log(std::chrono::milliseconds patience) {
   for (const auto& [kind, count] :
        throttle().take_inactive_omitted_counts(std::chrono::steady_clock::now()))
     write_line(log_level::warning, "lines_omitted", count, {{"kind", kind}});
-  std::fflush(stdout);
+  if (const std::uint64_t dropped = output().take_dropped())
+    write_line(log_level::warning, "lines_dropped", dropped, {{"reason", "nobody read the log"}});
+  output().flush(patience);
 }
 
 void start_json_log(std::string_view node, log_level min_level) {
-  std::setvbuf(stdout, nullptr, _IOFBF, log_buffer_bytes);
+  // The end of the log's reader must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   static json_sink sink;
   node_name = node;
   log_started = true;
--- a/tools/camphorlugd/main.cpp
+++ b/tools/camphorlugd/main.cpp
@@ -126,13 +126,13 @@
     daemon_process process(context, *settings);
     support::log_event(support::log_level::info, "started", {{"address", settings->address}});
     context.run();
-    support::flush_log();
+    support::flush_log(support::last_lines_patience);
     // Suspended tasks still hold references into `process`, so skip its destructor and let the
     // operating system reclaim all resources.
     std::quick_exit(0);
   } catch (const std::exception& error) {
     support::log_event(support::log_level::error, "failed", {{"error", error.what()}});
-    support::flush_log();
+    support::flush_log(support::last_lines_patience);
     std::quick_exit(1);
   }
 }
