--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -39,7 +39,7 @@
   /// Called when the process is about to end: logs the request's state, and sends a response if the
   /// caller has no part of one yet. The caller then knows at once whether the request may have run,
   /// and does not take the end of its connection for the loss of the request.
-  void end_before_exit(const std::string& since_shutdown_ms);
+  void end_before_exit(std::chrono::nanoseconds since_shutdown);
 
 private:
   /// An attempt that may still provide the response.
--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -21,8 +21,8 @@
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
-  /// Sends a response to each request in progress that has no response yet, because the process is
-  /// about to end, and logs the others.
+  /// Called when the process is about to end: logs each request in progress, and sends a response to
+  /// those that have none yet.
   void end_requests();
 
   /// Number of requests handled since the process started.
@@ -35,7 +35,6 @@
   /// Whether a node that is shutting down rejects the request.
   bool may_not_finish(const shutdown_state& shutdown, const route& chosen,
                       const caller_request& request) const;
-  std::string milliseconds_since(support::clock::time_point moment) const;
   std::chrono::nanoseconds usual_duration(const route& chosen, const caller_request& request) const;
 
   gateway_environment env_;
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -614,7 +614,7 @@
   return open_.front().attempt->result() ? "waits until its caller reads" : "waits for its target";
 }
 
-void request_forwarder::end_before_exit(const std::string& since_shutdown_ms) {
+void request_forwarder::end_before_exit(nanoseconds since_shutdown) {
   support::log_event(support::log_level::warning, "request_unfinished",
                      {{"request", shared_->request.id},
                       {"route", route_->name},
@@ -622,7 +622,7 @@
                       {"events", std::to_string(position_.events)},
                       {"targets", attempt_trail()},
                       {"age_ms", std::to_string((env_.time.now() - arrived_at_) / milliseconds(1))},
-                      {"since_shutdown_ms", since_shutdown_ms},
+                      {"since_shutdown_ms", std::to_string(since_shutdown / milliseconds(1))},
                       {"left_ms", std::to_string(remaining_time() / milliseconds(1))}});
   if (writer_.started() || caller_gone_ || std::any_of(open_.begin(), open_.end(), is_ready))
     return;
--- a/lib/gateway/request_gateway.cpp
+++ b/lib/gateway/request_gateway.cpp
@@ -46,10 +46,6 @@
 
 } // namespace
 
-std::string request_gateway::milliseconds_since(support::clock::time_point moment) const {
-  return std::to_string((env_.time.now() - moment) / std::chrono::milliseconds(1));
-}
-
 void request_gateway::reject(const caller_request& request, net::response_writer& writer,
                              int status, std::string_view reason,
                              std::chrono::milliseconds retry_after) {
@@ -60,7 +56,8 @@
   std::string since_shutdown_ms;
   if (shutdown.phase != shutdown_phase::none) {
     headers.add("Connection", "close");
-    since_shutdown_ms = milliseconds_since(shutdown.began_at);
+    since_shutdown_ms =
+        std::to_string((env_.time.now() - shutdown.began_at) / std::chrono::milliseconds(1));
   }
   writer.send(status, std::move(headers), std::string(reason) + "\n");
   const auto& config = env_.config.current();
@@ -165,9 +162,9 @@
 }
 
 void request_gateway::end_requests() {
-  const std::string since_shutdown_ms = milliseconds_since(shutdown_().began_at);
+  const std::chrono::nanoseconds since_shutdown = env_.time.now() - shutdown_().began_at;
   for (request_forwarder* each : in_progress_)
-    each->end_before_exit(since_shutdown_ms);
+    each->end_before_exit(since_shutdown);
 }
 
 } // namespace camphorlug::gateway
