--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -167,6 +167,9 @@
   /// Deletions, so that neither a delayed older read nor an older copy of the store restores a
   /// deleted target.
   std::map<std::string, removal> removed_;
+  /// Targets whose entries have named their start. An entry of such a target without a start is not
+  /// the target's own.
+  std::set<std::string> named_starts_;
   /// Start of each target that said in a response that it is shutting down.
   std::map<std::string, std::int64_t> leaving_;
   struct noticed_cold {
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -64,6 +64,8 @@
   const auto held = targets_.find(id);
   if (held != targets_.end() && version < held->second.version)
     return;
+  if (entry && entry->started_at_ms == 0 && named_starts_.contains(id))
+    entry.reset();
   if (held == targets_.end() && is_restored_after_removal(id, version, entry))
     return;
   if (held != targets_.end() && is_older_copy(held->second, version, entry)) {
@@ -76,6 +78,8 @@
     erase(id);
     return;
   }
+  if (entry->started_at_ms != 0)
+    named_starts_.insert(id);
   entry->draining = entry->draining || is_leaving(id, entry->started_at_ms);
   entry->warm_up_remaining = std::clamp<std::chrono::milliseconds>(
       entry->warm_up_remaining, std::chrono::milliseconds(0), max_cold_time);
@@ -238,6 +242,7 @@
 
 void target_registry::remove(const std::string& id, std::uint64_t version) {
   newest_version_ = std::max(newest_version_, version);
+  named_starts_.erase(id);
   removal& removed = removed_[id];
   const auto held = targets_.find(id);
   const bool is_current = held != targets_.end() && held->second.version <= version;
--- a/unittests/gateway/target_registry_test.cpp
+++ b/unittests/gateway/target_registry_test.cpp
@@ -232,6 +232,21 @@
   BOOST_TEST(world.registry.find("a")->started_at_ms == 2000);
 }
 
+BOOST_FIXTURE_TEST_CASE(entry_without_a_start_names_no_target_that_has_named_one,
+                        registry_fixture) {
+  registry.update("a", 10, started_entry(0, 1));
+  BOOST_TEST(registry.find("a"));
+  registry.update("a", 11, started_entry(2000, 2));
+  BOOST_REQUIRE(registry.find("a"));
+  // Read twice, as by the feed and by a later read of the whole table.
+  for (int i = 0; i < 2; ++i) {
+    registry.update("a", 12, started_entry(0, 3));
+    BOOST_TEST(!registry.find("a"));
+  }
+  registry.update("a", 13, started_entry(2000, 4));
+  BOOST_TEST(registry.find("a")->started_at_ms == 2000);
+}
+
 BOOST_FIXTURE_TEST_CASE(removed_target_returns_only_after_it_has_written_again, registry_fixture) {
   registry.update("a", table::make_version(1, 100), written_entry(5, false));
   registry.remove("a", table::make_version(1, 101));
