--- a/unittests/net/curl_client_test.cpp
+++ b/unittests/net/curl_client_test.cpp
@@ -1,8 +1,7 @@
-#include "camphorlug/net/curl_client.h"
+#include "client_fixture.h"
+
 #include "camphorlug/net/http_server.h"
 #include "camphorlug/net/sse_reader.h"
-#include "camphorlug/net/transport_error.h"
-#include "camphorlug/support/asio_clock.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
@@ -15,6 +14,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace camphorlug;
+using camphorlug::net::client_fixture;
 using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
@@ -94,35 +94,6 @@
   std::string piece_;
 };
 
-struct client_fixture {
-  client_fixture() : clock(context), client(context, clock) {}
-
-  support::task<> fetch(net::client_request request) {
-    try {
-      response = co_await client.fetch(std::move(request), 2s);
-    } catch (const net::transport_error& error) {
-      failure = error;
-    }
-    done = true;
-  }
-
-  void run(net::client_request request) {
-    done = false;
-    response = {};
-    failure.reset();
-    support::spawn(context.get_executor(), "fetch", fetch(std::move(request)));
-    while (!done)
-      context.run_one();
-  }
-
-  asio::io_context context;
-  support::asio_clock clock;
-  net::curl_client client;
-  net::client_response response;
-  std::optional<net::transport_error> failure;
-  bool done = false;
-};
-
 net::client_request post_to(const std::string& address) {
   net::client_request request;
   request.method = "POST";
--- a/unittests/net/response_limits_test.cpp
+++ b/unittests/net/response_limits_test.cpp
@@ -1,6 +1,4 @@
-#include "camphorlug/net/curl_client.h"
-#include "camphorlug/net/transport_error.h"
-#include "camphorlug/support/asio_clock.h"
+#include "client_fixture.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/redirect_error.hpp>
@@ -11,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace camphorlug;
+using camphorlug::net::client_fixture;
 using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
@@ -65,32 +64,6 @@
   std::size_t pieces_ = 0;
 };
 
-struct client_fixture {
-  client_fixture() : clock(context), client(context, clock) {}
-
-  support::task<> fetch(net::client_request request) {
-    try {
-      response = co_await client.fetch(std::move(request), 3s);
-    } catch (const net::transport_error& error) {
-      failure = error;
-    }
-    done = true;
-  }
-
-  void run(net::client_request request) {
-    support::spawn(context.get_executor(), "fetch", fetch(std::move(request)));
-    while (!done)
-      context.run_one();
-  }
-
-  asio::io_context context;
-  support::asio_clock clock;
-  net::curl_client client;
-  net::client_response response;
-  std::optional<net::transport_error> failure;
-  bool done = false;
-};
-
 const std::string line = "X-Junk: " + std::string(1014, 'j') + "\r\n";
 const std::string chunk = "400\r\n" + std::string(1024, 'k') + "\r\n";
 const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
