--- a/include/camphorlug/gateway/request_gateway.h
+++ b/include/camphorlug/gateway/request_gateway.h
@@ -21,8 +21,8 @@
 
   support::task<> handle(net::server_request raw, net::response_writer& writer);
 
-  /// Called when the process is about to end: logs each request in progress, and sends a response to
-  /// those that have none yet.
+  /// Called when the process is about to end: logs each request in progress, and sends a response
+  /// to those that have none yet.
   void end_requests();
 
   /// Number of requests handled since the process started.
