--- a/unittests/gateway/endless_response_test.cpp
+++ b/unittests/gateway/endless_response_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 using namespace camphorlug;
 using namespace camphorlug::fakes;
@@ -27,6 +28,20 @@
   return script;
 }
 
+/// Checks that a request whose first target gives `broken` gets the answer of a second one.
+void check_replaced(scripted_answer broken) {
+  gateway_fixture world;
+  world.add_target("one");
+  world.answer("one", std::move(broken));
+  recording_writer writer;
+  world.begin("/plain/x", writer);
+  world.add_target("two");
+  world.answer("two", complete_answer());
+  world.clock.run_for(500ms);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.body == "whole body");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(stream_whose_event_never_ends_resumes_at_another_target) {
@@ -60,17 +75,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(body_that_never_ends_is_replaced_by_that_of_another_target) {
-  gateway_fixture world;
-  world.add_target("one");
-  scripted_answer endless = complete_answer();
-  world.answer("one", with_endless_tail(endless));
-  recording_writer writer;
-  world.begin("/plain/x", writer);
-  world.add_target("two");
-  world.answer("two", complete_answer());
-  world.clock.run_for(500ms);
-  BOOST_TEST(writer.status == 200);
-  BOOST_TEST(writer.body == "whole body");
+  check_replaced(with_endless_tail(complete_answer()));
 }
 
 // A target that fails each request at once always has free slots. It must not attract the requests
@@ -113,16 +118,7 @@
 
 BOOST_DATA_TEST_CASE(unreadable_response_is_replaced_by_that_of_another_target,
                      data::make({std::size_t{0}, std::size_t{1}}), pieces) {
-  gateway_fixture world;
-  world.add_target("one");
-  world.answer("one", unreadable_after(pieces));
-  recording_writer writer;
-  world.begin("/plain/x", writer);
-  world.add_target("two");
-  world.answer("two", complete_answer());
-  world.clock.run_for(500ms);
-  BOOST_TEST(writer.status == 200);
-  BOOST_TEST(writer.body == "whole body");
+  check_replaced(unreadable_after(pieces));
 }
 
 // A target that sends bytes without end has neither crashed nor become unreachable: its requests
