Tell how each stream ended, and which target ended it

Each answered stream now names the target that ended it, its status, how the end was marked and the event after which the target had resumed it (field `end`; metric camphorlug_gateway_stream_ends_total). No decision changes.

--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -44,6 +44,9 @@
   /// Counts a retry. `reason` must be one of a few fixed values.
   void count_retry(const std::string& reason);
 
+  /// Counts the regular end of a stream, by how the target marked it (`end`) and whether that
+  /// target had resumed it.
+  void count_stream_end(const std::string& end, bool resumed);
   /// Counts a request whose targets were silent until one went on. `outcome` must be one of a few
   /// fixed values.
   void count_silence(const std::string& outcome);
--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -170,6 +170,8 @@
   std::optional<support::clock::time_point> trial_answered_at_;
   /// The request was given up because an equal one is being tried.
   bool waits_for_trial_ = false;
+  /// See `target_attempt::describe_end`; empty unless a stream has ended regularly.
+  std::string stream_end_;
   /// Why no further target was tried; empty while the request may still be answered.
   std::string give_up_reason_;
 };
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -84,6 +84,12 @@
   const target_response& response() const { return response_; }
   bool has_event() const { return !events_.empty(); }
   raw_event take_event();
+  /// Whether it goes on with a stream, and did not begin it.
+  bool resumes() const { return begins_at_.last_event_id.has_value(); }
+  net::body_framing framing() const { return framing_; }
+  /// For the log: the target, its status, how the end of its response is marked, and the event
+  /// after which it resumed a stream.
+  std::string describe_end() const;
   /// Body of a complete response that is not a stream.
   std::string take_body() { return std::move(body_); }
   /// Nothing while more of the response may arrive.
@@ -128,6 +134,7 @@
   std::shared_ptr<const attempted_request> shared_;
   std::optional<slot_guard> slot_;
   chosen_target target_;
+  const stream_position begins_at_;
   /// End of the events received.
   stream_position position_;
   std::function<void()> on_change_;
@@ -148,6 +155,7 @@
   net::http_exchange* exchange_ = nullptr;
   stall_detector::stream* monitored_ = nullptr;
   target_response response_;
+  net::body_framing framing_ = net::body_framing::length;
   std::deque<raw_event> events_;
   std::size_t queued_bytes_ = 0;
   support::notification queue_drained_;
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -31,6 +31,13 @@
           .Name("camphorlug_gateway_silences_total")
           .Help("Requests sent to a further target because of a silence, by which target went on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& stream_ends =
+      prometheus::BuildCounter()
+          .Name("camphorlug_gateway_stream_ends_total")
+          .Help(
+              "Streams that ended regularly, by how the end was marked and whether the target had "
+              "resumed them")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& second_tries =
       prometheus::BuildCounter()
           .Name("camphorlug_gateway_second_tries_total")
@@ -83,6 +90,10 @@
   implementation_->retries.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::count_stream_end(const std::string& end, bool resumed) {
+  implementation_->stream_ends.Add({{"end", end}, {"resumed", resumed ? "yes" : "no"}}).Increment();
+}
+
 void gateway_metrics::count_silence(const std::string& outcome) {
   implementation_->silences.Add({{"outcome", outcome}}).Increment();
 }
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/gateway/request_forwarder.h"
 
 #include "camphorlug/gateway/request_identity.h"
+#include "camphorlug/net/body_framing.h"
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
@@ -309,6 +310,10 @@
 support::task<> request_forwarder::finish_answered_request(target_attempt& attempt) {
   env_.demand.record_hold(pool(), attempt.held());
   report_trial(trial_step::survived);
+  if (route_->kind == request_kind::stream) {
+    stream_end_ = attempt.describe_end();
+    env_.metrics.count_stream_end(net::to_string(attempt.framing()), attempt.resumes());
+  }
   std::string detail;
   if (position_.events > 0) {
     writer_.finish();
@@ -652,6 +657,7 @@
                       {"outcome", outcome},
                       {"detail", detail},
                       {"targets", attempt_trail()},
+                      {"end", stream_end_},
                       {"reason", outcome == "answered" ? "" : give_up_reason_},
                       {"config", std::to_string(env_.config.current()->version)},
                       {"entries", std::to_string(env_.registry.newest_version())},
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/gateway/target_attempt.h"
 
+#include "camphorlug/net/body_framing.h"
 #include "camphorlug/net/transport_error.h"
 
 #include <algorithm>
@@ -71,8 +72,8 @@
 target_attempt::target_attempt(gateway_environment& environment,
                                std::shared_ptr<const attempted_request> shared, slot_guard slot,
                                stream_position position, std::function<void()> on_change)
-    : env_(environment), shared_(std::move(shared)), target_(slot.target()), position_(position),
-      on_change_(std::move(on_change)), started_at_(environment.time.now()),
+    : env_(environment), shared_(std::move(shared)), target_(slot.target()), begins_at_(position),
+      position_(position), on_change_(std::move(on_change)), started_at_(environment.time.now()),
       last_progress_(started_at_),
       first_part_limit_(gateway::first_part_limit(*shared_->chosen, remaining_time())),
       queue_drained_(environment.time),
@@ -105,6 +106,14 @@
   return event;
 }
 
+std::string target_attempt::describe_end() const {
+  std::string text =
+      target_.id + " " + std::to_string(response_.status) + " " + net::to_string(framing_);
+  if (resumes())
+    text += " after " + std::to_string(*begins_at_.last_event_id);
+  return text;
+}
+
 support::clock::time_point target_attempt::silent_at() const {
   return last_progress_ + (has_progressed_ ? pause_limit(*shared_->chosen) : first_part_limit_);
 }
@@ -176,6 +185,7 @@
   try {
     const net::response_head head = co_await exchange->head(remaining_time());
     response_ = env_.protocol.parse_response_head(shared_->request, head);
+    framing_ = head.framing;
     const auto early_result = check_head();
     if (early_result)
       result = *early_result;
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/net/curl_client.h"
 
+#include "camphorlug/net/body_framing.h"
+
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/support/log_throttle.h"
@@ -353,6 +355,7 @@
       head_complete_ = head_.status >= 200;
       if (!head_complete_)
         return true;
+      head_.framing = framing_of(request_.method, head_);
       update_notification_.notify();
       return !request_.accept_head || request_.accept_head(head_);
     }
