--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace camphorlug::fakes {
@@ -68,6 +69,8 @@
   gateway::target_sender sender{clock, random, client, paths,
                                 [] { return std::vector<gateway::relay_node>{}; }};
   gateway::shutdown_state shutdown;
+  /// Targets whose processes have ended.
+  std::set<std::string> ended_targets;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
 
--- a/unittests/fakes/scripted_client.cpp
+++ b/unittests/fakes/scripted_client.cpp
@@ -47,6 +47,7 @@
     net::response_head head;
     head.status = answer_.status;
     head.headers = answer_.headers;
+    head.framing = answer_.framing;
     co_return head;
   }
 
--- a/unittests/fakes/scripted_client.h
+++ b/unittests/fakes/scripted_client.h
@@ -32,6 +32,8 @@
   std::chrono::milliseconds connect_delay{0};
   int status = 200;
   net::header_list headers;
+  /// How the head says that the end of the answer is marked.
+  net::body_framing framing = net::body_framing::chunks;
   std::vector<std::string> pieces;
   answer_ending end = answer_ending::complete;
   /// Time until the response head arrives.
