End a stream only by a run that has reached its end

Callers saw streams that ended as complete at event 14 or so of 40: after a pause of their target, the node resumed them at a second one, and that one answered 404 (or 204, or 200 without an event).

Cause: a response below 500, or a success without an event, made its attempt `answered`, and the number of events of the whole response, not of that run, then finished the response; the sound silent attempt was closed for it. Class: an end is believed without evidence that the run in question has reached it.

Now a resumed run that answers with any failure has failed, once the response has begun. One that regularly ends without an event may be at the end of the stream, or faulty: the next attempt repeats the last event that the caller has, and only if it does, and ends, is the stream complete. A caller that resumes at the end gets the empty response of the first of these runs, whole.

--- a/include/camphorlug/gateway/request_forwarder.h
+++ b/include/camphorlug/gateway/request_forwarder.h
@@ -149,6 +149,9 @@
   bool may_have_executed_ = false;
   /// End of the events that the caller has.
   stream_position position_;
+  /// Head of the response of a run that was resumed at `position_` and regularly ended without an
+  /// event. Only a run that repeats the last event can tell whether the stream ends there.
+  std::optional<target_response> doubtful_end_;
   /// Latest error response from a target, forwarded when the last attempt failed and no other
   /// target succeeded.
   std::optional<target_response> target_failure_;
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -43,6 +43,18 @@
   }
 };
 
+/// Where a target takes up a stream.
+struct resume_point {
+  /// End of the events that the caller has.
+  stream_position position;
+  /// The target repeats the last of these events, which is dropped. If no event follows it, the
+  /// stream is known to end there; a run without any event shows nothing.
+  bool repeats_last_event = false;
+
+  /// The event after which the target begins; nothing for the whole stream.
+  std::optional<std::uint64_t> last_event_id() const;
+};
+
 /// Result of sending a request to one target.
 enum class attempt_result {
   /// The target has sent its complete response.
@@ -60,10 +72,10 @@
 /// queued until the owner takes them; other responses are kept until they are complete.
 class target_attempt : public std::enable_shared_from_this<target_attempt> {
 public:
-  /// The target resumes a stream after `position`. `on_change` is called after each event and at
+  /// The target resumes a stream at `begin`. `on_change` is called after each event and at
   /// the end, until the attempt is closed.
   target_attempt(gateway_environment& environment, std::shared_ptr<const attempted_request> shared,
-                 slot_guard slot, stream_position position, std::function<void()> on_change);
+                 slot_guard slot, resume_point begin, std::function<void()> on_change);
   target_attempt(const target_attempt&) = delete;
   target_attempt& operator=(const target_attempt&) = delete;
 
@@ -85,11 +97,14 @@
   bool has_event() const { return !events_.empty(); }
   raw_event take_event();
   /// Whether it goes on with a stream, and did not begin it.
-  bool resumes() const { return begins_at_.last_event_id.has_value(); }
+  bool resumes() const { return begin_.last_event_id().has_value(); }
   net::body_framing framing() const { return framing_; }
   /// For the log: the target, its status, how the end of its response is marked, and the event
   /// after which it resumed a stream.
   std::string describe_end() const;
+  /// Whether the target has resumed a stream and regularly ended it without an event. The stream
+  /// may have been at its end, or the target may be faulty.
+  bool ended_without_event() const { return ended_without_event_; }
   /// Body of a complete response that is not a stream.
   std::string take_body() { return std::move(body_); }
   /// Nothing while more of the response may arrive.
@@ -113,6 +128,8 @@
   std::optional<attempt_result> check_head();
   support::task<attempt_result> read_stream(net::http_exchange& exchange);
   support::task<attempt_result> read_body(net::http_exchange& exchange);
+  /// Returns the result of a stream of which no more follows.
+  attempt_result finish_stream();
   /// Counts a failure of the target and returns `result`. `note` is logged with the request.
   attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
   void count_transport_failure(const net::transport_error& error);
@@ -134,7 +151,7 @@
   std::shared_ptr<const attempted_request> shared_;
   std::optional<slot_guard> slot_;
   chosen_target target_;
-  const stream_position begins_at_;
+  const resume_point begin_;
   /// End of the events received.
   stream_position position_;
   std::function<void()> on_change_;
@@ -150,6 +167,7 @@
   /// The target has sent an event, or a complete response that is not a stream.
   bool has_answered_ = false;
   bool target_stalled_ = false;
+  bool ended_without_event_ = false;
   /// The request was not sent, because the target no longer accepts requests.
   bool withheld_ = false;
   net::http_exchange* exchange_ = nullptr;
@@ -164,6 +182,8 @@
   std::string body_;
   /// What is held of the response.
   support::memory_budget::charge received_;
+  /// Whether the next event is the one that `begin_` has repeated.
+  bool repetition_due_;
   std::optional<attempt_result> result_;
   std::string failure_;
 };
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -162,7 +162,9 @@
   ++attempts_;
   tried_starts_[slot.target().id] = slot.target().started_at_ms;
   trail_.push_back(slot.target().id);
-  auto attempt = std::make_shared<target_attempt>(env_, shared_, std::move(slot), position_,
+  const bool repeats_last_event = doubtful_end_ && position_.last_event_id.value_or(0) > 0;
+  const resume_point begin{position_, repeats_last_event};
+  auto attempt = std::make_shared<target_attempt>(env_, shared_, std::move(slot), begin,
                                                   [this] { activity_.notify(); });
   attempt->start(executor);
   open_.push_back({std::move(attempt), trail_.size() - 1});
@@ -321,7 +323,10 @@
   } else {
     first_byte_at_ = env_.time.now();
     record_first_part(attempt);
-    const target_response& response = attempt.response();
+    // Of a stream that was at its end when its caller resumed it, the caller gets the whole
+    // response of the target that said so, not a part of one that repeated an event.
+    const bool confirms_end = doubtful_end_ && attempt.response().success();
+    const target_response& response = confirms_end ? *doubtful_end_ : attempt.response();
     writer_.send(response.status, with_connection_header(response.forwarded_headers),
                  attempt.take_body());
     detail = std::to_string(response.status);
@@ -387,6 +392,8 @@
       target_failure_ = each.attempt->response();
       target_failure_body_ = each.attempt->take_body();
     }
+    if (each.attempt->ended_without_event())
+      doubtful_end_ = each.attempt->response();
     if (!each.attempt->was_sent())
       ++unsent_attempts_;
     if (last_result_ == attempt_result::not_run)
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -4,6 +4,7 @@
 #include "camphorlug/net/transport_error.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorlug::gateway {
 
@@ -69,15 +70,25 @@
 
 } // namespace
 
+std::optional<std::uint64_t> resume_point::last_event_id() const {
+  if (!repeats_last_event || !position.last_event_id)
+    return position.last_event_id;
+  const std::uint64_t previous = *position.last_event_id - 1;
+  return previous > 0 ? std::optional(previous) : std::nullopt;
+}
+
 target_attempt::target_attempt(gateway_environment& environment,
                                std::shared_ptr<const attempted_request> shared, slot_guard slot,
-                               stream_position position, std::function<void()> on_change)
-    : env_(environment), shared_(std::move(shared)), target_(slot.target()), begins_at_(position),
-      position_(position), on_change_(std::move(on_change)), started_at_(environment.time.now()),
-      last_progress_(started_at_),
+                               resume_point begin, std::function<void()> on_change)
+    : env_(environment), shared_(std::move(shared)), target_(slot.target()), begin_(begin),
+      position_(begin.position), on_change_(std::move(on_change)),
+      started_at_(environment.time.now()), last_progress_(started_at_),
       first_part_limit_(gateway::first_part_limit(*shared_->chosen, remaining_time())),
       queue_drained_(environment.time),
-      received_(environment.memory, shared_->request.memory_holder) {
+      received_(environment.memory, shared_->request.memory_holder),
+      repetition_due_(begin.repeats_last_event) {
+  if (repetition_due_)
+    position_.last_event_id = begin_.last_event_id().value_or(0);
   slot_.emplace(std::move(slot));
 }
 
@@ -110,7 +121,7 @@
   std::string text =
       target_.id + " " + std::to_string(response_.status) + " " + net::to_string(framing_);
   if (resumes())
-    text += " after " + std::to_string(*begins_at_.last_event_id);
+    text += " after " + std::to_string(*begin_.last_event_id());
   return text;
 }
 
@@ -152,7 +163,7 @@
   details.address = target_.address;
   details.time_left = std::chrono::duration_cast<milliseconds>(remaining_time());
   details.organisation = shared_->organisation;
-  details.resume_after = position_.last_event_id;
+  details.resume_after = begin_.last_event_id();
   details.reuse_connection = shared_->chosen->repeatable();
   net::client_request outgoing = env_.protocol.build_target_request(shared_->request, details);
   outgoing.limits = net::response_limits::passed_on();
@@ -294,7 +305,9 @@
       co_return fail(attempt_result::unknown, "body too large", "it sent a body without end");
     }
   }
-  if (!response_.success() && response_.status >= 500) {
+  // A response that has begun cannot become a failure, whatever the status of a resumed run.
+  const bool has_begun = begin_.position.events > 0;
+  if (!response_.success() && (response_.status >= 500 || has_begun)) {
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
   }
@@ -374,6 +387,8 @@
                        "it sent an event out of order");
       record_answer();
       position_.advance(*event);
+      if (std::exchange(repetition_due_, false))
+        continue;
       queued_bytes_ += event->bytes.size();
       events_.push_back(std::move(*event));
     }
@@ -382,14 +397,26 @@
     if (splitter.partial_event_size() > max_event_bytes)
       co_return fail(attempt_result::unknown, "event too large", "it sent an event without end");
   }
-  if (splitter.has_partial_event() || position_.events == 0) {
+  if (splitter.has_partial_event()) {
     record_loss();
     co_return fail(attempt_result::unknown, "ended within an event",
                    "its stream ended within an event");
   }
+  co_return finish_stream();
+}
+
+attempt_result target_attempt::finish_stream() {
+  if (!has_progressed_ && resumes()) {
+    ended_without_event_ = true;
+    failure_ += " (ended without an event)";
+    return attempt_result::unknown;
+  }
+  if (!has_progressed_)
+    return fail(attempt_result::unknown, "ended without an event",
+                   "its stream ended without an event");
   record_completion();
   env_.suspicions.count_success(target_.id);
-  co_return attempt_result::answered;
+  return attempt_result::answered;
 }
 
 } // namespace camphorlug::gateway
--- a/unittests/fakes/gateway_fixture.cpp
+++ b/unittests/fakes/gateway_fixture.cpp
@@ -61,7 +61,7 @@
 }
 
 void gateway_fixture::begin(const std::string& path, recording_writer& writer,
-                            std::chrono::milliseconds time_limit) {
+                            std::chrono::milliseconds time_limit, std::optional<int> resume_after) {
   net::server_request request;
   request.method = "POST";
   request.path = path;
@@ -69,6 +69,8 @@
   request.headers.add("Id", request_id);
   request.headers.add("Key", "key");
   request.headers.add("Patience", std::to_string(time_limit.count()));
+  if (resume_after)
+    request.headers.add("After", std::to_string(*resume_after));
   ++unfinished;
   support::spawn(context.get_executor(), "call", run(std::move(request), writer));
   clock.run_for(0ms);
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -31,9 +32,11 @@
   /// Sends a request and returns its response when the gateway has finished the request.
   std::unique_ptr<recording_writer>
   call(const std::string& path, std::chrono::milliseconds time_limit = std::chrono::seconds(4));
-  /// Starts a request whose response is written to `writer`.
+  /// Starts a request whose response is written to `writer`. With `resume_after`, the caller has
+  /// the events of a stream up to that one.
   void begin(const std::string& path, recording_writer& writer,
-             std::chrono::milliseconds time_limit = std::chrono::seconds(4));
+             std::chrono::milliseconds time_limit = std::chrono::seconds(4),
+             std::optional<int> resume_after = std::nullopt);
 
   /// Queues an answer for the next request to `target` that has none yet.
   void answer(const std::string& target, scripted_answer script);
--- a/unittests/gateway/stream_end_test.cpp
+++ b/unittests/gateway/stream_end_test.cpp
@@ -146,9 +146,56 @@
   world.add_target("one");
   world.answer("one", closed_by_target(complete_answer()));
   world.ended_targets.insert("one");
+  recording_writer writer;
+  world.begin("/once/x", writer);
   world.add_target("two");
   world.answer("two", complete_answer());
-  const auto writer = world.call("/once/x");
-  BOOST_TEST(writer->status == 502);
+  world.clock.run_for(5s);
+  BOOST_TEST(writer.status == 502);
   BOOST_TEST(world.client.received.size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(stream_resumed_at_its_end_is_complete_if_its_last_event_is_repeated) {
+  gateway_fixture world;
+  world.add_target("one");
+  recording_writer writer;
+  world.answer("one", without_body(events(1, 0)));
+  world.begin("/stream/x", writer, 4s, last_event);
+  world.add_target("two");
+  world.answer("two", events(last_event, last_event));
+  world.clock.run_for(5s);
+  BOOST_REQUIRE(world.client.received.size() == 2);
+  BOOST_TEST(world.client.received[1].headers.find("After").value_or("") ==
+             std::to_string(last_event - 1));
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_resumed_within_goes_on_after_a_run_that_gave_nothing) {
+  gateway_fixture world;
+  world.add_target("one");
+  recording_writer writer;
+  world.answer("one", without_body(events(1, 0)));
+  world.begin("/stream/x", writer, 4s, 1);
+  world.add_target("two");
+  world.answer("two", events(1, last_event));
+  world.clock.run_for(5s);
+  BOOST_REQUIRE(world.client.received.size() == 2);
+  BOOST_TEST(!world.client.received[1].headers.find("After"));
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(writer.body == stream_text(2, last_event));
+}
+
+BOOST_DATA_TEST_CASE(two_runs_that_give_nothing_do_not_end_a_stream, data::make(useless_answers),
+                     each) {
+  gateway_fixture world;
+  world.add_target("one");
+  recording_writer writer;
+  world.answer("one", without_body(events(1, 0)));
+  world.begin("/stream/x", writer, 4s, last_event);
+  world.add_target("two");
+  world.answer("two", each.script);
+  world.clock.run_for(5s);
+  BOOST_TEST(world.client.received.size() == 2);
+  BOOST_TEST(writer.status >= 300);
+}
