Believe the close of a connection only of a target that still runs

Callers saw streams that ended as complete between two events when a target's process died: a response without a length or chunks ends with its connection, and the kernel closes the connections of a dead process in the same way.

The bytes hold none, so the node asks the target (GET report, by id and start) before it ends such a response: a process that answers a question sent after the close has made the close itself. Those that wait for the same target share a question. Otherwise the stream is resumed, or cut where it may run once; a body is asked for again or answered 502. Responses with a length or chunks cost nothing.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -5,6 +5,7 @@
 #include "camphorlug/edge/direct_read_policy.h"
 #include "camphorlug/edge/edge_settings.h"
 #include "camphorlug/edge/fleet_trial_permits.h"
+#include "camphorlug/edge/liveness_checker.h"
 #include "camphorlug/edge/row_decoder.h"
 #include "camphorlug/edge/staleness_watch.h"
 #include "camphorlug/edge/store_reader_duty.h"
@@ -220,6 +221,7 @@
   gateway::path_monitor paths_;
   gateway::target_sender sender_;
   assisted_prober prober_;
+  liveness_checker liveness_;
   gateway::request_relay relay_;
   gateway::request_gateway requests_;
   gateway::fleet_view fleet_;
--- a/include/camphorlug/gateway/gateway_environment.h
+++ b/include/camphorlug/gateway/gateway_environment.h
@@ -12,6 +12,7 @@
 #include "camphorlug/gateway/slot_queue.h"
 #include "camphorlug/gateway/stall_detector.h"
 #include "camphorlug/gateway/suspicion_list.h"
+#include "camphorlug/gateway/target_liveness.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/gateway/target_sender.h"
 #include "camphorlug/gateway/trial_permits.h"
@@ -44,6 +45,7 @@
   second_try_policy& second_tries;
   /// For the bodies and responses that the node holds.
   support::memory_budget& memory;
+  target_liveness& liveness;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -129,7 +129,9 @@
   support::task<attempt_result> read_stream(net::http_exchange& exchange);
   support::task<attempt_result> read_body(net::http_exchange& exchange);
   /// Returns the result of a stream of which no more follows.
-  attempt_result finish_stream();
+  support::task<attempt_result> finish_stream();
+  /// Returns whether the target, and not the end of its process, has ended the response.
+  support::task<bool> confirm_end();
   /// Counts a failure of the target and returns `result`. `note` is logged with the request.
   attempt_result fail(attempt_result result, const std::string& note, const std::string& reason);
   void count_transport_failure(const net::transport_error& error);
--- /dev/null
+++ b/include/camphorlug/gateway/target_liveness.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "camphorlug/gateway/target_entry.h"
+#include "camphorlug/support/task.h"
+
+#include <chrono>
+
+namespace camphorlug::gateway {
+
+/// Tells whether the process of a target still runs.
+///
+/// A response without a length or chunks ends with its connection. The kernel closes the
+/// connections of a process that dies in the same way, so such an end says nothing by itself. If
+/// the process has outlived it, the process has made it.
+class target_liveness {
+public:
+  target_liveness() = default;
+  target_liveness(const target_liveness&) = delete;
+  target_liveness& operator=(const target_liveness&) = delete;
+  virtual ~target_liveness() = default;
+
+  /// Returns whether the process that `target` names by its id and start has answered a question
+  /// that was sent after this call. False if nothing shows it within `timeout`.
+  virtual support::task<bool> is_running(target_entry target, std::chrono::nanoseconds timeout) = 0;
+};
+
+} // namespace camphorlug::gateway
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -25,6 +25,20 @@
   return prober_.report(std::move(entry));
 }
 
+support::task<bool> assisted_prober::is_running(gateway::target_entry entry) {
+  if (paths_.has_lost(entry.service)) {
+    std::string id = entry.id;
+    co_return co_await ask_peer(std::move(id));
+  }
+  const std::int64_t started_at_ms = entry.started_at_ms;
+  const replicas::report_result result = co_await prober_.report(std::move(entry));
+  if (result.kind != replicas::report_result::outcome::answered)
+    co_return false;
+  // Those that do not tell their start are known by their id alone.
+  co_return started_at_ms == 0 || result.report.started_at_ms == 0 ||
+      result.report.started_at_ms == started_at_ms;
+}
+
 support::task<bool> assisted_prober::hears_targets_since(support::clock::time_point start) {
   const auto until = time_.now() + gateway::path_monitor::doubt_after;
   while (!paths_.answered_since(start) && time_.now() < until)
--- /dev/null
+++ b/lib/edge/liveness_checker.cpp
@@ -0,0 +1,37 @@
+#include "camphorlug/edge/liveness_checker.h"
+
+#include <utility>
+
+namespace camphorlug::edge {
+
+support::task<bool> liveness_checker::is_running(gateway::target_entry target,
+                                                 std::chrono::nanoseconds timeout) {
+  const gateway::target_start start{target.id, target.started_at_ms};
+  const auto [entry, is_first] = waiting_.try_emplace(start);
+  const auto self = std::make_shared<waiter>(time_);
+  entry->second.push_back(self);
+  if (is_first)
+    support::spawn(executor_, "liveness", answer_waiters(std::move(target)));
+  co_await self->answered.wait_for(timeout);
+  co_return self->is_running;
+}
+
+support::task<> liveness_checker::answer_waiters(gateway::target_entry target) {
+  const gateway::target_start start{target.id, target.started_at_ms};
+  try {
+    while (!waiting_[start].empty()) {
+      const waiter_list asking = std::exchange(waiting_[start], {});
+      const bool is_running = co_await prober_.is_running(target);
+      for (const std::shared_ptr<waiter>& each : asking) {
+        each->is_running = is_running;
+        each->answered.notify();
+      }
+    }
+  } catch (...) {
+    waiting_.erase(start);
+    throw;
+  }
+  waiting_.erase(start);
+}
+
+} // namespace camphorlug::edge
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -305,6 +305,14 @@
       co_return fail(attempt_result::unknown, "body too large", "it sent a body without end");
     }
   }
+  const bool confirmed = co_await confirm_end();
+  if (!confirmed) {
+    body_ = {};
+    received_.reset();
+    record_loss();
+    co_return fail(attempt_result::unknown, "closed as its process ended",
+                   "its process ended within a response");
+  }
   // A response that has begun cannot become a failure, whatever the status of a resumed run.
   const bool has_begun = begin_.position.events > 0;
   if (!response_.success() && (response_.status >= 500 || has_begun)) {
@@ -316,6 +324,17 @@
   co_return attempt_result::answered;
 }
 
+support::task<bool> target_attempt::confirm_end() {
+  if (framing_ != net::body_framing::connection_close)
+    co_return true;
+  target_entry target;
+  target.id = target_.id;
+  target.service = shared_->service;
+  target.address = target_.address;
+  target.started_at_ms = target_.started_at_ms;
+  co_return co_await env_.liveness.is_running(std::move(target), remaining_time());
+}
+
 /// The wait does not count as silence of the target.
 support::task<bool> target_attempt::wait_for_memory(std::size_t held) {
   // Until now it was counted while it was being written.
@@ -402,21 +421,27 @@
     co_return fail(attempt_result::unknown, "ended within an event",
                    "its stream ended within an event");
   }
-  co_return finish_stream();
+  co_return co_await finish_stream();
 }
 
-attempt_result target_attempt::finish_stream() {
+support::task<attempt_result> target_attempt::finish_stream() {
+  const bool confirmed = co_await confirm_end();
+  if (!confirmed) {
+    record_loss();
+    co_return fail(attempt_result::unknown, "closed as its process ended",
+                   "its process ended within a stream");
+  }
   if (!has_progressed_ && resumes()) {
     ended_without_event_ = true;
     failure_ += " (ended without an event)";
-    return attempt_result::unknown;
+    co_return attempt_result::unknown;
   }
   if (!has_progressed_)
-    return fail(attempt_result::unknown, "ended without an event",
+    co_return fail(attempt_result::unknown, "ended without an event",
                    "its stream ended without an event");
   record_completion();
   env_.suspicions.count_success(target_.id);
-  return attempt_result::answered;
+  co_return attempt_result::answered;
 }
 
 } // namespace camphorlug::gateway
--- a/unittests/fakes/gateway_fixture.cpp
+++ b/unittests/fakes/gateway_fixture.cpp
@@ -23,9 +23,9 @@
 }
 
 gateway_fixture::gateway_fixture(std::chrono::milliseconds timeout)
-    : gateway({clock, random, sender, protocol, config, registry, queue, suspicions, notices,
-               crash_causes, trials, retries, stalls, demand, metrics, usual_limits, first_parts,
-               second_tries, memory},
+    : gateway({clock,      random,       sender,       protocol,     config,  registry, queue,
+               suspicions, notices,      crash_causes, trials,       retries, stalls,   demand,
+               metrics,    usual_limits, first_parts,  second_tries, memory,  liveness},
               [this] { return shutdown; }) {
   auto first = std::make_shared<gateway::routing_config>();
   first->version = 1;
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -3,6 +3,7 @@
 #include "camphorlug/gateway/request_gateway.h"
 #include "camphorlug/support/virtual_clock.h"
 
+#include "fakes/known_liveness.h"
 #include "fakes/minimal_protocol.h"
 #include "fakes/open_trial_permits.h"
 #include "fakes/recording_writer.h"
@@ -11,7 +12,6 @@
 #include <asio/io_context.hpp>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace camphorlug::fakes {
@@ -65,6 +65,7 @@
   gateway::first_part_times first_parts{clock};
   gateway::second_try_policy second_tries{{}};
   support::memory_budget memory;
+  known_liveness liveness;
   gateway::notice_handler notices{registry, pauses, limits, metrics};
   gateway::crash_cause_list crash_causes{clock};
   open_trial_permits trials;
@@ -72,8 +73,6 @@
   gateway::target_sender sender{clock, random, client, paths,
                                 [] { return std::vector<gateway::relay_node>{}; }};
   gateway::shutdown_state shutdown;
-  /// Targets whose processes have ended.
-  std::set<std::string> ended_targets;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
 
--- a/unittests/gateway/stream_end_test.cpp
+++ b/unittests/gateway/stream_end_test.cpp
@@ -92,7 +92,7 @@
   gateway_fixture world;
   world.add_target("one");
   world.answer("one", closed_by_target(events(1, 3)));
-  world.ended_targets.insert("one");
+  world.liveness.ended.insert("one");
   recording_writer writer;
   world.begin("/stream/x", writer);
   world.add_target("two");
@@ -106,7 +106,7 @@
   gateway_fixture world;
   world.add_target("one");
   world.answer("one", closed_by_target(events(1, 3)));
-  world.ended_targets.insert("one");
+  world.liveness.ended.insert("one");
   const auto writer = world.call("/cut/x");
   BOOST_TEST(writer->aborted);
   BOOST_TEST(!writer->finished);
@@ -130,7 +130,7 @@
   scripted_answer cut = closed_by_target(complete_answer());
   cut.pieces.resize(1);
   world.answer("one", cut);
-  world.ended_targets.insert("one");
+  world.liveness.ended.insert("one");
   recording_writer writer;
   world.begin("/plain/x", writer);
   world.add_target("two");
@@ -145,7 +145,7 @@
   gateway_fixture world;
   world.add_target("one");
   world.answer("one", closed_by_target(complete_answer()));
-  world.ended_targets.insert("one");
+  world.liveness.ended.insert("one");
   recording_writer writer;
   world.begin("/once/x", writer);
   world.add_target("two");
