Tell the end of a relayed response from the end of its target's process

A relay writes a response without a length or chunks on in chunks and finished it whenever the target's connection closed, so that the asking node saw a proper end.

The relay now asks the target before it finishes such a response and resets its own connection otherwise, which earlier builds understand too. It says so in a header; without it, the relay is of an earlier build, and the asking node has another node ask the target before it believes the end.

--- a/include/camphorlug/gateway/relay_path.h
+++ b/include/camphorlug/gateway/relay_path.h
@@ -28,6 +28,11 @@
 /// neither send nor read it.
 inline constexpr std::string_view relay_unreadable_header = "Camphorlug-Relay-Unreadable";
 
+/// Header of a response that a relay passes on: it ends the response only if the target has ended
+/// it, and not if the target's process ended (see `target_liveness`). Earlier builds do not send
+/// it; as askers they hand it to the caller.
+inline constexpr std::string_view relay_confirms_end_header = "Camphorlug-Relay-Confirms-End";
+
 /// What a relay needs to know of a request besides its headers and body.
 struct relay_parameters {
   /// The process that may execute the request. Its id contains no slash.
--- a/include/camphorlug/gateway/request_relay.h
+++ b/include/camphorlug/gateway/request_relay.h
@@ -4,6 +4,7 @@
 #include "camphorlug/gateway/path_monitor.h"
 #include "camphorlug/gateway/relay_path.h"
 #include "camphorlug/gateway/slot_queue.h"
+#include "camphorlug/gateway/target_liveness.h"
 #include "camphorlug/gateway/target_registry.h"
 #include "camphorlug/net/http_client.h"
 #include "camphorlug/net/response_writer.h"
@@ -25,7 +26,7 @@
 
   request_relay(support::clock& time, net::http_client& client, const caller_protocol& protocol,
                 const target_registry& registry, const slot_queue& queue, path_monitor& paths,
-                double cores, support::memory_budget& memory);
+                double cores, support::memory_budget& memory, target_liveness& liveness);
 
   std::size_t in_progress() const { return in_progress_; }
 
@@ -39,7 +40,8 @@
 
 private:
   support::task<> pass_on(net::http_exchange& exchange, net::response_writer& writer,
-                          path_monitor::wait& wait, support::clock::time_point deadline);
+                          path_monitor::wait& wait, target_entry target,
+                          support::clock::time_point deadline);
   net::client_request make_request(const relay_parameters& parameters,
                                    net::server_request request) const;
   bool accepts_requests(const relay_parameters& parameters) const;
@@ -51,6 +53,7 @@
   const slot_queue& queue_;
   path_monitor& paths_;
   support::memory_budget& memory_;
+  target_liveness& liveness_;
   std::size_t max_in_progress_;
   std::size_t in_progress_ = 0;
 };
--- a/include/camphorlug/gateway/target_sender.h
+++ b/include/camphorlug/gateway/target_sender.h
@@ -90,6 +90,7 @@
   support::task<relay_result> relay(std::chrono::nanoseconds timeout);
   bool failure_is_late() const;
   relay_result relay_result_of_head();
+  void accept_relayed_head();
 
   target_sender& sender_;
   std::string service_;
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -92,7 +92,7 @@
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
       liveness_(context_.executor, context_.time, prober_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
-             settings_.cores, memory_),
+             settings_.cores, memory_, liveness_),
       requests_({context_.time, context_.random, sender_,       context_.protocol, config_,
                  registry_,     slot_queue_,     suspicions_,   notices_,          crash_causes_,
                  trials_,       retries_,        stalls_,       demand_,           metrics_,
--- a/lib/gateway/request_relay.cpp
+++ b/lib/gateway/request_relay.cpp
@@ -28,10 +28,16 @@
                      [&](const char* each) { return net::same_header_name(name, each); });
 }
 
+/// Headers that a relay sends to its asker, and that it must not pass on from a target.
+static bool is_relay_header(std::string_view name) {
+  return net::same_header_name(name, relay_failure_header) ||
+         net::same_header_name(name, relay_confirms_end_header);
+}
+
 static net::header_list without_connection_headers(const net::header_list& headers) {
   net::header_list kept;
   for (const net::header& each : headers) {
-    if (!is_connection_header(each.name) && !net::same_header_name(each.name, relay_failure_header))
+    if (!is_connection_header(each.name) && !is_relay_header(each.name))
       kept.add(each.name, each.value);
   }
   return kept;
@@ -64,9 +70,9 @@
 request_relay::request_relay(support::clock& time, net::http_client& client,
                              const caller_protocol& protocol, const target_registry& registry,
                              const slot_queue& queue, path_monitor& paths, double cores,
-                             support::memory_budget& memory)
+                             support::memory_budget& memory, target_liveness& liveness)
     : time_(time), client_(client), protocol_(protocol), registry_(registry), queue_(queue),
-      paths_(paths), memory_(memory),
+      paths_(paths), memory_(memory), liveness_(liveness),
       max_in_progress_(
           std::max(min_in_progress, static_cast<std::size_t>(cores * max_in_progress_per_core))) {}
 
@@ -129,9 +135,10 @@
     if (is_repeatable)
       exchange->cancel();
   });
+  const target_entry target = *entry;
   std::optional<net::transport_error> failure;
   try {
-    co_await pass_on(*exchange, writer, wait, deadline);
+    co_await pass_on(*exchange, writer, wait, target, deadline);
   } catch (const net::transport_error& error) {
     failure = error;
   }
@@ -147,13 +154,15 @@
 }
 
 support::task<> request_relay::pass_on(net::http_exchange& exchange, net::response_writer& writer,
-                                       path_monitor::wait& wait,
+                                       path_monitor::wait& wait, target_entry target,
                                        support::clock::time_point deadline) {
   const net::response_head head = co_await exchange.head(deadline - time_.now());
   wait.record_answer();
+  net::header_list headers = without_connection_headers(head.headers);
+  headers.add(std::string(relay_confirms_end_header), "1");
   const bool has_body = head.status != 204 && head.status != 304;
   if (has_body)
-    writer.start(head.status, without_connection_headers(head.headers));
+    writer.start(head.status, headers);
   bool accepted = true;
   while (accepted) {
     std::optional<std::string> piece = co_await exchange.read(deadline - time_.now());
@@ -164,10 +173,16 @@
   }
   if (!accepted)
     co_return;
+  if (head.framing == net::body_framing::connection_close) {
+    const bool confirmed = co_await liveness_.is_running(std::move(target), deadline - time_.now());
+    if (!confirmed)
+      throw net::transport_error(net::request_progress::may_have_been_read, false,
+                                 "the target's process ended within its response");
+  }
   if (has_body)
     writer.finish();
   else
-    writer.send(head.status, without_connection_headers(head.headers), "");
+    writer.send(head.status, std::move(headers), "");
 }
 
 } // namespace camphorlug::gateway
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -187,11 +187,25 @@
   co_return result;
 }
 
+/// An earlier build ends a response regularly whenever the target's connection ends.
+void target_sender::exchange::accept_relayed_head() {
+  if (!head_->headers.find(relay_confirms_end_header))
+    head_->framing = net::body_framing::connection_close;
+  net::header_list headers;
+  for (const net::header& each : head_->headers) {
+    if (!net::same_header_name(each.name, relay_confirms_end_header))
+      headers.add(each.name, each.value);
+  }
+  head_->headers = std::move(headers);
+}
+
 /// Turns a response by which the relay reports a failure into that failure.
 target_sender::exchange::relay_result target_sender::exchange::relay_result_of_head() {
   const std::optional<std::string> reported = head_->headers.find(relay_failure_header);
-  if (!reported)
+  if (!reported) {
+    accept_relayed_head();
     return relay_result::answered;
+  }
   const bool unreadable = head_->headers.find(relay_unreadable_header).has_value();
   head_.reset();
   const bool not_sent = *reported != relay_failure_unknown;
