--- a/include/camphorlug/edge/assisted_prober.h
+++ b/include/camphorlug/edge/assisted_prober.h
@@ -27,9 +27,8 @@
   /// Asks from this node alone.
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
-  /// Returns whether the process that `entry` names by its id and start answers. A node that has
-  /// lost its way to the targets has another one ask, which goes by the id alone.
-  support::task<bool> is_running(gateway::target_entry entry);
+  /// A node that has lost its way to the targets has another one probe the instance.
+  support::task<bool> is_running(gateway::target_entry entry) override;
 
   /// Probes for another node: responds with 200 if the instance answers, and with 404 otherwise.
   support::task<> handle(net::server_request request, const gateway::target_registry& registry,
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -176,6 +176,8 @@
   stall_detector::stream* monitored_ = nullptr;
   target_response response_;
   net::body_framing framing_ = net::body_framing::length;
+  /// See `target_sender::exchange`.
+  bool relay_confirms_end_ = true;
   std::deque<raw_event> events_;
   std::size_t queued_bytes_ = 0;
   support::notification queue_drained_;
--- a/include/camphorlug/gateway/target_sender.h
+++ b/include/camphorlug/gateway/target_sender.h
@@ -71,6 +71,10 @@
   /// the target.
   bool failed_on_lost_path() const { return failed_on_lost_path_; }
 
+  /// False if a relay of an earlier build passes the response on. It ends the response regularly
+  /// whenever the target's connection ends.
+  bool relay_confirms_end() const { return relay_confirms_end_; }
+
 private:
   enum class relay_result {
     answered,
@@ -108,6 +112,7 @@
   bool cancelled_ = false;
   bool abandoned_ = false;
   bool failed_on_lost_path_ = false;
+  bool relay_confirms_end_ = true;
 };
 
 } // namespace camphorlug::gateway
--- a/include/camphorlug/replicas/instance_prober.h
+++ b/include/camphorlug/replicas/instance_prober.h
@@ -17,6 +17,10 @@
   /// Returns whether the probe is answered by the instance that `entry` names.
   virtual support::task<bool> probe(gateway::target_entry entry) = 0;
 
+  /// Returns whether the process that `entry` names by its id and start answers, in whatever way.
+  /// Unlike `probe` it fits instances that have no report.
+  virtual support::task<bool> is_running(gateway::target_entry entry) = 0;
+
   /// Returns what the instance that `entry` names says about itself.
   virtual support::task<report_result> report(gateway::target_entry entry) = 0;
 };
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -30,13 +30,7 @@
     std::string id = entry.id;
     co_return co_await ask_peer(std::move(id));
   }
-  const std::int64_t started_at_ms = entry.started_at_ms;
-  const replicas::report_result result = co_await prober_.report(std::move(entry));
-  if (result.kind != replicas::report_result::outcome::answered)
-    co_return false;
-  // Those that do not tell their start are known by their id alone.
-  co_return started_at_ms == 0 || result.report.started_at_ms == 0 ||
-      result.report.started_at_ms == started_at_ms;
+  co_return co_await prober_.is_running(std::move(entry));
 }
 
 support::task<bool> assisted_prober::hears_targets_since(support::clock::time_point start) {
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -197,6 +197,7 @@
     const net::response_head head = co_await exchange->head(remaining_time());
     response_ = env_.protocol.parse_response_head(shared_->request, head);
     framing_ = head.framing;
+    relay_confirms_end_ = exchange->relay_confirms_end();
     const auto early_result = check_head();
     if (early_result)
       result = *early_result;
@@ -325,7 +326,10 @@
 }
 
 support::task<bool> target_attempt::confirm_end() {
-  if (framing_ != net::body_framing::connection_close)
+  // Targets that answer other requests than streams may not answer the question of a peer.
+  const bool is_doubtful =
+      framing_ == net::body_framing::connection_close || (is_stream() && !relay_confirms_end_);
+  if (!is_doubtful)
     co_return true;
   target_entry target;
   target.id = target_.id;
--- a/lib/gateway/target_sender.cpp
+++ b/lib/gateway/target_sender.cpp
@@ -187,10 +187,8 @@
   co_return result;
 }
 
-/// An earlier build ends a response regularly whenever the target's connection ends.
 void target_sender::exchange::accept_relayed_head() {
-  if (!head_->headers.find(relay_confirms_end_header))
-    head_->framing = net::body_framing::connection_close;
+  relay_confirms_end_ = head_->headers.find(relay_confirms_end_header).has_value();
   net::header_list headers;
   for (const net::header& each : head_->headers) {
     if (!net::same_header_name(each.name, relay_confirms_end_header))
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -40,6 +40,9 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
+  support::task<bool> is_running(gateway::target_entry entry) override {
+    return probe(std::move(entry));
+  }
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
   /// Returns what an instance answers when it is asked for its report; none answers if it is empty.
@@ -62,6 +65,9 @@
   node_prober(null_instance_client& instances, std::string self)
       : instances_(instances), self_(std::move(self)) {}
   support::task<bool> probe(gateway::target_entry entry) override;
+  support::task<bool> is_running(gateway::target_entry entry) override {
+    return probe(std::move(entry));
+  }
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
 private:
--- a/unittests/fakes/gateway_fixture.h
+++ b/unittests/fakes/gateway_fixture.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorlug::fakes {
 
@@ -70,8 +71,9 @@
   gateway::crash_cause_list crash_causes{clock};
   open_trial_permits trials;
   gateway::path_monitor paths{clock};
-  gateway::target_sender sender{clock, random, client, paths,
-                                [] { return std::vector<gateway::relay_node>{}; }};
+  /// Peers that may relay requests.
+  std::vector<gateway::relay_node> relays;
+  gateway::target_sender sender{clock, random, client, paths, [this] { return relays; }};
   gateway::shutdown_state shutdown;
   gateway::request_gateway gateway;
   std::size_t unfinished = 0;
--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -106,3 +106,50 @@
   BOOST_TEST(!fixture.probe());
   BOOST_TEST((fixture.took <= 1s));
 }
+
+namespace {
+
+struct answer_of_process {
+  const char* name;
+  int status;
+  const char* body;
+  bool is_running;
+};
+
+std::ostream& operator<<(std::ostream& out, const answer_of_process& each) {
+  return out << each.name;
+}
+
+const answer_of_process answers_of_processes[] = {
+    {"report of this start", 200, R"({"born":7})", true},
+    {"report of another start", 200, R"({"born":8})", false},
+    {"report without a start", 200, "{}", true},
+    {"unreadable report", 200, "{", true},
+    {"no report", 404, "", true},
+    {"not ready", 503, "", true},
+    {"another instance", 421, "", false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(process_is_known_by_its_id_and_start, data::make(answers_of_processes), each) {
+  asio::io_context context;
+  support::virtual_clock clock{context};
+  fakes::scripted_client client{clock};
+  fakes::scripted_answer answer;
+  answer.status = each.status;
+  answer.pieces = {each.body};
+  client.answers["address"].push_back(answer);
+  platform::platform_order_client prober{client};
+  gateway::target_entry entry;
+  entry.id = "one";
+  entry.address = "address";
+  entry.started_at_ms = 7;
+  std::optional<bool> result;
+  const auto run = [&]() -> support::task<> { result = co_await prober.is_running(entry); };
+  support::spawn(context.get_executor(), "question", run());
+  clock.run_for(2s);
+  BOOST_TEST(result.value() == each.is_running);
+  BOOST_TEST(client.received.size() == 1);
+  clock.shut_down();
+}
