--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -37,8 +37,11 @@
                 gateway.write_settings()
                 gateway.start()
         for runner in cluster.standins.runners.values():
-            # A fault that this test did not use up would fail a request of a later one.
+            # Faults that this test did not use up would fail requests of a later one.
             runner.lose_answers = 0
+            runner.unframed = False
+            runner.resumption_status = None
+            runner.ends_after_event = None
             if not runner.alive:
                 cluster.standins.run_coroutine(runner.restart())
         cluster.wait_for_groups()
@@ -121,6 +124,28 @@
             cluster.standins.loop.call_soon_threadsafe(head.kill)
             time.sleep(0.5)
 
+    def test_stream_closed_between_events_as_its_runner_ends_is_resumed(self):
+        for runner in cluster.standins.runners.values():
+            runner.unframed = True
+            runner.ends_after_event = 30
+        response = cluster.call("/chat/x", events=100, model="small")
+        self.assertEqual((response.status, response.whole), (200, True))
+        self.assertEqual(response.event_ids(), list(range(1, 101)))
+
+    def test_stream_without_framing_is_whole(self):
+        for runner in cluster.standins.runners.values():
+            runner.unframed = True
+        response = cluster.call("/chat/x", events=20, model="small")
+        self.assertEqual((response.status, response.whole), (200, True))
+        self.assertEqual(response.event_ids(), list(range(1, 21)))
+
+    def test_stream_whose_resumed_runs_fail_is_not_complete(self):
+        for runner in cluster.standins.runners.values():
+            runner.resumption_status = 404
+            runner.ends_after_event = 30
+        response = cluster.call("/chat/x", events=100, model="small")
+        self.assertEqual((response.status, response.whole), (200, False))
+
     def test_group_that_lost_a_member_is_replaced(self):
         head = cluster.serving_head("large")
         member = cluster.standins.runners[head.members[1]]
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -48,6 +48,13 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def end(self):
+        """Stops listening and closes the open connections in order, as a kernel does for a process
+        that ends."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -90,6 +97,13 @@
 
     def start(self, headers):
         lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        self.start_with(lines, headers)
+
+    def start_without_framing(self, headers):
+        """Starts a response that ends with its connection."""
+        self.start_with(["HTTP/1.1 200 OK", "Connection: close"], headers)
+
+    def start_with(self, lines, headers):
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
@@ -187,6 +201,12 @@
         self.paused_until = 0
         self.answer_bytes = 0
         self.draining = False
+        # Its streams have neither a length nor chunks.
+        self.unframed = False
+        # Its process ends after this event of a stream that it has begun.
+        self.ends_after_event = None
+        # Status of its answers to resumed requests; it runs none of them.
+        self.resumption_status = None
         # Says in its responses that it leaves, while its row says `ready`.
         self.leaving = False
         # Seconds in Retry-After of the next refusal.
@@ -331,8 +351,14 @@
         return [part.partition(":")[0] for part in parts if part]
 
     async def stream(self, request, connection, response_headers):
-        connection.start({**response_headers, "Content-Type": "text/event-stream"})
         first = int(request.headers.get("last-event-id", "0")) + 1
+        if first > 1 and self.resumption_status:
+            return connection.send(self.resumption_status, b"", response_headers)
+        stream_headers = {**response_headers, "Content-Type": "text/event-stream"}
+        if self.unframed:
+            connection.start_without_framing(stream_headers)
+        else:
+            connection.start(stream_headers)
         last = int(request.headers.get("x-token-counts", "1,20").split(",")[1])
         for number in range(first, last + 1):
             # A group makes progress only while all of its members do.
@@ -343,11 +369,23 @@
                 self.standins.disconnects[request.headers["x-request-id"]] = number
                 return False
             text = f"id: {number}\ndata: {request.headers['x-request-id']}.{number}\n\n"
-            await connection.chunk(text.encode())
+            await self.send_event(connection, text.encode())
+            if first == 1 and number == self.ends_after_event:
+                self.end()
+                return False
             await asyncio.sleep(EVENT_S)
+        if self.unframed:
+            return False
         await connection.chunk(b"")
         return True
 
+    async def send_event(self, connection, data):
+        if self.unframed:
+            connection.writer.write(data)
+            await connection.writer.drain()
+        else:
+            await connection.chunk(data)
+
     def pause_streams(self, seconds):
         """Writes nothing to any stream for a while, and then goes on."""
         self.paused_until = time.monotonic() + seconds
@@ -356,6 +394,11 @@
         self.alive = False
         self.server.close()
 
+    def end(self):
+        """Ends the process; unlike `kill`, its connections are closed in order."""
+        self.alive = False
+        self.server.end()
+
     async def restart(self):
         """Restarts the instance under its id with a fresh state."""
         self.__init__(self.standins, self.id, self.port, self.service, self.domain)
