Encode names and keys of rows in the URLs of calls to the store

Cause: read_range put the last key of a page into the next URL as it was; libcurl refuses the URL, and with '&', '+', '#' or '%' it names another place. Class: texts of others in URLs. Names, ranges and prefixes now go through net::percent_encode.

--- /dev/null
+++ b/include/camphorlug/net/percent_encoding.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace camphorlug::net {
+
+/// Encodes arbitrary bytes as a value in a query or as a path segment (RFC 3986, section 2): all
+/// bytes but the unreserved ones become `%XX`.
+std::string percent_encode(std::string_view bytes);
+
+} // namespace camphorlug::net
