Take no response whose head is not HTTP

Cause: the client took whatever stood before the first colon of a line for a name and all behind it for a value, and these were passed on. Class: bytes of others that are no HTTP. A name must be a token, a value hold no control character but tabs, a status have three digits, lengths be numbers that agree; otherwise the response is unreadable, as one without end is. Requests are checked by RESTinio's parser; not tested here.

--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -1,7 +1,7 @@
 #include "camphorlug/net/curl_client.h"
 
 #include "camphorlug/net/body_framing.h"
-
+#include "camphorlug/net/header_syntax.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/support/log_throttle.h"
@@ -348,7 +348,9 @@
     // Trailers follow the body, and nothing uses them.
     if (head_complete_)
       return true;
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+    if (line.ends_with('\n'))
+      line.remove_suffix(1);
+    if (line.ends_with('\r'))
       line.remove_suffix(1);
     if (line.empty()) {
       // An interim response (1xx) is followed by the final one.
@@ -359,18 +361,38 @@
       update_notification_.notify();
       return !request_.accept_head || request_.accept_head(head_);
     }
-    if (line.starts_with("HTTP/")) {
-      head_ = {};
-      head_.status = std::atoi(std::string(line.substr(line.find(' ') + 1)).c_str());
-      return true;
-    }
+    if (line.starts_with("HTTP/"))
+      return parse_status_line(line);
+    return parse_field(line);
+  }
+
+  bool parse_status_line(std::string_view line) {
+    static constexpr std::size_t status_digits = 3;
+    const std::size_t space = line.find(' ');
+    std::string_view status = space < line.size() ? line.substr(space + 1) : std::string_view();
+    status = status.substr(0, status.find(' '));
+    if (status.size() != status_digits || !is_decimal(status) || !is_field_value(line))
+      return give_up("its status line is malformed");
+    head_ = {};
+    head_.status = std::atoi(std::string(status).c_str());
+    return true;
+  }
+
+  bool parse_field(std::string_view line) {
     const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
-      return true;
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ')
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value =
+        colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+    while (value.starts_with(' ') || value.starts_with('\t'))
       value.remove_prefix(1);
-    head_.headers.add(std::string(line.substr(0, colon)), std::string(value));
+    if (colon == std::string_view::npos || !is_token(name) || !is_field_value(value))
+      return give_up("a header field is malformed");
+    if (same_header_name(name, "Content-Length")) {
+      const std::optional<std::string> known = head_.headers.find(name);
+      if (!is_decimal(value) || (known && *known != value))
+        return give_up("its lengths are malformed or differ");
+    }
+    head_.headers.add(std::string(name), std::string(value));
     return true;
   }
 
