Let a caller's resumed stream go on at a silent target

A stream that its caller resumes has begun, too. While its first target was silent, a second one that answered 404, 400 or 302 ended the request with that response, and the sound target was closed.

Evidence: 3 of 7 cases of stream_resumed_by_its_caller_goes_on_at_its_silent_target failed before (404, 400, 302) and pass.

--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -314,8 +314,9 @@
     co_return fail(attempt_result::unknown, "closed as its process ended",
                    "its process ended within a response");
   }
-  // A response that has begun cannot become a failure, whatever the status of a resumed run.
-  const bool has_begun = begin_.position.events > 0;
+  // A stream that has begun, here or at an earlier request of its caller, cannot become a failure,
+  // whatever the status of a resumed run.
+  const bool has_begun = is_stream() && begin_.position.last_event_id.has_value();
   if (!response_.success() && (response_.status >= 500 || has_begun)) {
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
--- a/unittests/gateway/stream_end_test.cpp
+++ b/unittests/gateway/stream_end_test.cpp
@@ -88,6 +88,24 @@
   BOOST_TEST(writer.body == stream_text(1, 3));
 }
 
+BOOST_DATA_TEST_CASE(stream_resumed_by_its_caller_goes_on_at_its_silent_target,
+                     data::make(useless_answers), each) {
+  gateway_fixture world;
+  world.add_target("one");
+  scripted_answer paused = events(4, last_event);
+  paused.silences[0] = 1500ms;
+  world.answer("one", paused);
+  recording_writer writer;
+  world.begin("/stream/x", writer, 4s, 3);
+  world.add_target("two");
+  world.answer("two", each.script);
+  world.clock.run_for(5s);
+  BOOST_TEST(world.client.received.size() == 2);
+  BOOST_TEST(writer.status == 200);
+  BOOST_TEST(writer.finished);
+  BOOST_TEST(writer.body == stream_text(4, last_event));
+}
+
 BOOST_AUTO_TEST_CASE(stream_closed_between_events_as_its_target_ends_is_resumed) {
   gateway_fixture world;
   world.add_target("one");
