Disbelieve the close of a target whose group is broken

A head whose group has lost a member cuts off its work after a while and goes on running. In a response with neither a length nor chunks this leaves the bytes of an end, and its answer to the question whether it runs (GET report) was taken for proof that the stream was finished, whatever the report said of the group.

Class: an end is believed without evidence that the run has reached it.

Test: order_client_test, case 'report of a broken group', fails without the change.

--- a/include/camphorlug/gateway/target_liveness.h
+++ b/include/camphorlug/gateway/target_liveness.h
@@ -20,7 +20,8 @@
   virtual ~target_liveness() = default;
 
   /// Returns whether the process that `target` names by its id and start has answered a question
-  /// that was sent after this call. False if nothing shows it within `timeout`.
+  /// that was sent after this call. False if nothing shows it within `timeout`, or if the process
+  /// says that its group is broken.
   virtual support::task<bool> is_running(target_entry target, std::chrono::nanoseconds timeout) = 0;
 };
 
--- a/include/camphorlug/replicas/instance_prober.h
+++ b/include/camphorlug/replicas/instance_prober.h
@@ -17,7 +17,8 @@
   /// Returns whether the probe is answered by the instance that `entry` names.
   virtual support::task<bool> probe(gateway::target_entry entry) = 0;
 
-  /// Returns whether the process that `entry` names by its id and start answers, in whatever way.
+  /// Returns whether the process that `entry` names by its id and start answers, in whatever way,
+  /// and does not say that its group is broken, so that it has cut off its work.
   /// Unlike `probe` it fits instances that have no report.
   virtual support::task<bool> is_running(gateway::target_entry entry) = 0;
 
--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -123,6 +123,10 @@
 const answer_of_process answers_of_processes[] = {
     {"report of this start", 200, R"({"born":7})", true},
     {"report of another start", 200, R"({"born":8})", false},
+    {"report of a group that serves", 200,
+     R"({"born":7,"group":{"name":"g","epoch":1,"rank":0,"state":"open"}})", true},
+    {"report of a broken group", 200,
+     R"({"born":7,"group":{"name":"g","epoch":1,"rank":0,"state":"broken"}})", false},
     {"report without a start", 200, "{}", true},
     {"unreadable report", 200, "{", true},
     {"no report", 404, "", true},
