Name the start of the process that a peer asks for a node

A node that reaches no target has a peer ask whether the target's process runs before it believes the close of a response. The question named only the id, and the peer answered for whatever process has that id, so a target that had started again made the cut response of its last process look complete. It now carries the start; earlier builds ignore it and answer as before.

Class: an end is believed without evidence that the run has reached it.

Found by reading; not seen with real processes.

--- a/include/camphorlug/edge/assisted_prober.h
+++ b/include/camphorlug/edge/assisted_prober.h
@@ -27,10 +27,11 @@
   /// Asks from this node alone.
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
-  /// A node that has lost its way to the targets has another one probe the instance.
+  /// A node that has lost its way to the targets has another one ask the process.
   support::task<bool> is_running(gateway::target_entry entry) override;
 
-  /// Probes for another node: responds with 200 if the instance answers, and with 404 otherwise.
+  /// Probes for another node: responds with 200 if the instance answers, and with 404 otherwise. If
+  /// the request names a start, only the process with that start counts.
   support::task<> handle(net::server_request request, const gateway::target_registry& registry,
                          net::response_writer& writer);
 
@@ -38,7 +39,8 @@
   /// Returns whether a target has sent something to this node since `start`, and waits a moment
   /// for that.
   support::task<bool> hears_targets_since(support::clock::time_point start);
-  support::task<bool> ask_peer(std::string id);
+  /// Has another node ask; `request_target` begins with `probe_prefix`.
+  support::task<bool> ask_peer(std::string request_target);
 
   support::clock& time_;
   net::http_client& client_;
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -3,11 +3,16 @@
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 
+#include <charconv>
+
 namespace camphorlug::edge {
 
 static constexpr std::chrono::milliseconds poll_interval{20};
 /// The peer itself needs up to 700 ms to find that an instance does not answer.
 static constexpr std::chrono::milliseconds peer_timeout{900};
+/// Query parameter with the start of the process that is asked for. Earlier builds ignore it and
+/// answer for whatever process has the id.
+static constexpr const char* start_parameter = "start";
 
 support::task<bool> assisted_prober::probe(gateway::target_entry entry) {
   const auto start = time_.now();
@@ -18,7 +23,7 @@
   const bool hears_others = co_await hears_targets_since(start);
   if (hears_others)
     co_return false;
-  co_return co_await ask_peer(std::move(id));
+  co_return co_await ask_peer(std::string(probe_prefix) + id);
 }
 
 support::task<replicas::report_result> assisted_prober::report(gateway::target_entry entry) {
@@ -27,8 +32,9 @@
 
 support::task<bool> assisted_prober::is_running(gateway::target_entry entry) {
   if (paths_.has_lost(entry.service)) {
-    std::string id = entry.id;
-    co_return co_await ask_peer(std::move(id));
+    std::string target = std::string(probe_prefix) + entry.id + "?" + start_parameter + "=" +
+                         std::to_string(entry.started_at_ms);
+    co_return co_await ask_peer(std::move(target));
   }
   co_return co_await prober_.is_running(std::move(entry));
 }
@@ -40,13 +46,13 @@
   co_return paths_.answered_since(start);
 }
 
-support::task<bool> assisted_prober::ask_peer(std::string id) {
+support::task<bool> assisted_prober::ask_peer(std::string request_target) {
   const std::optional<std::string> peer = sender_.choose_relay({});
   if (!peer)
     co_return false;
   net::client_request request;
   request.address = *peer;
-  request.target = std::string(probe_prefix) + id;
+  request.target = std::move(request_target);
   request.connection = net::connection_use::pooled;
   bool is_alive = false;
   try {
@@ -58,13 +64,26 @@
   co_return is_alive;
 }
 
+/// Returns a start that no process has if the text is no number.
+static std::int64_t read_start(const std::string& text) {
+  std::int64_t start = -1;
+  const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), start);
+  return error == std::errc() && rest == text.data() + text.size() ? start : -1;
+}
+
 support::task<> assisted_prober::handle(net::server_request request,
                                         const gateway::target_registry& registry,
                                         net::response_writer& writer) {
   const gateway::target_entry* entry = registry.find(request.path.substr(probe_prefix.size()));
   bool is_alive = false;
-  if (entry)
-    is_alive = co_await prober_.probe(*entry);
+  if (entry) {
+    gateway::target_entry asked = *entry;
+    const auto start = request.query_value(start_parameter);
+    if (start)
+      asked.started_at_ms = read_start(*start);
+    is_alive = start ? co_await prober_.is_running(std::move(asked))
+                     : co_await prober_.probe(std::move(asked));
+  }
   if (is_alive)
     net::send_json(writer, 200, "{}");
   else
