Take the last id of an event, as callers do

Of several id lines in an event the first one counted, so that a node and the caller of a stream disagreed about its place, and streams were cut as out of order.

Test: small_parts_test, last_id_of_an_event_counts, fails without the change. No page speaks of several ids; callers by the standard take the last one.

--- a/lib/gateway/event_splitter.cpp
+++ b/lib/gateway/event_splitter.cpp
@@ -4,7 +4,9 @@
 
 namespace camphorlug::gateway {
 
+/// Of several ids the last one counts, as it does for callers.
 static std::optional<std::uint64_t> parse_event_id(std::string_view event) {
+  std::optional<std::uint64_t> found;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
@@ -19,9 +21,9 @@
     std::uint64_t id = 0;
     const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
     if (error == std::errc() && rest == line.data() + line.size())
-      return id;
+      found = id;
   }
-  return std::nullopt;
+  return found;
 }
 
 void event_splitter::append(std::string_view bytes) {
--- a/unittests/gateway/small_parts_test.cpp
+++ b/unittests/gateway/small_parts_test.cpp
@@ -131,6 +131,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(last_id_of_an_event_counts) {
+  gateway::event_splitter splitter;
+  splitter.append("id: 6\ndata: a\nid: 7\n\n");
+  const auto event = splitter.next();
+  BOOST_REQUIRE(event);
+  BOOST_TEST(event->id.value_or(0) == 7);
+}
+
 BOOST_FIXTURE_TEST_CASE(suspension_expires_and_doubles, clock_fixture) {
   gateway::suspicion_list list(clock);
   list.suspect("a", "test");
