Disbelieve the close of a target that has left the group of its request

After the loss of a member the planner may have the head leave its group or join another one before its work is cut off; its report then names no group or another epoch, not a broken one. The question now names the epoch to which the request was sent. Reports without models, as those of plain targets, say nothing about groups.

Not mended: at a peer that asks in place of a node only a broken group counts.

Tests: order_client_test, cases 'another group' and 'no group' (not run without the change).

--- a/include/camphorlug/edge/liveness_checker.h
+++ b/include/camphorlug/edge/liveness_checker.h
@@ -29,6 +29,10 @@
     bool is_running = false;
   };
   using waiter_list = std::vector<std::shared_ptr<waiter>>;
+  /// The process and the epoch of its group; 0 outside groups.
+  using question = std::pair<gateway::target_start, std::uint64_t>;
+
+  static question question_about(const gateway::target_entry& target);
 
   /// Asks until nobody waits for an answer about the target.
   support::task<> answer_waiters(gateway::target_entry target);
@@ -38,7 +42,7 @@
   assisted_prober& prober_;
   /// Those that came after the question in progress, by target. A target has an entry while it is
   /// being asked.
-  std::map<gateway::target_start, waiter_list> waiting_;
+  std::map<question, waiter_list> waiting_;
 };
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/replicas/instance_report.h
+++ b/include/camphorlug/replicas/instance_report.h
@@ -14,6 +14,8 @@
   /// It shuts down.
   bool leaving = false;
   std::optional<gateway::group_membership> membership;
+  /// It reports its models and so its membership, if it is in a group.
+  bool names_membership = false;
 };
 
 /// The outcome of asking an instance for its report.
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -79,8 +79,11 @@
   if (entry) {
     gateway::target_entry asked = *entry;
     const auto start = request.query_value(start_parameter);
-    if (start)
+    if (start) {
       asked.started_at_ms = read_start(*start);
+      // The other node may have sent its request to an earlier group.
+      asked.membership.reset();
+    }
     is_alive = start ? co_await prober_.is_running(std::move(asked))
                      : co_await prober_.probe(std::move(asked));
   }
--- a/lib/edge/liveness_checker.cpp
+++ b/lib/edge/liveness_checker.cpp
@@ -4,10 +4,13 @@
 
 namespace camphorlug::edge {
 
+liveness_checker::question liveness_checker::question_about(const gateway::target_entry& target) {
+  return {{target.id, target.started_at_ms}, target.membership ? target.membership->epoch : 0};
+}
+
 support::task<bool> liveness_checker::is_running(gateway::target_entry target,
                                                  std::chrono::nanoseconds timeout) {
-  const gateway::target_start start{target.id, target.started_at_ms};
-  const auto [entry, is_first] = waiting_.try_emplace(start);
+  const auto [entry, is_first] = waiting_.try_emplace(question_about(target));
   const auto self = std::make_shared<waiter>(time_);
   entry->second.push_back(self);
   if (is_first)
@@ -17,10 +20,10 @@
 }
 
 support::task<> liveness_checker::answer_waiters(gateway::target_entry target) {
-  const gateway::target_start start{target.id, target.started_at_ms};
+  const question asked = question_about(target);
   try {
-    while (!waiting_[start].empty()) {
-      const waiter_list asking = std::exchange(waiting_[start], {});
+    while (!waiting_[asked].empty()) {
+      const waiter_list asking = std::exchange(waiting_[asked], {});
       const bool is_running = co_await prober_.is_running(target);
       for (const std::shared_ptr<waiter>& each : asking) {
         each->is_running = is_running;
@@ -28,10 +31,10 @@
       }
     }
   } catch (...) {
-    waiting_.erase(start);
+    waiting_.erase(asked);
     throw;
   }
-  waiting_.erase(start);
+  waiting_.erase(asked);
 }
 
 } // namespace camphorlug::edge
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -336,6 +336,8 @@
   target.service = shared_->service;
   target.address = target_.address;
   target.started_at_ms = target_.started_at_ms;
+  if (target_.epoch != 0)
+    target.membership = group_membership{{}, target_.epoch, 0, membership_state::open};
   co_return co_await env_.liveness.is_running(std::move(target), remaining_time());
 }
 
--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -125,6 +125,9 @@
     {"report of another start", 200, R"({"born":8})", false},
     {"report of a group that serves", 200,
      R"({"born":7,"group":{"name":"g","epoch":1,"rank":0,"state":"open"}})", true},
+    {"report of another group", 200,
+     R"({"born":7,"group":{"name":"h","epoch":2,"rank":0,"state":"open"}})", false},
+    {"report of no group", 200, R"({"born":7,"models":[]})", false},
     {"report of a broken group", 200,
      R"({"born":7,"group":{"name":"g","epoch":1,"rank":0,"state":"broken"}})", false},
     {"report without a start", 200, "{}", true},
@@ -149,6 +152,7 @@
   entry.id = "one";
   entry.address = "address";
   entry.started_at_ms = 7;
+  entry.membership = gateway::group_membership{"g", 1, 0, gateway::membership_state::open};
   std::optional<bool> result;
   const auto run = [&]() -> support::task<> { result = co_await prober.is_running(entry); };
   support::spawn(context.get_executor(), "question", run());
