Test with processes that a relayed stream does not end as complete too early

A node that relays a stream without length or chunks used to end it regularly whenever the runner's connection closed, also as the runner's process ended between two events. The tests ask a node as another one does that reaches no target.

--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from cluster import BIN, ROOT, wait_until  # noqa: E402
 from platform_cluster import (ROUTES, SERVICES, TENANTS, BackgroundCallers,  # noqa: E402
-                              PlatformCluster, get, route)
+                              PlatformCluster, Response, get, route)
 
 # Another first port lets work trees of one machine run the tests side by side.
 PORT = int(os.environ.get("CAMPHORLUG_TEST_PORT", "28500"))
@@ -465,7 +465,8 @@
                        "the part is served again")
         wait_until(lambda: not self.stored_bans(), "the stored ban is deleted")
 
-    def relay(self, gateway, runner, path, time_left_ms=3000, address=None):
+    @staticmethod
+    def send_to_relay(gateway, runner, path, time_left_ms=3000, address=None, headers=None):
         """Sends a request through a node as another one does that reaches no target."""
         connection = http.client.HTTPConnection(
             cluster.gateways[gateway].addresses["control"], timeout=15)
@@ -474,12 +475,33 @@
             "POST", f"/camphorlug/v1/relay/{address}/{runner.id}/{runner.born}/POST/pooled/"
             f"{time_left_ms}{path}", body="x",
             headers={"Host": "example", "X-Request-Id": cluster.next_id(),
-                     "X-Deadline-Ms": str(time_left_ms), "X-Expect-Instance": runner.id})
+                     "X-Deadline-Ms": str(time_left_ms), "X-Expect-Instance": runner.id,
+                     **(headers or {})})
+        return connection
+
+    def relay(self, gateway, runner, path, **more):
+        connection = self.send_to_relay(gateway, runner, path, **more)
         response = connection.getresponse()
         body = response.read()
         connection.close()
         return response, body
 
+    def relay_stream(self, gateway, runner, events):
+        """Returns what the node that asks for a stream gets of it."""
+        group = (runner.id, runner.group["epoch"])
+        wait_until(lambda: group in [(each["members"][0], each["epoch"]) for each in
+                                     cluster.gateways[gateway].state()["groups"]],
+                   "the node knows the runner's group")
+        connection = self.send_to_relay(gateway, runner, "/chat/x", headers={
+            "X-Model": runner.model, "X-Token-Counts": f"10,{events}"})
+        response = connection.getresponse()
+        try:
+            body, whole = response.read(), True
+        except (http.client.IncompleteRead, ConnectionError) as error:
+            body, whole = getattr(error, "partial", b""), False
+        connection.close()
+        return Response(response.status, response.headers, body, whole)
+
     def test_node_relays_a_request_of_another_one_to_the_named_target(self):
         runner = next(runner for runner in cluster.standins.runners.values()
                       if runner.service == "shop" and runner.alive)
@@ -493,6 +515,23 @@
         response, _ = self.relay(1, runner, "/read/x", address=cluster.gateways[0].addresses["http"])
         self.assertEqual(response.headers["Camphorlug-Relay-Failure"], "not-sent")
 
+    def test_relayed_stream_whose_runner_ends_between_events_is_not_complete(self):
+        runner = cluster.serving_head("small")
+        runner.unframed = True
+        runner.ends_after_event = 10
+        response = self.relay_stream(1, runner, events=20)
+        self.assertFalse(runner.alive)
+        self.assertEqual((response.status, response.whole), (200, False))
+
+    def test_sound_relayed_stream_without_framing_is_not_taken_for_a_broken_one(self):
+        runner = cluster.serving_head("small")
+        runner.unframed = True
+        response = self.relay_stream(1, runner, events=20)
+        self.assertEqual((response.status, response.whole), (200, True))
+        self.assertEqual(response.event_ids(), list(range(1, 21)))
+        # By this header the node that asks knows that the end is the runner's.
+        self.assertEqual(response.headers["Camphorlug-Relay-Confirms-End"], "1")
+
     def test_nodes_together_send_no_more_than_a_target_takes(self):
         limit, window_s, told_s = 5, 4, 1
         runner = next(runner for runner in cluster.standins.runners.values()
