Let no response wait for an answer about its target that will not come

If the question about a target failed unexpectedly, the responses that waited for it stayed open until their time limits (found by review). They are told at once now. Test: question_that_fails_holds_no_response.

--- a/lib/edge/liveness_checker.cpp
+++ b/lib/edge/liveness_checker.cpp
@@ -21,9 +21,10 @@
 
 support::task<> liveness_checker::answer_waiters(gateway::target_entry target) {
   const question asked = question_about(target);
+  waiter_list asking;
   try {
     while (!waiting_[asked].empty()) {
-      const waiter_list asking = std::exchange(waiting_[asked], {});
+      asking = std::exchange(waiting_[asked], {});
       const bool is_running = co_await prober_.is_running(target);
       for (const std::shared_ptr<waiter>& each : asking) {
         each->is_running = is_running;
@@ -31,6 +32,11 @@
       }
     }
   } catch (...) {
+    // Nobody waits for an answer that will not come.
+    const waiter_list later = std::exchange(waiting_[asked], {});
+    asking.insert(asking.end(), later.begin(), later.end());
+    for (const std::shared_ptr<waiter>& each : asking)
+      each->answered.notify();
     waiting_.erase(asked);
     throw;
   }
--- a/unittests/edge/liveness_checker_test.cpp
+++ b/unittests/edge/liveness_checker_test.cpp
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <stdexcept>
 
 using namespace camphorlug;
 using namespace std::chrono_literals;
@@ -24,12 +25,15 @@
   }
   support::task<bool> is_running(gateway::target_entry) override {
     const bool runs = ++questions < ends_before;
+    if (throws)
+      throw std::runtime_error("unexpected");
     co_await time_.sleep_for(delay);
     co_return runs;
   }
 
   int questions = 0;
   int ends_before = 1'000'000;
+  bool throws = false;
   std::chrono::milliseconds delay{100};
 
 private:
@@ -101,3 +105,17 @@
   world.clock.run_for(1s);
   BOOST_TEST(in_time.value());
 }
+
+BOOST_AUTO_TEST_CASE(question_that_fails_holds_no_response) {
+  checker_fixture world;
+  world.targets.throws = true;
+  std::optional<bool> first;
+  world.ask(first);
+  world.clock.run_for(10ms);
+  BOOST_TEST(!first.value());
+  world.targets.throws = false;
+  std::optional<bool> second;
+  world.ask(second);
+  world.clock.run_for(200ms);
+  BOOST_TEST(second.value());
+}
