--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -310,7 +310,8 @@
   if (!confirmed) {
     body_ = {};
     received_.reset();
-    record_loss();
+    if (!closed_)
+      record_loss();
     co_return fail(attempt_result::unknown, "closed as its process ended",
                    "its process ended within a response");
   }
@@ -434,7 +435,8 @@
 support::task<attempt_result> target_attempt::finish_stream() {
   const bool confirmed = co_await confirm_end();
   if (!confirmed) {
-    record_loss();
+    if (!closed_)
+      record_loss();
     co_return fail(attempt_result::unknown, "closed as its process ended",
                    "its process ended within a stream");
   }
--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -161,3 +161,15 @@
   BOOST_TEST(client.received.size() == 1);
   clock.shut_down();
 }
+
+BOOST_AUTO_TEST_CASE(process_that_pauses_for_a_second_is_known_to_run) {
+  probe_fixture fixture;
+  fixture.instance.resumes_at = fixture.clock.now() + 1300ms;
+  std::optional<bool> result;
+  gateway::target_entry entry;
+  entry.address = "one";
+  const auto run = [&]() -> support::task<> { result = co_await fixture.prober.is_running(entry); };
+  support::spawn(fixture.context.get_executor(), "question", run());
+  fixture.clock.run_for(2s);
+  BOOST_TEST(result.value());
+}
