--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -186,7 +186,7 @@
   std::string body_;
   /// What is held of the response.
   support::memory_budget::charge received_;
-  /// Whether the next event is the one that `begin_` has repeated.
+  /// Whether the next event is the one that `begin_` has the target repeat.
   bool repetition_due_;
   std::optional<attempt_result> result_;
   std::string failure_;
--- a/include/camphorlug/gateway/target_liveness.h
+++ b/include/camphorlug/gateway/target_liveness.h
@@ -21,7 +21,8 @@
 
   /// Returns whether the process that `target` names by its id and start has answered a question
   /// that was sent after this call. False if nothing shows it within `timeout`, or if the process
-  /// says that its group is broken.
+  /// says that it has cut off its work: its group is broken, or it is no longer in the group with
+  /// the epoch of `target`.
   virtual support::task<bool> is_running(target_entry target, std::chrono::nanoseconds timeout) = 0;
 };
 
