--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -8,7 +8,8 @@
 namespace camphorlug::edge {
 
 static constexpr std::chrono::milliseconds poll_interval{20};
-/// The peer itself needs up to 700 ms to find that an instance does not answer.
+/// The peer itself needs up to 700 ms to find that an instance does not answer a probe. It may wait
+/// longer for one that pauses; the answer then counts as missing.
 static constexpr std::chrono::milliseconds peer_timeout{900};
 /// Query parameter with the start of the process that is asked for. Earlier builds ignore it and
 /// answer for whatever process has the id.
