Go on accepting connections after an error

Cause: RESTinio's acceptor starts the next accept only after a successful one, so each of its eight accept operations ends for good at its first error. All servers of a node (callers, peers, readiness, directory, metrics) were built this way.

Connections are now accepted by net::connection_acceptor, which pauses after an error and goes on, and handed to RESTinio's connection factory.

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/net/http_server.h"
 
+#include "connection_acceptor.h"
 #include "metered_socket.h"
 
 #include "camphorlug/net/problem.h"
@@ -79,7 +80,7 @@
   using stream_socket_t = metered_socket;
 };
 
-using server_type = restinio::http_server_t<server_traits>;
+using connection_factory = restinio::impl::connection_factory_t<server_traits>;
 using chunked_builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 template<class Builder>
@@ -290,6 +291,24 @@
   return std::nullopt;
 }
 
+restinio::server_settings_t<server_traits> connection_settings(const server_limits& limits) {
+  restinio::server_settings_t<server_traits> settings;
+  settings.handle_request_timeout(handler_timeout);
+  settings.read_next_http_message_timelimit(limits.idle_timeout);
+  settings.write_http_response_timelimit(write_timeout);
+  // RESTinio keeps reading while another request may be queued, which lets it detect
+  // immediately that a waiting client has closed its connection.
+  settings.max_pipelined_requests(2);
+  settings.incoming_http_msg_limits(
+      restinio::incoming_http_msg_limits_t{}
+          .max_url_size(16 * 1024)
+          .max_field_name_size(16 * 1024)
+          .max_field_value_size(limits.max_header_value_bytes * library_limit_factor)
+          .max_field_count(max_headers * library_limit_factor)
+          .max_body_size(limits.max_body_bytes * library_limit_factor));
+  return settings;
+}
+
 } // namespace
 
 struct http_server::implementation : std::enable_shared_from_this<implementation> {
@@ -297,12 +316,12 @@
   request_handler handler;
   server_limits limits;
   std::shared_ptr<disconnect_callbacks> callbacks = std::make_shared<disconnect_callbacks>();
-  std::unique_ptr<server_type> server;
+  std::unique_ptr<connection_factory> connections;
+  std::shared_ptr<connection_acceptor> acceptor;
   std::size_t in_progress = 0;
   /// The latest request of each connection that has requests in progress.
   std::map<restinio::connection_id_t, std::shared_ptr<request_turn>> latest_turns;
   std::shared_ptr<std::size_t> unwritten_responses = std::make_shared<std::size_t>(0);
-  bool accepting = true;
 
   implementation(asio::io_context& io, request_handler handle, server_limits bounds)
       : context(io), handler(std::move(handle)), limits(bounds) {}
@@ -333,6 +352,20 @@
     return asio::use_service<receive_meters>(context).take(request->remote_endpoint());
   }
 
+  /// Opens a connection that reads requests from `socket`.
+  void open_connection(asio::ip::tcp::socket socket) {
+    asio::error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    if (!error)
+      socket.set_option(asio::ip::tcp::no_delay(true), error);
+    if (!error)
+      socket.set_option(asio::socket_base::keep_alive(true), error);
+    // The client has reset the connection already.
+    if (error)
+      return;
+    connections->create_new_connection(metered_socket(std::move(socket)), peer, {nullptr})->init();
+  }
+
   /// Passes the requests of a connection, which are counted as in progress, to the handler one
   /// after the other. The response to a request may close the connection, and one that follows it
   /// must not be executed then, because it could not be answered.
@@ -396,34 +429,23 @@
                    implementation::handle_request(self, std::move(request), std::move(memory)));
     return restinio::request_accepted();
   };
-  auto configure = [&](auto& settings) {
-    settings.address(host).port(port).request_handler(handle_connection_request);
-    settings.handle_request_timeout(handler_timeout);
-    settings.read_next_http_message_timelimit(limits.idle_timeout);
-    settings.connection_state_listener(implementation_->callbacks);
-    settings.write_http_response_timelimit(write_timeout);
-    settings.concurrent_accepts_count(8);
-    // RESTinio keeps reading while another request may be queued, which lets it detect
-    // immediately that a waiting client has closed its connection.
-    settings.max_pipelined_requests(2);
-    settings.incoming_http_msg_limits(
-        restinio::incoming_http_msg_limits_t{}
-            .max_url_size(16 * 1024)
-            .max_field_name_size(16 * 1024)
-            .max_field_value_size(limits.max_header_value_bytes * library_limit_factor)
-            .max_field_count(max_headers * library_limit_factor)
-            .max_body_size(limits.max_body_bytes * library_limit_factor));
-    settings.acceptor_options_setter(
-        [](auto& options) { options.set_option(asio::ip::tcp::acceptor::reuse_address(true)); });
-    settings.socket_options_setter([](auto& options) {
-      options.set_option(asio::ip::tcp::no_delay(true));
-      options.set_option(asio::socket_base::keep_alive(true));
-    });
-  };
-  implementation_->server =
-      std::make_unique<server_type>(restinio::external_io_context(context), configure);
+  auto settings = connection_settings(limits);
+  settings.request_handler(handle_connection_request);
+  settings.connection_state_listener(implementation_->callbacks);
+  const auto timers = settings.timer_factory()->create(context);
+  implementation_->connections = std::make_unique<connection_factory>(
+      std::make_shared<restinio::impl::connection_settings_t<server_traits>>(
+          settings,
+          restinio::impl::create_parser_settings<typename server_traits::http_methods_mapper_t>(),
+          timers),
+      settings.socket_options_setter());
+  implementation_->acceptor =
+      std::make_shared<connection_acceptor>(context, [weak](asio::ip::tcp::socket socket) {
+        if (const auto self = weak.lock())
+          self->open_connection(std::move(socket));
+      });
   try {
-    implementation_->server->open_sync();
+    implementation_->acceptor->listen({asio::ip::make_address(host), port});
   } catch (const std::exception& error) {
     throw std::runtime_error("cannot listen on " + address + ": " + error.what() +
                              "; choose a free address");
@@ -435,9 +457,7 @@
 }
 
 void http_server::stop_accepting() {
-  if (!std::exchange(implementation_->accepting, false))
-    return;
-  implementation_->server->close_sync();
+  implementation_->acceptor->close();
 }
 
 std::size_t http_server::in_progress() const {
--- a/lib/net/metered_socket.h
+++ b/lib/net/metered_socket.h
@@ -96,7 +96,8 @@
 /// refused and ends.
 class metered_socket : public asio::ip::tcp::socket {
 public:
-  using asio::ip::tcp::socket::socket;
+  explicit metered_socket(asio::ip::tcp::socket accepted)
+      : asio::ip::tcp::socket(std::move(accepted)) {}
   metered_socket(metered_socket&&) = default;
   metered_socket& operator=(metered_socket&&) = default;
 
