Bound the connections that a node keeps

Cause: nothing bounded connections. Idle ones were kept for 300 s, whatever the configuration's idleTimeoutMs, and maxFds was not read.

net::connection_budget counts the connections of all servers of a node, and those with a request in progress twice, because the request needs a connection of its own. Beyond four fifths of the sockets the longest idle ones are closed; if none is idle, callers are refused at once. Callers' connections end at idleTimeoutMs, which leaves those that may be reused (idle for up to four fifths of it) alone.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -93,7 +93,11 @@
   /// Ends the callers' requests that are in progress; called shortly before the process ends.
   void end_requests() { requests_.end_requests(); }
 
-  std::string metrics();
+  /// `gauges` has what the node does not know: the connections of its servers.
+  std::string metrics(gateway::gateway_gauges gauges = {});
+  /// How long the active configuration lets callers' connections be idle; nothing if it sets no
+  /// limit.
+  std::optional<std::chrono::milliseconds> idle_time_limit() const;
 
 private:
   gateway::shutdown_state shutdown();
--- a/include/camphorlug/gateway/gateway_metrics.h
+++ b/include/camphorlug/gateway/gateway_metrics.h
@@ -30,6 +30,15 @@
   /// Members of groups that serve although the members' entries have lapsed.
   std::size_t held_members = 0;
   bool leads = false;
+  /// Connections of clients to this node, those of them that are idle, and the bound of the
+  /// descriptors that they and their calls take; 0 if there is none.
+  std::size_t open_connections = 0;
+  std::size_t idle_connections = 0;
+  std::size_t connection_limit = 0;
+  /// Idle connections that were closed to make room, and connections that were refused.
+  std::uint64_t connections_closed_for_room = 0;
+  std::uint64_t refused_connections = 0;
+  std::uint64_t accept_errors = 0;
 };
 
 /// Counters, histograms and gauges, exported in the Prometheus text format.
--- a/include/camphorlug/gateway/routing_config.h
+++ b/include/camphorlug/gateway/routing_config.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,10 +18,12 @@
 
 namespace camphorlug::gateway {
 
-/// Size limits for callers' requests.
+/// Limits for callers' requests and connections.
 struct request_limits {
   std::size_t header_bytes = 16 * 1024;
   std::size_t body_bytes = 4 * 1024 * 1024;
+  /// How long a connection may be idle; nothing if there is no limit.
+  std::optional<std::chrono::milliseconds> idle_time;
 };
 
 /// One version of the operators' configuration.
--- a/include/camphorlug/net/curl_client.h
+++ b/include/camphorlug/net/curl_client.h
@@ -16,6 +16,9 @@
 
   std::unique_ptr<http_exchange> open(client_request request) override;
 
+  /// Keeps at most this many idle connections for reuse.
+  void limit_idle_connections(std::size_t limit);
+
   class driver;
 
 private:
--- a/include/camphorlug/net/http_server.h
+++ b/include/camphorlug/net/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "camphorlug/net/connection_budget.h"
 #include "camphorlug/net/response_writer.h"
 #include "camphorlug/net/server_request.h"
 #include "camphorlug/support/memory_budget.h"
@@ -7,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,6 +23,10 @@
   /// Bounds what all connections of the servers on one context have received of requests that are
   /// not complete or not answered; nullptr if there is no bound.
   support::memory_budget* receiving = nullptr;
+  /// Bounds the connections of all servers that share it, and must outlive `context`; nullptr if
+  /// there is no bound. Its idle limit and its refusals concern the connections of callers only.
+  connection_budget* connections = nullptr;
+  bool serves_callers = false;
   /// Header by which the log names requests that were not received completely; empty if none.
   std::string request_id_header = {};
 };
@@ -46,6 +52,9 @@
   /// Returns how many of these responses are complete but not yet written.
   std::size_t unwritten_responses() const;
 
+  /// Returns the number of accept operations that have failed.
+  std::uint64_t accept_errors() const;
+
   /// Returns the number of requests of which only a part has arrived. They are counted if
   /// `server_limits::receiving` is set.
   std::size_t receiving() const;
--- a/lib/configuration/config_comparison.cpp
+++ b/lib/configuration/config_comparison.cpp
@@ -34,6 +34,9 @@
   static std::string to_text(std::chrono::milliseconds duration) {
     return std::to_string(duration.count()) + " ms";
   }
+  static std::string to_text(const std::optional<std::chrono::milliseconds>& limit) {
+    return limit ? to_text(*limit) : "unlimited";
+  }
   static std::string to_text(bool flag) { return flag ? "yes" : "no"; }
   static std::string to_text(const std::string& text) { return text; }
   static std::string to_text(request_kind kind) {
@@ -78,6 +81,7 @@
   entry_changes changes(all, "limits");
   changes.compare("header bytes", before.limits.header_bytes, after.limits.header_bytes);
   changes.compare("body bytes", before.limits.body_bytes, after.limits.body_bytes);
+  changes.compare("idle time", before.limits.idle_time, after.limits.idle_time);
 }
 
 void compare_engines(const service_spec& before, const service_spec& after,
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -895,8 +895,11 @@
   phase_ = gateway::shutdown_phase::closing;
 }
 
-std::string edge_node::metrics() {
-  gateway::gateway_gauges gauges;
+std::optional<std::chrono::milliseconds> edge_node::idle_time_limit() const {
+  return config_.current() ? config_.current()->limits.idle_time : std::nullopt;
+}
+
+std::string edge_node::metrics(gateway::gateway_gauges gauges) {
   gauges.waiting_requests = slot_queue_.waiting();
   gauges.scheduled_requests = scheduler_service_.waiting();
   gauges.known_targets = registry_.all().size();
--- a/lib/gateway/gateway_metrics.cpp
+++ b/lib/gateway/gateway_metrics.cpp
@@ -129,6 +129,12 @@
   set("memory_denials", static_cast<double>(gauges.memory_denials));
   set("held_members", static_cast<double>(gauges.held_members));
   set("leads", gauges.leads ? 1 : 0);
+  set("open_connections", static_cast<double>(gauges.open_connections));
+  set("idle_connections", static_cast<double>(gauges.idle_connections));
+  set("connection_limit", static_cast<double>(gauges.connection_limit));
+  set("connections_closed_for_room", static_cast<double>(gauges.connections_closed_for_room));
+  set("refused_connections", static_cast<double>(gauges.refused_connections));
+  set("accept_errors", static_cast<double>(gauges.accept_errors));
   return prometheus::TextSerializer().Serialize(implementation_->registry.Collect());
 }
 
--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -7,6 +7,7 @@
 #include "camphorlug/support/log_throttle.h"
 #include "camphorlug/support/notification.h"
 
+#include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
@@ -60,6 +61,10 @@
 
   ~driver() { curl_multi_cleanup(multi_); }
 
+  void limit_idle_connections(std::size_t limit) {
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, static_cast<long>(limit));
+  }
+
   void add(CURL* easy) { curl_multi_add_handle(multi_, easy); }
   void remove(CURL* easy) { curl_multi_remove_handle(multi_, easy); }
 
@@ -461,6 +466,10 @@
 
 curl_client::~curl_client() = default;
 
+void curl_client::limit_idle_connections(std::size_t limit) {
+  driver_->limit_idle_connections(std::min(limit, static_cast<std::size_t>(max_idle_connections)));
+}
+
 std::unique_ptr<http_exchange> curl_client::open(client_request request) {
   return std::make_unique<curl_exchange>(driver_, time_, std::move(request));
 }
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -26,6 +26,9 @@
 /// response.
 static constexpr std::size_t library_limit_factor = 16;
 
+/// Closed connections are forgotten once in so many new ones.
+static constexpr std::size_t clean_up_interval = 256;
+
 static constexpr std::chrono::hours handler_timeout{24};
 static constexpr std::chrono::seconds write_timeout{20};
 
@@ -318,6 +321,7 @@
   std::shared_ptr<disconnect_callbacks> callbacks = std::make_shared<disconnect_callbacks>();
   std::unique_ptr<connection_factory> connections;
   std::shared_ptr<connection_acceptor> acceptor;
+  std::map<restinio::connection_id_t, std::weak_ptr<open_connection>> counted_connections;
   std::size_t in_progress = 0;
   /// The latest request of each connection that has requests in progress.
   std::map<restinio::connection_id_t, std::shared_ptr<request_turn>> latest_turns;
@@ -345,6 +349,8 @@
     if (const auto on_end = std::exchange(turn.on_end, nullptr))
       on_end();
     --in_progress;
+    if (const auto counted = counted_connection(connection))
+      counted->end_request();
   }
 
   /// Returns the memory that the request takes, which has been received completely.
@@ -353,7 +359,7 @@
   }
 
   /// Opens a connection that reads requests from `socket`.
-  void open_connection(asio::ip::tcp::socket socket) {
+  void serve_connection(asio::ip::tcp::socket socket) {
     asio::error_code error;
     const auto peer = socket.remote_endpoint(error);
     if (!error)
@@ -363,7 +369,37 @@
     // The client has reset the connection already.
     if (error)
       return;
-    connections->create_new_connection(metered_socket(std::move(socket)), peer, {nullptr})->init();
+    if (limits.connections && !limits.connections->make_room() && limits.serves_callers) {
+      limits.connections->count_refusal();
+      metered_socket::write_refusal(socket);
+      return;
+    }
+    const auto counted =
+        limits.connections
+            ? std::make_shared<open_connection>(*limits.connections, limits.serves_callers)
+            : nullptr;
+    const auto connection = connections->create_new_connection(
+        metered_socket(std::move(socket), counted), peer, {nullptr});
+    if (counted) {
+      if (connection->connection_id() % clean_up_interval == 0)
+        std::erase_if(counted_connections, [](const auto& each) { return each.second.expired(); });
+      counted_connections.emplace(connection->connection_id(), counted);
+    }
+    connection->init();
+  }
+
+  /// Returns nullptr if the connection is closed or nothing counts it.
+  std::shared_ptr<open_connection> counted_connection(restinio::connection_id_t id) const {
+    const auto found = counted_connections.find(id);
+    return found == counted_connections.end() ? nullptr : found->second.lock();
+  }
+
+  /// Counts a request that has arrived. It is counted before its coroutine starts, so that a
+  /// request is always either arriving or in progress.
+  void begin_request(restinio::connection_id_t connection) {
+    ++in_progress;
+    if (const auto counted = counted_connection(connection))
+      counted->begin_request();
   }
 
   /// Passes the requests of a connection, which are counted as in progress, to the handler one
@@ -422,9 +458,7 @@
     if (!self)
       return restinio::request_rejected();
     support::memory_budget::charge memory = self->take_memory(request);
-    // Counted before the coroutine starts, so that a request is always either arriving or in
-    // progress.
-    ++self->in_progress;
+    self->begin_request(request->connection_id());
     support::spawn(self->context.get_executor(), "request",
                    implementation::handle_request(self, std::move(request), std::move(memory)));
     return restinio::request_accepted();
@@ -442,7 +476,7 @@
   implementation_->acceptor =
       std::make_shared<connection_acceptor>(context, [weak](asio::ip::tcp::socket socket) {
         if (const auto self = weak.lock())
-          self->open_connection(std::move(socket));
+          self->serve_connection(std::move(socket));
       });
   try {
     implementation_->acceptor->listen({asio::ip::make_address(host), port});
@@ -464,6 +498,10 @@
   return implementation_->in_progress;
 }
 
+std::uint64_t http_server::accept_errors() const {
+  return implementation_->acceptor->errors();
+}
+
 std::size_t http_server::receiving() const {
   return asio::use_service<receive_meters>(implementation_->context).incomplete().size();
 }
--- a/lib/net/metered_socket.cpp
+++ b/lib/net/metered_socket.cpp
@@ -134,18 +134,21 @@
 }
 
 void metered_socket::refuse() {
-  static constexpr std::string_view refusal = "HTTP/1.1 503 Request Refused\r\nRetry-After: 1\r\n"
-                                              "Connection: close\r\nContent-Length: 0\r\n\r\n";
   support::log_event(support::log_level::warning, "request_not_read",
                      {{"peer", meter_->peer},
                       {"received", std::to_string(meter_->received)},
                       {"announced", std::to_string(meter_->announced)}});
   // A response to an earlier request may not be complete.
-  if (meter_->has_received_request)
-    return;
+  if (!meter_->has_received_request)
+    write_refusal(*this);
+}
+
+void metered_socket::write_refusal(asio::ip::tcp::socket& socket) {
+  static constexpr std::string_view refusal = "HTTP/1.1 503 Request Refused\r\nRetry-After: 1\r\n"
+                                              "Connection: close\r\nContent-Length: 0\r\n\r\n";
   asio::error_code ignored;
-  non_blocking(true, ignored);
-  write_some(asio::buffer(refusal.data(), refusal.size()), ignored);
+  socket.non_blocking(true, ignored);
+  socket.write_some(asio::buffer(refusal.data(), refusal.size()), ignored);
 }
 
 } // namespace camphorlug::net
--- a/lib/net/metered_socket.h
+++ b/lib/net/metered_socket.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "open_connection.h"
+
 #include "camphorlug/support/memory_budget.h"
 
 #include <asio/execution_context.hpp>
@@ -96,8 +98,10 @@
 /// refused and ends.
 class metered_socket : public asio::ip::tcp::socket {
 public:
-  explicit metered_socket(asio::ip::tcp::socket accepted)
-      : asio::ip::tcp::socket(std::move(accepted)) {}
+  /// `connection` is nullptr if nothing counts the connections of the server.
+  explicit metered_socket(asio::ip::tcp::socket accepted,
+                          std::shared_ptr<open_connection> connection)
+      : asio::ip::tcp::socket(std::move(accepted)), connection_(std::move(connection)) {}
   metered_socket(metered_socket&&) = default;
   metered_socket& operator=(metered_socket&&) = default;
 
@@ -106,6 +110,35 @@
 
   template<class Buffer, class Handler>
   void async_read_some(const Buffer& buffer, Handler handler) {
+    if (!connection_) {
+      read_metered(buffer, std::move(handler));
+      return;
+    }
+    connection_->begin_read(*this);
+    auto end_read = [connection = connection_, handler = std::move(handler)](
+                        const asio::error_code& error, std::size_t length) mutable {
+      connection->end_read(length);
+      // RESTinio closes the connection after any error but a cancelled read.
+      handler(connection->was_closed() ? asio::error::make_error_code(asio::error::timed_out)
+                                       : error,
+              length);
+    };
+    read_metered(buffer, std::move(end_read));
+  }
+
+  /// Answers, as far as the connection takes it at once, that no request was read from it and none
+  /// will run.
+  static void write_refusal(asio::ip::tcp::socket& socket);
+
+private:
+  using time_point = receive_meter::time_point;
+
+  /// Callers wait this long for the memory that their message needs.
+  static constexpr std::chrono::milliseconds max_wait{2000};
+  static constexpr std::chrono::milliseconds poll_interval{20};
+
+  template<class Buffer, class Handler>
+  void read_metered(const Buffer& buffer, Handler handler) {
     if (!meter_ && !is_unlimited_)
       open_meter();
     if (!meter_)
@@ -116,13 +149,6 @@
       read_later(buffer, std::move(handler), std::chrono::steady_clock::now() + max_wait);
   }
 
-private:
-  using time_point = receive_meter::time_point;
-
-  /// Callers wait this long for the memory that their message needs.
-  static constexpr std::chrono::milliseconds max_wait{2000};
-  static constexpr std::chrono::milliseconds poll_interval{20};
-
   static asio::error_code no_memory() { return asio::error::no_buffer_space; }
 
   void open_meter();
@@ -161,6 +187,7 @@
         });
   }
 
+  std::shared_ptr<open_connection> connection_;
   std::shared_ptr<receive_meter> meter_;
   bool is_unlimited_ = false;
 };
--- a/tests/process/platform_cluster.py
+++ b/tests/process/platform_cluster.py
@@ -138,8 +138,9 @@
             gateway.write_settings()
             gateway.start()
 
-    def set_config(self, routes):
-        return self.standins.run_coroutine(self.standins.set_config(routes, SERVICES, TENANTS))
+    def set_config(self, routes, **limits):
+        return self.standins.run_coroutine(
+            self.standins.set_config(routes, SERVICES, TENANTS, **limits))
 
     def close(self):
         for gateway in self.gateways:
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -627,6 +628,83 @@
         self.check_others_are_served()
 
 
+class ConnectionTests(PlatformTest):
+    """Callers that open a connection for each request and keep it."""
+
+    DESCRIPTORS = 400
+    CALLERS = 500
+
+    def setUp(self):
+        self.gateway = cluster.gateways[1]
+        self.connections = []
+
+    def tearDown(self):
+        for connection in self.connections:
+            connection.close()
+        cluster.set_config(ROUTES)
+        self.gateway.kill()
+        super().tearDown()
+
+    def call(self, connection):
+        """Returns the status, or nothing if the gateway has closed the connection."""
+        try:
+            connection.request("POST", "/read/x", body="x", headers={
+                "Host": "shop.example", "Authorization": "Bearer key-1",
+                "X-Request-Id": cluster.next_id(), "X-Deadline-Ms": "6000"})
+            response = connection.getresponse()
+            response.read()
+            return response.status
+        except OSError:
+            return None
+
+    def connect(self):
+        connection = http.client.HTTPConnection(self.gateway.addresses["http"], timeout=10)
+        # A closed connection is not opened again.
+        connection.auto_open = 0
+        connection.connect()
+        self.connections.append(connection)
+        return connection
+
+    def metric(self, name):
+        text = get(f"127.0.0.1:{self.gateway.metrics_port}", "/metrics").body.decode()
+        return next(float(line.split()[-1]) for line in text.splitlines()
+                    if f'value="{name}"' in line)
+
+    def test_more_idle_connections_than_descriptors_leave_a_node_serving(self):
+        # Guards against a node that has no descriptors left for new callers and its own calls.
+        self.gateway.kill()
+        self.gateway.write_settings(limits={"maxFds": self.DESCRIPTORS})
+        self.gateway.start()
+        cluster.wait_for_groups()
+        resource.prlimit(self.gateway.process.pid, resource.RLIMIT_NOFILE,
+                         (self.DESCRIPTORS, self.DESCRIPTORS))
+        for _ in range(self.CALLERS):
+            self.assertEqual(self.call(self.connect()), 200)
+        self.assertEqual(self.call(self.connections[-1]), 200)
+        self.assertGreater(self.metric("connections_closed_for_room"), 0)
+        self.assertEqual(self.metric("refused_connections"), 0)
+        self.assertEqual(self.metric("accept_errors"), 0)
+        self.assertLessEqual(self.metric("open_connections"), self.metric("connection_limit"))
+
+    def test_idle_connections_end_at_the_limit_of_the_configuration(self):
+        cluster.set_config(ROUTES, idleTimeoutMs=2000)
+        idle, used = self.connect(), self.connect()
+        wait_until(lambda: self.call(used) == 200 and
+                   self.gateway.state()["config"]["version"] == cluster.standins.versions,
+                   "the limit is in force")
+        self.assertEqual(self.call(idle), 200)
+        for _ in range(8):
+            time.sleep(0.2)
+            self.assertEqual(self.call(used), 200)
+        self.assertGreater(self.metric("idle_connections"), 0)
+        ended = threading.Thread(target=lambda: idle.sock.recv(1))
+        ended.start()
+        while ended.is_alive():
+            self.assertEqual(self.call(used), 200)
+            ended.join(timeout=0.2)
+        self.assertIsNone(self.call(idle))
+
+
 class OperatorTests(PlatformTest):
     def change_settings(self, gateway, **changes):
         before = len(gateway.log_lines("settings_reloaded")) + len(
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -455,13 +455,13 @@
                     await self.store.write([], [("servers", identity)])
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def set_config(self, routes, services, tenants):
+    async def set_config(self, routes, services, tenants, **limits):
         self.versions += 3
         self.idempotent_prefixes = {route["pathPrefix"]: route["kind"] != "non_idempotent"
                                     for route in routes}
         await self.store.put("op", "config", {
             "version": self.versions, "routes": routes, "services": services, "tenants": tenants,
-            "limits": {"maxHeaderBytes": 16000, "maxBodyBytes": 1000000}})
+            "limits": {"maxHeaderBytes": 16000, "maxBodyBytes": 1000000, **limits}})
         return self.versions
 
     def group_makes_progress(self, head):
--- a/unittests/platform/row_decoder_test.cpp
+++ b/unittests/platform/row_decoder_test.cpp
@@ -44,6 +44,20 @@
     "tenants":[{"name":"org","apiKeys":["k1","k2"],"priority":3}]})");
 }
 
+struct idle_value {
+  const char* value;
+  /// 0 if there is no limit.
+  std::int64_t milliseconds;
+};
+
+std::ostream& operator<<(std::ostream& out, const idle_value& each) {
+  return out << each.value;
+}
+
+const idle_value idle_values[] = {
+    {"15000", 15'000}, {"1500.5", 1500}, {"0", 0}, {"-1", 0}, {"1e30", 86'400'000},
+};
+
 /// A field value that makes a target entry unusable.
 struct invalid_field_value {
   const char* field;
@@ -169,6 +183,14 @@
   BOOST_TEST(config->keys.at("k2").priority.value_or(0) == 3);
 }
 
+BOOST_DATA_TEST_CASE(idle_limit_is_read_if_it_is_a_time, data::make(idle_values), each) {
+  json config = valid_config();
+  config["limits"]["idleTimeoutMs"] = json::parse(each.value);
+  const auto read = decoder.read_config(config.dump());
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->limits.idle_time.value_or(0ms).count() == each.milliseconds);
+}
+
 BOOST_DATA_TEST_CASE(homes_are_read_or_allow_nothing, data::make(home_values), each) {
   for (const bool of_route : {true, false}) {
     json config = valid_config();
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -58,6 +58,7 @@
     {"zone: \"east\"\n", "zone: [\n", "YAML"},
     {"later: 7\n", "zones: [east]\n", "zones"},
     {"later: 7\n", "limits: {memoryMb: much}\n", "limits.memoryMb"},
+    {"later: 7\n", "limits: {maxFds: many}\n", "limits.maxFds"},
 };
 
 std::string apply_edit(const settings_edit& edit) {
@@ -109,6 +110,25 @@
     {"limits: {memoryMb: 1e30}", 1024 * 1024},
 };
 
+struct descriptor_value {
+  const char* text;
+  std::size_t sockets;
+};
+
+std::ostream& operator<<(std::ostream& out, const descriptor_value& each) {
+  return out << each.text;
+}
+
+const descriptor_value descriptor_values[] = {
+    {"later: 8", 0},
+    {"limits: {maxFds: 4200}", 4000},
+    {"limits: {maxFds: null}", 0},
+    {"limits: {maxFds: 0}", 100},
+    {"limits: {maxFds: -5}", 100},
+    {"limits: {maxFds: .nan}", 100},
+    {"limits: {maxFds: 1e30}", 1024 * 1024 - 200},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(all_settings_are_read) {
@@ -131,6 +151,11 @@
   BOOST_TEST(settings.node.memory_bytes == each.mebibytes * 1024 * 1024);
 }
 
+BOOST_DATA_TEST_CASE(files_take_part_of_the_descriptors, data::make(descriptor_values), each) {
+  const auto settings = platform::read_settings(apply_edit({"later: 7", each.text, ""}));
+  BOOST_TEST(settings.max_sockets == each.sockets);
+}
+
 BOOST_AUTO_TEST_CASE(regions_of_zones_are_read) {
   const gateway::region_map both{{"east", "a"}, {"west", "b"}};
   const auto read = [](const char* text) {
