Pass no target's failure on as a promise that it did not run

Cause: a target's 503 without X-Not-Run was passed on as it came, and its 408 and 429 counted as answers. Callers read these statuses as a promise that the request has not run; the target has made none.

--- a/include/camphorlug/gateway/target_response.h
+++ b/include/camphorlug/gateway/target_response.h
@@ -12,6 +12,8 @@
   net::header_list forwarded_headers;
   /// The target states that it did not execute the request and never will.
   bool not_run = false;
+  /// Callers take the status for such a statement, whether or not the target has made it.
+  bool reads_as_not_run = false;
   /// Another instance now uses the address.
   bool wrong_instance = false;
   /// The response belongs to this request and has all required headers.
--- a/lib/gateway/request_forwarder.cpp
+++ b/lib/gateway/request_forwarder.cpp
@@ -595,9 +595,15 @@
 }
 
 void request_forwarder::send_target_failure() {
-  writer_.send(target_failure_->status, with_connection_header(target_failure_->forwarded_headers),
-               std::move(target_failure_body_));
-  record_outcome("failed", "target response " + std::to_string(target_failure_->status));
+  const int status = target_failure_->status;
+  // The target has not stated that it did not run the request, so its caller must not read that.
+  if (target_failure_->reads_as_not_run)
+    send_local_response(
+        502, "a target may have run the request and answered " + std::to_string(status), {});
+  else
+    writer_.send(status, with_connection_header(target_failure_->forwarded_headers),
+                 std::move(target_failure_body_));
+  record_outcome("failed", "target response " + std::to_string(status));
 }
 
 void request_forwarder::finish_failed_request(attempt_result last) {
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -318,7 +318,8 @@
   // A stream that has begun, here or at an earlier request of its caller, cannot become a failure,
   // whatever the status of a resumed run.
   const bool has_begun = is_stream() && begin_.position.last_event_id.has_value();
-  if (!response_.success() && (response_.status >= 500 || has_begun)) {
+  if (!response_.success() &&
+      (response_.status >= 500 || response_.reads_as_not_run || has_begun)) {
     failure_ += " (failed " + std::to_string(response_.status) + ")";
     co_return attempt_result::failed;
   }
--- a/unittests/fakes/minimal_protocol.cpp
+++ b/unittests/fakes/minimal_protocol.cpp
@@ -54,6 +54,8 @@
   answer.status = head.status;
   answer.not_run = head.headers.find("Not-Run").has_value();
   answer.wrong_instance = head.status == 421;
+  answer.reads_as_not_run =
+      head.status == 408 || head.status == 421 || head.status == 429 || head.status == 503;
   answer.valid = head.headers.find("Id") == request.id || answer.not_run || answer.wrong_instance;
   answer.notice.leaving = head.headers.find("Leaving").has_value();
   if (const auto pause = head.headers.find("Pause-Ms"))
