--- a/include/camphorlug/net/percent_encoding.h
+++ b/include/camphorlug/net/percent_encoding.h
@@ -9,4 +9,7 @@
 /// bytes but the unreserved ones become `%XX`.
 std::string percent_encode(std::string_view bytes);
 
+/// Reverses `percent_encode`. A `%` without two hexadecimal digits stands for itself.
+std::string percent_decode(std::string_view text);
+
 } // namespace camphorlug::net
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/edge/assisted_prober.h"
 
+#include "camphorlug/net/percent_encoding.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 
@@ -24,7 +25,7 @@
   const bool hears_others = co_await hears_targets_since(start);
   if (hears_others)
     co_return false;
-  co_return co_await ask_peer(std::string(probe_prefix) + id);
+  co_return co_await ask_peer(std::string(probe_prefix) + net::percent_encode(id));
 }
 
 support::task<replicas::report_result> assisted_prober::report(gateway::target_entry entry) {
@@ -33,8 +34,8 @@
 
 support::task<bool> assisted_prober::is_running(gateway::target_entry entry) {
   if (paths_.has_lost(entry.service)) {
-    std::string target = std::string(probe_prefix) + entry.id + "?" + start_parameter + "=" +
-                         std::to_string(entry.started_at_ms);
+    std::string target = std::string(probe_prefix) + net::percent_encode(entry.id) + "?" +
+                         start_parameter + "=" + std::to_string(entry.started_at_ms);
     co_return co_await ask_peer(std::move(target));
   }
   co_return co_await prober_.is_running(std::move(entry));
@@ -75,7 +76,8 @@
 support::task<> assisted_prober::handle(net::server_request request,
                                         const gateway::target_registry& registry,
                                         net::response_writer& writer) {
-  const gateway::target_entry* entry = registry.find(request.path.substr(probe_prefix.size()));
+  const gateway::target_entry* entry =
+      registry.find(net::percent_decode(request.path.substr(probe_prefix.size())));
   bool is_alive = false;
   if (entry) {
     gateway::target_entry asked = *entry;
--- a/lib/gateway/relay_path.cpp
+++ b/lib/gateway/relay_path.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/gateway/relay_path.h"
 
+#include "camphorlug/net/percent_encoding.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -11,7 +13,7 @@
 std::string to_relay_path(const relay_parameters& parameters) {
   const bool is_fresh = parameters.connection == net::connection_use::fresh;
   std::string path(relay_prefix);
-  path += parameters.address + "/" + parameters.start.target + "/" +
+  path += parameters.address + "/" + net::percent_encode(parameters.start.target) + "/" +
           std::to_string(parameters.start.started_at_ms) + "/" + parameters.method + "/";
   path += is_fresh ? fresh_connection : pooled_connection;
   path += "/" + std::to_string(parameters.time_left.count());
@@ -37,7 +39,7 @@
   std::string_view rest = path_and_query.substr(relay_prefix.size());
   relay_parameters read;
   read.address = take_segment(rest);
-  read.start.target = take_segment(rest);
+  read.start.target = net::percent_decode(take_segment(rest));
   const std::string_view started_at = take_segment(rest);
   read.method = take_segment(rest);
   const std::string_view connection = take_segment(rest);
--- a/lib/net/percent_encoding.cpp
+++ b/lib/net/percent_encoding.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/net/percent_encoding.h"
 
+#include <charconv>
+
 namespace camphorlug::net {
 
 static bool is_unreserved(char byte) {
@@ -24,4 +26,19 @@
   return encoded;
 }
 
+std::string percent_decode(std::string_view text) {
+  std::string decoded;
+  while (!text.empty()) {
+    const std::string_view digits = text.substr(1, 2);
+    unsigned value = 0;
+    const auto [rest, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    const bool is_encoded = text.front() == '%' && digits.size() == 2 && error == std::errc() &&
+                            rest == digits.data() + digits.size();
+    decoded += is_encoded ? static_cast<char>(value) : text.front();
+    text.remove_prefix(is_encoded ? 3 : 1);
+  }
+  return decoded;
+}
+
 } // namespace camphorlug::net
--- a/unittests/gateway/relay_path_test.cpp
+++ b/unittests/gateway/relay_path_test.cpp
@@ -12,6 +12,7 @@
 static const std::vector<relay_parameters> valid = {
     {{"i-1", 17}, "127.0.0.1:80", "GET", net::connection_use::pooled, 4000ms, "/"},
     {{"i-2", 0}, "10.0.0.1:8040", "POST", net::connection_use::fresh, 1ms, "/a/b%2Fc/?q=/x&y=%20"},
+    {{"i/4 %41?#", 5}, "10.0.0.1:8040", "GET", net::connection_use::pooled, 20ms, "/x"},
     {{"i-3", -1}, "10.0.0.1:8040", "PUT", net::connection_use::fresh, 20ms, "//double//slash"},
 };
 
--- a/unittests/platform/row_decoder_test.cpp
+++ b/unittests/platform/row_decoder_test.cpp
@@ -72,6 +72,18 @@
     {"backend", "null"},
     {"backend", "7"},
     {"address", "[]"},
+    {"address", "\"\""},
+    {"address", "\"10.0.0.9\""},
+    {"address", "\":80\""},
+    {"address", "\"10.0.0.9:\""},
+    {"address", "\"10.0.0.9:eighty\""},
+    {"address", "\"10.0.0.9:123456\""},
+    {"address", "\"10.0.0.9:80/evil?\""},
+    {"address", "\"evil/:80\""},
+    {"address", "\"user@10.0.0.9:80\""},
+    {"address", "\"10.0.0.9 :80\""},
+    {"address", "\"10.0.0.9:80\\r\\nX: y\""},
+    {"address", "\"[]:80\""},
     {"zone", "null"},
     {"state", "\"up\""},
     {"state", "1"},
@@ -140,6 +152,16 @@
   BOOST_TEST((entry->membership->state == gateway::membership_state::ready));
 }
 
+// Guards against entries of another writer whose key spoils the requests that name it.
+BOOST_DATA_TEST_CASE(target_whose_id_fits_in_no_request_is_rejected,
+                     data::make({"", "i 1", "i\t1", "i1\r\nX: y", "i\x7f", "\xc3\xa4"}), id) {
+  BOOST_TEST(!decoder.read_target(id, valid_entry().dump()));
+}
+
+BOOST_DATA_TEST_CASE(unusual_ids_are_usable, data::make({"i/1", "i%2F", "i?x", "#", "a.b:c"}), id) {
+  BOOST_TEST(decoder.read_target(id, valid_entry().dump()).has_value());
+}
+
 BOOST_DATA_TEST_CASE(invalid_target_entry_is_rejected, data::make(invalid_field_values), each) {
   json entry = valid_entry();
   entry[each.field] = json::parse(each.value);
