Refuse requests whose header fields are malformed, and send none

Callers would see: a field name that holds a blank ("X-Name : a") was taken by the server and forwarded, where it is no HTTP; a value with CR LF in what a node sends (an id of another writer's entry, an organisation's name) added fields to a request or split it.

The server answers 400 to requests whose names are no tokens or whose values hold control characters; RESTinio closes the connection for most of these, but accepts blanks in names. The client sends no request with such fields.

--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -181,6 +181,10 @@
                 client_request request)
       : driver_(std::move(driver)), time_(time), request_(std::move(request)),
         update_notification_(time), easy_(curl_easy_init()) {
+    if (!has_valid_headers(request_)) {
+      finish(CURLE_URL_MALFORMAT);
+      return;
+    }
     set_request();
     set_connection();
     set_callbacks();
@@ -225,6 +229,12 @@
   }
 
 private:
+  static bool has_valid_headers(const client_request& request) {
+    return std::all_of(request.headers.begin(), request.headers.end(), [](const header& each) {
+      return is_token(each.name) && is_field_value(each.value);
+    });
+  }
+
   /// Waits until the response goes on or ends. Throws transport_error.
   support::task<> wait_for_more(std::chrono::nanoseconds timeout, const char* timeout_reason) {
     if (finished_)
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "connection_acceptor.h"
 #include "metered_socket.h"
 
+#include "camphorlug/net/header_syntax.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/support/log.h"
 
@@ -278,13 +279,16 @@
   return copy;
 }
 
-std::optional<problem> check_limits(const server_request& request, const server_limits& limits) {
+std::optional<problem> check_request(const server_request& request, const server_limits& limits) {
   if (request.body.size() > limits.max_body_bytes)
     return problem{413, "body-too-large",
                    "the body has " + std::to_string(request.body.size()) + " bytes; at most " +
                        std::to_string(limits.max_body_bytes) + " are taken"};
   std::size_t count = 0;
   for (const header& entry : request.headers) {
+    // RESTinio accepts blanks in names, which other servers read differently.
+    if (!is_token(entry.name) || !is_field_value(entry.value))
+      return problem{400, "malformed-header", "a header field is malformed"};
     if (++count > max_headers || entry.value.size() > limits.max_header_value_bytes)
       return problem{431, "headers-too-large",
                      "at most " + std::to_string(max_headers) + " headers of at most " +
@@ -423,7 +427,7 @@
     server_request request = to_server_request(handle);
     std::exception_ptr failure;
     try {
-      if (const auto refused = check_limits(request, self->limits))
+      if (const auto refused = check_request(request, self->limits))
         send_problem(writer, *refused);
       else
         co_await self->handler(std::move(request), writer);
