Let no byte of a caller or target end an exchange between nodes

nlohmann::json throws by default when it serializes other bytes. All messages to peers, schedulers, targets and the store now go through support::to_json_text, which replaces them by U+FFFD.

--- a/lib/edge/fleet_trial_permits.cpp
+++ b/lib/edge/fleet_trial_permits.cpp
@@ -4,6 +4,7 @@
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/routing/rendezvous.h"
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/support/log.h"
 
 #include <charconv>
@@ -142,7 +143,7 @@
     trials_.record(*id, *node, *told);
   else
     answer["answer"] = name_of(answer_names, trials_.ask(*id, *node, crashes));
-  net::send_json(writer, 200, answer.dump());
+  net::send_json(writer, 200, support::to_json_text(answer));
 }
 
 } // namespace camphorlug::edge
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/gateway/crash_evidence.h"
 
 #include "camphorlug/gateway/request_identity.h"
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/support/unknown_fields.h"
 
@@ -238,7 +239,7 @@
     list.push_back({start.target, start.started_at_ms, record.service, age.count(), suspects});
     support::write_unknown_elements(list.back(), record.unknown_elements);
   }
-  return list.dump();
+  return support::to_json_text(list);
 }
 
 static record_entry read_entry(const nlohmann::json& entry, support::clock::time_point now) {
--- a/lib/gateway/fleet_message.cpp
+++ b/lib/gateway/fleet_message.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/gateway/fleet_message.h"
 
+#include "camphorlug/support/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::gateway {
@@ -60,7 +62,7 @@
     value["sec"] = to_list(sections);
   for (const auto& [owner, age] : owners)
     value["own"][owner] = age.count();
-  return value.dump();
+  return support::to_json_text(value);
 }
 
 fleet_message fleet_message::from_json(const std::string& text) {
--- a/lib/net/problem.cpp
+++ b/lib/net/problem.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/net/problem.h"
 
+#include "camphorlug/support/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace camphorlug::net {
@@ -10,8 +12,7 @@
   body["status"] = error.status;
   body["detail"] = error.detail;
   extra.add("Content-Type", "application/problem+json");
-  writer.send(error.status, std::move(extra),
-              body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+  writer.send(error.status, std::move(extra), support::to_json_text(body) + "\n");
 }
 
 void send_json(response_writer& writer, int status, std::string body) {
--- a/lib/node/entry_points.cpp
+++ b/lib/node/entry_points.cpp
@@ -1,5 +1,7 @@
 #include "camphorlug/node/entry_points.h"
 
+#include "camphorlug/support/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -30,7 +32,7 @@
   for (const entry_point& each : entries)
     body["entries"].push_back({{"address", each.address}, {"data_centre", each.data_centre}});
   body["valid_for_ms"] = valid_for.count();
-  return body.dump() + "\n";
+  return support::to_json_text(body) + "\n";
 }
 
 } // namespace camphorlug::node
--- a/lib/requests/buffered_response_sink.cpp
+++ b/lib/requests/buffered_response_sink.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorlug/net/problem.h"
 #include "camphorlug/requests/outcome_response.h"
+#include "camphorlug/support/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +32,7 @@
   body["model"] = last.value("model", "");
   body["choices"] = nlohmann::json::array({choice});
   body["usage"] = {{"completion_tokens", tokens_}};
-  net::send_json(writer_, 200, body.dump() + "\n");
+  net::send_json(writer_, 200, support::to_json_text(body) + "\n");
   co_return;
 }
 
--- a/lib/requests/stream_relay.cpp
+++ b/lib/requests/stream_relay.cpp
@@ -4,6 +4,7 @@
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/requests/outcome_response.h"
 #include "camphorlug/support/digest.h"
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
@@ -109,7 +110,7 @@
   body["stream"] = true;
   if (fetch_mode_ == fetch_mode::continue_text)
     body["continue"] = {{"text", text_}, {"tokens", next_index_}};
-  return body.dump();
+  return support::to_json_text(body);
 }
 
 net::client_request stream_relay::make_request() const {
--- a/lib/scheduling/scheduler_message.cpp
+++ b/lib/scheduling/scheduler_message.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/scheduling/scheduler_message.h"
 
 #include "camphorlug/scheduling/fair_order.h"
+#include "camphorlug/support/json_text.h"
 
 #include <algorithm>
 #include <map>
@@ -46,7 +47,7 @@
                     {"w", wait.count()},     {"t", ask->prompt_tokens},
                     {"x", ask->avoided}};
   }
-  return value.dump();
+  return support::to_json_text(value);
 }
 
 scheduler_message scheduler_message::from_json(const std::string& text,
@@ -85,7 +86,7 @@
     value["t"] = answer.target.id;
   else if (answer.result == gateway::scheduled_slot::outcome::refused)
     value["wait"] = std::chrono::duration_cast<milliseconds>(answer.retry_after).count();
-  return value.dump();
+  return support::to_json_text(value);
 }
 
 bool begins_early(const std::string& answer) {
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -1,5 +1,6 @@
 #include "camphorlug/support/log.h"
 
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/support/log_output.h"
 #include "camphorlug/support/log_throttle.h"
 
@@ -111,7 +112,7 @@
     line[std::string(field.name)] = field.value;
   if (omitted > 0)
     line["omitted"] = omitted;
-  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const std::string text = to_json_text(line);
   google::LogMessage("", 0, severity(level)).stream() << text;
 }
 
--- a/lib/table/http_table_store.cpp
+++ b/lib/table/http_table_store.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/table/http_table_store.h"
 
 #include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/table/store_error.h"
 
 #include <nlohmann/json.hpp>
@@ -29,7 +30,7 @@
     const nlohmann::json value = write.value ? nlohmann::json(*write.value) : nlohmann::json();
     body["writes"].push_back({{"key", write.key}, {"value", value}});
   }
-  return body.dump();
+  return support::to_json_text(body);
 }
 
 static commit_result parse_commit(const std::string& body) {
--- a/lib/targets/http_target_client.cpp
+++ b/lib/targets/http_target_client.cpp
@@ -1,6 +1,7 @@
 #include "camphorlug/targets/http_target_client.h"
 
 #include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -45,7 +46,7 @@
                       {"version", order.version}};
   for (const group_member& member : order.members)
     body["members"].push_back({{"instance", member.instance}, {"address", member.address}});
-  return body.dump();
+  return support::to_json_text(body);
 }
 
 http_target_client::http_target_client(net::http_client& client) : client_(client) {}
--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -76,6 +76,10 @@
     model.name = "model";
     model.size = size;
     engines.engine->models.push_back(model);
+    route.name = "engines";
+    route.path_prefix = "/engines/";
+    route.services = {{"engines", 1}};
+    config->add_route(route);
   }
   return config;
 }
@@ -375,13 +379,16 @@
   edges[index] = std::move(edge);
 }
 
-std::unique_ptr<recording_writer> edge_cluster::call(std::size_t index, const std::string& path) {
+std::unique_ptr<recording_writer> edge_cluster::call(std::size_t index, const std::string& path,
+                                                     const std::string& model) {
   auto writer = std::make_unique<recording_writer>();
   net::server_request request;
   request.method = "GET";
   request.path = path;
   request.headers.add("Host", "example");
   request.headers.add("Id", "r1");
+  if (!model.empty())
+    request.headers.add("Model", model);
   support::spawn(context.get_executor(), "call",
                  edges[index]->node->handle_caller(std::move(request), *writer));
   clock.run_for(100ms);
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -22,7 +22,8 @@
 
 /// Decodes the rows that the test fixtures write: `VERSION DETAILS` for a configuration with the
 /// routes `/plain/`, `/stream/` and `/once/`, where a detail is the rate of cold targets, the homes
-/// of a route as `ROUTE=REGION,REGION`, or `engines SIZE` for a service with groups of a model;
+/// of a route as `ROUTE=REGION,REGION`, or `engines SIZE` for a service with groups of a model and
+/// the route `/engines/`;
 /// `SERVICE ADDRESS DATA_CENTRE WARM_UP_MS` for a target, the last two of them optional, or
 /// `SERVICE ADDRESS DATA_CENTRE START GROUP EPOCH RANK` for a member that is ready, or open if it
 /// is the head.
@@ -164,7 +165,8 @@
 
   /// Sends a request to a node, runs the clock for 100 ms and returns what the node has
   /// responded by then, which may be incomplete.
-  std::unique_ptr<recording_writer> call(std::size_t index, const std::string& path = "/plain/x");
+  std::unique_ptr<recording_writer> call(std::size_t index, const std::string& path = "/plain/x",
+                                         const std::string& model = "");
   /// Returns the state report of a node.
   nlohmann::ordered_json state(std::size_t index);
   std::vector<std::string> entries(std::size_t index, const std::string& data_centre) {
