Start the lasting tasks of a node again after an exception

Callers would see: a node that goes on serving, but has lost a duty for good (following the store, exchanging loads, planning, the lease), because an exception ended its task and support::spawn only logs that.

--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -153,6 +153,8 @@
   support::task<std::optional<std::string>> fetch_from_peer(net::client_request request,
                                                             std::chrono::milliseconds timeout,
                                                             std::string_view event);
+  /// Starts a task that lasts as long as the node.
+  void begin_lasting(std::string name, std::function<support::task<>()> begin);
   support::task<> fetch_config(std::string peer_address);
   bool store_answered_recently() const;
   /// Whether an answer of the store shows that this node reaches it.
--- a/include/camphorlug/node/node.h
+++ b/include/camphorlug/node/node.h
@@ -76,6 +76,8 @@
 
 private:
   struct pool_planner;
+  /// Starts a task that lasts as long as the node.
+  void begin_lasting(std::string name, std::function<support::task<>()> begin);
   void start_planner(const documents::active_document& active);
   support::task<> read_instances();
   support::task<> run_housekeeping();
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -6,6 +6,7 @@
 #include "camphorlug/gateway/home_faults.h"
 #include "camphorlug/net/problem.h"
 #include "camphorlug/net/transport_error.h"
+#include "camphorlug/support/json_text.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
 #include "camphorlug/table/store_version.h"
@@ -166,21 +167,24 @@
 void edge_node::start() {
   for (const std::string& seed : settings_.seeds)
     exchange_.add_address(seed);
-  const auto& executor = context_.executor;
-  support::spawn(executor, "follow_config", config_follower_.follow());
-  support::spawn(executor, "reread_config", config_follower_.reread());
-  support::spawn(executor, "follow_targets", target_follower_.follow());
-  support::spawn(executor, "reread_targets", target_follower_.reread());
-  support::spawn(executor, "poll_own_rows", own_follower_.poll());
-  support::spawn(executor, "register", register_self());
-  support::spawn(executor, "peers", exchange_.run());
+  begin_lasting("follow_config", [this] { return config_follower_.follow(); });
+  begin_lasting("reread_config", [this] { return config_follower_.reread(); });
+  begin_lasting("follow_targets", [this] { return target_follower_.follow(); });
+  begin_lasting("reread_targets", [this] { return target_follower_.reread(); });
+  begin_lasting("poll_own_rows", [this] { return own_follower_.poll(); });
+  begin_lasting("register", [this] { return register_self(); });
+  begin_lasting("peers", [this] { return exchange_.run(); });
   if (!settings_.is_first_start)
-    support::spawn(executor, "read_store_after_restart", read_store_after_restart());
-  support::spawn(executor, "lease", replica_controller_.keep_lease());
-  support::spawn(executor, "replicas", replica_controller_.run());
-  support::spawn(executor, "store_bans", crash_keeper_.store_bans());
-  support::spawn(executor, "housekeeping", run_housekeeping());
-  support::spawn(executor, "probe_lost_services", probe_lost_services());
+    support::spawn(context_.executor, "read_store_after_restart", read_store_after_restart());
+  begin_lasting("lease", [this] { return replica_controller_.keep_lease(); });
+  begin_lasting("replicas", [this] { return replica_controller_.run(); });
+  begin_lasting("store_bans", [this] { return crash_keeper_.store_bans(); });
+  begin_lasting("housekeeping", [this] { return run_housekeeping(); });
+  begin_lasting("probe_lost_services", [this] { return probe_lost_services(); });
+}
+
+void edge_node::begin_lasting(std::string name, std::function<support::task<>()> begin) {
+  support::spawn_lasting(context_.executor, context_.time, std::move(name), std::move(begin));
 }
 
 void edge_node::change_settings(const edge_settings& settings) {
@@ -291,7 +295,7 @@
       continue;
     table::transaction change;
     const nlohmann::json value{{"peer_address", settings_.peer_address}};
-    change.writes.push_back({node_prefix + settings_.id, value.dump()});
+    change.writes.push_back({node_prefix + settings_.id, support::to_json_text(value)});
     try {
       const table::commit_result result = co_await context_.store.commit(std::move(change));
       if (result.committed)
@@ -859,7 +863,7 @@
                                    target_follower_.answered_at(),
                                    config_staleness_.staleness(),
                                    target_staleness_.staleness()};
-    net::send_json(writer, 200, make_state_report(state).dump());
+    net::send_json(writer, 200, support::to_json_text(make_state_report(state)));
     co_return;
   }
   if (request.path != gateway::fleet_path) {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -64,13 +64,16 @@
 node::~node() = default;
 
 void node::start() {
-  const auto& executor = context_.executor;
-  support::spawn(executor, "read_store", reader_.run());
-  support::spawn(executor, "read_instances", read_instances());
-  support::spawn(executor, "gossip", gossip_.run());
-  support::spawn(executor, "push_changes", gossip_.push_changes());
-  support::spawn(executor, "pump", requests_.run_dispatch_loop());
-  support::spawn(executor, "housekeeping", run_housekeeping());
+  begin_lasting("read_store", [this] { return reader_.run(); });
+  begin_lasting("read_instances", [this] { return read_instances(); });
+  begin_lasting("gossip", [this] { return gossip_.run(); });
+  begin_lasting("push_changes", [this] { return gossip_.push_changes(); });
+  begin_lasting("pump", [this] { return requests_.run_dispatch_loop(); });
+  begin_lasting("housekeeping", [this] { return run_housekeeping(); });
+}
+
+void node::begin_lasting(std::string name, std::function<support::task<>()> begin) {
+  support::spawn_lasting(context_.executor, context_.time, std::move(name), std::move(begin));
 }
 
 void node::start_planner(const documents::active_document& active) {
@@ -79,8 +82,9 @@
     return;
   auto& created = planners_[document.service];
   created = std::make_unique<pool_planner>(*this, document);
-  support::spawn(context_.executor, "plan " + document.pool, created->planner.run());
-  support::spawn(context_.executor, "lease " + document.pool, created->planner.keep_lease());
+  groups::group_planner& planner = created->planner;
+  begin_lasting("plan " + document.pool, [&planner] { return planner.run(); });
+  begin_lasting("lease " + document.pool, [&planner] { return planner.keep_lease(); });
 }
 
 support::task<> node::read_instances() {
