--- a/unittests/support/lasting_task_test.cpp
+++ b/unittests/support/lasting_task_test.cpp
@@ -18,6 +18,9 @@
   support::virtual_clock clock{context};
   std::vector<support::clock::time_point> begun;
 
+  /// Ends the tasks that still wait.
+  ~lasting_world() { clock.shut_down(); }
+
   /// Starts a task that fails after `lasts` as often as `failures`, and then lasts for an hour.
   void start(std::size_t failures, std::chrono::milliseconds lasts) {
     support::spawn_lasting(context.get_executor(), clock, "task",
