--- a/include/camphorlug/edge/assisted_prober.h
+++ b/include/camphorlug/edge/assisted_prober.h
@@ -27,8 +27,9 @@
   /// Asks from this node alone.
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
-  /// A node that has lost its way to the targets has another one ask the process.
-  support::task<bool> is_running(gateway::target_entry entry) override;
+  /// A node that has lost its way to the targets has another one ask the process, and does not
+  /// learn whether its port is closed.
+  support::task<replicas::process_state> ask_process(gateway::target_entry entry) override;
 
   /// Probes for another node: responds with 200 if the instance answers, and with 404 otherwise. If
   /// the request names a start, only the process with that start counts.
--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -227,6 +227,7 @@
   gateway::path_monitor paths_;
   gateway::target_sender sender_;
   assisted_prober prober_;
+  departure_checker departures_;
   liveness_checker liveness_;
   gateway::request_relay relay_;
   gateway::request_gateway requests_;
--- a/include/camphorlug/edge/edge_settings.h
+++ b/include/camphorlug/edge/edge_settings.h
@@ -44,6 +44,8 @@
   /// within which no further request may be sent to a target that drains or is gone.
   std::chrono::milliseconds config_time_limit{2000};
   std::chrono::milliseconds target_time_limit{2000};
+  /// Interval at which targets write their rows.
+  std::chrono::milliseconds target_report_interval{1200};
   /// How long callers may cache a response of the directory of entry points. Some keep it three
   /// times as long, so a node that shuts down waits for them.
   std::chrono::milliseconds entries_valid_for{800};
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -183,6 +183,9 @@
   support::notification queue_drained_;
   /// Nothing is read while the caller has too much still to take.
   bool is_reading_paused_ = false;
+  /// The response has ended, and it is being found out whether it is complete. Another run would
+  /// mostly find that nothing follows.
+  bool is_confirming_end_ = false;
   std::string body_;
   /// What is held of the response.
   support::memory_budget::charge received_;
--- a/include/camphorlug/gateway/target_registry.h
+++ b/include/camphorlug/gateway/target_registry.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/cold_notice.h"
 #include "camphorlug/gateway/member_sighting.h"
+#include "camphorlug/gateway/target_departure.h"
 #include "camphorlug/gateway/target_entry.h"
 #include "camphorlug/support/clock.h"
 
@@ -69,6 +70,8 @@
   static constexpr std::chrono::milliseconds first_sighting_time{1200};
   /// How long a group serves after its member was seen.
   static constexpr std::chrono::milliseconds sighting_lifetime{3000};
+  /// How long it is known that a process has shut down; its last responses end within that time.
+  static constexpr std::chrono::minutes departure_memory{10};
 
   explicit target_registry(support::clock& time) : time_(time) {}
 
@@ -95,6 +98,11 @@
   /// The registered targets that said so, with the start of each, to be sent to peers.
   std::map<std::string, std::int64_t> leaving() const;
 
+  /// What is known of the shutdown of the process with that start; nothing if it is not known to
+  /// shut down.
+  std::optional<target_departure> find_departure(const std::string& id,
+                                                 std::int64_t started_at_ms) const;
+
   /// Records that the target said in a response that it is cold. Its row, which may have been
   /// written before, does not end that. Returns whether this is news.
   bool mark_cold(const std::string& id, const cold_notice& notice);
@@ -153,6 +161,11 @@
   /// Returns whether a row of a later era was written before the last deletion of its target.
   bool is_restored_after_removal(const std::string& id, std::uint64_t version,
                                  const std::optional<target_entry>& entry) const;
+  /// Follows the row of a target that may shut down. `is_new_report`: the process has written it
+  /// since it was last read.
+  void follow_departure(const std::string& id, const target_entry& entry, bool is_new_report);
+  /// Records that the process with that start shuts down, unless this is known.
+  target_departure& record_departure(const std::string& id, std::int64_t started_at_ms);
   void erase(const std::string& id);
   void mark_changed();
 
@@ -172,6 +185,8 @@
   std::set<std::string> named_starts_;
   /// Start of each target that said in a response that it is shutting down.
   std::map<std::string, std::int64_t> leaving_;
+  /// The latest shutdown of each target.
+  std::map<std::string, target_departure> departures_;
   struct noticed_cold {
     std::int64_t started_at_ms = 0;
     support::clock::time_point until;
--- a/include/camphorlug/replicas/instance_prober.h
+++ b/include/camphorlug/replicas/instance_prober.h
@@ -2,6 +2,7 @@
 
 #include "camphorlug/gateway/target_entry.h"
 #include "camphorlug/replicas/instance_report.h"
+#include "camphorlug/replicas/process_state.h"
 #include "camphorlug/support/task.h"
 
 namespace camphorlug::replicas {
@@ -17,10 +18,10 @@
   /// Returns whether the probe is answered by the instance that `entry` names.
   virtual support::task<bool> probe(gateway::target_entry entry) = 0;
 
-  /// Returns whether the process that `entry` names by its id and start answers, in whatever way,
-  /// and does not say that its group is broken, so that it has cut off its work.
+  /// Returns whether the process that `entry` names by its id and start answers, in whatever way.
+  /// One that says that its group is broken has cut off its work and counts as ended.
   /// Unlike `probe` it fits instances that have no report.
-  virtual support::task<bool> is_running(gateway::target_entry entry) = 0;
+  virtual support::task<process_state> ask_process(gateway::target_entry entry) = 0;
 
   /// Returns what the instance that `entry` names says about itself.
   virtual support::task<report_result> report(gateway::target_entry entry) = 0;
--- a/lib/edge/assisted_prober.cpp
+++ b/lib/edge/assisted_prober.cpp
@@ -8,6 +8,8 @@
 
 namespace camphorlug::edge {
 
+using replicas::process_state;
+
 static constexpr std::chrono::milliseconds poll_interval{20};
 /// The peer itself needs up to 700 ms to find that an instance does not answer a probe. It may wait
 /// longer for one that pauses; the answer then counts as missing.
@@ -32,13 +34,14 @@
   return prober_.report(std::move(entry));
 }
 
-support::task<bool> assisted_prober::is_running(gateway::target_entry entry) {
+support::task<process_state> assisted_prober::ask_process(gateway::target_entry entry) {
   if (paths_.has_lost(entry.service)) {
     std::string target = std::string(probe_prefix) + net::percent_encode(entry.id) + "?" +
                          start_parameter + "=" + std::to_string(entry.started_at_ms);
-    co_return co_await ask_peer(std::move(target));
+    const bool is_running = co_await ask_peer(std::move(target));
+    co_return is_running ? process_state::running : process_state::ended;
   }
-  co_return co_await prober_.is_running(std::move(entry));
+  co_return co_await prober_.ask_process(std::move(entry));
 }
 
 support::task<bool> assisted_prober::hears_targets_since(support::clock::time_point start) {
@@ -87,8 +90,12 @@
       // The other node may have sent its request to an earlier group.
       asked.membership.reset();
     }
-    is_alive = start ? co_await prober_.is_running(std::move(asked))
-                     : co_await prober_.probe(std::move(asked));
+    if (start) {
+      const process_state state = co_await prober_.ask_process(std::move(asked));
+      is_alive = state == process_state::running;
+    } else {
+      is_alive = co_await prober_.probe(std::move(asked));
+    }
   }
   if (is_alive)
     net::send_json(writer, 200, "{}");
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -91,7 +91,9 @@
       paths_(context_.time),
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
-      liveness_(context_.executor, context_.time, prober_),
+      departures_({context_.time, registry_, [this] { return target_follower_.read_now(); }},
+                  {settings_.target_time_limit, settings_.target_report_interval}),
+      liveness_(context_.executor, context_.time, prober_, departures_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
              settings_.cores, memory_, liveness_),
       requests_({context_.time, context_.random, sender_,       context_.protocol, config_,
@@ -204,6 +206,8 @@
   evacuations_.change_time_limit(settings.evacuation_time_limit);
   settings_.config_time_limit = settings.config_time_limit;
   settings_.target_time_limit = settings.target_time_limit;
+  settings_.target_report_interval = settings.target_report_interval;
+  departures_.change_timing({settings.target_time_limit, settings.target_report_interval});
   set_time_limits();
   settings_.min_entry_points = settings.min_entry_points;
 }
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -130,7 +130,7 @@
 }
 
 bool target_attempt::is_silent() const {
-  if (result_ || has_event() || is_reading_paused_)
+  if (result_ || has_event() || is_reading_paused_ || is_confirming_end_)
     return false;
   return (target_stalled_ || env_.time.now() >= silent_at()) && !env_.stalls.is_writing(target_.id);
 }
@@ -341,7 +341,10 @@
   target.started_at_ms = target_.started_at_ms;
   if (target_.epoch != 0)
     target.membership = group_membership{{}, target_.epoch, 0, membership_state::open};
-  co_return co_await env_.liveness.is_running(std::move(target), remaining_time());
+  is_confirming_end_ = true;
+  const bool is_confirmed = co_await env_.liveness.is_running(std::move(target), remaining_time());
+  is_confirming_end_ = false;
+  co_return is_confirmed;
 }
 
 /// The wait does not count as silence of the target.
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -83,6 +83,10 @@
   entry->draining = entry->draining || is_leaving(id, entry->started_at_ms);
   entry->warm_up_remaining = std::clamp<std::chrono::milliseconds>(
       entry->warm_up_remaining, std::chrono::milliseconds(0), max_cold_time);
+  const bool is_new_report = held != targets_.end() &&
+                             held->second.entry.started_at_ms == entry->started_at_ms &&
+                             held->second.entry.sequence < entry->sequence;
+  follow_departure(id, *entry, is_new_report);
   if (held != targets_.end()) {
     const bool was_read = version == held->second.version;
     if (!was_read)
@@ -122,6 +126,35 @@
   mark_changed();
 }
 
+void target_registry::follow_departure(const std::string& id, const target_entry& entry,
+                                       bool is_new_report) {
+  if (!entry.draining) {
+    departures_.erase(id);
+    return;
+  }
+  target_departure& departure = record_departure(id, entry.started_at_ms);
+  departure.removed_at.reset();
+  if (is_new_report)
+    departure.reported_at = time_.now();
+}
+
+target_departure& target_registry::record_departure(const std::string& id,
+                                                    std::int64_t started_at_ms) {
+  const auto [place, is_new] =
+      departures_.try_emplace(id, target_departure{started_at_ms, time_.now()});
+  if (!is_new && place->second.started_at_ms != started_at_ms)
+    place->second = {started_at_ms, time_.now()};
+  return place->second;
+}
+
+std::optional<target_departure> target_registry::find_departure(const std::string& id,
+                                                                std::int64_t started_at_ms) const {
+  const auto found = departures_.find(id);
+  if (found == departures_.end() || found->second.started_at_ms != started_at_ms)
+    return std::nullopt;
+  return found->second;
+}
+
 /// A row with the same remaining time as before was written later, so the time ends later.
 void target_registry::follow_warm_up(registered_target& target) {
   if (target.entry.warm_up_remaining <= std::chrono::milliseconds(0))
@@ -200,6 +233,7 @@
   if (is_leaving(id, started_at_ms))
     return false;
   leaving_[id] = started_at_ms;
+  record_departure(id, started_at_ms);
   const auto held = targets_.find(id);
   log_target("target_leaving", id, held == targets_.end() ? 0 : held->second.version);
   if (held != targets_.end() && is_leaving(id, held->second.entry.started_at_ms)) {
@@ -269,6 +303,7 @@
     return;
   }
   log_target("target_removed", id, version);
+  record_departure(id, target.entry.started_at_ms).removed_at = time_.now();
   erase(id);
 }
 
@@ -350,6 +385,8 @@
     return time_.now() - each.second.until > noticed_cold_memory;
   });
   const auto now = time_.now();
+  std::erase_if(departures_,
+                [&](const auto& each) { return now - each.second.since > departure_memory; });
   std::erase_if(sightings_,
                 [&](const auto& each) { return now - each.second.seen_at >= sighting_lifetime; });
   std::vector<std::string> unseen;
--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -360,6 +360,29 @@
         cluster.standins.run_coroutine(runner.publish())
 
 
+    def test_stream_that_ends_after_its_runner_stopped_listening_is_complete(self):
+        # Guards against LOST: a stream without framing is reset, or run again, when its runner
+        # drains and listens no more.
+        for runner in cluster.standins.runners.values():
+            runner.unframed = True
+        identity, responses = cluster.next_id(), []
+        caller = threading.Thread(target=lambda: responses.append(
+            cluster.call("/chat/x", events=200, model="small", identity=identity)))
+        caller.start()
+        wait_until(lambda: identity in cluster.standins.runs, "the stream has begun")
+        runner = next(each for each in cluster.standins.runners.values() if each.active)
+        runner.draining = True
+        cluster.standins.run_coroutine(runner.publish())
+        time.sleep(2.3)
+        cluster.standins.loop.call_soon_threadsafe(runner.server.stop_listening)
+        caller.join()
+        self.assertEqual((responses[0].status, responses[0].whole), (200, True))
+        self.assertEqual(responses[0].event_ids(), list(range(1, 201)))
+        self.assertEqual(cluster.standins.runs[identity], 1)
+        cluster.standins.loop.call_soon_threadsafe(runner.kill)
+        wait_until(lambda: not runner.alive, "the runner is stopped")
+
+
 class NoticeTests(PlatformTest):
     """What targets say about themselves in their responses."""
 
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -48,6 +48,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def stop_listening(self):
+        """Refuses new connections and goes on with the open ones."""
+        self.server.close()
+
     def end(self):
         """Stops listening and closes the open connections in order, as a kernel does for a process
         that ends."""
@@ -199,6 +203,8 @@
         self.silent = False
         self.lose_answers = 0
         self.paused_until = 0
+        # Streams in progress.
+        self.active = 0
         self.answer_bytes = 0
         self.draining = False
         # Its streams have neither a length nor chunks.
@@ -217,7 +223,9 @@
         # When each request arrived.
         self.arrivals = []
         self.fence = 0
+        # Orders begun, as its report tells; not the `seq` of its row.
         self.seq = 0
+        self.heartbeats = 0
         self.newest_epoch = 0
         self.group = None
         self.members = []
@@ -228,7 +236,7 @@
     def entry(self):
         entry = {"backend": self.service, "address": f"127.0.0.1:{self.port}", "zone": "east",
                  "version": "v1", "batchSlots": 8, "state": "draining" if self.draining else "ready",
-                 "warmupLeftMs": 0, "seq": self.seq, "born": self.born}
+                 "warmupLeftMs": 0, "seq": self.heartbeats, "born": self.born}
         if self.domain:
             entry.update(domain=self.domain, staged=self.staged,
                          models=[{"name": self.model, "version": 1, "adapters": []}]
@@ -239,6 +247,7 @@
 
     async def publish(self):
         if self.alive and not self.silent:
+            self.heartbeats += 1
             await self.standins.store.put("servers", self.id, self.entry())
 
     async def send_heartbeats(self):
@@ -277,9 +286,13 @@
             return 200
         if not is_member or self.group["rank"] != 0 or self.group["state"] == "joining":
             return 409
-        self.group["state"] = "open" if kind == "open" else "ready"
+        if kind == "open":
+            self.group["state"] = "open"
+        else:
+            # Closing lets the streams in progress end first.
+            self.group["state"] = "closing" if self.active else "ready"
         await self.publish()
-        return 200
+        return 202 if self.group["state"] == "closing" else 200
 
     async def stage(self, model):
         await asyncio.sleep(LOAD_S)
@@ -335,7 +348,14 @@
         if self.request_limit is not None:
             response_headers["Server-Limit"] = str(self.request_limit)
         if self.domain:
-            return await self.stream(request, connection, response_headers)
+            self.active += 1
+            try:
+                return await self.stream(request, connection, response_headers)
+            finally:
+                self.active -= 1
+                if not self.active and self.group and self.group["state"] == "closing":
+                    self.group["state"] = "ready"
+                    await self.publish()
         await asyncio.sleep(EVENT_S)
         while time.monotonic() < self.paused_until and not connection.disconnected:
             await asyncio.sleep(EVENT_S)
--- a/unittests/edge/liveness_checker_test.cpp
+++ b/unittests/edge/liveness_checker_test.cpp
@@ -23,12 +23,12 @@
   support::task<replicas::report_result> report(gateway::target_entry) override {
     co_return replicas::report_result{};
   }
-  support::task<bool> is_running(gateway::target_entry) override {
+  support::task<replicas::process_state> ask_process(gateway::target_entry) override {
     const bool runs = ++questions < ends_before;
     if (throws)
       throw std::runtime_error("unexpected");
     co_await time_.sleep_for(delay);
-    co_return runs;
+    co_return runs ? replicas::process_state::running : replicas::process_state::ended;
   }
 
   int questions = 0;
@@ -63,7 +63,10 @@
   gateway::target_sender sender{clock, random, client, paths,
                                 [] { return std::vector<gateway::relay_node>{}; }};
   edge::assisted_prober prober{clock, client, targets, paths, sender};
-  edge::liveness_checker checker{context.get_executor(), clock, prober};
+  gateway::target_registry registry{clock};
+  edge::departure_checker departures{
+      {clock, registry, []() -> support::task<bool> { co_return false; }}, {}};
+  edge::liveness_checker checker{context.get_executor(), clock, prober, departures};
 };
 
 } // namespace
--- a/unittests/edge/peer_liveness_test.cpp
+++ b/unittests/edge/peer_liveness_test.cpp
@@ -23,8 +23,9 @@
 class restarted_instance final : public replicas::instance_prober {
 public:
   support::task<bool> probe(gateway::target_entry) override { co_return true; }
-  support::task<bool> is_running(gateway::target_entry entry) override {
-    co_return entry.started_at_ms == new_start;
+  support::task<replicas::process_state> ask_process(gateway::target_entry entry) override {
+    co_return entry.started_at_ms == new_start ? replicas::process_state::running
+                                               : replicas::process_state::ended;
   }
   support::task<replicas::report_result> report(gateway::target_entry) override {
     co_return replicas::report_result{};
@@ -77,13 +78,13 @@
   entry.id = "one";
   entry.service = "shop";
   entry.started_at_ms = old_start;
-  std::optional<bool> result;
-  const auto run = [&]() -> support::task<> { result = co_await world.prober.is_running(entry); };
+  std::optional<replicas::process_state> result;
+  const auto run = [&]() -> support::task<> { result = co_await world.prober.ask_process(entry); };
   support::spawn(world.context.get_executor(), "question", run());
   world.clock.run_for(2s);
   BOOST_REQUIRE(world.client.received.size() == 1);
   std::string expected(edge::probe_prefix);
   expected += "one?start=7";
   BOOST_TEST(world.client.received[0].target == expected);
-  BOOST_TEST(result.value() == false);
+  BOOST_TEST((result == replicas::process_state::ended));
 }
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -41,8 +41,9 @@
   support::task<replicas::order_result> send(replicas::replica_order order,
                                              std::function<bool()> send_if) override;
   support::task<bool> probe(gateway::target_entry entry) override;
-  support::task<bool> is_running(gateway::target_entry entry) override {
-    return probe(std::move(entry));
+  support::task<replicas::process_state> ask_process(gateway::target_entry entry) override {
+    const bool answers = co_await probe(std::move(entry));
+    co_return answers ? replicas::process_state::running : replicas::process_state::ended;
   }
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
@@ -66,8 +67,9 @@
   node_prober(null_instance_client& instances, std::string self)
       : instances_(instances), self_(std::move(self)) {}
   support::task<bool> probe(gateway::target_entry entry) override;
-  support::task<bool> is_running(gateway::target_entry entry) override {
-    return probe(std::move(entry));
+  support::task<replicas::process_state> ask_process(gateway::target_entry entry) override {
+    const bool answers = co_await probe(std::move(entry));
+    co_return answers ? replicas::process_state::running : replicas::process_state::ended;
   }
   support::task<replicas::report_result> report(gateway::target_entry entry) override;
 
--- a/unittests/platform/order_client_test.cpp
+++ b/unittests/platform/order_client_test.cpp
@@ -153,11 +153,13 @@
   entry.address = "address";
   entry.started_at_ms = 7;
   entry.membership = gateway::group_membership{"g", 1, 0, gateway::membership_state::open};
-  std::optional<bool> result;
-  const auto run = [&]() -> support::task<> { result = co_await prober.is_running(entry); };
+  std::optional<replicas::process_state> result;
+  const auto run = [&]() -> support::task<> { result = co_await prober.ask_process(entry); };
   support::spawn(context.get_executor(), "question", run());
   clock.run_for(2s);
-  BOOST_TEST(result.value() == each.is_running);
+  const auto expected =
+      each.is_running ? replicas::process_state::running : replicas::process_state::ended;
+  BOOST_TEST((result == expected));
   BOOST_TEST(client.received.size() == 1);
   clock.shut_down();
 }
@@ -165,11 +167,13 @@
 BOOST_AUTO_TEST_CASE(process_that_pauses_for_a_second_is_known_to_run) {
   probe_fixture fixture;
   fixture.instance.resumes_at = fixture.clock.now() + 1300ms;
-  std::optional<bool> result;
+  std::optional<replicas::process_state> result;
   gateway::target_entry entry;
   entry.address = "one";
-  const auto run = [&]() -> support::task<> { result = co_await fixture.prober.is_running(entry); };
+  const auto run = [&]() -> support::task<> {
+    result = co_await fixture.prober.ask_process(entry);
+  };
   support::spawn(fixture.context.get_executor(), "question", run());
   fixture.clock.run_for(2s);
-  BOOST_TEST(result.value());
+  BOOST_TEST((result == replicas::process_state::running));
 }
--- a/unittests/replicas/held_member_checker_test.cpp
+++ b/unittests/replicas/held_member_checker_test.cpp
@@ -16,7 +16,9 @@
 class silent_prober final : public replicas::instance_prober {
 public:
   support::task<bool> probe(gateway::target_entry) override { co_return false; }
-  support::task<bool> is_running(gateway::target_entry) override { co_return false; }
+  support::task<replicas::process_state> ask_process(gateway::target_entry) override {
+    co_return replicas::process_state::ended;
+  }
   support::task<replicas::report_result> report(gateway::target_entry) override {
     ++asked;
     co_return replicas::report_result{};
