--- a/include/camphorlug/edge/crash_evidence_keeper.h
+++ b/include/camphorlug/edge/crash_evidence_keeper.h
@@ -11,10 +11,10 @@
 #include "camphorlug/table/table_store.h"
 
 #include <asio/any_io_executor.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace camphorlug::edge {
@@ -37,6 +37,8 @@
     gateway::crash_cause_list& causes;
     /// Whether this node writes the bans to the store.
     std::function<bool()> writes_bans;
+    /// The latest era of the store (store_version.h) that this node knows.
+    std::function<std::uint64_t()> store_era;
   };
 
   explicit crash_evidence_keeper(context dependencies);
@@ -48,8 +50,9 @@
   /// Fetches the sender's evidence if it differs from that of this node.
   void apply_peer_message(const gateway::fleet_message& message);
 
-  /// Applies rows of the nodes' own table.
-  void apply_stored(const table::feed_batch& batch);
+  /// Applies rows of the nodes' own table. If `is_snapshot`, rows that are absent from the batch
+  /// did not exist at its version.
+  void apply_stored(const table::feed_batch& batch, bool is_snapshot);
   /// Keeps the bans in the store up to date until the clock is shut down.
   support::task<> store_bans();
 
@@ -64,6 +67,9 @@
   support::task<> confirm(gateway::target_start start);
   support::task<> fetch(std::string peer, std::uint64_t digest, bool serves);
   support::task<> write(std::string key, std::optional<std::string> value);
+  /// Whether what is known as of `version` holds in the present era of the store: one that comes
+  /// back from an older copy has lost what was written since.
+  bool is_current(std::uint64_t version) const;
 
   context context_;
   support::clock::time_point started_at_;
@@ -71,10 +77,12 @@
   bool fetching_ = false;
   /// Digest of the evidence last fetched from each peer.
   std::map<std::string, std::uint64_t> fetched_;
-  /// Keys of the bans that the store holds, as far as this node knows.
-  std::set<std::string> stored_;
-  /// Keys of lifted bans that the store may still hold.
-  std::set<std::string> lifted_;
+  /// Keys of the bans that the store holds, as far as this node knows, with the version at which it
+  /// held them.
+  std::map<std::string, std::uint64_t> stored_;
+  /// Keys of bans that were lifted at this node, with the version at which the row was deleted; 0
+  /// until then. An older copy of the store may bring the row back.
+  std::map<std::string, std::uint64_t> lifted_;
 };
 
 } // namespace camphorlug::edge
--- a/include/camphorlug/edge/edge_node.h
+++ b/include/camphorlug/edge/edge_node.h
@@ -167,7 +167,7 @@
   void apply_evacuations(const table::feed_batch& batch, bool is_full_table);
   std::string region_of(const std::string& data_centre) const;
   void apply_target_rows(const table::feed_batch& batch, bool is_full_table);
-  void apply_own_rows(const table::feed_batch& batch);
+  void apply_own_rows(const table::feed_batch& batch, bool is_full_table);
   std::size_t live_node_count() { return fleet_.others().size() + 1; }
   /// Returns the version of the active configuration, or 0 if there is none yet.
   std::uint64_t config_version() const {
--- a/lib/edge/crash_evidence_keeper.cpp
+++ b/lib/edge/crash_evidence_keeper.cpp
@@ -5,6 +5,7 @@
 #include "camphorlug/net/transport_error.h"
 #include "camphorlug/support/log.h"
 #include "camphorlug/table/store_error.h"
+#include "camphorlug/table/store_version.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -80,7 +81,11 @@
                        {{"peer", peer}, {"error", failure}});
 }
 
-void crash_evidence_keeper::apply_stored(const table::feed_batch& batch) {
+void crash_evidence_keeper::apply_stored(const table::feed_batch& batch, bool is_snapshot) {
+  if (is_snapshot) {
+    // Rows that this node has written since the snapshot are newer than it.
+    std::erase_if(stored_, [&](const auto& each) { return each.second <= batch.version; });
+  }
   for (const table::feed_row& row : batch.rows) {
     if (!row.key.starts_with(ban_prefix) || lifted_.contains(row.key))
       continue;
@@ -88,7 +93,7 @@
       stored_.erase(row.key);
       continue;
     }
-    stored_.insert(row.key);
+    stored_[row.key] = std::max(row.version, batch.version);
     try {
       context_.causes.merge_json(row.value);
     } catch (const nlohmann::json::exception& error) {
@@ -107,29 +112,42 @@
     const table::commit_result result = co_await context_.store.commit(std::move(change));
     if (!result.committed)
       co_return;
-    lifted_.erase(key);
-    if (keeps)
-      stored_.insert(key);
-    else
+    if (keeps) {
+      stored_[key] = result.version;
+    } else {
       stored_.erase(key);
+      if (const auto lifted = lifted_.find(key); lifted != lifted_.end())
+        lifted->second = result.version;
+    }
   } catch (const table::store_error& error) {
     support::log_event(support::log_level::warning, "ban_not_stored",
                        {{"key", key}, {"error", error.what()}});
   }
 }
 
+bool crash_evidence_keeper::is_current(std::uint64_t version) const {
+  return version != 0 && table::era_of(version) >= context_.store_era();
+}
+
 support::task<> crash_evidence_keeper::store_bans() {
   for (;;) {
     co_await context_.time.sleep_for(store_interval);
+    const auto& proven = context_.causes.evidence().proven_causes();
+    // A ban that targets have proved anew is no longer lifted.
+    for (const auto& [part, crashes] : proven)
+      lifted_.erase(ban_key(part));
     std::map<std::string, std::optional<std::string>> changes;
-    for (const std::string& key : lifted_)
-      changes[key] = std::nullopt;
+    for (const auto& [key, deleted_at] : lifted_) {
+      if (!is_current(deleted_at))
+        changes[key] = std::nullopt;
+    }
     if (context_.writes_bans()) {
-      for (const std::string& key : stored_)
+      for (const auto& [key, version] : stored_)
         changes[key] = std::nullopt;
-      for (const auto& [part, crashes] : context_.causes.evidence().proven_causes()) {
+      for (const auto& [part, crashes] : proven) {
         const std::string key = ban_key(part);
-        if (stored_.contains(key))
+        const auto stored = stored_.find(key);
+        if (stored != stored_.end() && is_current(stored->second))
           changes.erase(key);
         else
           changes[key] = context_.causes.to_json(&part);
@@ -153,7 +171,7 @@
     return;
   }
   context_.causes.lift(part);
-  lifted_.insert(ban_key(part));
+  lifted_[ban_key(part)] = 0;
   support::log_event(support::log_level::info, "prompt_part_ban_lifted",
                      {{"service", part.service}, {"part", part.id}});
   net::send_json(writer, 200, "{}");
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -121,7 +121,8 @@
           context_.executor, context_.time, registry_, prober_,
           [this](const gateway::target_entry& member) { return group_progresses(member); }),
       crash_keeper_({context_.executor, context_.time, context_.client, context_.store, prober_,
-                     registry_, crash_causes_, [this] { return replica_controller_.leads(); }}),
+                     registry_, crash_causes_, [this] { return replica_controller_.leads(); },
+                     [this] { return store_era_; }}),
       config_follower_(context_.time, context_.random, context_.feed, context_.tables.config_table,
                        config_reread_interval,
                        [this](const table::feed_batch& batch, bool is_full_table) {
@@ -134,7 +135,9 @@
                        }),
       own_follower_(context_.time, context_.random, context_.feed, context_.tables.own_table,
                     own_rows_reread_interval,
-                    [this](const table::feed_batch& batch, bool) { apply_own_rows(batch); }),
+                    [this](const table::feed_batch& batch, bool is_full_table) {
+                      apply_own_rows(batch, is_full_table);
+                    }),
       config_staleness_(context_.time, config_follower_, context_.tables.config_table),
       target_staleness_(context_.time, target_follower_, context_.tables.target_table),
       config_reads_(context_.time, context_.random, settings_.id),
@@ -273,8 +276,8 @@
     registry_.retain(present, batch.version);
 }
 
-void edge_node::apply_own_rows(const table::feed_batch& batch) {
-  crash_keeper_.apply_stored(batch);
+void edge_node::apply_own_rows(const table::feed_batch& batch, bool is_full_table) {
+  crash_keeper_.apply_stored(batch, is_full_table);
   for (const table::feed_row& row : batch.rows) {
     if (!row.key.starts_with(node_prefix) || row.deleted)
       continue;
--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -162,20 +162,65 @@
   BOOST_TEST(std::stoll(answer.headers.find("Retry-After-Ms").value_or("0")) >= 10'000);
 }
 
-BOOST_AUTO_TEST_CASE(lifted_ban_ends_at_all_nodes_and_counts_anew) {
-  tainted_fleet fleet(4, 12);
-  fleet.play_until_banned();
-  fleet.run_for(2s);
-  fleet.side.deadly_part = "";
+namespace {
+
+void lift_ban(tainted_fleet& fleet, std::size_t node) {
   fakes::recording_writer writer;
   net::server_request request;
   request.method = "POST";
   request.path = "/camphorlug/v1/crashes/lift";
   request.query = "service=shop&part=deadly";
   support::spawn(fleet.context.get_executor(), "lift",
-                 fleet.edges[1]->node->handle_peer(std::move(request), writer));
+                 fleet.edges[node]->node->handle_peer(std::move(request), writer));
   fleet.run_for(2s);
   BOOST_TEST(writer.status == 200);
+}
+
+void restart_all_nodes(tainted_fleet& fleet) {
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    fleet.kill(i);
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    fleet.start(i);
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    fleet.wait_until_ready(i);
+}
+
+} // namespace
+
+// Guards against BUDGET: a ban that a restored store has lost is forgotten with the last node.
+BOOST_DATA_TEST_CASE(ban_that_a_restored_store_has_lost_outlives_a_restart_of_all_nodes,
+                     data::make({4, 20}), nodes) {
+  tainted_fleet fleet(nodes, 12);
+  const fakes::store_copy copy = fleet.copy_store();
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  fleet.restore_store(copy, 500ms);
+  fleet.run_for(5s);
+  restart_all_nodes(fleet);
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    BOOST_TEST(fleet.banned(i) == 1, "node " << i);
+}
+
+// Guards against refusals of a sound part: an older copy of the store brings a lifted ban back.
+BOOST_AUTO_TEST_CASE(lifted_ban_that_a_restored_store_holds_again_is_deleted) {
+  tainted_fleet fleet(4, 12);
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  const fakes::store_copy copy = fleet.copy_store();
+  lift_ban(fleet, 1);
+  fleet.restore_store(copy, 500ms);
+  fleet.run_for(5s);
+  restart_all_nodes(fleet);
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    BOOST_TEST(fleet.banned(i) == 0, "node " << i);
+}
+
+BOOST_AUTO_TEST_CASE(lifted_ban_ends_at_all_nodes_and_counts_anew) {
+  tainted_fleet fleet(4, 12);
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  fleet.side.deadly_part = "";
+  lift_ban(fleet, 1);
   for (std::size_t i = 0; i < 4; ++i) {
     BOOST_TEST(fleet.banned(i) == 0);
     fleet.send(i, "system topic1 deadly");
