--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -30,16 +30,17 @@
   /// A loss that was not confirmed as a crash within this time is dropped.
   static constexpr std::chrono::milliseconds confirmation_timeout{5000};
   /// Number of suspects whose latest answers are remembered, at the least.
-  static constexpr std::size_t remembered_answers = 2048;
+  static constexpr std::size_t remembered_answers = 8192;
 
   explicit crash_cause_list(support::clock& time) : time_(time) {}
 
-  /// Records that a target has answered and not crashed: has begun to, for parts of a prompt, or
-  /// has completed its answer, for a whole request.
-  void record_answer(const std::string& service, const std::vector<std::string>& suspects);
+  /// Records that a target has answered and not crashed: it began to at `answered_at` and has gone
+  /// on since, for parts of a prompt, or has completed its answer, for a whole request.
+  void record_answer(const std::string& service, const std::vector<std::string>& suspects,
+                     support::clock::time_point answered_at);
 
-  /// Records that a connection broke before the target had answered. The target may have crashed;
-  /// see `take_unconfirmed`.
+  /// Records that a connection broke before the suspects were known not to crash the target. The
+  /// target may have crashed; see `take_unconfirmed`.
   void record_loss(const std::string& service, const std::vector<std::string>& suspects,
                    const target_start& start, support::clock::time_point sent_at);
 
--- a/include/camphorlug/gateway/target_attempt.h
+++ b/include/camphorlug/gateway/target_attempt.h
@@ -139,7 +139,8 @@
   /// Whether the target still accepts requests; sets `withheld_` if not.
   bool may_send();
   void record_progress();
-  void record_answer();
+  void record_event();
+  void record_answered_parts();
   void record_completion();
   void record_loss();
   support::task<bool> wait_until_queue_is_drained();
@@ -166,8 +167,10 @@
   bool closed_ = false;
   bool was_sent_ = true;
   bool has_progressed_ = false;
-  /// The target has sent an event, or a complete response that is not a stream.
-  bool has_answered_ = false;
+  /// Set when the first event of a stream has arrived.
+  std::optional<support::clock::time_point> first_event_at_;
+  /// The target has answered for so long that no part of the prompt crashes it.
+  bool has_survived_parts_ = false;
   bool target_stalled_ = false;
   bool ended_without_event_ = false;
   /// The request was not sent, because the target no longer accepts requests.
--- a/lib/gateway/crash_cause_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -8,14 +8,15 @@
 namespace camphorlug::gateway {
 
 void crash_cause_list::record_answer(const std::string& service,
-                                     const std::vector<std::string>& suspects) {
-  const auto now = time_.now();
+                                     const std::vector<std::string>& suspects,
+                                     support::clock::time_point answered_at) {
   if (answers_.size() >= remembered_answers)
     older_answers_ = std::exchange(answers_, {});
   for (const std::string& id : suspects) {
     const crash_cause cause = make_cause(service, id);
-    answers_[cause] = now;
-    evidence_.clear(cause, now);
+    const auto latest = std::max(answered_at, last_answer(cause).value_or(answered_at));
+    answers_[cause] = latest;
+    evidence_.clear(cause, answered_at);
   }
 }
 
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -28,6 +28,10 @@
 /// all memory of the node.
 static constexpr std::size_t max_body_bytes = 32 * 1024 * 1024;
 
+/// A stream that has gone on for this long since its first event is not crashed by a part of the
+/// prompt any more.
+static constexpr milliseconds time_to_survive_parts{1000};
+
 /// While the node's memory is short, a response waits this long at most before more of it is read.
 static constexpr milliseconds max_memory_wait{2000};
 static constexpr milliseconds memory_check_interval{20};
@@ -220,23 +224,35 @@
   co_return result;
 }
 
-/// Records that the connection ended before the target had completed its answer. A target that has
-/// begun to answer has read the prompt, so that no part of it can be the cause.
+/// Records that the connection ended before the target had completed its answer. The parts of a
+/// prompt crash a target when it begins to answer, so none of them is the cause later.
 void target_attempt::record_loss() {
   const std::vector<std::string>& all = shared_->crash_suspects;
-  env_.crash_causes.record_loss(shared_->service, has_answered_ ? std::vector{all.back()} : all,
+  env_.crash_causes.record_loss(shared_->service,
+                                has_survived_parts_ ? std::vector{all.back()} : all,
                                 {target_.id, target_.started_at_ms}, started_at_);
 }
 
-void target_attempt::record_answer() {
+/// A target may write some events before it crashes, so the first one clears no part yet.
+void target_attempt::record_event() {
+  const auto now = env_.time.now();
+  if (!first_event_at_)
+    first_event_at_ = now;
+  if (now - *first_event_at_ >= time_to_survive_parts)
+    record_answered_parts();
+}
+
+void target_attempt::record_answered_parts() {
   const std::vector<std::string>& all = shared_->crash_suspects;
-  if (!std::exchange(has_answered_, true))
-    env_.crash_causes.record_answer(shared_->service, {all.begin(), all.end() - 1});
+  if (!std::exchange(has_survived_parts_, true))
+    env_.crash_causes.record_answer(shared_->service, {all.begin(), all.end() - 1},
+                                    first_event_at_.value_or(env_.time.now()));
 }
 
 void target_attempt::record_completion() {
-  record_answer();
-  env_.crash_causes.record_answer(shared_->service, {shared_->crash_suspects.back()});
+  record_answered_parts();
+  env_.crash_causes.record_answer(shared_->service, {shared_->crash_suspects.back()},
+                                  env_.time.now());
 }
 
 void target_attempt::count_transport_failure(const net::transport_error& error) {
@@ -416,7 +432,7 @@
       if (!position_.is_followed_by(*event))
         co_return fail(attempt_result::unknown, "event out of order",
                        "it sent an event out of order");
-      record_answer();
+      record_event();
       position_.advance(*event);
       if (std::exchange(repetition_due_, false))
         continue;
--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -33,10 +33,9 @@
 const std::vector<fleet_size> small_fleets = {{6, 20, false}, {6, 20, true}, {6, 8, false}};
 const std::vector<fleet_size> large_fleets = {{300, 60, false}};
 
-void expect_deadly_requests_are_stopped(const fleet_size& size) {
-  tainted_fleet fleet(size.nodes, size.targets);
+void expect_deadly_requests_are_stopped(tainted_fleet& fleet, bool deadly_first) {
   fleet.side.deadly_part = fleet.deadly;
-  fleet.send_requests(14s, size.deadly_first);
+  fleet.send_requests(14s, deadly_first);
   fleet.run_for(2s);
   const auto& crashes = fleet.side.deadly_crashes;
   BOOST_REQUIRE(!crashes.empty());
@@ -48,12 +47,36 @@
 } // namespace
 
 BOOST_DATA_TEST_CASE(deadly_prompt_part_stops_reaching_targets, data::make(small_fleets), each) {
-  expect_deadly_requests_are_stopped(each);
+  tainted_fleet fleet(each.nodes, each.targets);
+  expect_deadly_requests_are_stopped(fleet, each.deadly_first);
 }
 
 BOOST_DATA_TEST_CASE(three_hundred_nodes_stop_a_deadly_prompt_part, data::make(large_fleets),
                      each) {
-  expect_deadly_requests_are_stopped(each);
+  tainted_fleet fleet(each.nodes, each.targets);
+  expect_deadly_requests_are_stopped(fleet, each.deadly_first);
+}
+
+// Guards against BUDGET: a part that crashes targets after their first event is never banned.
+BOOST_DATA_TEST_CASE(deadly_prompt_part_is_found_after_the_first_event, data::make(small_fleets),
+                     each) {
+  tainted_fleet fleet(each.nodes, each.targets);
+  fleet.side.crashes_late = true;
+  expect_deadly_requests_are_stopped(fleet, each.deadly_first);
+}
+
+// A target may crash before its first event has left it, or after.
+BOOST_DATA_TEST_CASE(deadly_prompt_part_is_found_whether_or_not_an_event_comes,
+                     data::make(small_fleets), each) {
+  tainted_fleet fleet(each.nodes, each.targets);
+  const auto alternate = [&]() -> support::task<> {
+    for (;;) {
+      co_await fleet.clock.sleep_for(300ms);
+      fleet.side.crashes_late = !fleet.side.crashes_late;
+    }
+  };
+  support::spawn(fleet.context.get_executor(), "alternate", alternate());
+  expect_deadly_requests_are_stopped(fleet, each.deadly_first);
 }
 
 namespace {
