--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -84,8 +84,8 @@
   std::optional<support::clock::time_point> last_answer(const crash_cause& cause) const;
   /// Whether published crashes accuse one of the record's suspects.
   bool supports_evidence(const crash_record& record) const;
-  /// Clears the suspects of shared records that targets have answered at this node since.
-  void clear_answered();
+  /// Applies to shared records what targets have answered at this node.
+  void apply_answers();
   void log_changes();
 
   support::clock& time_;
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -29,8 +29,9 @@
   /// Merges a record. Returns whether the evidence has changed.
   bool merge(const target_start& start, const crash_record& record);
 
-  /// Clears the suspect in the records of crashes before `answered_at`.
-  void clear(const crash_cause& cause, support::clock::time_point answered_at);
+  /// Records that a target began to answer a request with the suspect at `answered_at` and did not
+  /// crash: clears it in the records of earlier crashes.
+  void apply_answer(const crash_cause& cause, support::clock::time_point answered_at);
 
   const std::map<target_start, crash_record>& records() const { return records_; }
 
--- a/include/camphorlug/gateway/crash_record.h
+++ b/include/camphorlug/gateway/crash_record.h
@@ -34,8 +34,8 @@
 /// Returns the cause that a suspect's id names in the requests for `service`.
 crash_cause make_cause(const std::string& service, const std::string& id);
 
-/// A prompt part of requests that a target had received, but not begun to answer, when it crashed,
-/// or a whole request that it had not answered completely.
+/// A prompt part of requests that a target had received, but not answered for long, when it
+/// crashed, or a whole request that it had not answered completely.
 struct crash_suspect {
   /// Index in the prompt, or the number of its parts for a whole request. Fewer requests share the
   /// later parts.
@@ -44,6 +44,9 @@
   std::chrono::microseconds waited{0};
   /// A target has answered such a request since, so that the suspect is not the cause.
   bool cleared = false;
+  /// A target has answered such a request at some time, so that the suspect is the cause less
+  /// probably than one that was never answered.
+  bool answered_before = false;
   /// Elements that a later build has added.
   std::string unknown_elements{};
 
--- a/lib/gateway/crash_cause_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -16,7 +16,7 @@
     const crash_cause cause = make_cause(service, id);
     const auto latest = std::max(answered_at, last_answer(cause).value_or(answered_at));
     answers_[cause] = latest;
-    evidence_.clear(cause, answered_at);
+    evidence_.apply_answer(cause, answered_at);
   }
 }
 
@@ -34,7 +34,9 @@
   const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(time_.now() - sent_at);
   for (std::size_t i = 0; i < suspects.size(); ++i) {
     const auto [suspect, is_new] =
-        record.suspects.try_emplace(suspects[i], crash_suspect{i, waited, false});
+        record.suspects.try_emplace(suspects[i], crash_suspect{i, waited});
+    if (last_answer(record.cause(suspects[i])))
+      suspect->second.answered_before = true;
     if (!is_new)
       suspect->second.waited = std::min(suspect->second.waited, waited);
   }
@@ -94,7 +96,7 @@
   }
 }
 
-void crash_cause_list::clear_answered() {
+void crash_cause_list::apply_answers() {
   std::map<crash_cause, support::clock::time_point> answered;
   for (const auto& [start, record] : evidence_.records()) {
     for (const auto& [id, suspect] : record.suspects) {
@@ -103,13 +105,13 @@
     }
   }
   for (const auto& [cause, answered_at] : answered)
-    evidence_.clear(cause, answered_at);
+    evidence_.apply_answer(cause, answered_at);
 }
 
 bool crash_cause_list::merge_json(const std::string& text) {
   const bool changed = evidence_.merge_json(text, time_.now());
   if (changed) {
-    clear_answered();
+    apply_answers();
     log_changes();
   }
   return changed;
@@ -128,7 +130,7 @@
     if (pending.record.cause(cause.id) == cause)
       pending.record.suspects.erase(cause.id);
   }
-  evidence_.clear(cause, support::clock::time_point::max());
+  evidence_.apply_answer(cause, support::clock::time_point::max());
   log_changes();
 }
 
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 #include <xxhash.h>
@@ -18,13 +19,16 @@
 using record_entry = std::pair<const target_start, crash_record>;
 
 static constexpr std::size_t record_elements = 5;
-static constexpr std::size_t suspect_elements = 3;
+/// Earlier builds write and read the first three, and pass the others on.
+static constexpr std::size_t min_suspect_elements = 3;
+static constexpr std::size_t suspect_elements = 4;
 
 static bool merge_suspect(crash_suspect& held, const crash_suspect& other) {
   const crash_suspect before = held;
   held.position = std::max(held.position, other.position);
   held.waited = std::min(held.waited, other.waited);
   held.cleared = held.cleared || other.cleared;
+  held.answered_before = held.answered_before || other.answered_before;
   held.unknown_elements = std::max(held.unknown_elements, other.unknown_elements);
   return held != before;
 }
@@ -58,14 +62,18 @@
   return changed;
 }
 
-void crash_evidence::clear(const crash_cause& cause, support::clock::time_point answered_at) {
+void crash_evidence::apply_answer(const crash_cause& cause,
+                                  support::clock::time_point answered_at) {
   bool changed = false;
   for (auto& [start, record] : records_) {
-    if (record.cause(cause.id) != cause || record.crashed_at >= answered_at)
+    if (record.cause(cause.id) != cause)
       continue;
     const auto suspect = record.suspects.find(cause.id);
-    if (suspect != record.suspects.end() && !std::exchange(suspect->second.cleared, true))
-      changed = true;
+    if (suspect == record.suspects.end())
+      continue;
+    changed = !std::exchange(suspect->second.answered_before, true) || changed;
+    if (record.crashed_at < answered_at)
+      changed = !std::exchange(suspect->second.cleared, true) || changed;
   }
   if (changed)
     update();
@@ -86,10 +94,13 @@
   /// All crashes, with those that no request was sent between.
   std::size_t records = 0;
   std::size_t position = 0;
+  /// Whether a target has answered such a request at some time.
+  bool answered_before = false;
   support::clock::time_point last_crash_at = support::clock::time_point::min();
 
   void add(const crash_record& record, const crash_suspect& suspect) {
     position = std::max(position, suspect.position);
+    answered_before = answered_before || suspect.answered_before;
     ++records;
     if (record.crashed_at - suspect.waited <= last_crash_at)
       return;
@@ -97,10 +108,11 @@
     last_crash_at = record.crashed_at;
   }
 
-  /// Of suspects that explain the same crashes, the one that fewer requests share is the cause more
-  /// probably, and a ban of it does less harm.
+  /// Of suspects that explain the same crashes, one that was never answered is the cause more
+  /// probably, then the one that fewer requests share. A ban of either does less harm.
   bool is_stronger_than(const accusation& other) const {
-    return std::pair(crashes, position) > std::pair(other.crashes, other.position);
+    return std::tuple(crashes, !answered_before, position) >
+           std::tuple(other.crashes, !other.answered_before, other.position);
   }
 };
 
@@ -197,8 +209,9 @@
 static std::uint64_t digest_of(const target_start& start, const crash_record& record) {
   std::string text = start.target + " " + std::to_string(start.started_at_ms);
   for (const auto& [id, suspect] : record.suspects)
-    text += " " + id + (suspect.cleared ? "-" : "+") + std::to_string(suspect.position) + "," +
-            std::to_string(suspect.waited.count()) + suspect.unknown_elements;
+    text += " " + id + (suspect.cleared ? "-" : "+") + (suspect.answered_before ? "a" : "") +
+            std::to_string(suspect.position) + "," + std::to_string(suspect.waited.count()) +
+            suspect.unknown_elements;
   text += record.unknown_elements;
   return XXH3_64bits(text.data(), text.size());
 }
@@ -233,6 +246,8 @@
         continue;
       nlohmann::json& entry = suspects[id];
       entry = {suspect.position, suspect.waited.count(), suspect.cleared};
+      if (suspect.answered_before || !suspect.unknown_elements.empty())
+        entry.push_back(suspect.answered_before);
       support::write_unknown_elements(entry, suspect.unknown_elements);
     }
     const auto age = std::chrono::duration_cast<microseconds>(now - record.crashed_at);
@@ -250,6 +265,7 @@
   for (const auto& [id, suspect] : entry.at(4).items())
     record.suspects[id] = {suspect.at(0), microseconds(suspect.at(1).get<std::int64_t>()),
                            suspect.at(2),
+                           suspect.size() > min_suspect_elements && suspect.at(3).get<bool>(),
                            support::read_unknown_elements(suspect, suspect_elements)};
   return {{entry.at(0), entry.at(1)}, std::move(record)};
 }
--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -79,6 +79,31 @@
   expect_deadly_requests_are_stopped(fleet, each.deadly_first);
 }
 
+// Guards against LOST: a part that all sound requests share is banned in place of the deadly one.
+BOOST_DATA_TEST_CASE(sound_part_that_was_answered_before_is_not_banned,
+                     data::make({false, true}), crashes_late) {
+  tainted_fleet fleet(3, 17);
+  fleet.side.deadly_part = fleet.deadly;
+  fleet.side.crashes_late = crashes_late;
+  const auto send_sound = [&] { fleet.send(fleet.random.below(3), "shared"); };
+  for (int i = 0; i < 8; ++i) {
+    send_sound();
+    fleet.run_for(1500ms);
+  }
+  // So few sound requests that several crashes come between two of them.
+  for (int i = 0; i < 64; ++i) {
+    fleet.send(fleet.random.below(3), "deadly shared");
+    if (i % 6 == 0)
+      send_sound();
+    fleet.run_for(250ms);
+  }
+  const auto& crashes = fleet.side.deadly_crashes;
+  BOOST_REQUIRE(!crashes.empty());
+  const auto counted = crashes[std::min(crashes.size(), crashes_that_count) - 1];
+  BOOST_TEST(fleet.deadly_arrivals_after(counted + learning_time) <= max_sent_later);
+  BOOST_TEST(fleet.served_after(counted + 2 * learning_time) > 0.5);
+}
+
 namespace {
 
 constexpr std::uint64_t first_seed = 1;
--- a/unittests/gateway/crash_evidence_test.cpp
+++ b/unittests/gateway/crash_evidence_test.cpp
@@ -134,13 +134,27 @@
   BOOST_TEST(forward.digest() == backward.digest());
 }
 
+// Guards against LOST: the place of a part in the prompt alone decides which of two is banned.
+BOOST_AUTO_TEST_CASE(part_that_was_answered_before_is_accused_after_others) {
+  crash_evidence evidence;
+  for (std::size_t i = 0; i < 3; ++i)
+    add(evidence, i, {std::chrono::seconds(i + 10), {"new", "known"}});
+  BOOST_TEST(ids(evidence) == std::vector<std::string>{"known"}, boost::test_tools::per_element());
+  evidence.apply_answer({service, "known"}, at(5s));
+  BOOST_TEST(ids(evidence) == std::vector<std::string>{"new"}, boost::test_tools::per_element());
+  crash_evidence other;
+  other.merge_json(evidence.to_json(at(20s)), at(20s));
+  BOOST_TEST(ids(other) == std::vector<std::string>{"new"}, boost::test_tools::per_element());
+  BOOST_TEST(other.digest() == evidence.digest());
+}
+
 BOOST_AUTO_TEST_CASE(answer_clears_only_earlier_crashes) {
   crash_evidence evidence;
   for (std::size_t i = 0; i < 4; ++i)
     add(evidence, i, {std::chrono::seconds(i + 1), {"a"}});
-  evidence.clear({service, "a"}, at(1500ms));
+  evidence.apply_answer({service, "a"}, at(1500ms));
   BOOST_TEST(ids(evidence).size() == 1);
-  evidence.clear({service, "a"}, at(2500ms));
+  evidence.apply_answer({service, "a"}, at(2500ms));
   BOOST_TEST(ids(evidence).empty());
 }
 
@@ -151,7 +165,7 @@
     add(cleared, i, {std::chrono::seconds(i + 1), {"a"}});
     add(accusing, i, {std::chrono::seconds(i + 1), {"a"}});
   }
-  cleared.clear({service, "a"}, at(5s));
+  cleared.apply_answer({service, "a"}, at(5s));
   BOOST_TEST(accusing.merge_json(cleared.to_json(at(6s)), at(6s)));
   BOOST_TEST(ids(accusing).empty());
   BOOST_TEST(!cleared.merge_json(accusing.to_json(at(7s)), at(7s)));
--- a/unittests/gateway/mixed_builds_test.cpp
+++ b/unittests/gateway/mixed_builds_test.cpp
@@ -176,14 +176,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(crash_evidence_of_a_later_build_is_passed_on_whole) {
-  const char* written = R"([["t1",5,"shop",1000,{"p":[1,200,false,"why"]},"kind",{"n":1}],)"
+  const char* written = R"([["t1",5,"shop",1000,{"p":[1,200,false,true,"why"]},"kind",{"n":1}],)"
                         R"({"of another kind":1},["t2",6,"shop",2000,{"p":[1,200,false]}]])";
   gateway::crash_evidence evidence;
   BOOST_TEST(evidence.merge_json(written, support::clock::time_point(10s)));
   BOOST_TEST(evidence.records().size() == 2U);
   const json passed_on = json::parse(evidence.to_json(support::clock::time_point(10s)));
-  BOOST_TEST(passed_on == json::parse(R"([["t1",5,"shop",1000,{"p":[1,200,false,"why"]},"kind",)"
-                                      R"({"n":1}],["t2",6,"shop",2000,{"p":[1,200,false]}]])"));
+  BOOST_TEST(passed_on ==
+             json::parse(R"([["t1",5,"shop",1000,{"p":[1,200,false,true,"why"]},"kind",)"
+                         R"({"n":1}],["t2",6,"shop",2000,{"p":[1,200,false]}]])"));
   // What an earlier build has left out comes back with the evidence of another node.
   gateway::crash_evidence behind;
   behind.merge_json(fakes::earlier_build::pass_on_evidence(passed_on.dump()),
