--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -81,6 +81,7 @@
 
   void add_suspects(crash_record& record, const std::vector<std::string>& suspects,
                     support::clock::time_point sent_at) const;
+  void limit_suspects(crash_record& record) const;
   std::optional<support::clock::time_point> last_answer(const crash_cause& cause) const;
   /// Whether published crashes accuse one of the record's suspects.
   bool supports_evidence(const crash_record& record) const;
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -19,7 +19,10 @@
 class crash_evidence {
 public:
   static constexpr std::size_t max_records = 64;
-  static constexpr std::size_t max_suspects_per_record = 128;
+  /// More than the prompts hold that a header of 16 KiB names with ids of 16 characters.
+  static constexpr std::size_t max_suspects_per_record = 1024;
+  /// Suspects of all records; the records that prove a cause fit.
+  static constexpr std::size_t max_suspects = 4096;
   /// Crashes under requests with a suspect, each under a request that was sent after the crash
   /// before, that show that the suspect causes them. Targets that fail together count as one, and a
   /// target that fails by itself seldom does so three times in a row under one suspect that no
@@ -29,9 +32,9 @@
   /// Merges a record. Returns whether the evidence has changed.
   bool merge(const target_start& start, const crash_record& record);
 
-  /// Records that a target began to answer a request with the suspect at `answered_at` and did not
-  /// crash: clears it in the records of earlier crashes.
-  void apply_answer(const crash_cause& cause, support::clock::time_point answered_at);
+  /// Records that targets began to answer requests with these suspects, each at its time, and did
+  /// not crash: clears them in the records of earlier crashes.
+  void apply_answers(const std::map<crash_cause, support::clock::time_point>& answers);
 
   const std::map<target_start, crash_record>& records() const { return records_; }
 
@@ -54,6 +57,8 @@
   bool merge_json(const std::string& text, support::clock::time_point now);
 
 private:
+  bool apply_answer(const crash_cause& cause, support::clock::time_point answered_at);
+  std::size_t suspect_count() const;
   bool merge_without_update(const target_start& start, const crash_record& record);
   void evict_if_full();
   void update();
--- a/lib/gateway/crash_cause_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -3,21 +3,27 @@
 #include "camphorlug/support/log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorlug::gateway {
 
+/// Suspects of a crash that is not published yet. Most of them are cleared until then.
+static constexpr std::size_t max_pending_suspects = 4 * crash_evidence::max_suspects_per_record;
+static constexpr std::size_t max_logged_suspects = 32;
+
 void crash_cause_list::record_answer(const std::string& service,
                                      const std::vector<std::string>& suspects,
                                      support::clock::time_point answered_at) {
   if (answers_.size() >= remembered_answers)
     older_answers_ = std::exchange(answers_, {});
+  std::map<crash_cause, support::clock::time_point> answers;
   for (const std::string& id : suspects) {
     const crash_cause cause = make_cause(service, id);
-    const auto latest = std::max(answered_at, last_answer(cause).value_or(answered_at));
-    answers_[cause] = latest;
-    evidence_.apply_answer(cause, answered_at);
+    answers_[cause] = std::max(answered_at, last_answer(cause).value_or(answered_at));
+    answers.emplace(cause, answered_at);
   }
+  evidence_.apply_answers(answers);
 }
 
 std::optional<support::clock::time_point>
@@ -32,7 +38,8 @@
 void crash_cause_list::add_suspects(crash_record& record, const std::vector<std::string>& suspects,
                                     support::clock::time_point sent_at) const {
   const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(time_.now() - sent_at);
-  for (std::size_t i = 0; i < suspects.size(); ++i) {
+  for (std::size_t i = 0; i < suspects.size() && record.suspects.size() < max_pending_suspects;
+       ++i) {
     const auto [suspect, is_new] =
         record.suspects.try_emplace(suspects[i], crash_suspect{i, waited});
     if (last_answer(record.cause(suspects[i])))
@@ -69,6 +76,41 @@
     pending_.erase(pending);
 }
 
+/// Lists the suspects, if they are not too many for a line.
+static std::string describe_suspects(const crash_record& record) {
+  std::string text;
+  std::size_t listed = 0;
+  for (const auto& [id, suspect] : record.suspects) {
+    if (++listed > max_logged_suspects)
+      return text + " and " + std::to_string(record.suspects.size() - max_logged_suspects) +
+             " more";
+    text += " " + id;
+  }
+  return text;
+}
+
+/// Keeps the suspects that are the cause most probably, if there are too many: those that other
+/// crashes accuse, then those that were never answered.
+void crash_cause_list::limit_suspects(crash_record& record) const {
+  if (record.suspects.size() <= crash_evidence::max_suspects_per_record)
+    return;
+  std::set<crash_cause> accused;
+  for (const auto& [start, published] : evidence_.records()) {
+    for (const auto& [id, suspect] : published.suspects) {
+      if (!suspect.cleared)
+        accused.insert(published.cause(id));
+    }
+  }
+  std::vector<std::pair<int, std::string>> by_rank;
+  for (const auto& [id, suspect] : record.suspects) {
+    const int rank = accused.contains(record.cause(id)) ? 0 : suspect.answered_before ? 2 : 1;
+    by_rank.emplace_back(rank, id);
+  }
+  std::sort(by_rank.begin(), by_rank.end());
+  for (std::size_t i = crash_evidence::max_suspects_per_record; i < by_rank.size(); ++i)
+    record.suspects.erase(by_rank[i].second);
+}
+
 void crash_cause_list::update() {
   for (auto each = pending_.begin(); each != pending_.end();) {
     auto& [start, pending] = *each;
@@ -84,11 +126,9 @@
       continue;
     }
     if (pending.confirmed && !pending.record.suspects.empty()) {
-      std::string parts;
-      for (const auto& [part, suspect] : pending.record.suspects)
-        parts += " " + part;
+      limit_suspects(pending.record);
       support::log_event(support::log_level::warning, "target_crashed_under_requests",
-                         {{"target", start.target}, {"parts", parts}});
+                         {{"target", start.target}, {"parts", describe_suspects(pending.record)}});
       evidence_.merge(start, pending.record);
       log_changes();
     }
@@ -104,8 +144,7 @@
         answered.emplace(record.cause(id), *answered_at);
     }
   }
-  for (const auto& [cause, answered_at] : answered)
-    evidence_.apply_answer(cause, answered_at);
+  evidence_.apply_answers(answered);
 }
 
 bool crash_cause_list::merge_json(const std::string& text) {
@@ -130,7 +169,7 @@
     if (pending.record.cause(cause.id) == cause)
       pending.record.suspects.erase(cause.id);
   }
-  evidence_.apply_answer(cause, support::clock::time_point::max());
+  evidence_.apply_answers({{cause, support::clock::time_point::max()}});
   log_changes();
 }
 
--- a/lib/gateway/crash_evidence.cpp
+++ b/lib/gateway/crash_evidence.cpp
@@ -62,7 +62,16 @@
   return changed;
 }
 
-void crash_evidence::apply_answer(const crash_cause& cause,
+void crash_evidence::apply_answers(
+    const std::map<crash_cause, support::clock::time_point>& answers) {
+  bool changed = false;
+  for (const auto& [cause, answered_at] : answers)
+    changed = apply_answer(cause, answered_at) || changed;
+  if (changed)
+    update();
+}
+
+bool crash_evidence::apply_answer(const crash_cause& cause,
                                   support::clock::time_point answered_at) {
   bool changed = false;
   for (auto& [start, record] : records_) {
@@ -75,8 +84,14 @@
     if (record.crashed_at < answered_at)
       changed = !std::exchange(suspect->second.cleared, true) || changed;
   }
-  if (changed)
-    update();
+  return changed;
+}
+
+std::size_t crash_evidence::suspect_count() const {
+  std::size_t count = 0;
+  for (const auto& [start, record] : records_)
+    count += record.suspects.size();
+  return count;
 }
 
 namespace {
@@ -193,7 +208,7 @@
 
 /// Drops the oldest record that supports no ban, or the oldest one if all do.
 void crash_evidence::evict_if_full() {
-  while (records_.size() > max_records) {
+  while (records_.size() > max_records || (records_.size() > 1 && suspect_count() > max_suspects)) {
     const auto rank = [&](const record_entry& entry) {
       const bool supports_ban = std::any_of(proven_.begin(), proven_.end(), [&](const auto& each) {
         return entry.second.accuses(each.first);
--- a/unittests/gateway/crash_evidence_test.cpp
+++ b/unittests/gateway/crash_evidence_test.cpp
@@ -140,7 +140,7 @@
   for (std::size_t i = 0; i < 3; ++i)
     add(evidence, i, {std::chrono::seconds(i + 10), {"new", "known"}});
   BOOST_TEST(ids(evidence) == std::vector<std::string>{"known"}, boost::test_tools::per_element());
-  evidence.apply_answer({service, "known"}, at(5s));
+  evidence.apply_answers({{{service, "known"}, at(5s)}});
   BOOST_TEST(ids(evidence) == std::vector<std::string>{"new"}, boost::test_tools::per_element());
   crash_evidence other;
   other.merge_json(evidence.to_json(at(20s)), at(20s));
@@ -152,9 +152,9 @@
   crash_evidence evidence;
   for (std::size_t i = 0; i < 4; ++i)
     add(evidence, i, {std::chrono::seconds(i + 1), {"a"}});
-  evidence.apply_answer({service, "a"}, at(1500ms));
+  evidence.apply_answers({{{service, "a"}, at(1500ms)}});
   BOOST_TEST(ids(evidence).size() == 1);
-  evidence.apply_answer({service, "a"}, at(2500ms));
+  evidence.apply_answers({{{service, "a"}, at(2500ms)}});
   BOOST_TEST(ids(evidence).empty());
 }
 
@@ -165,7 +165,7 @@
     add(cleared, i, {std::chrono::seconds(i + 1), {"a"}});
     add(accusing, i, {std::chrono::seconds(i + 1), {"a"}});
   }
-  cleared.apply_answer({service, "a"}, at(5s));
+  cleared.apply_answers({{{service, "a"}, at(5s)}});
   BOOST_TEST(accusing.merge_json(cleared.to_json(at(6s)), at(6s)));
   BOOST_TEST(ids(accusing).empty());
   BOOST_TEST(!cleared.merge_json(accusing.to_json(at(7s)), at(7s)));
@@ -212,13 +212,53 @@
 BOOST_AUTO_TEST_CASE(record_holds_a_bounded_number_of_suspects) {
   crash_evidence evidence;
   std::vector<std::string> parts;
-  for (int i = 0; i < 1000; ++i)
+  for (int i = 0; i < 3000; ++i)
     parts.push_back("part" + std::to_string(i));
   add(evidence, 1, {1s, parts});
   BOOST_TEST(evidence.records().begin()->second.suspects.size() ==
              crash_evidence::max_suspects_per_record);
 }
 
+BOOST_AUTO_TEST_CASE(records_hold_a_bounded_number_of_suspects_and_the_cause) {
+  crash_evidence evidence;
+  std::vector<std::string> parts;
+  for (int i = 0; i < 1000; ++i)
+    parts.push_back("part" + std::to_string(i));
+  for (std::size_t i = 0; i < 20; ++i) {
+    std::vector<std::string> own = {"deadly"};
+    for (const std::string& part : parts)
+      own.push_back(part + "of" + std::to_string(i));
+    add(evidence, i, {std::chrono::seconds(i + 1), own});
+  }
+  std::size_t suspects = 0;
+  for (const auto& [start, record] : evidence.records())
+    suspects += record.suspects.size();
+  BOOST_TEST(suspects <= crash_evidence::max_suspects);
+  BOOST_TEST(ids(evidence) == std::vector<std::string>{"deadly"}, boost::test_tools::per_element());
+}
+
+// Guards against BUDGET: what crashes targets is left out of a record that holds too much.
+BOOST_AUTO_TEST_CASE(too_many_suspects_leave_the_one_that_other_crashes_accuse) {
+  asio::io_context context;
+  support::virtual_clock clock(context);
+  crash_cause_list causes(clock);
+  for (int crash = 0; crash < 4; ++crash) {
+    std::vector<std::string> suspects;
+    for (int i = 0; i < 1200; ++i)
+      suspects.push_back("part" + std::to_string(crash) + "of" + std::to_string(i));
+    suspects.push_back("the cause");
+    if (crash > 0)
+      causes.record_loss(service, suspects, {"t1", crash}, clock.now());
+    else
+      causes.record_loss(service, {"the cause"}, {"t1", crash}, clock.now());
+    clock.run_for(1s);
+    for (const target_start& each : causes.take_unconfirmed())
+      causes.confirm(each, true);
+    causes.update();
+  }
+  BOOST_TEST(causes.find_banned(service, {"the cause"}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(broken_connection_to_a_live_target_is_no_crash) {
   asio::io_context context;
   support::virtual_clock clock(context);
--- a/unittests/platform/caller_protocol_test.cpp
+++ b/unittests/platform/caller_protocol_test.cpp
@@ -1,5 +1,7 @@
 #include "platform_caller_protocol.h"
 
+#include "camphorlug/support/digest.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -243,7 +245,7 @@
 namespace {
 
 struct prompt_case {
-  const char* header;
+  std::string header;
   std::vector<std::string> parts;
 };
 
@@ -251,6 +253,10 @@
   return out << each.header;
 }
 
+const std::string many_parts =
+    "a:1,b:1,c:1,d:1,e:1,f:1,g:1,h:1,i:1,j:1,k:1,l:1,m:1,n:1,o:1,p:1,q:1,r:1,s:1,t:1";
+const std::string long_id(80, 'x');
+
 const std::vector<prompt_case> prompt_cases = {
     {"", {}},
     {"a1:40", {}},
@@ -258,6 +264,11 @@
     {"a1:40,b2:7, c3:1,d4:9", {"a1", "b2", "c3"}},
     {"a1,b2", {"a1"}},
     {":40,,b2:7,c3:1", {"b2"}},
+    // Guards against BUDGET: a deadly part beyond the 16th, or with a long id, is not known.
+    {many_parts,
+     {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r",
+      "s"}},
+    {"a1:40," + long_id + ":7,c3:1", {"a1", "sha256:" + support::sha256_hex(long_id)}},
 };
 
 } // namespace
