Pass on no answer whose status is none

RFC 9110, section 15, has 100 to 599 only.

Now such a head is unreadable, as any malformed one: at the first node, at relays and at probes, which share the client. The rows "status above 599" and "status 999" fail on the code before.

--- a/lib/net/curl_client.cpp
+++ b/lib/net/curl_client.cpp
@@ -383,13 +383,19 @@
 
   bool parse_status_line(std::string_view line) {
     static constexpr std::size_t status_digits = 3;
+    // RFC 9110, section 15: others are invalid, and their class tells nobody what they mean.
+    static constexpr int min_status = 100;
+    static constexpr int max_status = 599;
     const std::size_t space = line.find(' ');
     std::string_view status = space < line.size() ? line.substr(space + 1) : std::string_view();
     status = status.substr(0, status.find(' '));
     if (status.size() != status_digits || !is_decimal(status) || !is_field_value(line))
       return give_up("its status line is malformed");
+    const int code = std::atoi(std::string(status).c_str());
+    if (code < min_status || code > max_status)
+      return give_up("its status is none");
     head_ = {};
-    head_.status = std::atoi(std::string(status).c_str());
+    head_.status = code;
     return true;
   }
 
--- a/unittests/net/response_head_test.cpp
+++ b/unittests/net/response_head_test.cpp
@@ -77,6 +77,12 @@
     {"length that is no number", "HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n", false},
     {"status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n", false},
     {"status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n", false},
+    // Guards against MIXED: an answer whose status is none is passed on.
+    {"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n", false},
+    {"status below 100", "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n", false},
+    {"highest status", "HTTP/1.1 599 OK\r\nContent-Length: 2\r\n", true},
+    {"status above 599", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n", false},
+    {"status 999", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n", false},
 };
 
 } // namespace
