Count only reports that come after a read of the target's row

A node may know an older state of a row than the store holds: feeds pass over reports that change nothing else.

report_that_the_first_read_brings_shows_nothing guards against it.

--- a/include/camphorlug/edge/departure_checker.h
+++ b/include/camphorlug/edge/departure_checker.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace camphorlug::edge {
@@ -20,6 +21,9 @@
 /// that has died stays for some report intervals without a new report.
 class departure_checker {
 public:
+  /// A read of the rows that takes longer than this is given up.
+  static constexpr std::chrono::milliseconds read_timeout{300};
+
   /// External dependencies. Every referenced object must outlive the checker.
   struct context {
     support::clock& time;
@@ -55,8 +59,9 @@
   support::task<evidence> wait_for_evidence(const gateway::target_entry& target,
                                             support::clock::time_point ended_at,
                                             support::clock::time_point until);
-  evidence find_evidence(const gateway::target_entry& target,
-                         support::clock::time_point ended_at) const;
+  /// Reports count if they came after `compared_since`.
+  evidence find_evidence(const gateway::target_entry& target, support::clock::time_point ended_at,
+                         std::optional<support::clock::time_point> compared_since) const;
   /// Reads the rows unless they were read a moment ago.
   support::task<> read_if_due();
   void record_end(const gateway::target_start& process, support::clock::time_point ended_at);
@@ -71,7 +76,7 @@
   std::deque<std::pair<support::clock::time_point, gateway::target_start>> ends_;
   support::clock::time_point reads_next_at_;
   /// When the latest read that was answered began.
-  support::clock::time_point read_at_;
+  std::optional<support::clock::time_point> read_at_;
 };
 
 } // namespace camphorlug::edge
--- a/lib/edge/departure_checker.cpp
+++ b/lib/edge/departure_checker.cpp
@@ -17,7 +17,7 @@
 /// A process that has died is found silent within this time.
 static constexpr milliseconds end_memory{10000};
 /// Part of the report interval after which the next report is overdue.
-static constexpr double overdue_factor = 1.5;
+static constexpr double overdue_factor = 1.75;
 
 /// Whether the process's row says that its group is broken, or another one than `target` had.
 static bool has_cut_off_work(const gateway::target_entry& row,
@@ -64,29 +64,37 @@
                                        : std::chrono::duration_cast<std::chrono::nanoseconds>(
                                              timing_.report_interval * overdue_factor);
   const auto gives_up_at = std::min(until, ended_at + longest_wait);
-  while (context_.time.now() < gives_up_at) {
-    const evidence found = find_evidence(target, ended_at);
+  // What this node knows of the row may be older than the end of the response, so only a report
+  // that comes after a read is new.
+  std::optional<support::clock::time_point> compared_since;
+  for (;;) {
+    if (!has_no_row)
+      co_await read_if_due();
+    const auto now = context_.time.now();
+    if (!compared_since && read_at_ && *read_at_ >= ended_at)
+      compared_since = now;
+    const evidence found = find_evidence(target, ended_at, compared_since);
     if (found != evidence::none)
       co_return found;
-    if (!has_no_row && context_.time.now() >= ended_at + read_interval)
-      co_await read_if_due();
+    if (now >= gives_up_at)
+      break;
     co_await context_.time.sleep_for(check_interval);
   }
-  const evidence found = find_evidence(target, ended_at);
-  const bool is_overdue = !has_no_row && read_at_ >= ended_at + timing_.report_interval;
-  co_return found == evidence::none&& is_overdue ? evidence::has_failed : found;
+  const bool is_overdue = compared_since && *read_at_ >= *compared_since + timing_.report_interval;
+  co_return is_overdue ? evidence::has_failed : evidence::none;
 }
 
 departure_checker::evidence
 departure_checker::find_evidence(const gateway::target_entry& target,
-                                 support::clock::time_point ended_at) const {
+                                 support::clock::time_point ended_at,
+                                 std::optional<support::clock::time_point> compared_since) const {
   const auto known = context_.registry.find_departure(target.id, target.started_at_ms);
   const gateway::target_entry* row = context_.registry.find(target.id);
   if (!known || (row && has_cut_off_work(*row, target)))
     return evidence::has_failed;
   if (known->removed_at && *known->removed_at >= ended_at - news_delay)
     return evidence::has_left;
-  if (known->reported_at && *known->reported_at >= ended_at + news_delay)
+  if (compared_since && known->reported_at && *known->reported_at > *compared_since)
     return evidence::lives;
   return evidence::none;
 }
@@ -98,7 +106,7 @@
   reads_next_at_ = now + read_interval;
   const bool answered = co_await context_.read_targets();
   if (answered)
-    read_at_ = std::max(read_at_, now);
+    read_at_ = now;
 }
 
 void departure_checker::record_end(const gateway::target_start& process,
--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -91,8 +91,10 @@
       paths_(context_.time),
       sender_(context_.time, context_.random, context_.client, paths_, [this] { return relays(); }),
       prober_(context_.time, context_.client, context_.prober, paths_, sender_),
-      departures_({context_.time, registry_, [this] { return target_follower_.read_now(); }},
-                  {settings_.target_time_limit, settings_.target_report_interval}),
+      departures_(
+          {context_.time, registry_,
+           [this] { return target_follower_.read_now_within(departure_checker::read_timeout); }},
+          {settings_.target_time_limit, settings_.target_report_interval}),
       liveness_(context_.executor, context_.time, prober_, departures_),
       relay_(context_.time, context_.client, context_.protocol, registry_, slot_queue_, paths_,
              settings_.cores, memory_, liveness_),
--- a/lib/gateway/target_registry.cpp
+++ b/lib/gateway/target_registry.cpp
@@ -89,7 +89,7 @@
   follow_departure(id, *entry, is_new_report);
   if (held != targets_.end()) {
     const bool was_read = version == held->second.version;
-    if (!was_read)
+    if (!was_read || is_new_report)
       held->second.entry.sequence = entry->sequence;
     if (was_read || *entry == held->second.entry) {
       if (!was_read)
--- a/unittests/edge/departure_checker_test.cpp
+++ b/unittests/edge/departure_checker_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <ostream>
+#include <utility>
 
 // Guards against LOST: whole responses without a length or chunks are reset when their target has
 // stopped listening, and against ORDER: responses that a dying target has cut off are passed on as
@@ -169,3 +170,27 @@
   world.clock.run_for(1s);
   BOOST_TEST(result.value());
 }
+
+// Guards against ORDER: a node may learn only now of a report that the target wrote before it died.
+BOOST_AUTO_TEST_CASE(report_that_the_first_read_brings_shows_nothing) {
+  departure_fixture world;
+  world.write(world.make_entry(false));
+  world.write(world.make_entry(true));
+  world.clock.run_for(2500ms);
+  bool is_first = true;
+  edge::departure_checker reader{{world.clock, world.registry,
+                                  [&]() -> support::task<bool> {
+                                    if (std::exchange(is_first, false))
+                                      world.write(world.make_entry(true));
+                                    co_return true;
+                                  }},
+                                 {2000ms, report_interval}};
+  std::optional<bool> result;
+  const auto run = [&]() -> support::task<> {
+    result = co_await reader.has_completed(world.make_entry(true), world.clock.now(),
+                                           world.clock.now() + 5s);
+  };
+  support::spawn(world.context.get_executor(), "end", run());
+  world.clock.run_for(3s);
+  BOOST_TEST(!result.value());
+}
