--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -80,8 +80,8 @@
 }
 
 // Guards against LOST: a part that all sound requests share is banned in place of the deadly one.
-BOOST_DATA_TEST_CASE(sound_part_that_was_answered_before_is_not_banned,
-                     data::make({false, true}), crashes_late) {
+BOOST_DATA_TEST_CASE(sound_part_that_was_answered_before_is_not_banned, data::make({false, true}),
+                     crashes_late) {
   tainted_fleet fleet(3, 17);
   fleet.side.deadly_part = fleet.deadly;
   fleet.side.crashes_late = crashes_late;
