Let answers clear parts as of the moment that they go on

Since an answer cleared the crashes before its first event only. Answers that had begun before a crash no longer spoke for the parts that they share with the requests under it, so targets that crash by themselves banned a shared part.

An answer on a deadly part neither completes nor goes on for a second, so the moment at which one does clears all crashes before it, as for whole requests.

--- a/include/camphorlug/gateway/crash_cause_list.h
+++ b/include/camphorlug/gateway/crash_cause_list.h
@@ -34,10 +34,9 @@
 
   explicit crash_cause_list(support::clock& time) : time_(time) {}
 
-  /// Records that a target has answered and not crashed: it began to at `answered_at` and has gone
-  /// on since, for parts of a prompt, or has completed its answer, for a whole request.
-  void record_answer(const std::string& service, const std::vector<std::string>& suspects,
-                     support::clock::time_point answered_at);
+  /// Records that a target has answered and not crashed: its answer has gone on for a while, for
+  /// parts of a prompt, or is complete, for a whole request.
+  void record_answer(const std::string& service, const std::vector<std::string>& suspects);
 
   /// Records that a connection broke before the suspects were known not to crash the target. The
   /// target may have crashed; see `take_unconfirmed`.
--- a/include/camphorlug/gateway/crash_evidence.h
+++ b/include/camphorlug/gateway/crash_evidence.h
@@ -32,8 +32,8 @@
   /// Merges a record. Returns whether the evidence has changed.
   bool merge(const target_start& start, const crash_record& record);
 
-  /// Records that targets began to answer requests with these suspects, each at its time, and did
-  /// not crash: clears them in the records of earlier crashes.
+  /// Records that targets were answering requests with these suspects, each at its time, and had
+  /// not crashed: clears them in the records of earlier crashes.
   void apply_answers(const std::map<crash_cause, support::clock::time_point>& answers);
 
   const std::map<target_start, crash_record>& records() const { return records_; }
--- a/lib/gateway/crash_cause_list.cpp
+++ b/lib/gateway/crash_cause_list.cpp
@@ -13,15 +13,15 @@
 static constexpr std::size_t max_logged_suspects = 32;
 
 void crash_cause_list::record_answer(const std::string& service,
-                                     const std::vector<std::string>& suspects,
-                                     support::clock::time_point answered_at) {
+                                     const std::vector<std::string>& suspects) {
+  const auto now = time_.now();
   if (answers_.size() >= remembered_answers)
     older_answers_ = std::exchange(answers_, {});
   std::map<crash_cause, support::clock::time_point> answers;
   for (const std::string& id : suspects) {
     const crash_cause cause = make_cause(service, id);
-    answers_[cause] = std::max(answered_at, last_answer(cause).value_or(answered_at));
-    answers.emplace(cause, answered_at);
+    answers_[cause] = now;
+    answers.emplace(cause, now);
   }
   evidence_.apply_answers(answers);
 }
--- a/lib/gateway/target_attempt.cpp
+++ b/lib/gateway/target_attempt.cpp
@@ -245,14 +245,12 @@
 void target_attempt::record_answered_parts() {
   const std::vector<std::string>& all = shared_->crash_suspects;
   if (!std::exchange(has_survived_parts_, true))
-    env_.crash_causes.record_answer(shared_->service, {all.begin(), all.end() - 1},
-                                    first_event_at_.value_or(env_.time.now()));
+    env_.crash_causes.record_answer(shared_->service, {all.begin(), all.end() - 1});
 }
 
 void target_attempt::record_completion() {
   record_answered_parts();
-  env_.crash_causes.record_answer(shared_->service, {shared_->crash_suspects.back()},
-                                  env_.time.now());
+  env_.crash_causes.record_answer(shared_->service, {shared_->crash_suspects.back()});
 }
 
 void target_attempt::count_transport_failure(const net::transport_error& error) {
