--- a/unittests/edge/departure_checker_test.cpp
+++ b/unittests/edge/departure_checker_test.cpp
@@ -91,9 +91,10 @@
     write(std::move(entry));
   }
 
-  void end_response(std::optional<bool>& result) {
-    const auto run = [this](std::optional<bool>& answer) -> support::task<> {
-      answer = co_await checker.has_completed(make_entry(true), clock.now(), clock.now() + 5s);
+  void end_response(std::optional<bool>& result) { end_response(result, checker); }
+  void end_response(std::optional<bool>& result, edge::departure_checker& asked) {
+    const auto run = [this, &asked](std::optional<bool>& answer) -> support::task<> {
+      answer = co_await asked.has_completed(make_entry(true), clock.now(), clock.now() + 5s);
     };
     support::spawn(context.get_executor(), "end", run(result));
     clock.run_for(0ms);
@@ -162,11 +163,7 @@
                                   }},
                                  {2000ms, report_interval}};
   std::optional<bool> result;
-  const auto run = [&]() -> support::task<> {
-    result = co_await reader.has_completed(world.make_entry(true), world.clock.now(),
-                                           world.clock.now() + 5s);
-  };
-  support::spawn(world.context.get_executor(), "end", run());
+  world.end_response(result, reader);
   world.clock.run_for(1s);
   BOOST_TEST(result.value());
 }
@@ -186,11 +183,7 @@
                                   }},
                                  {2000ms, report_interval}};
   std::optional<bool> result;
-  const auto run = [&]() -> support::task<> {
-    result = co_await reader.has_completed(world.make_entry(true), world.clock.now(),
-                                           world.clock.now() + 5s);
-  };
-  support::spawn(world.context.get_executor(), "end", run());
+  world.end_response(result, reader);
   world.clock.run_for(3s);
   BOOST_TEST(!result.value());
 }
