Tests: wait until the stream runs, not until its request was counted

It looked for the runner of the stream as soon as the stand-ins had counted the request; the stand-in marks the runner as busy a few statements later, in another thread.

The test waits for what it needs: a busy runner. That fails as before if the stream never runs, and the checks of its end are unchanged.

--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -360,6 +360,10 @@
         cluster.standins.run_coroutine(runner.publish())
 
 
+    @staticmethod
+    def busy_runners():
+        return [runner for runner in cluster.standins.runners.values() if runner.active]
+
     def test_stream_that_ends_after_its_runner_stopped_listening_is_complete(self):
         # Guards against LOST: a stream without framing is reset when its runner drains and listens
         # no more.
@@ -369,8 +373,8 @@
         caller = threading.Thread(target=lambda: responses.append(
             cluster.call("/draft/x", events=200, model="small", identity=identity)))
         caller.start()
-        wait_until(lambda: identity in cluster.standins.runs, "the stream has begun")
-        runner = next(each for each in cluster.standins.runners.values() if each.active)
+        wait_until(self.busy_runners, "the stream has begun")
+        (runner,) = self.busy_runners()
         runner.draining = True
         cluster.standins.run_coroutine(runner.publish())
         time.sleep(2.3)
