Count what a connection receives by the connection, not by the client's port

Callers saw: a node that leaves could end while a request was still arriving, since it no longer knew of it; the request was cut and not logged.

Cause: receive_meters knew connections by the client's address and port, for all servers of the process. A client that uses one port for connections to two of them (which TCP allows) took the first connection's place. The memory of its request was returned to another connection, or never.

The new test fails before: 0 incomplete requests in place of 1, and memory that is never free again.

Why it works: the server finds the meter by the connection's id, which is unique in the server.

--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -316,6 +316,14 @@
   return settings;
 }
 
+/// What counts an open connection and its requests. The connection owns both; either may be absent.
+struct connection_accounts {
+  std::weak_ptr<open_connection> counted;
+  std::weak_ptr<receive_meter> meter;
+
+  bool expired() const { return counted.expired() && meter.expired(); }
+};
+
 } // namespace
 
 struct http_server::implementation : std::enable_shared_from_this<implementation> {
@@ -325,7 +333,7 @@
   std::shared_ptr<disconnect_callbacks> callbacks = std::make_shared<disconnect_callbacks>();
   std::unique_ptr<connection_factory> connections;
   std::shared_ptr<connection_acceptor> acceptor;
-  std::map<restinio::connection_id_t, std::weak_ptr<open_connection>> counted_connections;
+  std::map<restinio::connection_id_t, connection_accounts> accounts;
   std::size_t in_progress = 0;
   /// The latest request of each connection that has requests in progress.
   std::map<restinio::connection_id_t, std::shared_ptr<request_turn>> latest_turns;
@@ -358,8 +366,10 @@
   }
 
   /// Returns the memory that the request takes, which has been received completely.
-  support::memory_budget::charge take_memory(const restinio::request_handle_t& request) {
-    return asio::use_service<receive_meters>(context).take(request->remote_endpoint());
+  support::memory_budget::charge take_memory(restinio::connection_id_t connection) {
+    const auto found = accounts.find(connection);
+    const auto meter = found == accounts.end() ? nullptr : found->second.meter.lock();
+    return meter ? meter->take() : support::memory_budget::charge();
   }
 
   /// Opens a connection that reads requests from `socket`.
@@ -382,20 +392,21 @@
         limits.connections
             ? std::make_shared<open_connection>(*limits.connections, limits.serves_callers)
             : nullptr;
+    const auto meter = asio::use_service<receive_meters>(context).open(peer);
     const auto connection = connections->create_new_connection(
-        metered_socket(std::move(socket), counted), peer, {nullptr});
-    if (counted) {
+        metered_socket(std::move(socket), counted, meter), peer, {nullptr});
+    if (counted || meter) {
       if (connection->connection_id() % clean_up_interval == 0)
-        std::erase_if(counted_connections, [](const auto& each) { return each.second.expired(); });
-      counted_connections.emplace(connection->connection_id(), counted);
+        std::erase_if(accounts, [](const auto& each) { return each.second.expired(); });
+      accounts.emplace(connection->connection_id(), connection_accounts{counted, meter});
     }
     connection->init();
   }
 
   /// Returns nullptr if the connection is closed or nothing counts it.
   std::shared_ptr<open_connection> counted_connection(restinio::connection_id_t id) const {
-    const auto found = counted_connections.find(id);
-    return found == counted_connections.end() ? nullptr : found->second.lock();
+    const auto found = accounts.find(id);
+    return found == accounts.end() ? nullptr : found->second.counted.lock();
   }
 
   /// Counts a request that has arrived. It is counted before its coroutine starts, so that a
@@ -461,7 +472,7 @@
     const auto self = weak.lock();
     if (!self)
       return restinio::request_rejected();
-    support::memory_budget::charge memory = self->take_memory(request);
+    support::memory_budget::charge memory = self->take_memory(request->connection_id());
     self->begin_request(request->connection_id());
     support::spawn(self->context.get_executor(), "request",
                    implementation::handle_request(self, std::move(request), std::move(memory)));
--- a/lib/net/metered_socket.cpp
+++ b/lib/net/metered_socket.cpp
@@ -71,7 +71,7 @@
 
 std::vector<std::shared_ptr<const receive_meter>> receive_meters::incomplete() const {
   std::vector<std::shared_ptr<const receive_meter>> found;
-  for (const auto& [peer, each] : meters_) {
+  for (const auto& each : meters_) {
     const auto meter = each.lock();
     if (meter && meter->received > 0)
       found.push_back(meter);
@@ -85,24 +85,18 @@
   const auto opened =
       std::make_shared<receive_meter>(*budget_, peer.address().to_string(), id_text_);
   if (++opened_ % clean_up_interval == 0)
-    std::erase_if(meters_, [](const auto& each) { return each.second.expired(); });
-  meters_[peer] = opened;
+    std::erase_if(meters_, [](const auto& each) { return each.expired(); });
+  meters_.push_back(opened);
   return opened;
 }
 
-support::memory_budget::charge receive_meters::take(const asio::ip::tcp::endpoint& peer) {
-  const auto found = meters_.find(peer);
-  const auto meter = found == meters_.end() ? nullptr : found->second.lock();
-  return meter ? meter->take() : support::memory_budget::charge();
-}
-
 void receive_meters::evict_stalled() {
   const auto now = std::chrono::steady_clock::now();
   if (now < next_eviction_at_)
     return;
   next_eviction_at_ = now + eviction_interval;
   std::shared_ptr<receive_meter> longest;
-  for (const auto& [peer, each] : meters_) {
+  for (const auto& each : meters_) {
     const auto meter = each.lock();
     if (meter && meter->reading && meter->memory.bytes() > receive_meter::free_bytes &&
         now - meter->last_read_at >= max_stall &&
@@ -113,15 +107,6 @@
     longest->reading->evict();
 }
 
-void metered_socket::open_meter() {
-  asio::error_code error;
-  const auto peer = remote_endpoint(error);
-  if (error)
-    return;
-  meter_ = meters().open(peer);
-  is_unlimited_ = !meter_;
-}
-
 receive_meters& metered_socket::meters() {
   return asio::use_service<receive_meters>(asio::query(get_executor(), asio::execution::context));
 }
--- a/lib/net/metered_socket.h
+++ b/lib/net/metered_socket.h
@@ -9,7 +9,6 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -68,10 +67,8 @@
   /// `id_header` may be empty.
   void set_budget(support::memory_budget* budget, const std::string& id_header);
 
-  /// Returns nullptr if nothing counts what connections receive.
+  /// Returns the meter of a new connection, nullptr if nothing counts what connections receive.
   std::shared_ptr<receive_meter> open(const asio::ip::tcp::endpoint& peer);
-  /// Returns the memory of the connection's message, which is complete now.
-  support::memory_budget::charge take(const asio::ip::tcp::endpoint& peer);
   /// Returns the meters of the connections that have received a part of a message.
   std::vector<std::shared_ptr<const receive_meter>> incomplete() const;
   /// Ends a connection that holds memory for a message of which it receives nothing.
@@ -90,7 +87,7 @@
   std::string id_text_;
   std::size_t opened_ = 0;
   time_point next_eviction_at_;
-  std::map<asio::ip::tcp::endpoint, std::weak_ptr<receive_meter>> meters_;
+  std::vector<std::weak_ptr<receive_meter>> meters_;
 };
 
 /// A socket of RESTinio's connections that stops reading while the memory for incomplete messages
@@ -98,10 +95,12 @@
 /// refused and ends.
 class metered_socket : public asio::ip::tcp::socket {
 public:
-  /// `connection` is nullptr if nothing counts the connections of the server.
-  explicit metered_socket(asio::ip::tcp::socket accepted,
-                          std::shared_ptr<open_connection> connection)
-      : asio::ip::tcp::socket(std::move(accepted)), connection_(std::move(connection)) {}
+  /// `connection` is nullptr if nothing counts the connections of the server, `meter` if nothing
+  /// counts what they receive.
+  metered_socket(asio::ip::tcp::socket accepted, std::shared_ptr<open_connection> connection,
+                 std::shared_ptr<receive_meter> meter)
+      : asio::ip::tcp::socket(std::move(accepted)), connection_(std::move(connection)),
+        meter_(std::move(meter)) {}
   metered_socket(metered_socket&&) = default;
   metered_socket& operator=(metered_socket&&) = default;
 
@@ -139,8 +138,6 @@
 
   template<class Buffer, class Handler>
   void read_metered(const Buffer& buffer, Handler handler) {
-    if (!meter_ && !is_unlimited_)
-      open_meter();
     if (!meter_)
       asio::ip::tcp::socket::async_read_some(buffer, std::move(handler));
     else if (meter_->try_reserve(buffer.size()))
@@ -151,7 +148,6 @@
 
   static asio::error_code no_memory() { return asio::error::no_buffer_space; }
 
-  void open_meter();
   receive_meters& meters();
   /// Answers, if it is possible, that the request was not read and will not run.
   void refuse();
@@ -189,7 +185,6 @@
 
   std::shared_ptr<open_connection> connection_;
   std::shared_ptr<receive_meter> meter_;
-  bool is_unlimited_ = false;
 };
 
 } // namespace camphorlug::net
--- a/unittests/net/receiving_memory_test.cpp
+++ b/unittests/net/receiving_memory_test.cpp
@@ -19,13 +19,17 @@
 namespace {
 
 constexpr std::uint16_t port = 28998;
+constexpr std::uint16_t other_port = 28997;
 constexpr std::size_t limit = 400'000;
 constexpr std::size_t body_bytes = 150'000;
 /// A connection reads this much at a time.
 constexpr std::size_t read_size = 4096;
 
 struct caller {
-  explicit caller(asio::io_context& context) : socket(context) {
+  explicit caller(asio::io_context& context) : socket(context, asio::ip::tcp::v4()) {
+    // Another socket can be bound to the same port then.
+    socket.set_option(asio::socket_base::reuse_address(true));
+    socket.bind({asio::ip::make_address("127.0.0.1"), 0});
     socket.connect({asio::ip::make_address("127.0.0.1"), port});
     socket.non_blocking(true);
   }
@@ -156,4 +160,31 @@
   BOOST_TEST(world.run_until([&] { return world.budget.used() == 0; }));
 }
 
+// Guards against a request that still arrives and is not waited for, because its client uses the
+// same port for a connection to another server of the process.
+BOOST_AUTO_TEST_CASE(incomplete_request_is_known_beside_a_connection_from_the_same_port) {
+  receiving_fixture world;
+  net::http_server other(world.context, "127.0.0.1:" + std::to_string(other_port),
+                         [](net::server_request, net::response_writer& writer) -> support::task<> {
+                           writer.send(200, {}, "");
+                           co_return;
+                         });
+  caller& first = world.add_caller(body_bytes, 10);
+  BOOST_REQUIRE(world.run_until([&] { return world.server->receiving() == 1; }));
+  asio::ip::tcp::socket second(world.context, asio::ip::tcp::v4());
+  second.set_option(asio::socket_base::reuse_address(true));
+  second.bind(first.socket.local_endpoint());
+  second.connect({asio::ip::make_address("127.0.0.1"), other_port});
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(second, asio::buffer(request));
+  BOOST_REQUIRE(world.run_until([&] { return second.available() > 0; }));
+  BOOST_TEST(world.server->receiving() == 1U);
+  // Each request's memory is its own.
+  BOOST_TEST(world.budget.used() >= body_bytes);
+  first.unsent = std::string(body_bytes - 10, 'x');
+  BOOST_TEST(world.run_until([&] { return first.response().starts_with("HTTP/1.1 200"); }));
+  BOOST_TEST(world.server->receiving() == 0U);
+  BOOST_TEST(world.run_until([&] { return world.budget.used() == 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
