--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -224,11 +224,15 @@
   BOOST_TEST(writer.status == 200);
 }
 
-void restart_all_nodes(tainted_fleet& fleet) {
+void start_all_nodes_anew(tainted_fleet& fleet) {
   for (std::size_t i = 0; i < fleet.edges.size(); ++i)
     fleet.kill(i);
   for (std::size_t i = 0; i < fleet.edges.size(); ++i)
     fleet.start(i);
+}
+
+void restart_all_nodes(tainted_fleet& fleet) {
+  start_all_nodes_anew(fleet);
   for (std::size_t i = 0; i < fleet.edges.size(); ++i)
     fleet.wait_until_ready(i);
 }
@@ -249,6 +253,29 @@
     BOOST_TEST(fleet.banned(i) == 1, "node " << i);
 }
 
+// Guards against BUDGET: a node reads its configuration and its targets, but the bans only after it
+// has begun to serve.
+BOOST_DATA_TEST_CASE(restarted_nodes_whose_first_reads_failed_know_a_ban_before_they_serve,
+                     data::make({0, 200, 400, 600, 800, 1000}), outage_ms) {
+  tainted_fleet fleet(3, 12);
+  fleet.play_until_banned();
+  fleet.run_for(2s);
+  start_all_nodes_anew(fleet);
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    fleet.cut_store(i, true);
+  fleet.run_for(std::chrono::milliseconds(outage_ms));
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    fleet.cut_store(i, false);
+  for (int step = 0; step < 500; ++step) {
+    fleet.run_for(10ms);
+    for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+      BOOST_REQUIRE_MESSAGE(!fleet.edges[i]->node->ready() || fleet.banned(i) == 1,
+                            "node " << i << " serves without the ban at step " << step);
+  }
+  for (std::size_t i = 0; i < fleet.edges.size(); ++i)
+    BOOST_TEST(fleet.edges[i]->node->ready(), "node " << i);
+}
+
 // Guards against refusals of a sound part: an older copy of the store brings a lifted ban back.
 BOOST_AUTO_TEST_CASE(lifted_ban_that_a_restored_store_holds_again_is_deleted) {
   tainted_fleet fleet(4, 12);
