Test that each lasting task of a node survives an exception

A clock of the node's own makes one wait fail.

Not covered: the tasks of platform/main and of camphorlugd, which begin in the same way.

--- a/unittests/fakes/edge_cluster.cpp
+++ b/unittests/fakes/edge_cluster.cpp
@@ -343,6 +343,9 @@
   auto edge = std::make_unique<running_edge>();
   edge->id = "edge-" + std::to_string(index);
   edge->peer_address = address.empty() ? "peer-" + std::to_string(index) : address;
+  if (gives_own_clocks)
+    edge->clock = std::make_unique<failing_clock>(clock);
+  support::clock& node_clock = edge->clock ? *edge->clock : static_cast<support::clock&>(clock);
   edge->store = std::make_unique<fake_store>(clock, own_rows);
   edge->feed = std::make_unique<fake_change_feed>(clock, tables);
   edge->client = std::make_unique<node_client>(clock, network, target_client, edge->peer_address);
@@ -359,7 +362,7 @@
   settings.cold = cold_limit;
   edge->node = std::make_unique<edge::edge_node>(
       edge::edge_context{context.get_executor(),
-                         clock,
+                         node_clock,
                          random,
                          *edge->client,
                          *edge->store,
--- a/unittests/fakes/edge_cluster.h
+++ b/unittests/fakes/edge_cluster.h
@@ -3,6 +3,7 @@
 #include "camphorlug/edge/edge_node.h"
 #include "camphorlug/support/virtual_clock.h"
 
+#include "fakes/failing_clock.h"
 #include "fakes/fake_platform_tables.h"
 #include "fakes/fake_store.h"
 #include "fakes/minimal_protocol.h"
@@ -116,6 +117,8 @@
 struct running_edge {
   std::string id;
   std::string peer_address;
+  /// The node's own clock, or nullptr if it uses that of the cluster.
+  std::unique_ptr<failing_clock> clock;
   std::unique_ptr<fake_store> store;
   std::unique_ptr<fake_change_feed> feed;
   std::unique_ptr<node_client> client;
@@ -187,6 +190,8 @@
   minimal_protocol protocol;
   minimal_row_decoder decoder;
   null_instance_client orders;
+  /// Whether nodes get a clock of their own when they are started.
+  bool gives_own_clocks = false;
   /// Data centres of the nodes, in turn.
   std::vector<std::string> data_centres{"east", "west"};
   gateway::region_map regions;
