Share the checks of the tests of a deadly prompt part

Two tests had the same five checks with another share of requests that must be served, 0.9 and 0.5; both keep theirs. No check has changed.

--- a/unittests/edge/deadly_part_test.cpp
+++ b/unittests/edge/deadly_part_test.cpp
@@ -33,15 +33,19 @@
 const std::vector<fleet_size> small_fleets = {{6, 20, false}, {6, 20, true}, {6, 8, false}};
 const std::vector<fleet_size> large_fleets = {{300, 60, false}};
 
-void expect_deadly_requests_are_stopped(tainted_fleet& fleet, bool deadly_first) {
-  fleet.side.deadly_part = fleet.deadly;
-  fleet.send_requests(14s, deadly_first);
-  fleet.run_for(2s);
+void expect_only_deadly_requests_end(const tainted_fleet& fleet, double served_share) {
   const auto& crashes = fleet.side.deadly_crashes;
   BOOST_REQUIRE(!crashes.empty());
   const auto counted = crashes[std::min(crashes.size(), crashes_that_count) - 1];
   BOOST_TEST(fleet.deadly_arrivals_after(counted + learning_time) <= max_sent_later);
-  BOOST_TEST(fleet.served_after(counted + 2 * learning_time) > 0.9);
+  BOOST_TEST(fleet.served_after(counted + 2 * learning_time) > served_share);
+}
+
+void expect_deadly_requests_are_stopped(tainted_fleet& fleet, bool deadly_first) {
+  fleet.side.deadly_part = fleet.deadly;
+  fleet.send_requests(14s, deadly_first);
+  fleet.run_for(2s);
+  expect_only_deadly_requests_end(fleet, 0.9);
 }
 
 } // namespace
@@ -97,11 +101,7 @@
       send_sound();
     fleet.run_for(250ms);
   }
-  const auto& crashes = fleet.side.deadly_crashes;
-  BOOST_REQUIRE(!crashes.empty());
-  const auto counted = crashes[std::min(crashes.size(), crashes_that_count) - 1];
-  BOOST_TEST(fleet.deadly_arrivals_after(counted + learning_time) <= max_sent_later);
-  BOOST_TEST(fleet.served_after(counted + 2 * learning_time) > 0.5);
+  expect_only_deadly_requests_end(fleet, 0.5);
 }
 
 namespace {
