Name the streams that a stand-in runner runs

Cause: the stand-in counted its streams. A stream of a runner that was killed went on looping until the runner had restarted and was in a group again, and then took one off the count of the restarted runner, which was -1 from there on.

Ruled out: a second run of the stream by the nodes; the test now looks for its own stream by id and still demands exactly one runner.

Change: a list of request ids, one list for each life of a runner; a stream also ends while its group makes no progress once its caller is gone.

--- a/tests/process/platform_run.py
+++ b/tests/process/platform_run.py
@@ -361,8 +361,9 @@
 
 
     @staticmethod
-    def busy_runners():
-        return [runner for runner in cluster.standins.runners.values() if runner.active]
+    def runners_of_stream(identity):
+        return [runner for runner in cluster.standins.runners.values()
+                if identity in runner.streams]
 
     def test_stream_that_ends_after_its_runner_stopped_listening_is_complete(self):
         # Guards against LOST: a stream without framing is reset when its runner drains and listens
@@ -373,8 +374,8 @@
         caller = threading.Thread(target=lambda: responses.append(
             cluster.call("/draft/x", events=200, model="small", identity=identity)))
         caller.start()
-        wait_until(self.busy_runners, "the stream has begun")
-        (runner,) = self.busy_runners()
+        wait_until(lambda: self.runners_of_stream(identity), "the stream has begun")
+        (runner,) = self.runners_of_stream(identity)
         runner.draining = True
         cluster.standins.run_coroutine(runner.publish())
         time.sleep(2.3)
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -203,8 +203,8 @@
         self.silent = False
         self.lose_answers = 0
         self.paused_until = 0
-        # Streams in progress.
-        self.active = 0
+        # Ids of the requests whose streams are in progress.
+        self.streams = []
         self.answer_bytes = 0
         self.draining = False
         # Its streams have neither a length nor chunks.
@@ -290,7 +290,7 @@
             self.group["state"] = "open"
         else:
             # Closing lets the streams in progress end first.
-            self.group["state"] = "closing" if self.active else "ready"
+            self.group["state"] = "closing" if self.streams else "ready"
         await self.publish()
         return 202 if self.group["state"] == "closing" else 200
 
@@ -348,14 +348,7 @@
         if self.request_limit is not None:
             response_headers["Server-Limit"] = str(self.request_limit)
         if self.domain:
-            self.active += 1
-            try:
-                return await self.stream(request, connection, response_headers)
-            finally:
-                self.active -= 1
-                if not self.active and self.group and self.group["state"] == "closing":
-                    self.group["state"] = "ready"
-                    await self.publish()
+            return await self.serve_stream(request, connection, response_headers)
         await asyncio.sleep(EVENT_S)
         while time.monotonic() < self.paused_until and not connection.disconnected:
             await asyncio.sleep(EVENT_S)
@@ -365,6 +358,18 @@
         body = b"y" * self.answer_bytes or request.headers["x-request-id"].encode()
         return connection.send(200, body, response_headers)
 
+    async def serve_stream(self, request, connection, response_headers):
+        # A stream can outlast the instance that began it; a restarted one has its own list.
+        streams, identity = self.streams, request.headers["x-request-id"]
+        streams.append(identity)
+        try:
+            return await self.stream(request, connection, response_headers)
+        finally:
+            streams.remove(identity)
+            if not self.streams and self.group and self.group["state"] == "closing":
+                self.group["state"] = "ready"
+                await self.publish()
+
     @staticmethod
     def prompt_parts(request):
         parts = request.headers.get("x-prefix-hash", "").split(",")
@@ -382,8 +387,9 @@
         last = int(request.headers.get("x-token-counts", "1,20").split(",")[1])
         for number in range(first, last + 1):
             # A group makes progress only while all of its members do.
-            while (time.monotonic() < self.paused_until
-                   or not self.standins.group_makes_progress(self)):
+            while not connection.disconnected and (
+                    time.monotonic() < self.paused_until
+                    or not self.standins.group_makes_progress(self)):
                 await asyncio.sleep(EVENT_S)
             if connection.disconnected:
                 self.standins.disconnects[request.headers["x-request-id"]] = number
