Read the bans until they are known after a restart of all nodes, again

What callers saw: after a restart of all nodes, nodes served for up to 0.3 s without the bans and sent a banned request to a target.

--- a/lib/edge/edge_node.cpp
+++ b/lib/edge/edge_node.cpp
@@ -31,6 +31,8 @@
 /// A restarted node hears of a live peer within this time.
 static constexpr std::chrono::milliseconds read_delay_after_restart{100};
 static constexpr std::chrono::milliseconds long_read_delay_after_restart{350};
+/// Interval at which a node that has started again reads the bans until it knows them.
+static constexpr std::chrono::milliseconds ban_read_interval{400};
 /// Nodes with at least this processor share are the first to read the store after a restart.
 static constexpr double min_cores_of_relays = 0.25;
 static constexpr std::chrono::milliseconds config_reread_interval{2000};
@@ -329,13 +331,19 @@
   const auto jittered = std::chrono::duration_cast<std::chrono::nanoseconds>(
       delay * (1 + 0.5 * context_.random.uniform_real()));
   co_await context_.time.sleep_for(jittered);
-  if (peer_has_config_ || (config_.current() && registry_.was_read()))
-    co_return;
-  support::log_event(support::log_level::info, "store_read_after_restart");
-  // The bans come first: a node with a configuration takes requests.
-  co_await own_follower_.read_now();
-  co_await config_follower_.read_now();
-  co_await target_follower_.read_now();
+  if (!peer_has_config_ && !(config_.current() && registry_.was_read())) {
+    support::log_event(support::log_level::info, "store_read_after_restart");
+    // The bans come first: a node with a configuration takes requests.
+    co_await own_follower_.read_now();
+    co_await config_follower_.read_now();
+    co_await target_follower_.read_now();
+  }
+  // Others that serve tell the bans, but all may have started just now.
+  while (!crash_keeper_.knows_bans()) {
+    co_await context_.time.sleep_for(ban_read_interval);
+    if (!crash_keeper_.knows_bans())
+      co_await own_follower_.read_now();
+  }
 }
 
 /// Returns the body of a peer's response, or nullopt if the request fails or the status is not
